feat(proxy): add the shared node state and the settings

The request path and the control tasks need one place for what an instance knows.

Settings are checked as a whole: each fault has file, line and remedy.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,1 +1,6 @@
-//! Placeholder
+//! The daemon: client side, forwarding, upstream pools, platform client and control tasks.
+
+pub mod clock;
+pub mod metrics;
+pub mod node;
+pub mod settings;
--- /dev/null
+++ b/crates/proxy/src/settings/fault.rs
@@ -0,0 +1,95 @@
+//! Faults in a settings file.
+
+use std::{fmt, io, ops::Range, sync::Arc};
+
+use miette::{Diagnostic, NamedSource, SourceSpan};
+use thiserror::Error;
+
+/// One fault with its place and a remedy.
+#[derive(Debug, Clone, Error, Diagnostic)]
+#[error("{file}:{line}: {message}")]
+pub struct SettingsFault {
+    file: Arc<str>,
+    line: usize,
+    message: String,
+    #[help]
+    remedy: String,
+    #[source_code]
+    source_code: NamedSource<Arc<str>>,
+    #[label("here")]
+    span: SourceSpan,
+}
+
+impl SettingsFault {
+    pub(crate) fn new(
+        file: &Arc<str>,
+        text: &Arc<str>,
+        span: Range<usize>,
+        message: String,
+        remedy: String,
+    ) -> Self {
+        let start = span.start.min(text.len());
+        let before = &text.as_bytes()[..start];
+        let line = 1 + before.split(|byte| *byte == b'\n').count() - 1;
+        Self {
+            file: Arc::clone(file),
+            line,
+            message,
+            remedy,
+            source_code: NamedSource::new(&**file, Arc::clone(text)),
+            span: SourceSpan::from(start..span.end.min(text.len()).max(start)),
+        }
+    }
+
+    /// Line of the fault, counted from 1.
+    pub const fn line(&self) -> usize {
+        self.line
+    }
+
+    /// What is wrong.
+    pub fn message(&self) -> &str {
+        &self.message
+    }
+
+    /// What to do about it.
+    pub fn remedy(&self) -> &str {
+        &self.remedy
+    }
+}
+
+/// All faults of a settings file, in the order of their lines.
+#[derive(Debug, Clone, Diagnostic)]
+pub struct SettingsFaults {
+    file: Arc<str>,
+    #[related]
+    faults: Vec<SettingsFault>,
+}
+
+impl SettingsFaults {
+    pub(crate) fn new(file: &Arc<str>, mut faults: Vec<SettingsFault>) -> Self {
+        faults.sort_by_key(|fault| fault.line);
+        Self { file: Arc::clone(file), faults }
+    }
+
+    pub(crate) fn unreadable(file: &str, error: &io::Error) -> Self {
+        let file: Arc<str> = Arc::from(file);
+        let text: Arc<str> = Arc::from("");
+        let message = format!("the file cannot be read: {error}");
+        let remedy = "give the path of a readable settings file with --config".to_owned();
+        let fault = SettingsFault::new(&file, &text, 0..0, message, remedy);
+        Self::new(&file, vec![fault])
+    }
+
+    /// The faults in the order of their lines.
+    pub fn faults(&self) -> &[SettingsFault] {
+        &self.faults
+    }
+}
+
+impl fmt::Display for SettingsFaults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} has {} fault(s)", self.file, self.faults.len())
+    }
+}
+
+impl std::error::Error for SettingsFaults {}
--- /dev/null
+++ b/crates/proxy/src/settings/reader.rs
@@ -0,0 +1,410 @@
+//! Walks a parsed settings file and collects every fault in it.
+
+use std::{
+    net::SocketAddr, ops::Range, ops::RangeInclusive, path::PathBuf, sync::Arc, time::Duration,
+};
+
+use hibiscusladder_core::name::{DataCentre, InstanceId};
+use toml::{
+    Spanned,
+    de::{DeTable, DeValue},
+};
+
+use super::{
+    InstanceSettings, Limits, LogLevel, Place, PlatformSettings, Settings, SettingsFault,
+    SettingsFaults, Times, TlsSettings, UpstreamSettings, duration_text, parse_duration,
+};
+
+/// Sections of a settings file.
+const SECTIONS: [&str; 10] = [
+    "instance", "platform", "topology", "limits", "times", "tls", "trace", "metrics", "upstream",
+    "log",
+];
+
+/// Largest proof age that the wait after a change of shares (8 s) allows, less the 2 s of outage evidence.
+const LARGEST_CONFIG_AGE: Duration = Duration::from_millis(5500);
+
+/// Collects settings and faults.
+pub(super) struct Reader {
+    file: Arc<str>,
+    text: Arc<str>,
+    faults: Vec<SettingsFault>,
+}
+
+/// One table of the file, with the keys that were asked for.
+struct Section<'a, 'i> {
+    name: &'static str,
+    table: &'a DeTable<'i>,
+    span: Range<usize>,
+    known: Vec<&'static str>,
+}
+
+impl<'a, 'i> Section<'a, 'i> {
+    fn get(&mut self, key: &'static str) -> Option<&'a Spanned<DeValue<'i>>> {
+        self.known.push(key);
+        self.table.iter().find(|(name, _)| name.get_ref() == key).map(|(_, value)| value)
+    }
+}
+
+impl Reader {
+    pub(super) fn new(file: &str, text: &str) -> Self {
+        Self { file: Arc::from(file), text: Arc::from(text), faults: Vec::new() }
+    }
+
+    pub(super) fn settings(mut self) -> Result<Settings, SettingsFaults> {
+        let text = Arc::clone(&self.text);
+        let (root, errors) = DeTable::parse_recoverable(&text);
+        for error in errors {
+            let span = error.span().unwrap_or(0..0);
+            self.fault(span, error.message(), "correct the TOML syntax at this place");
+        }
+        let syntax = !self.faults.is_empty();
+        let settings = self.root(root.get_ref());
+        if syntax {
+            // A syntax fault can hide keys, so faults about missing keys would mislead.
+            self.faults.retain(|fault| !fault.message().contains("is missing"));
+        }
+        match settings {
+            Some(settings) if self.faults.is_empty() => Ok(settings),
+            _ => Err(SettingsFaults::new(&self.file, self.faults)),
+        }
+    }
+
+    fn root(&mut self, root: &DeTable<'_>) -> Option<Settings> {
+        for (key, _) in root.iter() {
+            if !SECTIONS.contains(&key.get_ref().as_ref()) {
+                let message = format!("`{}` is not a known section", key.get_ref());
+                let remedy = format!("use one of: {}", SECTIONS.join(", "));
+                self.fault(key.span(), &message, &remedy);
+            }
+        }
+        let topology = self.topology(root);
+        let instance = self.instance(root, &topology);
+        let platform = self.platform(root);
+        let limits = self.limits(root);
+        let times = self.times(root);
+        let tls = self.tls(root);
+        let otlp = self.trace(root);
+        let statsd = self.metrics(root);
+        let upstream = self.upstream(root);
+        let log = self.log(root);
+        Some(Settings {
+            instance: instance?,
+            platform: platform?,
+            topology,
+            limits,
+            times,
+            tls,
+            otlp,
+            statsd,
+            upstream: upstream?,
+            log,
+        })
+    }
+
+    fn instance(&mut self, root: &DeTable<'_>, topology: &[Place]) -> Option<InstanceSettings> {
+        let mut section = self.required_section(root, "instance")?;
+        let id = self.required_text(&mut section, "id");
+        let data_centre = self.required_text(&mut section, "data_centre");
+        let listen = self.required_address(&mut section, "listen");
+        let rpc = self.required_address(&mut section, "rpc");
+        let health = self.required_address(&mut section, "health");
+        if let Some((name, span)) = &data_centre
+            && !topology.iter().any(|place| place.data_centre.as_str() == name)
+        {
+            let message = format!("the data centre `{name}` is not in the topology");
+            self.fault(span.clone(), &message, "add it to [[topology]] or correct the name");
+        }
+        self.finish(&section);
+        Some(InstanceSettings {
+            id: InstanceId::from(id?.0),
+            data_centre: DataCentre::from(data_centre?.0),
+            listen: listen?,
+            rpc: rpc?,
+            health: health?,
+        })
+    }
+
+    fn platform(&mut self, root: &DeTable<'_>) -> Option<PlatformSettings> {
+        let mut section = self.required_section(root, "platform")?;
+        let url = self.required_text(&mut section, "url");
+        self.finish(&section);
+        let (url, span) = url?;
+        let address = self.http_address(&url, span)?;
+        Some(PlatformSettings { address })
+    }
+
+    fn topology(&mut self, root: &DeTable<'_>) -> Vec<Place> {
+        let Some((key, value)) = root.iter().find(|(key, _)| key.get_ref() == "topology") else {
+            let remedy =
+                "add one [[topology]] table with `data_centre` and `region` for each data centre";
+            self.fault(0..0, "the section `topology` is missing", remedy);
+            return Vec::new();
+        };
+        let Some(array) = value.get_ref().as_array() else {
+            self.fault(key.span(), "`topology` is not a list", "write it as [[topology]] tables");
+            return Vec::new();
+        };
+        let mut places: Vec<Place> = Vec::new();
+        for item in array.iter() {
+            let Some(table) = item.get_ref().as_table() else {
+                let remedy = "write it as { data_centre = \"…\", region = \"…\" }";
+                self.fault(item.span(), "an entry of `topology` is not a table", remedy);
+                continue;
+            };
+            let mut section =
+                Section { name: "topology", table, span: item.span(), known: Vec::new() };
+            let data_centre = self.required_text(&mut section, "data_centre");
+            let region = self.required_text(&mut section, "region");
+            self.finish(&section);
+            let (Some((data_centre, span)), Some((region, _))) = (data_centre, region) else {
+                continue;
+            };
+            if places.iter().any(|place| place.data_centre.as_str() == data_centre) {
+                let message = format!("the data centre `{data_centre}` is listed twice");
+                self.fault(span, &message, "remove one of the two entries");
+                continue;
+            }
+            places.push(Place { data_centre: DataCentre::from(data_centre), region });
+        }
+        places
+    }
+
+    fn limits(&mut self, root: &DeTable<'_>) -> Limits {
+        let mut limits = Limits::default();
+        let Some(mut section) = self.section(root, "limits") else {
+            return limits;
+        };
+        self.count(&mut section, "client_connections", 1..=100_000, &mut limits.client_connections);
+        self.count(&mut section, "batch_bytes", 1024..=64 << 20, &mut limits.batch_bytes);
+        self.count(&mut section, "queue_length", 1..=100_000, &mut limits.queue_length);
+        self.finish(&section);
+        limits
+    }
+
+    fn times(&mut self, root: &DeTable<'_>) -> Times {
+        let mut times = Times::default();
+        let Some(mut section) = self.section(root, "times") else {
+            return times;
+        };
+        let minute = Duration::from_secs(60);
+        let at_least = |millis| Duration::from_millis(millis)..=minute;
+        let config = Duration::from_secs(1)..=LARGEST_CONFIG_AGE;
+        let hour = Duration::from_millis(100)..=minute * 60;
+        self.time(&mut section, "max_config_age", config, &mut times.max_config_age);
+        self.time(&mut section, "queue_wait", at_least(1), &mut times.queue_wait);
+        self.time(&mut section, "admit_wait", at_least(0), &mut times.admit_wait);
+        self.time(&mut section, "replica_wait", at_least(0), &mut times.replica_wait);
+        self.time(
+            &mut section,
+            "idle_in_transaction",
+            at_least(10),
+            &mut times.idle_in_transaction,
+        );
+        self.time(&mut section, "silence_bound", at_least(100), &mut times.silence_bound);
+        self.time(&mut section, "gate_wait", at_least(0), &mut times.gate_wait);
+        self.time(&mut section, "statement", hour.clone(), &mut times.statement);
+        self.time(&mut section, "drain_time", hour, &mut times.drain_time);
+        self.time(&mut section, "platform_call", at_least(50), &mut times.platform_call);
+        self.finish(&section);
+        times
+    }
+
+    fn tls(&mut self, root: &DeTable<'_>) -> Option<TlsSettings> {
+        let mut section = self.section(root, "tls")?;
+        let cert = self.required_text(&mut section, "cert");
+        let key = self.required_text(&mut section, "key");
+        self.finish(&section);
+        Some(TlsSettings { cert: PathBuf::from(cert?.0), key: PathBuf::from(key?.0) })
+    }
+
+    fn trace(&mut self, root: &DeTable<'_>) -> Option<String> {
+        let mut section = self.section(root, "trace")?;
+        let otlp = self.required_text(&mut section, "otlp");
+        self.finish(&section);
+        let (url, span) = otlp?;
+        self.http_address(&url, span)?;
+        Some(url)
+    }
+
+    fn metrics(&mut self, root: &DeTable<'_>) -> Option<SocketAddr> {
+        let mut section = self.section(root, "metrics")?;
+        let statsd = self.required_address(&mut section, "statsd");
+        self.finish(&section);
+        statsd
+    }
+
+    fn upstream(&mut self, root: &DeTable<'_>) -> Option<UpstreamSettings> {
+        let mut section = self.required_section(root, "upstream")?;
+        let user = self.required_text(&mut section, "user");
+        let password = self.required_text(&mut section, "password");
+        self.finish(&section);
+        Some(UpstreamSettings { user: user?.0, password: password?.0 })
+    }
+
+    fn log(&mut self, root: &DeTable<'_>) -> LogLevel {
+        let Some(mut section) = self.section(root, "log") else {
+            return LogLevel::default();
+        };
+        let level = self.required_text(&mut section, "level");
+        self.finish(&section);
+        match level.as_ref().map(|(text, span)| (text.as_str(), span)) {
+            Some(("error", _)) => LogLevel::Error,
+            Some(("warn", _)) => LogLevel::Warn,
+            Some(("debug", _)) => LogLevel::Debug,
+            Some(("info", _)) | None => LogLevel::Info,
+            Some((other, span)) => {
+                let message = format!("`{other}` is not a log level");
+                self.fault(span.clone(), &message, "use one of: error, warn, info, debug");
+                LogLevel::default()
+            }
+        }
+    }
+
+    fn section<'a, 'i>(
+        &mut self,
+        root: &'a DeTable<'i>,
+        name: &'static str,
+    ) -> Option<Section<'a, 'i>> {
+        let (key, value) = root.iter().find(|(key, _)| key.get_ref() == name)?;
+        let Some(table) = value.get_ref().as_table() else {
+            let message = format!("`{name}` is not a section");
+            self.fault(key.span(), &message, &format!("write it as [{name}]"));
+            return None;
+        };
+        Some(Section { name, table, span: value.span(), known: Vec::new() })
+    }
+
+    fn required_section<'a, 'i>(
+        &mut self,
+        root: &'a DeTable<'i>,
+        name: &'static str,
+    ) -> Option<Section<'a, 'i>> {
+        if !root.iter().any(|(key, _)| key.get_ref() == name) {
+            let message = format!("the section `{name}` is missing");
+            self.fault(0..0, &message, &format!("add a section [{name}]"));
+        }
+        self.section(root, name)
+    }
+
+    fn required_text(
+        &mut self,
+        section: &mut Section<'_, '_>,
+        key: &'static str,
+    ) -> Option<(String, Range<usize>)> {
+        let Some(value) = section.get(key) else {
+            let message = format!("the key `{key}` is missing in [{}]", section.name);
+            self.fault(section.span.clone(), &message, &format!("add {key} = \"…\""));
+            return None;
+        };
+        match value.get_ref().as_str() {
+            Some("") => {
+                let message = format!("`{key}` is empty");
+                self.fault(value.span(), &message, "give a value that is not empty");
+                None
+            }
+            Some(text) => Some((text.to_owned(), value.span())),
+            None => {
+                let message = format!("`{key}` is not a text");
+                self.fault(value.span(), &message, &format!("write it in quotes: {key} = \"…\""));
+                None
+            }
+        }
+    }
+
+    fn required_address(
+        &mut self,
+        section: &mut Section<'_, '_>,
+        key: &'static str,
+    ) -> Option<SocketAddr> {
+        let (text, span) = self.required_text(section, key)?;
+        let address = text.parse().ok();
+        if address.is_none() {
+            let message = format!("`{text}` is not an IP address with a port");
+            self.fault(span, &message, &format!("write it like {key} = \"127.0.0.1:5432\""));
+        }
+        address
+    }
+
+    fn http_address(&mut self, url: &str, span: Range<usize>) -> Option<String> {
+        let authority = url.strip_prefix("http://").map(|rest| rest.split('/').next());
+        let address = authority.flatten().filter(|address| {
+            address
+                .rsplit_once(':')
+                .is_some_and(|(host, port)| !host.is_empty() && port.parse::<u16>().is_ok())
+        });
+        if address.is_none() {
+            let message = format!("`{url}` is not a URL that can be used here");
+            self.fault(span, &message, "write it like \"http://127.0.0.1:7300\", with the port");
+        }
+        address.map(str::to_owned)
+    }
+
+    fn count(
+        &mut self,
+        section: &mut Section<'_, '_>,
+        key: &'static str,
+        range: RangeInclusive<u32>,
+        target: &mut u32,
+    ) {
+        let Some(value) = section.get(key) else {
+            return;
+        };
+        let number = value
+            .get_ref()
+            .as_integer()
+            .and_then(|number| u32::from_str_radix(number.as_str(), number.radix()).ok())
+            .filter(|number| range.contains(number));
+        let Some(number) = number else {
+            let message = format!("`{key}` is not a whole number in its range");
+            let remedy = format!("use a number from {} to {}", range.start(), range.end());
+            self.fault(value.span(), &message, &remedy);
+            return;
+        };
+        *target = number;
+    }
+
+    fn time(
+        &mut self,
+        section: &mut Section<'_, '_>,
+        key: &'static str,
+        range: RangeInclusive<Duration>,
+        target: &mut Duration,
+    ) {
+        let Some(value) = section.get(key) else {
+            return;
+        };
+        let remedy = "write a whole number with one of the units ms, s, min, h, such as \"250ms\"";
+        let Some(text) = value.get_ref().as_str() else {
+            self.fault(value.span(), &format!("`{key}` is not a duration text"), remedy);
+            return;
+        };
+        match parse_duration(text) {
+            Ok(duration) if range.contains(&duration) => *target = duration,
+            Ok(_) => {
+                let bounds =
+                    format!("{} to {}", duration_text(*range.start()), duration_text(*range.end()));
+                let message = format!("`{key}` is outside its range");
+                self.fault(value.span(), &message, &format!("use a duration from {bounds}"));
+            }
+            Err(error) => self.fault(value.span(), &format!("`{key}`: {error}"), remedy),
+        }
+    }
+
+    fn finish(&mut self, section: &Section<'_, '_>) {
+        for (key, _) in section.table.iter() {
+            if section.known.iter().any(|known| key.get_ref() == known) {
+                continue;
+            }
+            let message = format!("`{}` is not a known key of [{}]", key.get_ref(), section.name);
+            let remedy = format!("remove it or use one of: {}", section.known.join(", "));
+            self.fault(key.span(), &message, &remedy);
+        }
+    }
+
+    fn fault(&mut self, span: Range<usize>, message: &str, remedy: &str) {
+        let fault =
+            SettingsFault::new(&self.file, &self.text, span, message.to_owned(), remedy.to_owned());
+        self.faults.push(fault);
+    }
+}
