--- a/crates/proxy/src/node/group.rs
+++ b/crates/proxy/src/node/group.rs
@@ -121,6 +121,7 @@
 }
 
 impl Group {
+    /// Creates the group of `record`, with no reports.
     pub fn new(record: &DatabaseRecord) -> Self {
         let view = GroupView {
             database: record.name.clone(),
--- a/crates/proxy/src/node/peers.rs
+++ b/crates/proxy/src/node/peers.rs
@@ -43,6 +43,7 @@
 }
 
 impl Peers {
+    /// Creates the view of an instance that knows only itself.
     pub fn new(own: Peer, topology: &[Place]) -> Self {
         let id = own.id.clone();
         Self { own: id.clone(), peers: BTreeMap::from([(id, own)]), topology: topology.to_vec() }
