--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,4 +1,12 @@
-//! The daemon of the proxy: client side, forwarding between instances, upstream pools and control tasks.
+//! The daemon: client side, forwarding, upstream pools, platform client and control tasks.
 
 pub mod caller;
 pub mod classify;
+pub mod clock;
+pub mod home;
+pub mod metrics;
+pub mod node;
+pub mod route;
+pub mod rpc;
+pub mod settings;
+pub mod upstream;
