--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -3,10 +3,7 @@
 pub mod caller;
 pub mod classify;
 pub mod clock;
-pub mod home;
 pub mod metrics;
 pub mod node;
-pub mod route;
-pub mod rpc;
 pub mod settings;
 pub mod upstream;
--- /dev/null
+++ b/crates/proxy/src/upstream/pool.rs
@@ -0,0 +1,188 @@
+//! A bounded number of connections to one member.
+
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use smol::{
+    future,
+    lock::{Semaphore, SemaphoreGuardArc},
+};
+use thiserror::Error;
+
+use super::{Connection, UpstreamError, connection::bounded};
+use crate::settings::UpstreamSettings;
+
+/// Longest time for the reset of a session; a connection that takes longer is closed.
+const RESET_BOUND: Duration = Duration::from_secs(1);
+
+/// No connection could be had. The statement was certainly not sent.
+#[derive(Debug, Error)]
+pub enum PoolError {
+    /// The member could not be reached or rejected the connection.
+    #[error("no connection to the member: {0}")]
+    Connect(#[from] UpstreamError),
+    /// All connections stayed in use.
+    #[error("all connections to the member stayed in use for {} ms", .0.as_millis())]
+    Exhausted(Duration),
+}
+
+/// Connections to one member.
+#[derive(Debug, Clone)]
+pub struct Pool {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    address: String,
+    database: String,
+    credentials: UpstreamSettings,
+    permits: Arc<Semaphore>,
+    idle: Mutex<Vec<Idle>>,
+    /// Raised by [`Pool::clear`]; connections of an older generation are not kept.
+    generation: AtomicU64,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    committed: bool,
+    generation: u64,
+}
+
+/// A connection that one transaction uses.
+///
+/// It is closed when it is dropped; [`Pooled::release`] returns it.
+#[derive(Debug)]
+pub struct Pooled {
+    /// The connection.
+    pub connection: Connection,
+    committed: bool,
+    generation: u64,
+    pool: Pool,
+    permit: SemaphoreGuardArc,
+}
+
+impl Pool {
+    /// Creates a pool of at most `size` connections.
+    pub fn new(address: &str, database: &str, credentials: &UpstreamSettings, size: u32) -> Self {
+        let size = usize::try_from(size.max(1)).unwrap_or(1);
+        let shared = Shared {
+            address: address.to_owned(),
+            database: database.to_owned(),
+            credentials: credentials.clone(),
+            permits: Arc::new(Semaphore::new(size)),
+            idle: Mutex::default(),
+            generation: AtomicU64::new(0),
+        };
+        Self { shared: Arc::new(shared) }
+    }
+
+    /// Address of the member.
+    pub fn address(&self) -> &str {
+        &self.shared.address
+    }
+
+    /// Takes an idle connection or opens one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no connection could be had within `wait`.
+    pub async fn acquire(&self, wait: Duration) -> Result<Pooled, PoolError> {
+        let permit = self.permit(wait).await?;
+        while let Some(mut idle) = self.pop_idle() {
+            if is_quiet(&mut idle.connection).await {
+                let Idle { connection, committed, generation } = idle;
+                return Ok(Pooled { connection, committed, generation, pool: self.clone(), permit });
+            }
+        }
+        let generation = self.shared.generation.load(Ordering::Acquire);
+        let connection = self.open().await?;
+        Ok(Pooled { connection, committed: false, generation, pool: self.clone(), permit })
+    }
+
+    /// Opens a connection outside the bound, for checks.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the member cannot be reached or rejects the connection.
+    pub async fn open(&self) -> Result<Connection, UpstreamError> {
+        let shared = &self.shared;
+        Connection::open(&shared.address, &shared.database, &shared.credentials).await
+    }
+
+    /// Opens connections until `count` are idle, so that requests do not wait for the set-up.
+    pub async fn warm(&self, count: usize) {
+        while self.idle_count() < count {
+            let Some(permit) = self.shared.permits.try_acquire_arc() else { return };
+            let generation = self.shared.generation.load(Ordering::Acquire);
+            let Ok(connection) = self.open().await else { return };
+            self.push_idle(Idle { connection, committed: false, generation });
+            drop(permit);
+        }
+    }
+
+    /// Closes all idle connections; those in use are closed when they are released.
+    pub fn clear(&self) {
+        self.shared.generation.fetch_add(1, Ordering::AcqRel);
+        self.shared.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
+    }
+
+    /// Number of idle connections.
+    pub fn idle_count(&self) -> usize {
+        self.shared.idle.lock().unwrap_or_else(PoisonError::into_inner).len()
+    }
+
+    async fn permit(&self, wait: Duration) -> Result<SemaphoreGuardArc, PoolError> {
+        if let Some(permit) = self.shared.permits.try_acquire_arc() {
+            return Ok(permit);
+        }
+        let acquire = async { Ok(self.shared.permits.acquire_arc().await) };
+        bounded(wait, acquire).await.map_err(|_| PoolError::Exhausted(wait))
+    }
+
+    fn pop_idle(&self) -> Option<Idle> {
+        self.shared.idle.lock().unwrap_or_else(PoisonError::into_inner).pop()
+    }
+
+    fn push_idle(&self, idle: Idle) {
+        let mut kept = self.shared.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        if idle.generation == self.shared.generation.load(Ordering::Acquire) {
+            kept.push(idle);
+        }
+    }
+}
+
+impl Pooled {
+    /// Whether a transaction was committed on the connection since it was opened.
+    ///
+    /// On such a connection `group_position()` answers the position of that commit, not the member's.
+    pub const fn has_committed(&self) -> bool {
+        self.committed
+    }
+
+    /// Notes that a transaction was committed on the connection.
+    pub const fn note_commit(&mut self) {
+        self.committed = true;
+    }
+
+    /// Resets the session and returns the connection to the pool, or closes it when the reset fails.
+    pub async fn release(mut self) {
+        let reset = bounded(RESET_BOUND, self.connection.query("DISCARD ALL")).await;
+        if reset.is_ok() {
+            let Self { connection, committed, generation, pool, permit } = self;
+            pool.push_idle(Idle { connection, committed, generation });
+            drop(permit);
+        }
+    }
+}
+
+/// Whether an idle connection has nothing to read; a message or an end means that the member closes it.
+async fn is_quiet(connection: &mut Connection) -> bool {
+    future::poll_once(connection.next()).await.is_none()
+}
--- /dev/null
+++ b/crates/proxy/src/upstream/probe.rs
@@ -0,0 +1,57 @@
+//! Checks of a silent connection through a new one.
+
+use super::{Connection, Pool, UpstreamError, connection::bounded};
+use std::time::Duration;
+
+/// Longest time of a check.
+const PROBE_BOUND: Duration = Duration::from_secs(1);
+
+/// What a member says about one of its backends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BackendState {
+    /// It runs a statement.
+    Active,
+    /// It does not exist or waits for a statement, so the answer to the last one was lost.
+    Inactive,
+}
+
+/// A connection for checks.
+#[derive(Debug)]
+pub struct Probe {
+    connection: Connection,
+}
+
+impl Probe {
+    /// Opens a connection outside the bound of the pool.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the member cannot be reached.
+    pub async fn open(pool: &Pool) -> Result<Self, UpstreamError> {
+        let connection = bounded(PROBE_BOUND, pool.open()).await?;
+        Ok(Self { connection })
+    }
+
+    /// State of the backend with the process id `process`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the member does not answer.
+    pub async fn backend(&mut self, process: i32) -> Result<BackendState, UpstreamError> {
+        let sql = format!("SELECT state FROM pg_stat_activity WHERE pid = {process}");
+        let result = bounded(PROBE_BOUND, self.connection.query(&sql)).await?;
+        Ok(match result.value(0) {
+            Some("active") => BackendState::Active,
+            _ => BackendState::Inactive,
+        })
+    }
+
+    /// Runs a query within the bound of a check.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the member does not answer in time or answers an error.
+    pub async fn query(&mut self, sql: &str) -> Result<super::QueryResult, UpstreamError> {
+        bounded(PROBE_BOUND, self.connection.query(sql)).await
+    }
+}
