feat(proxy): add the platform client and traces

The control tasks and the command line need the platform's store. A conditional change whose answer is lost is read back before it is repeated; attempts wait with full jitter. Spans go to an OTLP collector from the exporter's own thread through the same HTTP client, so no second runtime is started.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -3,4 +3,6 @@
 pub mod clock;
 pub mod metrics;
 pub mod node;
+pub mod platform;
 pub mod settings;
+pub mod trace;
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -44,7 +44,7 @@
     lease::{LEASE_WINDOW, Lease},
     peers::{Peer, PeerState, Peers},
 };
-use crate::{clock::BootClock, metrics::Metrics, settings::Settings};
+use crate::{clock::BootClock, metrics::Metrics, settings::Settings, trace::Tracer};
 
 /// Shared state of one instance.
 #[derive(Debug)]
@@ -53,6 +53,7 @@
     incarnation: u64,
     clock: BootClock,
     metrics: Metrics,
+    tracer: Tracer,
     config: Mutex<Arc<ConfigSnapshot>>,
     config_changed: Event,
     usable: AtomicBool,
@@ -72,6 +73,11 @@
 impl Node {
     /// Creates the state of an instance that knows no configuration yet.
     pub fn new(settings: Settings, metrics: Metrics) -> Arc<Self> {
+        Self::with_tracer(settings, metrics, Tracer::disabled())
+    }
+
+    /// Creates the state of an instance that sends its traces through `tracer`.
+    pub fn with_tracer(settings: Settings, metrics: Metrics, tracer: Tracer) -> Arc<Self> {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let incarnation = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
         let own = Peer {
@@ -87,6 +93,7 @@
             incarnation,
             clock: BootClock,
             metrics,
+            tracer,
             config: Mutex::default(),
             config_changed: Event::new(),
             usable: AtomicBool::new(false),
@@ -134,6 +141,11 @@
         &self.metrics
     }
 
+    /// Starts trace spans.
+    pub const fn tracer(&self) -> &Tracer {
+        &self.tracer
+    }
+
     /// The configuration.
     pub fn config(&self) -> Arc<ConfigSnapshot> {
         Arc::clone(&lock(&self.config))
--- /dev/null
+++ b/crates/proxy/src/platform.rs
@@ -0,0 +1,380 @@
+//! Client of the platform: object store, watches and the list of instances.
+//!
+//! A conditional change whose answer is lost is read back before it is repeated, so a caller learns whether
+//! its change took effect. Repeated attempts wait for a random time, so instances do not call at the same
+//! moment when the store returns.
+//!
+//! # Example
+//!
+//! ```no_run
+//! use std::time::Duration;
+//!
+//! use hibiscusladder_proxy::platform::{Expected, PlatformClient};
+//! use serde_json::json;
+//!
+//! # async fn example() -> Result<(), hibiscusladder_proxy::platform::PlatformError> {
+//! let platform = PlatformClient::new("127.0.0.1:7300", Duration::from_secs(2));
+//! let state = json!({ "state": "leaving" });
+//! let version = platform.put("upstreams", "m1", Expected::Absent, &state).await?;
+//! println!("accepted as version {version}");
+//! # Ok(())
+//! # }
+//! ```
+
+mod backoff;
+mod error;
+pub(crate) mod http;
+mod message;
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use hibiscusladder_core::name::InstanceId;
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode, header};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use smol::Timer;
+
+pub use self::{
+    backoff::{Jitter, random_up_to},
+    error::PlatformError,
+    message::{
+        ChangeType, Listing, Registration, RegistrationState, StoreEvent, StoredObject, WatchAnswer,
+    },
+};
+use self::{
+    http::{HttpClient, HttpError},
+    message::{Accepted, Registrations},
+};
+
+/// Attempts of a change before its failure is reported.
+const CHANGE_ATTEMPTS: u32 = 4;
+
+/// Version on which a change depends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Expected {
+    /// The object does not exist.
+    Absent,
+    /// The object has this version.
+    Version(u64),
+    /// Any version; the last change wins.
+    Any,
+}
+
+impl Expected {
+    const fn header(self) -> Option<u64> {
+        match self {
+            Self::Absent => Some(0),
+            Self::Version(version) => Some(version),
+            Self::Any => None,
+        }
+    }
+}
+
+/// Calls that a client made, by type.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct CallCounts {
+    /// Reads of objects and lists.
+    pub reads: u64,
+    /// Changes.
+    pub writes: u64,
+    /// Watches.
+    pub watches: u64,
+}
+
+#[derive(Debug, Default)]
+struct Counters {
+    reads: AtomicU64,
+    writes: AtomicU64,
+    watches: AtomicU64,
+}
+
+/// Client of the platform; clones share connections and counters.
+#[derive(Debug, Clone)]
+pub struct PlatformClient {
+    http: HttpClient,
+    timeout: Duration,
+    counters: Arc<Counters>,
+}
+
+struct Answer {
+    status: StatusCode,
+    body: Bytes,
+}
+
+impl PlatformClient {
+    /// Creates a client for the platform at `address` (`host:port`) with a bound for each call.
+    pub fn new(address: &str, timeout: Duration) -> Self {
+        Self { http: HttpClient::new(address), timeout, counters: Arc::default() }
+    }
+
+    /// Calls made so far.
+    pub fn calls(&self) -> CallCounts {
+        CallCounts {
+            reads: self.counters.reads.load(Ordering::Relaxed),
+            writes: self.counters.writes.load(Ordering::Relaxed),
+            watches: self.counters.watches.load(Ordering::Relaxed),
+        }
+    }
+
+    /// All objects of `kind`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform cannot be reached or rejects the call.
+    pub async fn list(&self, kind: &str) -> Result<Listing, PlatformError> {
+        self.counters.reads.fetch_add(1, Ordering::Relaxed);
+        let answer = self.call(Method::GET, &format!("/v1/objects/{kind}"), None, None).await?;
+        self.read(&answer)
+    }
+
+    /// One object; `None` when it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform cannot be reached or rejects the call.
+    pub async fn get(&self, kind: &str, name: &str) -> Result<Option<StoredObject>, PlatformError> {
+        self.counters.reads.fetch_add(1, Ordering::Relaxed);
+        let path = format!("/v1/objects/{kind}/{name}");
+        let answer = self.call(Method::GET, &path, None, None).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        self.read(&answer).map(Some)
+    }
+
+    /// Writes an object and returns its new version.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlatformError::Conflict`] when the object does not have the expected version.
+    pub async fn put(
+        &self,
+        kind: &str,
+        name: &str,
+        expected: Expected,
+        value: &Value,
+    ) -> Result<u64, PlatformError> {
+        let mut jitter = Jitter::default();
+        let mut attempt = 1;
+        let mut maybe_applied = false;
+        loop {
+            let result = self.put_once(kind, name, expected, value).await;
+            match result {
+                Err(PlatformError::Conflict { current: Some(current), .. })
+                    if maybe_applied && current.value == *value =>
+                {
+                    return Ok(current.version);
+                }
+                Err(error) if error.is_temporary() && attempt < CHANGE_ATTEMPTS => {
+                    maybe_applied |= matches!(error, PlatformError::NoAnswer { .. });
+                    Timer::after(jitter.failed()).await;
+                    let present = self.get(kind, name).await;
+                    if let Ok(Some(present)) = present
+                        && maybe_applied
+                        && present.value == *value
+                        && expected != Expected::Version(present.version)
+                    {
+                        return Ok(present.version);
+                    }
+                }
+                result => return result,
+            }
+            attempt += 1;
+        }
+    }
+
+    async fn put_once(
+        &self,
+        kind: &str,
+        name: &str,
+        expected: Expected,
+        value: &Value,
+    ) -> Result<u64, PlatformError> {
+        self.counters.writes.fetch_add(1, Ordering::Relaxed);
+        let path = format!("/v1/objects/{kind}/{name}");
+        let answer = self.call(Method::PUT, &path, expected.header(), Some(value)).await?;
+        self.accepted(kind, name, &answer)
+    }
+
+    /// Deletes an object and returns a revision that includes the change.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlatformError::Conflict`] when the object does not have the expected version.
+    pub async fn delete(
+        &self,
+        kind: &str,
+        name: &str,
+        expected: Expected,
+    ) -> Result<u64, PlatformError> {
+        let mut jitter = Jitter::default();
+        let mut attempt = 1;
+        let mut maybe_applied = false;
+        loop {
+            self.counters.writes.fetch_add(1, Ordering::Relaxed);
+            let path = format!("/v1/objects/{kind}/{name}");
+            let answer = self.call(Method::DELETE, &path, expected.header(), None).await;
+            match answer.and_then(|answer| self.accepted(kind, name, &answer)) {
+                Err(PlatformError::Conflict { current: None, .. }) if maybe_applied => {
+                    return Ok(self.list(kind).await?.revision);
+                }
+                Err(error) if error.is_temporary() && attempt < CHANGE_ATTEMPTS => {
+                    maybe_applied |= matches!(error, PlatformError::NoAnswer { .. });
+                    Timer::after(jitter.failed()).await;
+                }
+                result => return result,
+            }
+            attempt += 1;
+        }
+    }
+
+    /// Changes after the revision `from`, at the latest after `wait`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlatformError::Gone`] when the store no longer keeps the revision.
+    pub async fn watch(&self, from: u64, wait: Duration) -> Result<WatchAnswer, PlatformError> {
+        self.counters.watches.fetch_add(1, Ordering::Relaxed);
+        let path = format!("/v1/watch?from={from}&wait_ms={}", wait.as_millis());
+        let req = self.request(Method::GET, &path, None, None)?;
+        let answer = self.exchange(req, self.timeout + wait).await?;
+        if answer.status == StatusCode::GONE {
+            return Err(PlatformError::Gone);
+        }
+        self.read(&answer)
+    }
+
+    /// The registered instances; the list lags.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform cannot be reached or rejects the call.
+    pub async fn instances(&self) -> Result<Vec<Registration>, PlatformError> {
+        self.counters.reads.fetch_add(1, Ordering::Relaxed);
+        let answer = self.call(Method::GET, "/v1/instances", None, None).await?;
+        self.read::<Registrations>(&answer).map(|list| list.items)
+    }
+
+    /// Registers an instance or updates its registration.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform cannot be reached or rejects the call.
+    pub async fn register(&self, registration: &Registration) -> Result<(), PlatformError> {
+        self.counters.writes.fetch_add(1, Ordering::Relaxed);
+        let path = format!("/v1/instances/{}", registration.id);
+        let value = serde_json::to_value(registration).map_err(|error| self.unusable(&error))?;
+        let answer = self.call(Method::PUT, &path, None, Some(&value)).await?;
+        self.read::<Value>(&answer).map(drop)
+    }
+
+    /// Removes the registration of an instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform cannot be reached or rejects the call.
+    pub async fn deregister(&self, id: &InstanceId) -> Result<(), PlatformError> {
+        self.counters.writes.fetch_add(1, Ordering::Relaxed);
+        let answer = self.call(Method::DELETE, &format!("/v1/instances/{id}"), None, None).await?;
+        self.read::<Value>(&answer).map(drop)
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        expected: Option<u64>,
+        value: Option<&Value>,
+    ) -> Result<Answer, PlatformError> {
+        let req = self.request(method, path, expected, value)?;
+        self.exchange(req, self.timeout).await
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        expected: Option<u64>,
+        value: Option<&Value>,
+    ) -> Result<Request<Full<Bytes>>, PlatformError> {
+        let mut builder = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, self.http.address())
+            .header(header::CONTENT_TYPE, "application/json");
+        if let Some(version) = expected {
+            builder = builder.header(header::IF_MATCH, version);
+        }
+        let body = value.map_or_else(Bytes::new, |value| Bytes::from(value.to_string()));
+        builder.body(Full::new(body)).map_err(|error| PlatformError::Rejected {
+            status: 400,
+            message: format!("the name cannot be part of a URL: {error}"),
+        })
+    }
+
+    async fn exchange(
+        &self,
+        req: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Answer, PlatformError> {
+        let address = self.http.address().to_owned();
+        let answer = match self.http.send(req, timeout).await {
+            Ok(answer) => answer,
+            Err(HttpError::NotSent(error)) => {
+                return Err(PlatformError::Unreachable { address, reason: error.to_string() });
+            }
+            Err(HttpError::MaybeSent(error)) => {
+                return Err(PlatformError::NoAnswer { address, reason: error.to_string() });
+            }
+        };
+        let status = answer.status();
+        if status.is_server_error() {
+            let reason = format!("status {}", status.as_u16());
+            return Err(PlatformError::NoAnswer { address, reason });
+        }
+        Ok(Answer { status, body: answer.into_body() })
+    }
+
+    fn accepted(&self, kind: &str, name: &str, answer: &Answer) -> Result<u64, PlatformError> {
+        if answer.status == StatusCode::CONFLICT {
+            let current: StoredObject =
+                serde_json::from_slice(&answer.body).map_err(|error| self.unusable(&error))?;
+            let current = (!current.value.is_null()).then(|| Box::new(current));
+            return Err(PlatformError::Conflict {
+                kind: kind.to_owned(),
+                name: name.to_owned(),
+                current,
+            });
+        }
+        self.read::<Accepted>(answer).map(|accepted| accepted.version)
+    }
+
+    fn read<T>(&self, answer: &Answer) -> Result<T, PlatformError>
+    where
+        T: DeserializeOwned,
+    {
+        if !answer.status.is_success() {
+            let text = String::from_utf8_lossy(&answer.body);
+            return Err(PlatformError::Rejected {
+                status: answer.status.as_u16(),
+                message: text.chars().take(200).collect(),
+            });
+        }
+        serde_json::from_slice(&answer.body).map_err(|error| self.unusable(&error))
+    }
+
+    fn unusable(&self, error: &serde_json::Error) -> PlatformError {
+        PlatformError::NoAnswer {
+            address: self.http.address().to_owned(),
+            reason: format!("the answer cannot be read: {error}"),
+        }
+    }
+}
