feat(core): add witness, home lease, promotion, sessions and read routing

Change: modules witness, home_lease, promotion, session, term_history, read_index, read_route and at_most_once with a compiled example each. Conclusion: the public signatures can be called from now on.

--- /dev/null
+++ b/crates/core/src/home_lease.rs
@@ -0,0 +1,278 @@
+//! The exclusive right of one instance to act as home of a member.
+//!
+//! The right depends on a session-level advisory lock at the member itself and on polls over the connection that
+//! holds the lock. A poll that was answered proves that the lock was still held after the poll was sent, so the
+//! lease is valid for the window from that time. A successor terminates the connection of an unresponsive holder,
+//! takes the lock and waits for the window, extended by the drift bound, before it uses the lease.
+//!
+//! # Example
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use hibiscusladder_core::{
+//!     clock::{Instant, with_drift},
+//!     home_lease::{HomeLease, LEASE_WINDOW, LeaseAction, LeaseEvent},
+//! };
+//!
+//! let mut lease = HomeLease::new(LEASE_WINDOW);
+//! let start = Instant::default();
+//! assert_eq!(lease.handle(LeaseEvent::Connected, start), Some(LeaseAction::TryLock));
+//! lease.handle(LeaseEvent::LockTaken { sent: start }, start);
+//! assert!(!lease.valid(start));
+//!
+//! let later = start.plus(with_drift(LEASE_WINDOW));
+//! lease.handle(LeaseEvent::PollAnswered { sent: later }, later);
+//! assert!(lease.valid(later));
+//! assert!(!lease.valid(later.plus(LEASE_WINDOW)));
+//! ```
+
+use std::time::Duration;
+
+use crate::clock::{Instant, with_drift};
+
+/// Time for which an answered poll keeps the lease valid, from when the poll was sent.
+///
+/// It covers three polls and is the time for which a member without clean handover has no home.
+pub const LEASE_WINDOW: Duration = Duration::from_secs(1);
+
+/// What happened on the control connection to the member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaseEvent {
+    /// The control connection is ready.
+    Connected,
+    /// `pg_try_advisory_lock`, sent at `sent`, answered true.
+    LockTaken {
+        /// Time at which the statement was sent.
+        sent: Instant,
+    },
+    /// `pg_try_advisory_lock` answered false.
+    LockBusy,
+    /// `pg_locks` names the backend that holds the lock; absent when it is free by now.
+    Holder {
+        /// Process id of the backend.
+        pid: Option<i32>,
+    },
+    /// The instance that holds the lock is suspected or dead.
+    HolderUnresponsive,
+    /// The holder announced that it stopped using its lease and is about to release the lock.
+    ///
+    /// The holder releases the lock only after the announcement was answered.
+    HandedOver,
+    /// `pg_terminate_backend` was answered.
+    Terminated,
+    /// A poll on the control connection, sent at `sent`, was answered.
+    PollAnswered {
+        /// Time at which the poll was sent.
+        sent: Instant,
+    },
+    /// The control connection was lost, and the lock with it.
+    ConnectionLost,
+    /// This instance stops being home: it no longer uses the lease and announces that to its successor.
+    Stop,
+    /// The successor answered the announcement, or there is none: the lock can be released.
+    Release,
+    /// Time passed; a busy lock is tried again.
+    Time,
+}
+
+/// What has to be done on the control connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaseAction {
+    /// Send `pg_try_advisory_lock`.
+    TryLock,
+    /// Look up the backend that holds the lock in `pg_locks`.
+    FindHolder,
+    /// Send `pg_terminate_backend`.
+    Terminate {
+        /// Process id of the backend.
+        pid: i32,
+    },
+    /// Send `pg_advisory_unlock`; the lease is no longer used.
+    Unlock,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Disconnected,
+    Locking,
+    Busy,
+    Held { usable_from: Instant, polled: Instant },
+    Stopping,
+}
+
+/// A period in which this instance may use the lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Validity {
+    from: Instant,
+    until: Instant,
+}
+
+/// State machine of the lease of one instance on one member.
+#[derive(Debug, Clone)]
+pub struct HomeLease {
+    window: Duration,
+    state: State,
+    validity: Option<Validity>,
+    /// Time at which the announcement of the last holder arrived.
+    handed_over: Option<Instant>,
+    terminate: bool,
+}
+
+impl HomeLease {
+    /// Creates a lease that is not held.
+    ///
+    /// An effectively infinite `window` switches the expiry off, which only tests do.
+    pub const fn new(window: Duration) -> Self {
+        Self {
+            window,
+            state: State::Disconnected,
+            validity: None,
+            handed_over: None,
+            terminate: false,
+        }
+    }
+
+    /// Takes an event and returns what has to be done.
+    pub fn handle(&mut self, event: LeaseEvent, now: Instant) -> Option<LeaseAction> {
+        match event {
+            LeaseEvent::Connected => self.try_lock(),
+            LeaseEvent::LockTaken { sent } => self.take(sent, now),
+            LeaseEvent::LockBusy => self.busy(),
+            LeaseEvent::Holder { pid } => self.holder(pid),
+            LeaseEvent::HolderUnresponsive => self.holder_unresponsive(),
+            LeaseEvent::HandedOver => self.hand_over(now),
+            LeaseEvent::Terminated => self.try_lock(),
+            LeaseEvent::PollAnswered { sent } => self.poll_answered(sent),
+            LeaseEvent::ConnectionLost => self.connection_lost(),
+            LeaseEvent::Stop => self.stop(),
+            LeaseEvent::Release => self.release(),
+            LeaseEvent::Time => self.time(),
+        }
+    }
+
+    /// Whether the lease may be used at `now`.
+    pub fn valid(&self, now: Instant) -> bool {
+        match self.state {
+            State::Held { usable_from, polled } => {
+                now >= usable_from && now.since(polled) < self.window
+            }
+            _ => false,
+        }
+    }
+
+    /// Whether the lock is held, possibly before the lease may be used or after it expired.
+    pub const fn holds_lock(&self) -> bool {
+        matches!(self.state, State::Held { .. } | State::Stopping)
+    }
+
+    /// Time from which the lease may be used, while the lock is held.
+    pub const fn usable_from(&self) -> Option<Instant> {
+        match self.state {
+            State::Held { usable_from, .. } => Some(usable_from),
+            _ => None,
+        }
+    }
+
+    fn try_lock(&mut self) -> Option<LeaseAction> {
+        self.state = State::Locking;
+        Some(LeaseAction::TryLock)
+    }
+
+    fn take(&mut self, sent: Instant, now: Instant) -> Option<LeaseAction> {
+        if self.state != State::Locking {
+            return None;
+        }
+        let usable_from = self.usable_after_taking(now);
+        self.state = State::Held { usable_from, polled: sent };
+        self.handed_over = None;
+        self.terminate = false;
+        self.note_validity();
+        None
+    }
+
+    /// A free lock does not prove that its last holder stopped: its connection may have been lost a moment ago.
+    /// A handover within the window or the own unexpired lease does, because an instance that took the lock in
+    /// between has to wait for the window first.
+    fn usable_after_taking(&self, now: Instant) -> Instant {
+        if self.handed_over.is_some_and(|announced| now.since(announced) < self.window) {
+            return now;
+        }
+        match self.validity {
+            Some(validity) if now < validity.until => now.max(validity.from),
+            _ => now.plus(with_drift(self.window)),
+        }
+    }
+
+    fn busy(&mut self) -> Option<LeaseAction> {
+        self.state = State::Busy;
+        self.terminate.then_some(LeaseAction::FindHolder)
+    }
+
+    fn holder(&mut self, pid: Option<i32>) -> Option<LeaseAction> {
+        if self.state != State::Busy {
+            return None;
+        }
+        match pid {
+            Some(pid) if self.terminate => Some(LeaseAction::Terminate { pid }),
+            Some(_) => None,
+            None => self.try_lock(),
+        }
+    }
+
+    fn holder_unresponsive(&mut self) -> Option<LeaseAction> {
+        if self.holds_lock() {
+            return None;
+        }
+        self.terminate = true;
+        (self.state == State::Busy).then_some(LeaseAction::FindHolder)
+    }
+
+    fn hand_over(&mut self, now: Instant) -> Option<LeaseAction> {
+        if self.holds_lock() {
+            return None;
+        }
+        self.handed_over = Some(now);
+        (self.state == State::Busy).then(|| self.try_lock()).flatten()
+    }
+
+    fn poll_answered(&mut self, sent: Instant) -> Option<LeaseAction> {
+        if let State::Held { usable_from, polled } = self.state {
+            self.state = State::Held { usable_from, polled: polled.max(sent) };
+            self.note_validity();
+        }
+        None
+    }
+
+    fn connection_lost(&mut self) -> Option<LeaseAction> {
+        self.state = State::Disconnected;
+        None
+    }
+
+    fn stop(&mut self) -> Option<LeaseAction> {
+        self.validity = None;
+        self.terminate = false;
+        self.state = if self.holds_lock() { State::Stopping } else { State::Disconnected };
+        None
+    }
+
+    fn release(&mut self) -> Option<LeaseAction> {
+        let held = self.holds_lock();
+        self.stop();
+        self.state = State::Disconnected;
+        held.then_some(LeaseAction::Unlock)
+    }
+
+    fn time(&mut self) -> Option<LeaseAction> {
+        (self.state == State::Busy).then(|| self.try_lock()).flatten()
+    }
+
+    /// Remembers the period of the lease, once it has been usable at all.
+    fn note_validity(&mut self) {
+        let State::Held { usable_from, polled } = self.state else { return };
+        let until = polled.plus(self.window);
+        if usable_from < until {
+            self.validity = Some(Validity { from: usable_from, until });
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,11 +13,19 @@
 //! assert!(before < after);
 //! ```
 
+pub mod at_most_once;
 pub mod clock;
 pub mod contract;
 pub mod database;
+pub mod home_lease;
 pub mod name;
 pub mod outcome;
 pub mod position;
 pub mod prelude;
+pub mod promotion;
+pub mod read_index;
+pub mod read_route;
 pub mod request;
+pub mod session;
+pub mod term_history;
+pub mod witness;
--- /dev/null
+++ b/crates/core/src/promotion/settings.rs
@@ -0,0 +1,97 @@
+//! Settings of a promotion.
+
+use std::time::Duration;
+
+use crate::{
+    name::{DataCentre, InstanceId},
+    witness::{POLL_INTERVAL, WITNESS_WINDOW},
+};
+
+/// Polls that the primary has to miss before it counts as silent.
+pub const DETECT_MISSES: u32 = 3;
+
+/// Time after which a stage is abandoned, so that a claimant that was paused does not continue.
+pub const STAGE_BOUND: Duration = Duration::from_secs(2);
+
+/// Time for which a replica has to miss its source before it agrees that the primary is silent: the time in which
+/// [`DETECT_MISSES`] polls are missed.
+pub const SOURCE_SILENCE: Duration = Duration::from_millis(750);
+
+/// Time for which another instance's observation of a silent primary counts.
+pub const AGREEMENT_AGE: Duration = Duration::from_secs(1);
+
+/// Wait for the store's answer to a claim before the promotion continues without it.
+pub const CLAIM_WAIT: Duration = Duration::from_millis(400);
+
+/// Time for which another claimant's term is left alone before a higher one is claimed; as long as one stage may
+/// take.
+pub const CLAIM_PATIENCE: Duration = STAGE_BOUND;
+
+/// Time after which an unanswered raise or promotion is sent again.
+pub const RESEND_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time after which an unanswered update of the store, or a command to follow, is repeated.
+pub const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Largest random part of the wait before another attempt, so that two claimants do not meet in step.
+pub const RETRY_SPREAD: Duration = Duration::from_millis(400);
+
+/// Settings of a [`Promotion`](super::Promotion).
+#[derive(Debug, Clone)]
+pub struct PromotionSettings {
+    pub(super) instance: InstanceId,
+    pub(super) data_centre: DataCentre,
+    pub(super) window: Duration,
+    pub(super) stage_bound: Duration,
+    pub(super) detect_misses: u32,
+    pub(super) claim_wait: Duration,
+}
+
+impl PromotionSettings {
+    /// Creates the default settings for the claimant `instance` in `data_centre`.
+    pub const fn new(instance: InstanceId, data_centre: DataCentre) -> Self {
+        Self {
+            instance,
+            data_centre,
+            window: WITNESS_WINDOW,
+            stage_bound: STAGE_BOUND,
+            detect_misses: DETECT_MISSES,
+            claim_wait: CLAIM_WAIT,
+        }
+    }
+
+    /// Sets the window of the witnesses of all homes, for which the promotion waits after it fenced the old term.
+    ///
+    /// It must not be shorter than any home's window. Zero switches the wait off, which only tests do.
+    #[must_use]
+    pub const fn window(mut self, window: Duration) -> Self {
+        self.window = window;
+        self
+    }
+
+    /// Sets the time after which a stage is abandoned; it has to be longer than the window.
+    #[must_use]
+    pub const fn stage_bound(mut self, bound: Duration) -> Self {
+        self.stage_bound = bound;
+        self
+    }
+
+    /// Sets the polls that the primary has to miss.
+    #[must_use]
+    pub const fn detect_misses(mut self, misses: u32) -> Self {
+        self.detect_misses = misses;
+        self
+    }
+
+    /// Sets the wait for the store's answer to a claim.
+    #[must_use]
+    pub const fn claim_wait(mut self, wait: Duration) -> Self {
+        self.claim_wait = wait;
+        self
+    }
+
+    /// Time for which the polls of a primary are missed before it counts as silent.
+    pub(super) fn silence(&self) -> Duration {
+        POLL_INTERVAL * self.detect_misses
+    }
+}
--- /dev/null
+++ b/crates/core/src/promotion/spread.rs
@@ -0,0 +1,188 @@
+//! What follows a promotion: the others follow the new primary, and the store learns of it.
+
+use std::collections::BTreeMap;
+
+use super::{
+    CLAIM_PATIENCE, Promotion, PromotionAction, Publication, REPEAT_INTERVAL, RESEND_INTERVAL,
+    StoreAnswer, TermRecord,
+};
+use crate::{
+    clock::Instant,
+    name::MemberId,
+    position::Term,
+    witness::{MemberReport, MemberRole, Witness},
+};
+
+/// Members that have to follow the primary, and when each is told next.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Followers {
+    due: BTreeMap<MemberId, Instant>,
+}
+
+impl Followers {
+    /// Whether `member` is told to follow now. An instance other than the claimant leaves the first time to it.
+    fn is_due(&mut self, member: &MemberId, claimant: bool, now: Instant) -> bool {
+        let first = if claimant { now } else { now.plus(REPEAT_INTERVAL) };
+        let due = *self.due.entry(member.clone()).or_insert(first);
+        if now < due {
+            return false;
+        }
+        self.due.insert(member.clone(), now.plus(REPEAT_INTERVAL));
+        true
+    }
+}
+
+/// The update of the store after a promotion.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Publisher {
+    state: Option<Publishing>,
+    /// Since when the store lacks the primary of a term that another instance promoted.
+    missing_since: Option<Missing>,
+}
+
+#[derive(Debug, Clone)]
+struct Publishing {
+    term: Term,
+    primary: MemberId,
+    term_members: Vec<MemberId>,
+    started: Instant,
+    sent: Option<Instant>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Missing {
+    term: Term,
+    since: Instant,
+}
+
+impl Publisher {
+    pub(super) fn start(
+        &mut self,
+        term: Term,
+        primary: MemberId,
+        term_members: Vec<MemberId>,
+        now: Instant,
+    ) {
+        self.state = Some(Publishing { term, primary, term_members, started: now, sent: None });
+    }
+
+    fn publication(&mut self, witness: &Witness, now: Instant) -> Option<Publication> {
+        let state = self.state.as_mut()?;
+        if state.sent.is_some_and(|sent| now.since(sent) < REPEAT_INTERVAL) {
+            return None;
+        }
+        let report =
+            witness.report(&state.primary).filter(|report| report.promoted_term == state.term);
+        if report.is_none() && now.since(state.started) < RESEND_INTERVAL {
+            return None;
+        }
+        state.sent = Some(now);
+        Some(Publication {
+            term: state.term,
+            primary: state.primary.clone(),
+            term_start: report.map(|report| report.term_start),
+            term_members: state.term_members.clone(),
+        })
+    }
+
+    /// Whether the store has lacked the primary of `term` for so long that its claimant must have failed.
+    fn is_overdue(&mut self, record: Option<&TermRecord>, term: Term, now: Instant) -> bool {
+        let published = record.is_none_or(|record| {
+            record.term > term || (record.term == term && record.primary.is_some())
+        });
+        if published {
+            self.missing_since = None;
+            return false;
+        }
+        match self.missing_since {
+            Some(missing) if missing.term == term => now.since(missing.since) >= CLAIM_PATIENCE,
+            _ => {
+                self.missing_since = Some(Missing { term, since: now });
+                false
+            }
+        }
+    }
+}
+
+impl Promotion {
+    pub(super) fn take_publication(&mut self, term: Term, answer: StoreAnswer, now: Instant) {
+        if self.publisher.state.as_ref().is_none_or(|state| state.term != term) {
+            return;
+        }
+        match answer {
+            StoreAnswer::Stored => self.finish_publication(term, now),
+            StoreAnswer::Conflict(record) => {
+                let done = record.term > term || (record.term == term && record.primary.is_some());
+                if done {
+                    self.finish_publication(term, now);
+                }
+                self.note_record(record, now);
+            }
+            StoreAnswer::Unknown | StoreAnswer::Unavailable => {}
+        }
+    }
+
+    pub(super) fn spread(
+        &mut self,
+        witness: &Witness,
+        now: Instant,
+        actions: &mut Vec<PromotionAction>,
+    ) {
+        self.publish_for_another(witness, now);
+        actions.extend(self.publisher.publication(witness, now).map(PromotionAction::Publish));
+        self.lead_followers(witness, now, actions);
+    }
+
+    fn finish_publication(&mut self, term: Term, now: Instant) {
+        let publishing = self.publisher.state.take();
+        let primary = publishing.map(|state| state.primary);
+        if self.record.as_ref().is_none_or(|record| record.term <= term) {
+            let claimant = Some(self.settings.instance.clone());
+            self.record = Some(TermRecord { term, claimant, primary });
+        }
+        if let Some(timeline) = &mut self.timeline {
+            timeline.published = timeline.published.or(Some(now));
+        }
+    }
+
+    /// Publishes a primary whose claimant failed before it could.
+    fn publish_for_another(&mut self, witness: &Witness, now: Instant) {
+        let (Some(primary), Some(term)) = (witness.primary(now), witness.current_term(now)) else {
+            return;
+        };
+        if self.publisher.state.is_none()
+            && self.publisher.is_overdue(self.record.as_ref(), term, now)
+        {
+            let report = witness.report(&primary);
+            let term_members = report.map(|report| report.term_members.clone());
+            self.publisher.start(term, primary, term_members.unwrap_or_default(), now);
+        }
+    }
+
+    /// Tells members that do not replicate the present term to follow its primary.
+    fn lead_followers(
+        &mut self,
+        witness: &Witness,
+        now: Instant,
+        actions: &mut Vec<PromotionAction>,
+    ) {
+        let (Some(primary), Some(term)) = (witness.primary(now), witness.current_term(now)) else {
+            return;
+        };
+        let claimant = self.last_attempt == term;
+        for report in witness.reports().filter(|report| report.member != primary) {
+            if !needs_to_follow(report, term) {
+                self.followers.due.remove(&report.member);
+            } else if self.followers.is_due(&report.member, claimant, now) {
+                let (member, primary) = (report.member.clone(), primary.clone());
+                actions.push(PromotionAction::Follow { member, primary, term });
+            }
+        }
+    }
+}
+
+/// Whether the member has to be told to follow the primary of `term`. A member with a higher term would refuse.
+fn needs_to_follow(report: &MemberReport, term: Term) -> bool {
+    let behind = report.term < term || report.promoted_term < term;
+    report.term <= term && (behind || report.role != MemberRole::Replica)
+}
--- /dev/null
+++ b/crates/core/src/read_route.rs
@@ -0,0 +1,332 @@
+//! Choice of the member that serves a read.
+//!
+//! A replica serves a read when it is known to have the position that the read needs, or when the age of its data
+//! is proved. Age is proved without the clock of any database: data that includes the position that the primary
+//! answered to a poll is at least as fresh as the time at which the poll was sent.
+//!
+//! A decision holds for the term that the router knew. The answer of a read with a position is released only while
+//! the gate of that term is open, because a member may cut off the end of its log after the next promotion.
+//!
+//! # Example
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use hibiscusladder_core::{
+//!     clock::Instant,
+//!     name::DataCentre,
+//!     position::{Lsn, Position, Term},
+//!     read_route::{ReadDecision, ReadNeed, ReadRouter, Replica},
+//! };
+//!
+//! let near = DataCentre::from("bern-nord");
+//! let mut router = ReadRouter::new(near.clone());
+//! router.add(Replica::new("a".into(), "solothurn".into()));
+//! router.add(Replica::new("b".into(), near));
+//! let now = Instant::default();
+//! router.set_primary(Some(("a".into(), Term(1))));
+//! router.observe(&"a".into(), Position::new(Term(1), Lsn(9)), now);
+//! router.observe(&"b".into(), Position::new(Term(1), Lsn(7)), now);
+//!
+//! let reached = ReadNeed::Position(Position::new(Term(1), Lsn(7)));
+//! let decision = router.route(reached, now, now);
+//! assert_eq!(decision, ReadDecision::Replica { member: "b".into(), term: Term(1) });
+//!
+//! let ahead = ReadNeed::Position(Position::new(Term(1), Lsn(9)));
+//! let late = now.plus(Duration::from_millis(50));
+//! let decision = router.route(ahead, now, late);
+//! assert_eq!(decision, ReadDecision::Primary { member: "a".into(), term: Term(1) });
+//! ```
+
+mod replica;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+pub use replica::Replica;
+
+use crate::{
+    clock::Instant,
+    name::{DataCentre, MemberId},
+    outcome::RefusalKind,
+    position::{Position, Term},
+    witness::{POLL_INTERVAL, PositionProof, Witness},
+};
+
+/// Longest wait for a replica to reach a position before the primary is used.
+pub const REPLICA_WAIT: Duration = Duration::from_millis(50);
+
+/// Time since the last answer after which a member is not chosen.
+pub const MEMBER_SILENCE: Duration = Duration::from_secs(1);
+
+/// Time for which a leaving primary still serves reads that nobody else can, until it is replaced.
+pub const LEAVING_GRACE: Duration = Duration::from_secs(3);
+
+/// Proofs of the primary's position that are kept; 256 cover 64 s of polls.
+const MAX_PROOFS: usize = 256;
+
+/// What a member has to have for a read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ReadNeed {
+    /// The data includes this position.
+    Position(Position),
+    /// The data is at most this old.
+    Age(Duration),
+    /// The primary's position has to be asked for first, see [`crate::read_index`].
+    ReadIndex,
+    /// Only the primary will do.
+    Primary,
+}
+
+/// Where a read goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ReadDecision {
+    /// To a replica.
+    Replica {
+        /// Member that serves the read.
+        member: MemberId,
+        /// Term whose gate has to be open when the answer is released.
+        term: Term,
+    },
+    /// Nowhere yet: ask `member` for its position, [observe](ReadRouter::observe) it and route again, until the time.
+    Wait {
+        /// Replica that is expected to reach the position soon.
+        member: MemberId,
+        /// Time at which the wait ends.
+        until: Instant,
+    },
+    /// To the primary.
+    Primary {
+        /// Member that serves the read.
+        member: MemberId,
+        /// Term whose gate has to be open when the answer is released.
+        term: Term,
+    },
+    /// Nowhere: the statement is not run.
+    Refuse(RefusalKind),
+}
+
+/// Chooses the member for reads that enter at one instance.
+#[derive(Debug, Clone)]
+pub struct ReadRouter {
+    data_centre: DataCentre,
+    region: BTreeSet<DataCentre>,
+    members: BTreeMap<MemberId, Replica>,
+    primary: Option<(MemberId, Term)>,
+    proofs: Vec<PositionProof>,
+    replica_wait: Duration,
+    silence: Duration,
+    leaving_grace: Duration,
+}
+
+impl ReadRouter {
+    /// Creates a router for an instance in `data_centre` that knows no member.
+    pub const fn new(data_centre: DataCentre) -> Self {
+        Self {
+            data_centre,
+            region: BTreeSet::new(),
+            members: BTreeMap::new(),
+            primary: None,
+            proofs: Vec::new(),
+            replica_wait: REPLICA_WAIT,
+            silence: MEMBER_SILENCE,
+            leaving_grace: LEAVING_GRACE,
+        }
+    }
+
+    /// Sets the data centres of the instance's region.
+    #[must_use]
+    pub fn region<I>(mut self, data_centres: I) -> Self
+    where
+        I: IntoIterator<Item = DataCentre>,
+    {
+        self.region = data_centres.into_iter().collect();
+        self
+    }
+
+    /// Sets the longest wait for a replica.
+    #[must_use]
+    pub const fn replica_wait(mut self, wait: Duration) -> Self {
+        self.replica_wait = wait;
+        self
+    }
+
+    /// Sets the time since the last answer after which a member is not chosen.
+    #[must_use]
+    pub const fn silence(mut self, silence: Duration) -> Self {
+        self.silence = silence;
+        self
+    }
+
+    /// Sets the time for which a leaving primary still serves reads.
+    #[must_use]
+    pub const fn leaving_grace(mut self, grace: Duration) -> Self {
+        self.leaving_grace = grace;
+        self
+    }
+
+    /// Adds a member, or replaces what is known about it.
+    pub fn add(&mut self, replica: Replica) {
+        self.members.insert(replica.member.clone(), replica);
+    }
+
+    /// Removes a member.
+    pub fn remove(&mut self, member: &MemberId) {
+        self.members.remove(member);
+    }
+
+    /// Sets the primary and its term; `None` while there is none.
+    pub fn set_primary(&mut self, primary: Option<(MemberId, Term)>) {
+        self.primary = primary;
+    }
+
+    /// The primary and its term.
+    pub const fn primary(&self) -> Option<&(MemberId, Term)> {
+        self.primary.as_ref()
+    }
+
+    /// Notes whether `member` is leaving; a leaving replica gets no new reads from now on.
+    pub fn set_leaving(&mut self, member: &MemberId, leaving: bool, now: Instant) {
+        if let Some(replica) = self.members.get_mut(member) {
+            replica.leaving = leaving.then(|| replica.leaving.unwrap_or(now));
+        }
+    }
+
+    /// Notes that `member` had `position` at or after `at`.
+    ///
+    /// A member that cut off the end of its log answers a lower position, so the newest answer counts.
+    pub fn observe(&mut self, member: &MemberId, position: Position, at: Instant) {
+        if let Some(replica) = self.members.get_mut(member) {
+            replica.observe(position, at);
+        }
+    }
+
+    /// Notes that the primary had `proof.position` at or after `proof.sent`, confirmed by an open gate.
+    pub fn prove(&mut self, proof: PositionProof) {
+        if self.proofs.last().is_some_and(|last| last.sent >= proof.sent) {
+            return;
+        }
+        if self.proofs.len() == MAX_PROOFS {
+            self.proofs.remove(0);
+        }
+        self.proofs.push(proof);
+    }
+
+    /// Takes over the reports, the primary and the proofs of `witness`.
+    pub fn update(&mut self, witness: &Witness, now: Instant) {
+        for report in witness.reports() {
+            self.observe(&report.member, report.position, report.sent);
+        }
+        for proof in witness.proofs() {
+            self.prove(*proof);
+        }
+        let current = witness.current_term(now);
+        let primary = witness.primary(now).zip(current);
+        if primary.is_some() {
+            self.primary = primary;
+        } else if self.primary.as_ref().is_some_and(|(_, term)| current > Some(*term)) {
+            self.primary = None;
+        }
+    }
+
+    /// Age that the data of `member` certainly does not exceed at `now`; `None` when nothing proves it.
+    pub fn proved_age(&self, member: &MemberId, now: Instant) -> Option<Duration> {
+        let position = self.members.get(member)?.observed()?.position;
+        let proof = self.proofs.iter().rev().find(|proof| proof.position <= position)?;
+        Some(now.since(proof.sent))
+    }
+
+    /// Chooses the member for a read that arrived at `arrived`.
+    pub fn route(&self, need: ReadNeed, arrived: Instant, now: Instant) -> ReadDecision {
+        match need {
+            ReadNeed::Position(position) => self.route_position(position, arrived, now),
+            ReadNeed::Age(max_age) => self.route_age(max_age, now),
+            ReadNeed::ReadIndex | ReadNeed::Primary => self.route_primary(now),
+        }
+    }
+
+    fn route_position(&self, position: Position, arrived: Instant, now: Instant) -> ReadDecision {
+        let term = self.primary.as_ref().map_or(position.term, |(_, term)| *term);
+        // Another instance knows a newer term. Its log may lack what this one's term has, so nothing can be chosen
+        // until this instance has heard of the term, too.
+        if position.term > term {
+            return ReadDecision::Refuse(RefusalKind::NoMember);
+        }
+        let reached = self.nearest(now, |replica| replica.has(position));
+        if let Some(replica) = reached {
+            return ReadDecision::Replica { member: replica.member.clone(), term };
+        }
+        let until = arrived.plus(self.replica_wait);
+        if now < until
+            && let Some(replica) = self.nearest(now, |replica| self.may_reach_soon(replica))
+        {
+            return ReadDecision::Wait { member: replica.member.clone(), until };
+        }
+        self.route_primary(now)
+    }
+
+    fn route_age(&self, max_age: Duration, now: Instant) -> ReadDecision {
+        let fresh = |replica: &Replica| {
+            self.proved_age(&replica.member, now).is_some_and(|age| age <= max_age)
+        };
+        if let Some(replica) = self.nearest(now, fresh) {
+            let term = self.primary.as_ref().map_or_else(Term::default, |(_, term)| *term);
+            return ReadDecision::Replica { member: replica.member.clone(), term };
+        }
+        match self.route_primary(now) {
+            ReadDecision::Refuse(_) => ReadDecision::Refuse(RefusalKind::StaleReadUnproved),
+            decision => decision,
+        }
+    }
+
+    fn route_primary(&self, now: Instant) -> ReadDecision {
+        let Some((member, term)) = &self.primary else {
+            return ReadDecision::Refuse(RefusalKind::NoMember);
+        };
+        let leaving = self.members.get(member).and_then(|replica| replica.leaving);
+        if leaving.is_some_and(|since| now.since(since) >= self.leaving_grace) {
+            return ReadDecision::Refuse(RefusalKind::NoMember);
+        }
+        ReadDecision::Primary { member: member.clone(), term: *term }
+    }
+
+    /// The nearest replica that takes reads and fulfils `condition`.
+    fn nearest<F>(&self, now: Instant, condition: F) -> Option<&Replica>
+    where
+        F: Fn(&Replica) -> bool,
+    {
+        self.members
+            .values()
+            .filter(|replica| !self.is_primary(&replica.member))
+            .filter(|replica| replica.leaving.is_none())
+            .filter(|replica| replica.heard_within(self.silence, now))
+            .filter(|replica| condition(replica))
+            .min_by_key(|replica| self.distance(&replica.data_centre))
+    }
+
+    /// Whether a replica lagged little enough at its last report that waiting for it is of use.
+    ///
+    /// The lag is known with the resolution of the polls.
+    fn may_reach_soon(&self, replica: &Replica) -> bool {
+        let Some(observed) = replica.observed() else { return false };
+        let proof = self.proofs.iter().rev().find(|proof| proof.position <= observed.position);
+        proof
+            .is_some_and(|proof| observed.at.since(proof.sent) <= POLL_INTERVAL + self.replica_wait)
+    }
+
+    fn is_primary(&self, member: &MemberId) -> bool {
+        self.primary.as_ref().is_some_and(|(primary, _)| primary == member)
+    }
+
+    fn distance(&self, data_centre: &DataCentre) -> u8 {
+        if *data_centre == self.data_centre {
+            0
+        } else if self.region.contains(data_centre) {
+            1
+        } else {
+            2
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/session.rs
@@ -0,0 +1,130 @@
+//! The position of a client session, which its reads have to include.
+//!
+//! # Example
+//!
+//! ```
+//! use hibiscusladder_core::{
+//!     outcome::RefusalKind,
+//!     position::{Lsn, Position, Term},
+//!     read_route::ReadNeed,
+//!     request::StatementClass,
+//!     session::Session,
+//!     term_history::TermHistory,
+//! };
+//!
+//! let mut session = Session::new();
+//! assert_eq!(session.need(StatementClass::Read), ReadNeed::ReadIndex);
+//!
+//! let written = Position::new(Term(1), Lsn(95));
+//! session.committed(written);
+//! assert_eq!(session.need(StatementClass::Read), ReadNeed::Position(written));
+//!
+//! let mut history = TermHistory::default();
+//! let term_start = Position::new(Term(1), Lsn(90));
+//! history.record(Term(2), term_start);
+//! let lost = RefusalKind::WriteLost { lost: written, term_start };
+//! assert_eq!(session.check(&history), Some(lost));
+//! assert_eq!(session.check(&history), None);
+//! assert_eq!(session.position(), Some(term_start));
+//! ```
+
+use crate::{
+    outcome::RefusalKind,
+    position::{Position, Term},
+    read_route::ReadNeed,
+    request::StatementClass,
+    term_history::{Fate, TermHistory},
+};
+
+/// Number of unchecked positions that are kept, one for each term in which the session wrote.
+const MAX_UNCHECKED: usize = 8;
+
+/// Position of one client session.
+#[derive(Debug, Clone, Default)]
+pub struct Session {
+    position: Option<Position>,
+    /// Last positions of older terms whose fate was not yet known when the session moved to a newer term.
+    unchecked: Vec<Position>,
+}
+
+impl Session {
+    /// Creates the session of a client that supplied no position.
+    pub const fn new() -> Self {
+        Self { position: None, unchecked: Vec::new() }
+    }
+
+    /// Creates the session of a client that supplied the position of an earlier connection.
+    pub const fn with_position(position: Position) -> Self {
+        Self { position: Some(position), unchecked: Vec::new() }
+    }
+
+    /// Position that the session's reads have to include; absent until it is known.
+    pub const fn position(&self) -> Option<Position> {
+        self.position
+    }
+
+    /// Notes that the session's commit ended at `position`.
+    pub fn committed(&mut self, position: Position) {
+        self.advance(position);
+    }
+
+    /// Notes that the primary's position was `position` after the session had asked for it, with an open gate.
+    pub fn proved(&mut self, position: Position) {
+        self.advance(position);
+    }
+
+    /// Notes that the client supplied `position` during the session.
+    pub fn supplied(&mut self, position: Position) {
+        self.advance(position);
+    }
+
+    /// Returns the lost write of the session, if there is one, and reports each loss only once.
+    ///
+    /// It is called before every request and when the term changes.
+    pub fn check(&mut self, history: &TermHistory) -> Option<RefusalKind> {
+        let (latest, _) = history.latest()?;
+        let lost = self.take_lost(history, latest);
+        if let Some(position) = self.position
+            && let Fate::Lost { term_start } = history.fate(position)
+        {
+            self.position = history.latest().map(|(_, start)| start);
+            return Some(RefusalKind::WriteLost { lost: position, term_start });
+        }
+        lost
+    }
+
+    /// What a member has to have for a read of `class` in this session.
+    pub const fn need(&self, class: StatementClass) -> ReadNeed {
+        match (class, self.position) {
+            (StatementClass::Write | StatementClass::UnrepeatableWrite, _) => ReadNeed::Primary,
+            (StatementClass::StaleRead { max_age }, _) => ReadNeed::Age(max_age),
+            (StatementClass::Read, Some(position)) => ReadNeed::Position(position),
+            (StatementClass::Read, None) => ReadNeed::ReadIndex,
+        }
+    }
+
+    fn advance(&mut self, position: Position) {
+        let Some(known) = self.position else {
+            self.position = Some(position);
+            return;
+        };
+        if known.term < position.term && self.unchecked.len() < MAX_UNCHECKED {
+            self.unchecked.push(known);
+        }
+        self.position = Some(known.max(position));
+    }
+
+    /// Checks the positions of older terms and drops those whose fate is certain.
+    fn take_lost(&mut self, history: &TermHistory, latest: Term) -> Option<RefusalKind> {
+        let mut lost = None;
+        let current = self.position.map_or(latest, |position| position.term);
+        self.unchecked.retain(|position| match history.fate(*position) {
+            Fate::Lost { term_start } => {
+                lost = lost.or(Some(RefusalKind::WriteLost { lost: *position, term_start }));
+                false
+            }
+            Fate::Kept => latest < current,
+        });
+        lost
+    }
+}
--- /dev/null
+++ b/crates/core/src/witness.rs
@@ -0,0 +1,260 @@
+//! Term reports from the members of a group, and the gate for acknowledgements that follows from them.
+//!
+//! A home polls every member of its database and records when each poll was sent. The acknowledgement of a write
+//! under a term is released only while a majority of the members has reported exactly this term in polls sent
+//! within the window. A promotion raises a majority of the members to a higher term and then waits for the
+//! window, so no acknowledgement under the old term can follow the promotion.
+//!
+//! # Example
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use hibiscusladder_core::{
+//!     clock::Instant,
+//!     name::MemberId,
+//!     position::{Lsn, Position, Term},
+//!     witness::{Gate, MemberReport, MemberRole, WITNESS_WINDOW, Witness},
+//! };
+//!
+//! let members: Vec<MemberId> = ["a", "b", "c"].map(MemberId::from).into();
+//! let mut witness = Witness::new(members, WITNESS_WINDOW);
+//! let start = Instant::default();
+//! for (member, role) in [("a", MemberRole::Primary), ("b", MemberRole::Replica)] {
+//!     witness.record(MemberReport {
+//!         member: member.into(),
+//!         role,
+//!         term: Term(1),
+//!         claimant: None,
+//!         promoted_term: Term(1),
+//!         position: Position::new(Term(1), Lsn(7)),
+//!         term_start: Position::default(),
+//!         term_members: Vec::new(),
+//!         source_silent: None,
+//!         sent: start,
+//!         received: start.plus(Duration::from_millis(1)),
+//!     });
+//! }
+//! assert_eq!(witness.gate(Term(1), start), Gate::Open);
+//! assert_eq!(witness.primary(start), Some("a".into()));
+//! assert_eq!(witness.gate(Term(1), start.plus(WITNESS_WINDOW)), Gate::Closed);
+//! ```
+
+mod report;
+
+use std::{collections::BTreeMap, time::Duration};
+
+pub use report::{MemberReport, MemberRole};
+
+use crate::{
+    clock::Instant,
+    name::MemberId,
+    position::{Position, Term},
+};
+
+/// Time between two polls of a member.
+pub const POLL_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time for which a term report counts, from when its poll was sent.
+///
+/// A promotion waits this long, so it bounds the write gap from below. It covers three polls, so the gate stays
+/// open when two polls in a row are lost.
+pub const WITNESS_WINDOW: Duration = Duration::from_secs(1);
+
+/// Number of the witness's proofs of the primary's position that are kept; 64 cover 16 s of polls.
+const MAX_PROOFS: usize = 64;
+
+/// Whether acknowledgements under a term may be released.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Gate {
+    /// No other term can have a primary yet.
+    Open,
+    /// The term may have been replaced.
+    Closed,
+}
+
+impl Gate {
+    /// Whether the gate is open.
+    pub const fn is_open(self) -> bool {
+        matches!(self, Self::Open)
+    }
+}
+
+/// Position that the primary had at or after a time, while no other primary could acknowledge a write.
+///
+/// Data that includes the position is as fresh as `sent`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PositionProof {
+    /// Time at which the poll of the primary was sent.
+    pub sent: Instant,
+    /// Position that the primary answered.
+    pub position: Position,
+}
+
+/// What one home knows about the terms of all members of a database.
+#[derive(Debug, Clone)]
+pub struct Witness {
+    members: Vec<MemberId>,
+    window: Duration,
+    states: BTreeMap<MemberId, MemberState>,
+    proofs: Vec<PositionProof>,
+}
+
+/// What is known about one member.
+#[derive(Debug, Clone, Default)]
+struct MemberState {
+    report: Option<MemberReport>,
+    /// Sending time of the newest poll that was answered, with whatever term.
+    answered: Option<Instant>,
+    /// Sending times of the polls after the newest one that was answered, oldest first.
+    unanswered: Vec<Instant>,
+    /// Polls after the newest answer that failed before they were due.
+    failed: u32,
+}
+
+impl Witness {
+    /// Creates a witness that has heard of no member yet.
+    ///
+    /// An effectively infinite `window` switches the expiry of reports off, which only tests do.
+    pub fn new(members: Vec<MemberId>, window: Duration) -> Self {
+        let states =
+            members.iter().map(|member| (member.clone(), MemberState::default())).collect();
+        Self { members, window, states, proofs: Vec::new() }
+    }
+
+    /// Members of the group, in the order in which ties are broken.
+    pub fn members(&self) -> &[MemberId] {
+        &self.members
+    }
+
+    /// Time for which a report counts.
+    pub const fn window(&self) -> Duration {
+        self.window
+    }
+
+    /// Smallest number of members that is a majority.
+    pub const fn majority(&self) -> usize {
+        self.members.len() / 2 + 1
+    }
+
+    /// Notes that a poll was sent to `member`, so that it counts as missed when no answer arrives.
+    pub fn poll_sent(&mut self, member: &MemberId, sent: Instant) {
+        if let Some(state) = self.states.get_mut(member) {
+            state.unanswered.push(sent);
+        }
+    }
+
+    /// Notes that the poll that was sent at `sent` failed at once, for example because the connection was refused.
+    pub fn poll_failed(&mut self, member: &MemberId, sent: Instant) {
+        let Some(state) = self.states.get_mut(member) else { return };
+        if let Some(index) = state.unanswered.iter().position(|poll| *poll == sent) {
+            state.unanswered.remove(index);
+            state.failed += 1;
+        }
+    }
+
+    /// Records the answer to a poll. Reports of unknown members and late reports of lower terms are ignored.
+    pub fn record(&mut self, report: MemberReport) {
+        let Some(state) = self.states.get_mut(&report.member) else { return };
+        state.note_answer(report.sent);
+        let newer = match &state.report {
+            None => true,
+            Some(known) => (report.term, report.sent) >= (known.term, known.sent),
+        };
+        if !newer {
+            return;
+        }
+        let (sent, received) = (report.sent, report.received);
+        let proof = report.is_primary().then_some((report.term, report.position));
+        state.report = Some(report);
+        if let Some((term, position)) = proof
+            && self.gate(term, received).is_open()
+        {
+            self.add_proof(PositionProof { sent, position });
+        }
+    }
+
+    /// Whether acknowledgements under `term` may be released at `now`.
+    pub fn gate(&self, term: Term, now: Instant) -> Gate {
+        let reports = self.fresh_reports(now).filter(|report| report.term == term).count();
+        if reports >= self.majority() { Gate::Open } else { Gate::Closed }
+    }
+
+    /// The term whose gate is open.
+    pub fn current_term(&self, now: Instant) -> Option<Term> {
+        let mut terms: Vec<Term> = self.fresh_reports(now).map(|report| report.term).collect();
+        terms.sort_unstable();
+        terms.dedup();
+        terms.into_iter().rev().find(|term| self.gate(*term, now).is_open())
+    }
+
+    /// The primary of the current term, when it reported within the window.
+    pub fn primary(&self, now: Instant) -> Option<MemberId> {
+        let term = self.current_term(now)?;
+        self.fresh_reports(now)
+            .find(|report| report.is_primary() && report.term == term)
+            .map(|report| report.member.clone())
+    }
+
+    /// The primary with the highest term that was ever reported, and its term.
+    pub fn last_primary(&self) -> Option<(MemberId, Term)> {
+        self.reports()
+            .filter(|report| report.is_primary())
+            .max_by_key(|report| report.term)
+            .map(|report| (report.member.clone(), report.term))
+    }
+
+    /// Highest term that any member reported.
+    pub fn highest_term(&self) -> Option<Term> {
+        self.reports().map(|report| report.term).max()
+    }
+
+    /// Newest report of `member`.
+    pub fn report(&self, member: &MemberId) -> Option<&MemberReport> {
+        self.states.get(member)?.report.as_ref()
+    }
+
+    /// Newest reports of all members that were heard.
+    pub fn reports(&self) -> impl Iterator<Item = &MemberReport> {
+        self.states.values().filter_map(|state| state.report.as_ref())
+    }
+
+    /// Sending time of the newest poll that `member` answered.
+    pub fn last_answered(&self, member: &MemberId) -> Option<Instant> {
+        self.states.get(member)?.answered
+    }
+
+    /// Polls of `member` since its last answer that failed or were not answered within one poll interval.
+    pub fn missed(&self, member: &MemberId, now: Instant) -> u32 {
+        let Some(state) = self.states.get(member) else { return 0 };
+        let overdue = state.unanswered.iter().filter(|sent| now.since(**sent) >= POLL_INTERVAL);
+        state.failed + u32::try_from(overdue.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Proofs of the primary's position, oldest first.
+    pub fn proofs(&self) -> &[PositionProof] {
+        &self.proofs
+    }
+
+    /// Reports whose polls were sent within the window.
+    fn fresh_reports(&self, now: Instant) -> impl Iterator<Item = &MemberReport> {
+        self.reports().filter(move |report| now.since(report.sent) < self.window)
+    }
+
+    fn add_proof(&mut self, proof: PositionProof) {
+        if self.proofs.len() == MAX_PROOFS {
+            self.proofs.remove(0);
+        }
+        self.proofs.push(proof);
+    }
+}
+
+impl MemberState {
+    fn note_answer(&mut self, sent: Instant) {
+        if self.answered.is_none_or(|answered| answered < sent) {
+            self.answered = Some(sent);
+            self.failed = 0;
+        }
+        self.unanswered.retain(|poll| *poll > sent);
+    }
+}
