--- a/crates/proxy/src/caller/frame.rs
+++ b/crates/proxy/src/caller/frame.rs
@@ -134,6 +134,21 @@
     }
 }
 
+/// Splits bytes that hold whole messages only.
+///
+/// # Errors
+///
+/// Returns an error when a message is incomplete or not valid.
+pub fn split_messages(bytes: &Bytes) -> Result<Vec<Frame>, FrameError> {
+    let mut framer = Framer::new(bytes.len());
+    framer.push(bytes);
+    let mut frames = Vec::new();
+    while let Some(frame) = framer.pop()? {
+        frames.push(frame);
+    }
+    if framer.is_empty() { Ok(frames) } else { Err(FrameError::Truncated) }
+}
+
 /// Reads messages from a connection.
 #[derive(Debug)]
 pub struct FrameReader<R> {
@@ -231,6 +246,11 @@
         Self { rest: body }
     }
 
+    /// Everything that was not read yet.
+    pub const fn rest(&self) -> &'a [u8] {
+        self.rest
+    }
+
     /// Bytes up to the next zero byte, which is skipped.
     pub fn cstr(&mut self) -> Option<&'a [u8]> {
         let end = self.rest.iter().position(|byte| *byte == 0)?;
--- /dev/null
+++ b/crates/proxy/src/home/admission.rs
@@ -0,0 +1,107 @@
+//! Slots of a member, given out by the fair queue.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use futures::channel::oneshot;
+use hibiscusladder_core::{
+    clock::{Clock, Instant},
+    name::Workspace,
+    outcome::{Refusal, RefusalKind},
+    queue::{FairQueue, Started, Ticket},
+};
+use smol::{Timer, future::FutureExt};
+
+use crate::{clock::BootClock, node::lock};
+
+type Waiter = oneshot::Sender<Slot>;
+
+/// The slots of one member.
+#[derive(Debug, Clone)]
+pub struct Admission {
+    queue: Arc<Mutex<FairQueue<Waiter>>>,
+    clock: BootClock,
+}
+
+/// A slot that is held; dropping it frees the slot and charges the workspace the time since it was given.
+#[derive(Debug)]
+pub struct Slot {
+    admission: Admission,
+    ticket: Ticket,
+}
+
+impl Admission {
+    /// Creates the admission to `slots` slots; a request waits at most `max_wait`.
+    pub fn new(slots: u32, max_wait: Duration, clock: BootClock) -> Self {
+        let queue = FairQueue::new(slots).max_wait(max_wait);
+        Self { queue: Arc::new(Mutex::new(queue)), clock }
+    }
+
+    /// Waits for a slot until `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// Returns "not run" when the expected wait is too long or the time has passed.
+    pub async fn slot(
+        &self,
+        workspace: &Workspace,
+        weight: u32,
+        deadline: Instant,
+    ) -> Result<Slot, Refusal> {
+        let (sender, receiver) = oneshot::channel();
+        let now = self.clock.now();
+        let pushed = lock(&self.queue).push(workspace, weight, sender, deadline, now);
+        if let Err(rejected) = pushed {
+            return Err(Refusal::not_run(RefusalKind::QueueFull).retry_after(rejected.retry_after));
+        }
+        self.start_next();
+        let slot = async { receiver.await.ok() };
+        slot.or(self.expiry(deadline)).await.ok_or_else(|| Refusal::not_run(RefusalKind::QueueFull))
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        lock(&self.queue).len()
+    }
+
+    /// Requests that hold a slot.
+    pub fn in_service(&self) -> usize {
+        lock(&self.queue).in_service()
+    }
+
+    /// Drops the requests whose time has passed, at the latest at `deadline`.
+    async fn expiry(&self, deadline: Instant) -> Option<Slot> {
+        loop {
+            let now = self.clock.now();
+            if now >= deadline {
+                return None;
+            }
+            let next = lock(&self.queue).next_expiry().map_or(deadline, |next| next.min(deadline));
+            Timer::after(next.since(now).max(Duration::from_millis(1))).await;
+            // The senders are dropped outside the lock, since that wakes their receivers.
+            let expired = lock(&self.queue).take_expired(self.clock.now());
+            drop(expired);
+        }
+    }
+
+    /// Gives free slots to the next requests.
+    fn start_next(&self) {
+        loop {
+            // The lock is not held while a slot is passed on: a slot that nobody takes locks the queue again.
+            let started = lock(&self.queue).pop(self.clock.now());
+            let Some(Started { ticket, item, .. }) = started else { return };
+            let slot = Slot { admission: self.clone(), ticket };
+            drop(item.send(slot));
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let now = self.admission.clock.now();
+        lock(&self.admission.queue).finish(self.ticket, now);
+        self.admission.start_next();
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/home/member.rs
@@ -0,0 +1,195 @@
+//! State of the home of one member.
+
+use std::{sync::Arc, time::Duration};
+
+use hibiscusladder_core::{
+    clock::Instant,
+    contract::Contract,
+    database::MemberRecord,
+    name::{Database, MemberId},
+    outcome::{Refusal, RefusalKind},
+    position::{Position, Term},
+};
+use smol::{Timer, future::FutureExt, lock::Mutex as AsyncMutex};
+
+use super::{Admission, gate, proofs::Proofs, read_index::MemberQuestion};
+use crate::{
+    node::{Group, Node},
+    route::SharedIndex,
+    upstream::{Pool, Pooled},
+};
+
+/// Connections of the member that the pool leaves free: three control connections, the one for checks and the one
+/// for the read index.
+const RESERVED_CONNECTIONS: u32 = 5;
+/// Time between two questions for the position of a replica that is waited for.
+const REPLICA_POLL: Duration = Duration::from_millis(5);
+
+/// The home of one member.
+#[derive(Debug)]
+pub struct Member {
+    pub(super) node: Arc<Node>,
+    pub(super) group: Arc<Group>,
+    pub(super) database: Database,
+    pub(super) id: MemberId,
+    pub(super) pool: Pool,
+    pub(super) admission: Admission,
+    /// Term in which the record table is known to exist.
+    pub(super) recorded_term: AsyncMutex<Option<Term>>,
+    index: Arc<SharedIndex<MemberQuestion>>,
+    proofs: Arc<Proofs>,
+    record: MemberRecord,
+}
+
+impl Member {
+    pub(super) fn new(node: Arc<Node>, group: Arc<Group>, record: &MemberRecord) -> Arc<Self> {
+        let settings = node.settings();
+        let database = group.view().database.clone();
+        let size = record.connections.saturating_sub(RESERVED_CONNECTIONS).max(1);
+        let pool = Pool::new(&record.address, database.as_str(), &settings.upstream, size);
+        let admission = Admission::new(record.slots, settings.times.queue_wait, node.clock());
+        let member = Self {
+            index: SharedIndex::new(MemberQuestion::new(pool.clone())),
+            proofs: Proofs::track(&node, &group),
+            node,
+            group,
+            database,
+            id: record.id.clone(),
+            pool,
+            admission,
+            recorded_term: AsyncMutex::new(None),
+            record: record.clone(),
+        };
+        Arc::new(member)
+    }
+
+    /// Whether the record is the one that the home was created for.
+    pub(super) fn matches(&self, record: &MemberRecord) -> bool {
+        self.record == *record
+    }
+
+    /// Slots and queue of the member.
+    pub const fn admission(&self) -> &Admission {
+        &self.admission
+    }
+
+    /// Whether this instance may act on the member now.
+    pub(super) fn lease_usable(&self) -> bool {
+        let lease = self.node.lease(&self.id);
+        lease.is_some_and(|lease| lease.usable(self.node.now()))
+    }
+
+    /// Waits until this instance may act on the member.
+    ///
+    /// # Errors
+    ///
+    /// Returns "not run" when the lease is not usable before `until`.
+    pub(super) async fn wait_lease(&self, until: Instant) -> Result<(), Refusal> {
+        let lease = self.node.lease_or_new(&self.id);
+        loop {
+            let changed = lease.changed();
+            let now = self.node.now();
+            if lease.usable(now) {
+                return Ok(());
+            }
+            let left = until.since(now);
+            if left.is_zero() {
+                return Err(self.no_member("its home has no lease yet"));
+            }
+            let timer = async { drop(Timer::after(left.min(REPLICA_POLL * 10)).await) };
+            changed.or(timer).await;
+        }
+    }
+
+    /// The term in which the member is primary.
+    pub(super) fn primary_term(&self) -> Option<Term> {
+        let view = self.group.view();
+        (view.primary.as_ref() == Some(&self.id)).then_some(view.term)
+    }
+
+    /// Newest term that this instance knows.
+    pub(super) fn term(&self) -> Term {
+        self.group.view().term
+    }
+
+    /// Takes a token of the workspace's share.
+    ///
+    /// # Errors
+    ///
+    /// Returns "not run" when the workspace is past its rate.
+    pub(super) async fn admit(&self, _contract: &Contract, _deadline: Instant) -> Result<(), Refusal> {
+        Ok(())
+    }
+
+    /// Waits until the replica has `needed`, by the reports and by asking it on `pooled`.
+    ///
+    /// # Errors
+    ///
+    /// Returns "not run" when the replica does not reach the position in time.
+    pub(super) async fn wait_position(
+        &self,
+        pooled: &mut Pooled,
+        needed: Position,
+    ) -> Result<(), Refusal> {
+        let until = self.node.now().plus(self.node.settings().times.replica_wait);
+        loop {
+            let reported = self.group.view().reports.get(&self.id).map(|report| report.position);
+            if reported.is_some_and(|position| position >= needed) {
+                return Ok(());
+            }
+            if pooled.has_committed() {
+                return Err(self.no_member("its position is not known yet"));
+            }
+            if self.ask_position(pooled).await? >= needed {
+                return Ok(());
+            }
+            if self.node.now() >= until {
+                return Err(self.no_member("it has not reached the position of the session"));
+            }
+            Timer::after(REPLICA_POLL).await;
+        }
+    }
+
+    async fn ask_position(&self, pooled: &mut Pooled) -> Result<Position, Refusal> {
+        let result = pooled.connection.query("SELECT group_position()").await;
+        let result = result.map_err(|error| self.no_member(&error.to_string()))?;
+        let position = result.value(0).and_then(|text| text.parse().ok());
+        position.ok_or_else(|| self.no_member("it answered no position"))
+    }
+
+    /// Whether the data of the member is proved to be at most `max_age` old.
+    pub(super) fn proved_within(&self, max_age: Duration) -> bool {
+        let view = self.group.view();
+        if view.primary.as_ref() == Some(&self.id) {
+            return view.gate_open(view.term, self.node.now());
+        }
+        let Some(report) = view.reports.get(&self.id) else { return false };
+        let age = self.proofs.age(report.position, self.node.now());
+        age.is_some_and(|age| age <= max_age)
+    }
+
+    /// Waits until an answer under `term` may be released.
+    ///
+    /// # Errors
+    ///
+    /// Returns "outcome unknown" when the gate stays closed.
+    pub(super) async fn open_gate(&self, term: Term) -> Result<(), Refusal> {
+        let wait = self.node.settings().times.gate_wait;
+        gate::open(&self.node, &self.group, term, wait).await
+    }
+
+    /// The member's present position, when it is primary and the gate is open.
+    pub(super) async fn read_index(&self) -> Option<Position> {
+        if !self.lease_usable() {
+            return None;
+        }
+        let term = self.primary_term()?;
+        let position = self.index.position().await?;
+        let confirmed = position.term <= term && self.group.gate_open(term, self.node.now());
+        confirmed.then_some(position)
+    }
+
+    pub(super) fn no_member(&self, reason: &str) -> Refusal {
+        Refusal::not_run(RefusalKind::NoMember).detail(format!("member {}: {reason}", self.id))
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/home/mod.rs
@@ -0,0 +1,117 @@
+//! Homes of members: everything that one instance does for the members it is home of.
+//!
+//! A request is admitted by the share of its workspace, waits for a slot in the fair queue, runs on a connection
+//! that it has for itself, and is answered when the gate of the term is open.
+//!
+//! [`Homes::call`] starts a request; the answer arrives as [`Chunk`]s.
+
+mod admission;
+mod call;
+mod execute;
+mod gate;
+mod member;
+mod outlet;
+mod proofs;
+mod read_index;
+mod record;
+mod transaction;
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex},
+};
+
+use hibiscusladder_core::{
+    name::{Database, MemberId},
+    outcome::{Refusal, RefusalKind},
+    position::Position,
+};
+use hibiscusladder_proto::{reply::ReplyEnd, request::Envelope};
+use smol::channel;
+
+pub use self::{
+    admission::Admission,
+    call::{Call, Chunk, Exchange},
+    member::Member,
+};
+use self::{call::Cancels, transaction::Transaction};
+use crate::{
+    node::{Node, lock},
+    trace::Tracer,
+};
+
+/// Chunks that wait for a slow reader of an answer; more make the upstream wait.
+const CHUNKS_BUFFERED: usize = 2;
+
+/// The homes of one instance.
+#[derive(Debug)]
+pub struct Homes {
+    node: Arc<Node>,
+    tracer: Tracer,
+    members: Mutex<HashMap<MemberId, Arc<Member>>>,
+    cancels: Arc<Cancels>,
+}
+
+impl Homes {
+    /// Creates the homes of `node`.
+    pub fn new(node: Arc<Node>, tracer: Tracer) -> Arc<Self> {
+        Arc::new(Self { node, tracer, members: Mutex::default(), cancels: Arc::default() })
+    }
+
+    /// Starts a request. With `keep`, the transaction that it opens stays open for further batches.
+    pub fn call(&self, envelope: Envelope, data: bytes::Bytes, keep: bool) -> Call {
+        let (chunks, receiver) = channel::bounded(CHUNKS_BUFFERED);
+        let (exchanges, batches) = channel::bounded(1);
+        match self.member(&envelope.head.database, &envelope.member) {
+            Some(member) => {
+                let first = Exchange { envelope, data, chunks };
+                let cancels = Arc::clone(&self.cancels);
+                let transaction = Transaction::new(member, self.tracer.clone(), cancels, keep);
+                smol::spawn(transaction.run(first, batches)).detach();
+            }
+            None => {
+                let refusal = Refusal::not_run(RefusalKind::NoMember)
+                    .detail(format!("member {} is not configured here", envelope.member));
+                let _ = chunks.try_send(Chunk::End(ReplyEnd::refused(refusal)));
+            }
+        }
+        Call { chunks: receiver, exchanges }
+    }
+
+    /// Cancels the statement of the request with `token`, when it runs here.
+    pub async fn cancel(&self, token: u64) {
+        if let Some(key) = self.cancels.cancel(token)
+            && let Err(error) = key.cancel().await
+        {
+            spdlog::warn!("home: a cancel request was not delivered: {error}");
+        }
+    }
+
+    /// The present position of the primary of `database`, when this instance is its home and the gate is open.
+    pub async fn read_index(&self, database: &Database) -> Option<Position> {
+        let group = self.node.group(database)?;
+        let primary = group.view().primary.clone()?;
+        self.member(database, &primary)?.read_index().await
+    }
+
+    /// The home of `member`, created when the configuration names the member.
+    pub fn member(&self, database: &Database, member: &MemberId) -> Option<Arc<Member>> {
+        let group = self.node.group(database)?;
+        let view = group.view();
+        let record = view.member(member)?;
+        let mut members = lock(&self.members);
+        if let Some(known) = members.get(member)
+            && known.matches(record)
+        {
+            return Some(Arc::clone(known));
+        }
+        let home = Member::new(Arc::clone(&self.node), group, record);
+        members.insert(member.clone(), Arc::clone(&home));
+        Some(home)
+    }
+
+    /// Statements that wait or run at all members.
+    pub fn active(&self) -> usize {
+        self.cancels.len()
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/home/outlet.rs
@@ -0,0 +1,99 @@
+//! The way of an answer to the entry: packs messages into chunks and holds acknowledgements back.
+
+use bytes::{Bytes, BytesMut};
+use hibiscusladder_proto::reply::ReplyEnd;
+use smol::channel::Sender;
+
+use super::Chunk;
+use crate::caller::frame::Frame;
+
+/// Size at which collected messages are sent, in bytes.
+const CHUNK_BYTES: usize = 256 * 1024;
+
+/// The entry no longer takes the answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Abandoned;
+
+/// Collects the messages of one answer.
+#[derive(Debug)]
+pub(crate) struct Outlet {
+    chunks: Sender<Chunk>,
+    ready: BytesMut,
+    held: BytesMut,
+    holding: bool,
+    sent: bool,
+}
+
+impl Outlet {
+    pub(crate) fn new(chunks: Sender<Chunk>) -> Self {
+        let (ready, held) = (BytesMut::new(), BytesMut::new());
+        Self { chunks, ready, held, holding: false, sent: false }
+    }
+
+    /// Adds a message; it is held back when [`Outlet::hold`] was called.
+    pub(crate) async fn push(&mut self, frame: &Frame) -> Result<(), Abandoned> {
+        if self.holding {
+            self.held.extend_from_slice(frame.raw());
+            return Ok(());
+        }
+        self.ready.extend_from_slice(frame.raw());
+        if self.ready.len() >= CHUNK_BYTES { self.flush().await } else { Ok(()) }
+    }
+
+    /// Holds back everything that is added from now on.
+    pub(crate) const fn hold(&mut self) {
+        self.holding = true;
+    }
+
+    /// Bytes that are held back.
+    pub(crate) fn held(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Lets go what is held back.
+    pub(crate) fn release(&mut self) {
+        self.holding = false;
+        self.ready.unsplit(self.held.split());
+    }
+
+    /// Forgets everything that was not sent.
+    pub(crate) fn discard(&mut self) {
+        self.ready.clear();
+        self.held.clear();
+        self.holding = false;
+    }
+
+    /// Whether part of the answer has left.
+    pub(crate) const fn has_sent(&self) -> bool {
+        self.sent
+    }
+
+    /// Adds messages that the home itself made.
+    pub(crate) fn push_bytes(&mut self, bytes: &[u8]) {
+        self.ready.extend_from_slice(bytes);
+    }
+
+    /// Sends what is collected and the end.
+    pub(crate) async fn finish(mut self, end: ReplyEnd) -> Result<(), Abandoned> {
+        self.held.clear();
+        if !self.ready.is_empty() {
+            self.flush().await?;
+        }
+        self.chunks.send(Chunk::End(end)).await.map_err(|_| Abandoned)
+    }
+
+    /// Completes when the entry no longer takes the answer.
+    pub(crate) async fn abandoned(&self) {
+        self.chunks.closed().await;
+    }
+
+    async fn flush(&mut self) -> Result<(), Abandoned> {
+        let mut data: Bytes = self.ready.split().freeze();
+        self.sent = true;
+        while !data.is_empty() {
+            let part = data.split_to(data.len().min(CHUNK_BYTES));
+            self.chunks.send(Chunk::Data(part)).await.map_err(|_| Abandoned)?;
+        }
+        Ok(())
+    }
+}
