--- /dev/null
+++ b/crates/emulator/src/database/mod.rs
@@ -0,0 +1,1 @@
+//! Members of database groups.
--- /dev/null
+++ b/crates/emulator/src/http.rs
@@ -0,0 +1,161 @@
+//! The HTTP/1.1 server that both emulators use, and its JSON answers.
+
+use std::{io, sync::Weak};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, Response, StatusCode, body::Incoming, service::service_fn};
+use serde::{Serialize, de::DeserializeOwned};
+use smol::{
+    Executor,
+    net::{TcpListener, TcpStream},
+};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+use crate::runtime::spawn_on;
+
+/// Body of an answer.
+pub(crate) type Body = Full<Bytes>;
+
+/// What becomes of a request.
+pub(crate) type Reply = Result<Response<Body>, HangUp>;
+
+/// The connection is closed without an answer.
+#[derive(Debug, thiserror::Error)]
+#[error("the connection is closed without an answer, as a fault setting asks for")]
+pub(crate) struct HangUp;
+
+/// Answers the requests of a server.
+pub(crate) trait Handler: Clone + Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(&self, req: Request<Incoming>) -> impl Future<Output = Reply> + Send;
+}
+
+/// Accepts connections on `listener` and serves each in a task of its own.
+pub(crate) async fn serve<H>(listener: TcpListener, handler: H, spawner: Weak<Executor<'static>>)
+where
+    H: Handler,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => spawn_on(&spawner, serve_connection(stream, handler.clone())),
+            Err(error) => {
+                spdlog::warn!("emulator: HTTP connection was not accepted: {error}");
+                smol::Timer::after(std::time::Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<H>(stream: TcpStream, handler: H)
+where
+    H: Handler,
+{
+    stream.set_nodelay(true).ok();
+    let service = service_fn(move |req| {
+        let handler = handler.clone();
+        async move { handler.handle(req).await }
+    });
+    let result = hyper::server::conn::http1::Builder::new()
+        .timer(SmolTimer::new())
+        .serve_connection(FuturesIo::new(stream), service)
+        .await;
+    if let Err(error) = result {
+        spdlog::debug!("emulator: HTTP connection ended: {error}");
+    }
+}
+
+/// Body of an error answer.
+#[derive(Debug, Serialize)]
+struct ErrorBody<'a> {
+    error: &'a str,
+}
+
+/// An answer with a JSON body.
+pub(crate) fn json<T>(status: StatusCode, body: &T) -> Response<Body>
+where
+    T: Serialize,
+{
+    let (status, text) = match serde_json::to_vec(body) {
+        Ok(text) => (status, text),
+        Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into_bytes()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    let content_type = hyper::header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(hyper::header::CONTENT_TYPE, content_type);
+    response
+}
+
+/// A request that is answered with an error.
+#[derive(Debug)]
+pub(crate) struct Failure {
+    status: StatusCode,
+    message: String,
+}
+
+impl Failure {
+    /// Creates the failure with a message that says what to change.
+    pub(crate) fn new<S>(status: StatusCode, message: S) -> Self
+    where
+        S: Into<String>,
+    {
+        Self { status, message: message.into() }
+    }
+
+    /// The path or object does not exist.
+    pub(crate) fn not_found() -> Self {
+        Self::new(StatusCode::NOT_FOUND, "there is no such path or object")
+    }
+
+    /// The method is not supported for the path.
+    pub(crate) fn method() -> Self {
+        Self::new(StatusCode::METHOD_NOT_ALLOWED, "the path does not support this method")
+    }
+
+    /// The answer that the client gets.
+    pub(crate) fn response(&self) -> Response<Body> {
+        json(self.status, &ErrorBody { error: &self.message })
+    }
+}
+
+/// Reads a body of at most `limit` bytes.
+pub(crate) async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Failure> {
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(_) => {
+            Err(Failure::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large or incomplete"))
+        }
+    }
+}
+
+/// Reads a JSON body of at most `limit` bytes.
+pub(crate) async fn read_json<T>(body: Incoming, limit: usize) -> Result<T, Failure>
+where
+    T: DeserializeOwned,
+{
+    let body = read_body(body, limit).await?;
+    serde_json::from_slice(&body).map_err(|reason| {
+        Failure::new(StatusCode::BAD_REQUEST, format!("the body is not valid: {reason}"))
+    })
+}
+
+/// Value of `name` in a query string such as `from=3&wait_ms=500`.
+pub(crate) fn query_value<T>(query: Option<&str>, name: &str) -> Option<T>
+where
+    T: std::str::FromStr,
+{
+    let pairs = query?.split('&').filter_map(|pair| pair.split_once('='));
+    let mut values = pairs.filter(|(key, _)| *key == name);
+    values.next().and_then(|(_, value)| value.parse().ok())
+}
+
+/// Binds `address`, blocking.
+pub(crate) fn bind(address: &str) -> io::Result<TcpListener> {
+    smol::block_on(TcpListener::bind(address))
+}
+
+/// Turns a failure into the answer that names it.
+pub(crate) fn reply(result: Result<Response<Body>, Failure>) -> Response<Body> {
+    result.unwrap_or_else(|failure| failure.response())
+}
--- /dev/null
+++ b/crates/emulator/src/platform/instances.rs
@@ -0,0 +1,126 @@
+//! The list of instances, which lags behind their registrations.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+
+/// What an instance registers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Registration {
+    /// Accepted so that a listed item can be sent back as it is.
+    #[serde(default, skip_serializing)]
+    id: Option<String>,
+    data_centre: String,
+    rpc: String,
+    health: String,
+    state: InstanceState,
+}
+
+/// Whether an instance takes part or is about to end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum InstanceState {
+    Live,
+    Leaving,
+}
+
+/// An instance as it is listed.
+#[derive(Debug, Serialize)]
+pub(crate) struct Item {
+    id: String,
+    #[serde(flatten)]
+    registration: Registration,
+}
+
+/// All listed instances.
+#[derive(Debug, Serialize)]
+pub(crate) struct InstanceList {
+    items: Vec<Item>,
+}
+
+/// A change that will show in the list; `None` when the instance was removed.
+#[derive(Debug)]
+struct Pending {
+    due: Instant,
+    registration: Option<Registration>,
+}
+
+#[derive(Debug)]
+struct Instance {
+    listed: Option<Registration>,
+    pending: VecDeque<Pending>,
+    last_healthy: Instant,
+}
+
+impl Instance {
+    fn latest(&self) -> Option<&Registration> {
+        self.pending.back().map_or(self.listed.as_ref(), |pending| pending.registration.as_ref())
+    }
+
+    fn apply_due(&mut self, now: Instant) {
+        while self.pending.front().is_some_and(|pending| pending.due <= now) {
+            if let Some(pending) = self.pending.pop_front() {
+                self.listed = pending.registration;
+            }
+        }
+    }
+}
+
+/// Registered instances.
+#[derive(Debug)]
+pub(crate) struct Instances {
+    instances: BTreeMap<String, Instance>,
+    lag: Duration,
+    health_timeout: Duration,
+}
+
+impl Instances {
+    /// Creates an empty list whose changes show after `lag`.
+    pub(crate) const fn new(lag: Duration, health_timeout: Duration) -> Self {
+        Self { instances: BTreeMap::new(), lag, health_timeout }
+    }
+
+    /// Registers an instance, or removes it when `registration` is `None`.
+    pub(crate) fn register(&mut self, id: &str, registration: Option<Registration>, now: Instant) {
+        let entry = self.instances.entry(id.to_owned());
+        let instance = entry.or_insert_with(|| Instance {
+            listed: None,
+            pending: VecDeque::new(),
+            last_healthy: now,
+        });
+        instance.last_healthy = now;
+        instance.pending.push_back(Pending { due: now + self.lag, registration });
+    }
+
+    /// The instances that are listed at `now`.
+    pub(crate) fn list(&mut self, now: Instant) -> InstanceList {
+        let mut items = Vec::new();
+        for (id, instance) in &mut self.instances {
+            instance.apply_due(now);
+            let healthy = now.duration_since(instance.last_healthy) <= self.health_timeout;
+            let listed = instance.listed.clone().filter(|_| healthy);
+            items.extend(listed.map(|registration| Item { id: id.clone(), registration }));
+        }
+        self.instances
+            .retain(|_, instance| instance.listed.is_some() || !instance.pending.is_empty());
+        InstanceList { items }
+    }
+
+    /// Health addresses to check, by instance.
+    pub(crate) fn health_addresses(&self) -> Vec<(String, String)> {
+        let latest =
+            self.instances.iter().filter_map(|(id, instance)| Some((id, instance.latest()?)));
+        latest.map(|(id, registration)| (id.clone(), registration.health.clone())).collect()
+    }
+
+    /// Records that the health address of `id` accepted a connection.
+    pub(crate) fn record_healthy(&mut self, id: &str, now: Instant) {
+        if let Some(instance) = self.instances.get_mut(id) {
+            instance.last_healthy = now;
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/platform/mod.rs
@@ -0,0 +1,92 @@
+//! The platform: object store with versions and watches, and the lagging list of instances.
+//!
+//! The calls are those of section 5.1 of the design page. `PUT /admin/faults` sets faults, which in-process tests
+//! can also set through the handle.
+//!
+//! # Example
+//!
+//! ```
+//! use hibiscusladder_emulator::platform::{Platform, PlatformConfig, PlatformFaults};
+//!
+//! let platform = Platform::start(PlatformConfig::default())?;
+//! platform.set_faults(PlatformFaults { outage: true, ..PlatformFaults::default() });
+//! assert_eq!(platform.calls().writes, 0);
+//! # Ok::<(), std::io::Error>(())
+//! ```
+
+mod config;
+mod instances;
+mod service;
+mod store;
+
+pub use self::{
+    config::{OutageMode, PlatformConfig, PlatformFaults},
+    service::Calls,
+};
+
+use std::{io, net::SocketAddr, sync::Arc};
+
+use futures::FutureExt;
+
+use self::service::Service;
+use crate::{http, runtime::Runtime};
+
+/// Threads that serve the platform's calls.
+const THREADS: usize = 2;
+
+/// Starts the platform emulator.
+#[derive(Debug)]
+pub struct Platform;
+
+impl Platform {
+    /// Binds the address of `cfg` and serves it until the handle is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system when the address cannot be bound or a thread cannot be started.
+    pub fn start(cfg: PlatformConfig) -> io::Result<PlatformHandle> {
+        let listener = http::bind(&cfg.listen)?;
+        let address = listener.local_addr()?;
+        let runtime = Runtime::start("platform", THREADS)?;
+        let service = Arc::new(Service::new(cfg));
+        runtime.spawn(http::serve(listener, Arc::clone(&service), runtime.spawner()).boxed());
+        runtime.spawn(Service::check_health(Arc::clone(&service)).boxed());
+        spdlog::info!("emulator: platform listens on {address}");
+        Ok(PlatformHandle { address, service, runtime })
+    }
+}
+
+/// A running platform; dropping it stops the platform.
+#[derive(Debug)]
+pub struct PlatformHandle {
+    address: SocketAddr,
+    service: Arc<Service>,
+    runtime: Runtime,
+}
+
+impl PlatformHandle {
+    /// Address on which the platform listens.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Base of the platform's URLs, such as `http://127.0.0.1:4711`.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: PlatformFaults) {
+        self.service.set_faults(faults);
+    }
+
+    /// Calls since the start.
+    pub fn calls(&self) -> Calls {
+        self.service.calls()
+    }
+
+    /// Stops the platform and waits until its threads have ended.
+    pub fn shutdown(self) {
+        drop(self.runtime);
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/platform/store.rs
@@ -0,0 +1,158 @@
+//! Objects with versions, and the events that watches resume from.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::Serialize;
+use serde_json::Value;
+
+/// An object as it is answered.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct Object {
+    pub(crate) kind: String,
+    pub(crate) name: String,
+    pub(crate) version: u64,
+    pub(crate) value: Value,
+}
+
+/// All objects of a kind at a revision.
+#[derive(Debug, Serialize)]
+pub(crate) struct ObjectList {
+    revision: u64,
+    items: Vec<Object>,
+}
+
+/// Kind of a change.
+#[derive(Debug, Clone, Copy, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum EventType {
+    Put,
+    Delete,
+}
+
+/// A change.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct Event {
+    #[serde(rename = "type")]
+    event_type: EventType,
+    #[serde(flatten)]
+    object: Object,
+}
+
+/// Changes after a revision.
+#[derive(Debug, Serialize)]
+pub(crate) struct Changes {
+    revision: u64,
+    events: Vec<Event>,
+}
+
+impl Changes {
+    /// Whether nothing has changed.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.events.is_empty()
+    }
+}
+
+/// Answer to a change.
+#[derive(Debug, Serialize)]
+pub(crate) struct Accepted {
+    version: u64,
+}
+
+/// The version that a change was made on is not the present one.
+#[derive(Debug)]
+pub(crate) struct Conflict(pub(crate) Object);
+
+/// The revision that a watch wants to resume from is no longer kept.
+#[derive(Debug)]
+pub(crate) struct Gone;
+
+/// Versioned objects; each change has the next number of one global counter as its version.
+#[derive(Debug)]
+pub(crate) struct Store {
+    objects: BTreeMap<(String, String), Object>,
+    revision: u64,
+    events: VecDeque<Event>,
+    kept_events: usize,
+}
+
+impl Store {
+    /// Creates an empty store that keeps the last `kept_events` changes.
+    pub(crate) const fn new(kept_events: usize) -> Self {
+        Self { objects: BTreeMap::new(), revision: 0, events: VecDeque::new(), kept_events }
+    }
+
+    /// All objects of `kind`.
+    pub(crate) fn list(&self, kind: &str) -> ObjectList {
+        let of_kind = self.objects.values().filter(|object| object.kind == kind);
+        ObjectList { revision: self.revision, items: of_kind.cloned().collect() }
+    }
+
+    /// One object.
+    pub(crate) fn get(&self, kind: &str, name: &str) -> Option<&Object> {
+        self.objects.get(&(kind.to_owned(), name.to_owned()))
+    }
+
+    /// Writes an object when its present version is `expected`; 0 means that it does not exist.
+    pub(crate) fn put(
+        &mut self,
+        kind: &str,
+        name: &str,
+        expected: Option<u64>,
+        value: Value,
+    ) -> Result<Accepted, Conflict> {
+        self.check(kind, name, expected)?;
+        self.revision += 1;
+        let object =
+            Object { kind: kind.to_owned(), name: name.to_owned(), version: self.revision, value };
+        self.objects.insert((kind.to_owned(), name.to_owned()), object.clone());
+        self.record(EventType::Put, object);
+        Ok(Accepted { version: self.revision })
+    }
+
+    /// Deletes an object when its present version is `expected`.
+    pub(crate) fn delete(
+        &mut self,
+        kind: &str,
+        name: &str,
+        expected: Option<u64>,
+    ) -> Result<Accepted, Conflict> {
+        self.check(kind, name, expected)?;
+        if self.objects.remove(&(kind.to_owned(), name.to_owned())).is_none() {
+            return Err(Conflict(absent(kind, name)));
+        }
+        self.revision += 1;
+        let object = Object { version: self.revision, ..absent(kind, name) };
+        self.record(EventType::Delete, object);
+        Ok(Accepted { version: self.revision })
+    }
+
+    /// Changes after the revision `from`.
+    pub(crate) fn changes(&self, from: u64) -> Result<Changes, Gone> {
+        let oldest = self.events.front().map_or(self.revision + 1, |event| event.object.version);
+        if from + 1 < oldest {
+            return Err(Gone);
+        }
+        let newer = self.events.iter().filter(|event| event.object.version > from);
+        Ok(Changes { revision: self.revision, events: newer.cloned().collect() })
+    }
+
+    fn check(&self, kind: &str, name: &str, expected: Option<u64>) -> Result<(), Conflict> {
+        let present = self.get(kind, name);
+        let version = present.map_or(0, |object| object.version);
+        if expected.is_some_and(|expected| expected != version) {
+            return Err(Conflict(present.cloned().unwrap_or_else(|| absent(kind, name))));
+        }
+        Ok(())
+    }
+
+    fn record(&mut self, event_type: EventType, object: Object) {
+        self.events.push_back(Event { event_type, object });
+        if self.events.len() > self.kept_events {
+            self.events.pop_front();
+        }
+    }
+}
+
+fn absent(kind: &str, name: &str) -> Object {
+    Object { kind: kind.to_owned(), name: name.to_owned(), version: 0, value: Value::Null }
+}
