feat(proxy): read groups through the core witness and leases through the core home lease

GroupView now holds the witness, so the gate, missed polls and proofs of positions follow the tested rules of the core. Lease wraps HomeLease and counts its epochs. Adds the control connection to a member.

--- /dev/null
+++ b/crates/proxy/src/control/link.rs
@@ -0,0 +1,379 @@
+//! Control connection to one member.
+//!
+//! Statements are sent as soon as they are given, without waiting for the answers of earlier ones, so that a
+//! poll leaves in time although another one is late. An answer that takes too long ends the connection, since
+//! nothing behind it can arrive.
+
+use std::{io, sync::Arc, time::Duration};
+
+use bytes::BytesMut;
+use futures::{FutureExt, channel::oneshot, pin_mut, select};
+use hibiscusladder_core::clock::{Clock, Instant};
+use pgwire::messages::{
+    DecodeContext, Message, PgWireBackendMessage,
+    simplequery::Query,
+    startup::{Authentication, Password, Startup},
+};
+use smol::{
+    Timer,
+    channel::{Receiver, Sender, bounded, unbounded},
+    future::FutureExt as _,
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+use thiserror::Error;
+
+use crate::{clock::BootClock, settings::UpstreamSettings};
+
+/// Longest time for a control statement or a new connection.
+pub const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Statements that may wait on a connection.
+const PENDING: usize = 64;
+
+/// A control statement failed.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum LinkError {
+    /// The connection could not be set up or was lost; a statement on it may have run.
+    #[error("the control connection to {address} failed: {reason}")]
+    Lost {
+        /// Address of the member.
+        address: Arc<str>,
+        /// What went wrong.
+        reason: String,
+    },
+    /// The member answered with an error; the statement had no effect.
+    #[error("the member at {address} answered with error {sqlstate}: {message}")]
+    Server {
+        /// Address of the member.
+        address: Arc<str>,
+        /// SQLSTATE, five characters.
+        sqlstate: String,
+        /// Text of the error.
+        message: String,
+    },
+}
+
+/// Rows of an answer as texts.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct TextRows {
+    /// Names of the columns.
+    pub columns: Vec<String>,
+    /// Values; absent for NULL.
+    pub rows: Vec<Vec<Option<String>>>,
+}
+
+impl TextRows {
+    /// The value of `column` in the first row; absent for NULL and when there is none.
+    pub fn first(&self, column: &str) -> Option<&str> {
+        let index = self.columns.iter().position(|name| name == column)?;
+        self.rows.first()?.get(index)?.as_deref()
+    }
+
+    /// The first value of the first row.
+    pub fn scalar(&self) -> Option<&str> {
+        self.rows.first()?.first()?.as_deref()
+    }
+}
+
+/// An answer with the time at which its statement was sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// When the statement was sent.
+    pub sent: Instant,
+    /// The rows.
+    pub rows: TextRows,
+}
+
+struct Statement {
+    sql: String,
+    answer: oneshot::Sender<Result<Answer, LinkError>>,
+}
+
+/// A connection to a member; clones share it.
+#[derive(Debug, Clone)]
+pub struct MemberLink {
+    address: Arc<str>,
+    statements: Sender<Statement>,
+    stream: TcpStream,
+}
+
+impl MemberLink {
+    /// Connects to the member at `address` within [`CONTROL_TIMEOUT`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the member cannot be reached or rejects the connection.
+    pub async fn connect(
+        address: &str,
+        database: &str,
+        user: &UpstreamSettings,
+    ) -> Result<Self, LinkError> {
+        let address: Arc<str> = Arc::from(address);
+        let connect = Connection::open(&address, database, user);
+        let late = async {
+            Timer::after(CONTROL_TIMEOUT).await;
+            Err(lost(&address, "no answer to the start-up"))
+        };
+        let connection = connect.or(late).await?;
+        let stream = connection.stream.clone();
+        let (statements, requests) = bounded(PENDING);
+        smol::spawn(connection.run(requests)).detach();
+        Ok(Self { address, statements, stream })
+    }
+
+    /// Runs `sql` and waits at most [`CONTROL_TIMEOUT`] for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the connection is lost or the member answers with an error.
+    pub async fn query<S>(&self, sql: S) -> Result<Answer, LinkError>
+    where
+        S: Into<String>,
+    {
+        let (tx, rx) = oneshot::channel();
+        let statement = Statement { sql: sql.into(), answer: tx };
+        if self.statements.try_send(statement).is_err() {
+            self.close();
+            return Err(lost(&self.address, "the connection is closed"));
+        }
+        let answer = async { rx.await.unwrap_or_else(|_| Err(lost(&self.address, "closed"))) };
+        let late = async {
+            Timer::after(CONTROL_TIMEOUT).await;
+            self.close();
+            Err(lost(&self.address, "no answer within 1 s"))
+        };
+        answer.or(late).await
+    }
+
+    /// Whether the connection ended.
+    pub fn is_closed(&self) -> bool {
+        self.statements.is_closed()
+    }
+
+    /// Ends the connection; locks that it holds are released by the member.
+    pub fn close(&self) {
+        self.statements.close();
+        let _ = self.stream.shutdown(std::net::Shutdown::Both);
+    }
+}
+
+fn lost(address: &Arc<str>, reason: &str) -> LinkError {
+    LinkError::Lost { address: Arc::clone(address), reason: reason.to_owned() }
+}
+
+struct Pending {
+    sent: Instant,
+    answer: oneshot::Sender<Result<Answer, LinkError>>,
+}
+
+struct Connection {
+    address: Arc<str>,
+    stream: TcpStream,
+    decoder: Decoder,
+}
+
+impl Connection {
+    async fn open(
+        address: &Arc<str>,
+        database: &str,
+        user: &UpstreamSettings,
+    ) -> Result<Self, LinkError> {
+        let io_error = |error: io::Error| lost(address, &error.to_string());
+        let stream = TcpStream::connect(&**address).await.map_err(io_error)?;
+        stream.set_nodelay(true).map_err(io_error)?;
+        let decoder = Decoder::new(Arc::clone(address));
+        let mut connection = Self { address: Arc::clone(address), stream, decoder };
+        let mut startup = Startup::new();
+        startup.parameters.insert("user".to_owned(), user.user.clone());
+        startup.parameters.insert("database".to_owned(), database.to_owned());
+        connection.write(&startup).await?;
+        connection.authenticate(user).await?;
+        Ok(connection)
+    }
+
+    async fn authenticate(&mut self, user: &UpstreamSettings) -> Result<(), LinkError> {
+        loop {
+            match self.decoder.next(&mut self.stream).await? {
+                PgWireBackendMessage::Authentication(Authentication::CleartextPassword) => {
+                    self.write(&Password::new(user.password.clone())).await?;
+                }
+                PgWireBackendMessage::Authentication(Authentication::Ok)
+                | PgWireBackendMessage::ParameterStatus(_)
+                | PgWireBackendMessage::BackendKeyData(_)
+                | PgWireBackendMessage::NoticeResponse(_) => {}
+                PgWireBackendMessage::ReadyForQuery(_) => return Ok(()),
+                PgWireBackendMessage::ErrorResponse(error) => {
+                    return Err(server_error(&self.address, &error.fields));
+                }
+                _ => return Err(lost(&self.address, "unexpected message at start-up")),
+            }
+        }
+    }
+
+    async fn write<M>(&mut self, message: &M) -> Result<(), LinkError>
+    where
+        M: Message,
+    {
+        let mut buf = BytesMut::new();
+        message.encode(&mut buf).map_err(|error| lost(&self.address, &error.to_string()))?;
+        let written = self.stream.write_all(&buf).await;
+        written.map_err(|error| lost(&self.address, &error.to_string()))
+    }
+
+    async fn run(self, requests: Receiver<Statement>) {
+        let (pending_tx, pending_rx) = unbounded();
+        let writer = send_statements(&self.address, self.stream.clone(), &requests, pending_tx);
+        let reader = read_answers(self.decoder, self.stream.clone(), &pending_rx);
+        let ended = {
+            let writer = writer.fuse();
+            let reader = reader.fuse();
+            pin_mut!(writer, reader);
+            select! {
+                error = writer => error,
+                error = reader => error,
+            }
+        };
+        requests.close();
+        let _ = self.stream.shutdown(std::net::Shutdown::Both);
+        while let Ok(pending) = pending_rx.try_recv() {
+            let _ = pending.answer.send(Err(ended.clone()));
+        }
+        while let Ok(statement) = requests.try_recv() {
+            let _ = statement.answer.send(Err(ended.clone()));
+        }
+    }
+}
+
+async fn send_statements(
+    address: &Arc<str>,
+    mut stream: TcpStream,
+    requests: &Receiver<Statement>,
+    pending: Sender<Pending>,
+) -> LinkError {
+    let mut buf = BytesMut::new();
+    while let Ok(statement) = requests.recv().await {
+        buf.clear();
+        if let Err(error) = Query::new(statement.sql).encode(&mut buf) {
+            return lost(address, &error.to_string());
+        }
+        let sent = BootClock.now();
+        let _ = pending.try_send(Pending { sent, answer: statement.answer });
+        if let Err(error) = stream.write_all(&buf).await {
+            return lost(address, &error.to_string());
+        }
+    }
+    lost(address, "closed")
+}
+
+async fn read_answers(
+    mut decoder: Decoder,
+    mut stream: TcpStream,
+    pending: &Receiver<Pending>,
+) -> LinkError {
+    loop {
+        let answer = match decoder.answer(&mut stream).await {
+            Ok(answer) => answer,
+            Err(error) => return error,
+        };
+        let Ok(next) = pending.try_recv() else {
+            return lost(&decoder.address, "an answer without a statement");
+        };
+        let sent = next.sent;
+        let _ = next.answer.send(answer.map(|rows| Answer { sent, rows }));
+    }
+}
+
+fn server_error(address: &Arc<str>, fields: &[(u8, String)]) -> LinkError {
+    let field = |code: u8| {
+        let found = fields.iter().find(|(name, _)| *name == code);
+        found.map(|(_, text)| text.clone()).unwrap_or_default()
+    };
+    LinkError::Server { address: Arc::clone(address), sqlstate: field(b'C'), message: field(b'M') }
+}
+
+/// Reads messages from a stream.
+struct Decoder {
+    address: Arc<str>,
+    buf: BytesMut,
+    cx: DecodeContext,
+}
+
+impl Decoder {
+    fn new(address: Arc<str>) -> Self {
+        let mut cx = DecodeContext::default();
+        cx.awaiting_frontend_ssl = false;
+        cx.awaiting_frontend_startup = false;
+        Self { address, buf: BytesMut::with_capacity(4096), cx }
+    }
+
+    async fn next(&mut self, stream: &mut TcpStream) -> Result<PgWireBackendMessage, LinkError> {
+        loop {
+            let message = PgWireBackendMessage::decode(&mut self.buf, &self.cx);
+            match message.map_err(|error| lost(&self.address, &error.to_string()))? {
+                Some(message) => return Ok(message),
+                None => self.fill(stream).await?,
+            }
+        }
+    }
+
+    async fn fill(&mut self, stream: &mut TcpStream) -> Result<(), LinkError> {
+        let mut chunk = [0; 4096];
+        match stream.read(&mut chunk).await {
+            Ok(0) => Err(lost(&self.address, "closed by the member")),
+            Ok(count) => {
+                self.buf.extend_from_slice(&chunk[..count]);
+                Ok(())
+            }
+            Err(error) => Err(lost(&self.address, &error.to_string())),
+        }
+    }
+
+    /// Reads one whole answer; the outer error is one of the connection.
+    async fn answer(
+        &mut self,
+        stream: &mut TcpStream,
+    ) -> Result<Result<TextRows, LinkError>, LinkError> {
+        let mut answer = Ok(TextRows::default());
+        loop {
+            match self.next(stream).await? {
+                PgWireBackendMessage::RowDescription(description) => {
+                    if let Ok(rows) = &mut answer {
+                        let names = description.fields.into_iter().map(|field| field.name);
+                        rows.columns = names.collect();
+                    }
+                }
+                PgWireBackendMessage::DataRow(row) => {
+                    if let Ok(rows) = &mut answer {
+                        rows.rows.push(text_values(&row.data, &self.address)?);
+                    }
+                }
+                PgWireBackendMessage::ErrorResponse(error) => {
+                    answer = Err(server_error(&self.address, &error.fields));
+                }
+                PgWireBackendMessage::ReadyForQuery(_) => return Ok(answer),
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Splits the fields of a row, each with its length in front.
+fn text_values(data: &[u8], address: &Arc<str>) -> Result<Vec<Option<String>>, LinkError> {
+    let mut values = Vec::new();
+    let mut rest = data;
+    while let Some((head, tail)) = rest.split_first_chunk::<4>() {
+        let length = i32::from_be_bytes(*head);
+        let Ok(length) = usize::try_from(length) else {
+            values.push(None);
+            rest = tail;
+            continue;
+        };
+        let Some((text, tail)) = tail.split_at_checked(length) else {
+            return Err(lost(address, "a row that is too short"));
+        };
+        values.push(Some(String::from_utf8_lossy(text).into_owned()));
+        rest = tail;
+    }
+    Ok(values)
+}
--- /dev/null
+++ b/crates/proxy/src/control/mod.rs
@@ -0,0 +1,3 @@
+//! Tasks that keep an instance's state up to date and act on it.
+
+pub mod link;
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -40,8 +40,8 @@
 
 pub use self::{
     config::{ConfigObject, ConfigSnapshot},
-    group::{Group, GroupView, MemberReport, MemberRole, TermInfo, WITNESS_WINDOW},
-    lease::{LEASE_WINDOW, Lease},
+    group::{Group, GroupView, TermInfo},
+    lease::Lease,
     peers::{Peer, PeerState, Peers},
 };
 use crate::{clock::BootClock, metrics::Metrics, settings::Settings, trace::Tracer};
--- a/crates/proxy/src/node/group.rs
+++ b/crates/proxy/src/node/group.rs
@@ -1,10 +1,6 @@
 //! What an instance knows about one database group.
 
-use std::{
-    collections::HashMap,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::sync::{Arc, Mutex};
 
 use event_listener::{Event, EventListener};
 use hibiscusladder_core::{
@@ -12,49 +8,11 @@
     database::{DatabaseRecord, MemberRecord},
     name::{Database, MemberId},
     position::{Position, Term},
+    witness::{MemberReport, WITNESS_WINDOW, Witness},
 };
 
 use super::lock;
 
-/// Time after which a report no longer supports the gate.
-pub const WITNESS_WINDOW: Duration = Duration::from_secs(1);
-
-/// Role that a member reports.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum MemberRole {
-    /// Accepts writes.
-    Primary,
-    /// Replicates from the primary.
-    Replica,
-    /// Was primary and rejects writes.
-    Fenced,
-}
-
-/// Answer of a member to a poll.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct MemberReport {
-    /// Member that answered.
-    pub member: MemberId,
-    /// Role of the member.
-    pub role: MemberRole,
-    /// Highest term that the member accepted.
-    pub term: Term,
-    /// Instance that raised the term; empty for the first one.
-    pub claimant: Arc<str>,
-    /// Term in which the member was promoted, when it is primary.
-    pub promoted_term: Option<Term>,
-    /// Position of the last entry in its log.
-    pub position: Position,
-    /// Position at which the newest promoted term began.
-    pub term_start: Option<Position>,
-    /// Members that raised to the term.
-    pub term_members: Vec<MemberId>,
-    /// Time since the member heard from its replication source.
-    pub source_silent: Option<Duration>,
-    /// When the poll was sent.
-    pub sent: Instant,
-}
-
 /// Term of a group as instances pass it on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TermInfo {
@@ -71,7 +29,7 @@
 }
 
 /// Immutable view of a group.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 pub struct GroupView {
     /// Name of the database.
     pub database: Database,
@@ -85,8 +43,8 @@
     pub term_start: Option<Position>,
     /// Members that divide the term part of every share.
     pub term_members: Vec<MemberId>,
-    /// Last report of each member; empty when this instance does not poll the group.
-    pub reports: HashMap<MemberId, MemberReport>,
+    /// Polls and reports of the members; empty when this instance does not poll the group.
+    pub witness: Witness,
 }
 
 impl GroupView {
@@ -100,16 +58,14 @@
         self.member(self.primary.as_ref()?)
     }
 
-    /// Number of members that is a majority.
-    pub const fn majority(&self) -> usize {
-        self.members.len() / 2 + 1
+    /// Last report of `member`; absent when this instance does not poll the group.
+    pub fn report(&self, member: &MemberId) -> Option<&MemberReport> {
+        self.witness.report(member)
     }
 
-    /// Whether a majority reported `term` in polls that were sent within the window before `now`.
+    /// Whether an answer under `term` may be released at `now`.
     pub fn gate_open(&self, term: Term, now: Instant) -> bool {
-        let supports =
-            |report: &&MemberReport| report.term == term && now.since(report.sent) < WITNESS_WINDOW;
-        self.reports.values().filter(supports).count() >= self.majority()
+        self.witness.gate(term, now).is_open()
     }
 }
 
@@ -130,7 +86,7 @@
             primary: record.primary.clone(),
             term_start: record.term_start,
             term_members: record.term_members.clone(),
-            reports: HashMap::new(),
+            witness: witness(record),
         };
         Self { view: Mutex::new(Arc::new(view)), changed: Event::new() }
     }
@@ -161,7 +117,9 @@
         };
         self.update(|view| {
             view.members.clone_from(&record.members);
-            view.reports.retain(|member, _| record.members.iter().any(|m| m.id == *member));
+            if !record.members.iter().map(|member| &member.id).eq(view.witness.members()) {
+                view.witness = witness(record);
+            }
             merge_term(view, &term);
         });
     }
@@ -174,23 +132,30 @@
     /// Takes the answer of a member to a poll.
     pub fn apply_report(&self, report: MemberReport) {
         self.update(|view| {
-            if report.role == MemberRole::Primary && report.promoted_term == Some(report.term) {
+            if report.is_primary() {
                 let term = TermInfo {
                     database: view.database.clone(),
                     term: report.term,
                     primary: Some(report.member.clone()),
-                    term_start: report.term_start,
+                    term_start: Some(report.term_start),
                     term_members: report.term_members.clone(),
                 };
                 merge_term(view, &term);
             }
-            let newest = view.reports.get(&report.member).map(|old| old.sent);
-            if newest.is_none_or(|sent| sent <= report.sent) {
-                view.reports.insert(report.member.clone(), report);
-            }
+            view.witness.record(report);
         });
     }
 
+    /// Notes that a poll was sent to `member`.
+    pub fn poll_sent(&self, member: &MemberId, sent: Instant) {
+        self.update(|view| view.witness.poll_sent(member, sent));
+    }
+
+    /// Notes that the poll sent to `member` at `sent` failed at once.
+    pub fn poll_failed(&self, member: &MemberId, sent: Instant) {
+        self.update(|view| view.witness.poll_failed(member, sent));
+    }
+
     fn update<F>(&self, change: F)
     where
         F: FnOnce(&mut GroupView),
@@ -204,6 +169,11 @@
     }
 }
 
+fn witness(record: &DatabaseRecord) -> Witness {
+    let members = record.members.iter().map(|member| member.id.clone()).collect();
+    Witness::new(members, WITNESS_WINDOW)
+}
+
 /// Terms never decrease; within a term, the primary becomes known once and then stays.
 fn merge_term(view: &mut GroupView, term: &TermInfo) {
     let newer = term.term > view.term;
--- a/crates/proxy/src/node/lease.rs
+++ b/crates/proxy/src/node/lease.rs
@@ -1,75 +1,73 @@
 //! Lease of a home on its member.
 
-use std::{
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::sync::Mutex;
 
 use event_listener::{Event, EventListener};
-use hibiscusladder_core::clock::{Instant, with_drift};
+use hibiscusladder_core::{
+    clock::Instant,
+    home_lease::{HomeLease, LEASE_WINDOW, LeaseAction, LeaseEvent},
+};
 
 use super::lock;
 
-/// Time for which a successful poll on the connection that holds the lock supports the lease.
-pub const LEASE_WINDOW: Duration = Duration::from_secs(1);
-
-/// The lease on one member, as the control connection reports it.
-#[derive(Debug, Default)]
+/// The lease on one member, shared by the request path and the control connection.
+#[derive(Debug)]
 pub struct Lease {
-    state: Mutex<Option<LeaseState>>,
+    state: Mutex<State>,
     changed: Event,
-    epoch: Mutex<u64>,
 }
 
-/// State of a lock that is held.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct LeaseState {
-    acquired: Instant,
-    sent: Instant,
+#[derive(Debug)]
+struct State {
+    lease: HomeLease,
+    epoch: u64,
+}
+
+impl Default for Lease {
+    fn default() -> Self {
+        let state = State { lease: HomeLease::new(LEASE_WINDOW), epoch: 0 };
+        Self { state: Mutex::new(state), changed: Event::new() }
+    }
 }
 
 impl Lease {
     /// Whether the home may act on the member at `now`.
     pub fn usable(&self, now: Instant) -> bool {
-        lock(&self.state).is_some_and(|state| {
-            now.since(state.acquired) >= with_drift(LEASE_WINDOW)
-                && now.since(state.sent) < LEASE_WINDOW
-        })
+        lock(&self.state).lease.valid(now)
+    }
+
+    /// Time from which the lease may be used, while the lock is held.
+    pub fn usable_from(&self) -> Option<Instant> {
+        lock(&self.state).lease.usable_from()
     }
 
-    /// When the lock was acquired; absent when it is not held.
-    pub fn acquired(&self) -> Option<Instant> {
-        lock(&self.state).map(|state| state.acquired)
+    /// Whether the lock is held, possibly before the lease may be used or after it expired.
+    pub fn holds_lock(&self) -> bool {
+        lock(&self.state).lease.holds_lock()
     }
 
     /// Number of times the lock was acquired; state that belongs to a lease is void in another epoch.
     pub fn epoch(&self) -> u64 {
-        *lock(&self.epoch)
+        lock(&self.state).epoch
     }
 
-    /// Completes when the lock is acquired, confirmed or lost.
+    /// Completes at the next event on the control connection.
     pub fn changed(&self) -> EventListener {
         self.changed.listen()
     }
 
-    /// Records that the lock was acquired by a statement sent at `sent` and answered at `now`.
-    pub fn acquire(self: &Arc<Self>, sent: Instant, now: Instant) {
-        *lock(&self.epoch) += 1;
-        *lock(&self.state) = Some(LeaseState { acquired: now, sent });
-        self.changed.notify(usize::MAX);
-    }
-
-    /// Records a successful poll on the connection that holds the lock.
-    pub fn confirm(&self, sent: Instant) {
-        if let Some(state) = &mut *lock(&self.state) {
-            state.sent = state.sent.max(sent);
-        }
-        self.changed.notify(usize::MAX);
-    }
-
-    /// Records that the lock was released or its connection lost.
-    pub fn lose(&self) {
-        *lock(&self.state) = None;
+    /// Takes an event on the control connection and returns what has to be done there.
+    pub fn handle(&self, event: LeaseEvent, now: Instant) -> Option<LeaseAction> {
+        let action = {
+            let mut state = lock(&self.state);
+            let held = state.lease.holds_lock();
+            let action = state.lease.handle(event, now);
+            if !held && state.lease.holds_lock() {
+                state.epoch += 1;
+            }
+            action
+        };
         self.changed.notify(usize::MAX);
+        action
     }
 }
--- /dev/null
+++ b/hibiscusladder/src/cli/key.rs
@@ -0,0 +1,92 @@
+//! `key`: issues, lists and withdraws keys.
+
+use hibiscusladder_core::{
+    key::{Key, KeyRecord},
+    name::Workspace,
+};
+use serde_json::{Value, json};
+
+use super::{
+    args::{self, KeyAction, KeyIssue, KeyList, KeyWithdraw},
+    contract,
+    error::CliError,
+    operator, output,
+};
+
+const KIND: &str = "keys";
+
+/// Runs the action.
+pub(crate) async fn run(args: &args::Key) -> Result<(), CliError> {
+    match &args.action {
+        KeyAction::Issue(args) => issue(args).await,
+        KeyAction::List(args) => list(args).await,
+        KeyAction::Withdraw(args) => withdraw(args).await,
+    }
+}
+
+/// Writes the hash of a new key and names the key in the contract; the secret goes to the terminal only.
+async fn issue(args: &KeyIssue) -> Result<(), CliError> {
+    let platform = operator::client(&args.platform)?;
+    let base = contract::existing(&platform, &args.workspace).await?;
+    let mut random = [0; Key::RANDOM_BYTES];
+    getrandom::fill(&mut random).map_err(std::io::Error::other)?;
+    let key = Key::from_random(&random);
+    let record = KeyRecord::new(&key, Workspace::new(&args.workspace));
+    let value = serde_json::to_value(&record).map_err(std::io::Error::other)?;
+    let id = key.id().to_string();
+    operator::put(&platform, KIND, &id, None, &value).await?;
+    let mut contract = base.value.clone();
+    name_key(&mut contract, &id);
+    let version =
+        operator::put(&platform, "contracts", &args.workspace, Some(&base), &contract).await?;
+    output::line(&key.expose())?;
+    operator::accepted(&platform, &format!("{KIND}/{id}"), version, args.no_wait).await
+}
+
+fn name_key(contract: &mut Value, id: &str) {
+    if let Some(fields) = contract.as_object_mut() {
+        let keys = fields.entry("keys").or_insert_with(|| json!([]));
+        if let Some(keys) = keys.as_array_mut() {
+            keys.push(json!(id));
+        }
+    }
+}
+
+async fn list(args: &KeyList) -> Result<(), CliError> {
+    let platform = operator::client(&args.platform)?;
+    let listing = platform.list(KIND).await?;
+    let shown: Vec<Value> = listing
+        .items
+        .iter()
+        .map(|item| {
+            json!({
+                "id": item.name,
+                "version": item.version,
+                "workspace": item.value.get("workspace"),
+                "withdrawn": item.value.get("withdrawn"),
+            })
+        })
+        .collect();
+    if args.json {
+        return output::json(&json!(shown));
+    }
+    let text = |value: &Value| value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+    let columns = ["id", "workspace", "withdrawn", "version"];
+    let rows: Vec<Vec<String>> =
+        shown.iter().map(|key| columns.iter().map(|name| text(&key[*name])).collect()).collect();
+    output::table(&["ID", "WORKSPACE", "WITHDRAWN", "VERSION"], &rows)
+}
+
+async fn withdraw(args: &KeyWithdraw) -> Result<(), CliError> {
+    let platform = operator::client(&args.platform)?;
+    let base = platform.get(KIND, &args.id).await?.ok_or_else(|| CliError::NotFound {
+        object: format!("key with the id `{}`", args.id),
+        remedy: "see `hibiscusladder key list`; the id is the part between `hlk_` and the next `_`"
+            .to_owned(),
+    })?;
+    let mut value = base.value.clone();
+    value["withdrawn"] = json!(true);
+    let version = operator::put(&platform, KIND, &args.id, Some(&base), &value).await?;
+    let what = format!("{KIND}/{} withdrawn", args.id);
+    operator::accepted(&platform, &what, version, args.no_wait).await
+}
--- a/hibiscusladder/src/main.rs
+++ b/hibiscusladder/src/main.rs
@@ -1,2 +1,3 @@
-//! Placeholder
+//! The `hibiscusladder` command.
+
 fn main() {}
