--- a/crates/proxy/src/home/execute.rs
+++ b/crates/proxy/src/home/execute.rs
@@ -6,7 +6,7 @@
 use hibiscusladder_core::{
     at_most_once::{RequestDecision, SendState},
     clock::Instant,
-    outcome::{Refusal, RefusalKind},
+    outcome::{Execution as Outcome, Refusal, RefusalKind},
     position::{Position, Term},
     request::StatementClass,
 };
@@ -50,6 +50,11 @@
     class: StatementClass,
     deadline: Instant,
     sent: SendState,
+    /// Term whose gate has to be open when an answer is released; absent for reads that may be stale.
+    ///
+    /// On the primary it is the term in which the member was primary before the statement was sent. A term that
+    /// the home learns of later does not confirm what an older primary answered.
+    term: Option<Term>,
 }
 
 /// What the relayed answer showed.
@@ -61,13 +66,15 @@
 }
 
 impl<'a> Execution<'a> {
+    /// Prepares the execution of a batch; `term` is the one whose gate has to be open for the answer.
     pub(super) const fn new(
         member: &'a Member,
         pooled: Pooled,
         class: StatementClass,
+        term: Option<Term>,
         deadline: Instant,
     ) -> Self {
-        Self { member, pooled: Some(pooled), class, deadline, sent: SendState::NotSent }
+        Self { member, pooled: Some(pooled), class, deadline, sent: SendState::NotSent, term }
     }
 
     /// Runs a batch outside a transaction that the client began earlier.
@@ -77,12 +84,11 @@
         frames: &[Frame],
         outlet: &mut Outlet,
     ) -> Result<Finished, Refusal> {
-        let term = self.gate_term();
         let ask = self.class.needs_primary() && !starts_with_any(frames, &["begin", "start"]);
         let answer = self.relay(data, ask, outlet).await?;
         self.check_rejected(&answer, outlet)?;
-        let position = if ask { self.read_position().await? } else { None };
-        self.release(term, answer, position, outlet).await
+        let position = self.position_after(&answer, ask, self.class.needs_primary()).await?;
+        self.release(answer, position, outlet).await
     }
 
     /// Runs a further batch of a transaction.
@@ -90,19 +96,28 @@
         &mut self,
         data: &Bytes,
         frames: &[Frame],
+        on_primary: bool,
         outlet: &mut Outlet,
     ) -> Result<Finished, Refusal> {
-        let term = self.gate_term();
-        let ask = starts_with_any(frames, &["commit", "end"]);
+        let ask = on_primary && starts_with_any(frames, &["commit", "end"]);
         let answer = self.relay(data, ask, outlet).await?;
-        let mut position = if ask { self.read_position().await? } else { None };
-        if answer.status != TransactionStatus::Idle {
-            position = None;
-        } else if !ask && self.member.primary_term().is_some() {
-            self.send(&query_message("SELECT group_position()")).await?;
-            position = self.read_position().await?;
-        }
-        self.release(term, answer, position, outlet).await
+        let position = self.position_after(&answer, ask, on_primary).await?;
+        self.release(answer, position, outlet).await
+    }
+
+    /// Position after a batch that may have committed; `asked` when the question was sent with the batch.
+    async fn position_after(
+        &mut self,
+        answer: &Answer,
+        asked: bool,
+        may_commit: bool,
+    ) -> Result<Option<Position>, Refusal> {
+        let position = match (asked, answer.status) {
+            (true, _) => self.read_position().await?,
+            (false, TransactionStatus::Idle) if may_commit => self.ask_position().await?,
+            _ => None,
+        };
+        Ok(position.filter(|_| answer.status == TransactionStatus::Idle))
     }
 
     /// Runs a batch that begins a transaction with a request id.
@@ -110,16 +125,14 @@
         &mut self,
         key: &RequestKey,
         data: &Bytes,
-        frames: &[Frame],
         outlet: &mut Outlet,
     ) -> Result<Finished, Refusal> {
         self.ensure_table().await?;
-        let term = self.gate_term();
         outlet.hold();
         let answer = self.relay(data, false, outlet).await?;
         if answer.status != TransactionStatus::Open {
             self.check_rejected(&answer, outlet)?;
-            return self.release(term, answer, None, outlet).await;
+            return self.release(answer, None, outlet).await;
         }
         // The transaction has not been committed, so nothing that fails from here on has run.
         let claimed = key.claim_in_transaction(&mut self.connection()?.connection).await;
@@ -128,8 +141,7 @@
                 .detail("the transaction with this request id has already committed");
             return Err(refusal);
         }
-        let _ = frames;
-        self.release(term, answer, None, outlet).await
+        self.release(answer, None, outlet).await
     }
 
     /// Runs a batch in a transaction of its own that also records the request id.
@@ -141,7 +153,6 @@
         outlet: &mut Outlet,
     ) -> Result<Finished, Refusal> {
         self.ensure_table().await?;
-        let term = self.gate_term();
         // Only the claim is sent here; without a commit, it leaves no trace.
         let decision = key.claim(&mut self.connection()?.connection).await;
         match decision.map_err(|error| self.not_run(&error))? {
@@ -150,30 +161,29 @@
                 return Err(Refusal::not_run(RefusalKind::RequestIdReused));
             }
             RequestDecision::Return(outcome) => {
-                return self.answer_recorded(term, frames, &outcome, outlet).await;
+                return self.answer_recorded(frames, &outcome, outlet).await;
             }
         }
         outlet.hold();
         let answer = match self.relay(data, false, outlet).await {
             Ok(answer) => answer,
             // The transaction was not committed, and the member rolls it back with the connection.
-            Err(refusal) => return Err(Refusal { execution: Execution::uncommitted(), ..refusal }),
+            Err(refusal) => return Err(not_committed(refusal, frames)),
         };
         if answer.status == TransactionStatus::Idle {
             // The batch ended the transaction by itself.
             let position = self.ask_position().await?;
-            return self.release(term, answer, position, outlet).await;
+            return self.release(answer, position, outlet).await;
         }
         if answer.sqlstate.is_some() {
-            return self.roll_back(term, answer, outlet).await;
+            return self.roll_back(answer, outlet).await;
         }
-        self.commit_recorded(key, term, frames, answer, outlet).await
+        self.commit_recorded(key, frames, answer, outlet).await
     }
 
     async fn commit_recorded(
         &mut self,
         key: &RequestKey,
-        term: Option<Term>,
         frames: &[Frame],
         mut answer: Answer,
         outlet: &mut Outlet,
@@ -183,13 +193,13 @@
         match committed {
             Ok(position) => {
                 answer.status = TransactionStatus::Idle;
-                self.release(term, answer, position, outlet).await
+                self.release(answer, position, outlet).await
             }
             Err(UpstreamError::Answered { sqlstate, message }) => {
                 Err(Refusal::not_run(RefusalKind::NoMember)
                     .detail(format!("the commit was rejected: {sqlstate} {message}")))
             }
-            Err(error) => self.resolve(key, term, frames, &error, outlet).await,
+            Err(error) => self.resolve(key, frames, &error, outlet).await,
         }
     }
 
@@ -222,7 +232,6 @@
     async fn resolve(
         &mut self,
         key: &RequestKey,
-        term: Option<Term>,
         frames: &[Frame],
         error: &UpstreamError,
         outlet: &mut Outlet,
@@ -239,12 +248,11 @@
         let pooled = self.member.pool.acquire(wait).await.map_err(|_| lost())?;
         self.pooled = Some(pooled);
         outlet.discard();
-        self.answer_recorded(term, frames, &outcome, outlet).await
+        self.answer_recorded(frames, &outcome, outlet).await
     }
 
     async fn answer_recorded(
         &mut self,
-        term: Option<Term>,
         frames: &[Frame],
         outcome: &str,
         outlet: &mut Outlet,
@@ -253,12 +261,11 @@
         let position = self.ask_position().await?;
         let answer =
             Answer { status: TransactionStatus::Idle, tags: Vec::new(), sqlstate: None };
-        self.release(term, answer, position, outlet).await
+        self.release(answer, position, outlet).await
     }
 
     async fn roll_back(
         &mut self,
-        term: Option<Term>,
         mut answer: Answer,
         outlet: &mut Outlet,
     ) -> Result<Finished, Refusal> {
@@ -266,7 +273,7 @@
         done.map_err(|error| self.not_run(&error))?;
         answer.status = TransactionStatus::Idle;
         self.check_rejected(&answer, outlet)?;
-        self.release(term, answer, None, outlet).await
+        self.release(answer, None, outlet).await
     }
 
     /// Creates the table of request ids once in each term.
@@ -304,7 +311,7 @@
     }
 
     async fn read_answer(&mut self, outlet: &mut Outlet) -> Result<Answer, Refusal> {
-        let gated = self.gate_term().is_some();
+        let gated = self.term.is_some();
         let mut answer =
             Answer { status: TransactionStatus::Idle, tags: Vec::new(), sqlstate: None };
         loop {
@@ -337,12 +344,11 @@
     /// Releases the answer when the gate is open.
     async fn release(
         &mut self,
-        term: Option<Term>,
         answer: Answer,
         position: Option<Position>,
         outlet: &mut Outlet,
     ) -> Result<Finished, Refusal> {
-        if let Some(term) = term {
+        if let Some(term) = self.term {
             let term = position.map_or(term, |position| position.term.max(term));
             self.member.open_gate(term).await?;
         }
@@ -367,14 +373,6 @@
         Err(self.member.no_member(&format!("it rejected the statement with {sqlstate}")))
     }
 
-    /// Term whose gate has to be open when an answer is released; absent for reads that may be stale.
-    fn gate_term(&self) -> Option<Term> {
-        match self.class {
-            StatementClass::StaleRead { .. } => None,
-            _ => Some(self.member.term()),
-        }
-    }
-
     async fn ask_position(&mut self) -> Result<Option<Position>, Refusal> {
         self.send(&query_message("SELECT group_position()")).await?;
         self.read_position().await
@@ -459,11 +457,20 @@
     fn not_run(&self, error: &UpstreamError) -> Refusal {
         self.member.no_member(&error.to_string())
     }
+}
 
-    /// State of a statement whose transaction was certainly not committed.
-    const fn uncommitted() -> hibiscusladder_core::outcome::Execution {
-        hibiscusladder_core::outcome::Execution::NotRun
+/// The refusal of a batch within a transaction of the home that was not committed.
+///
+/// A text of several statements may have committed by itself.
+fn not_committed(mut refusal: Refusal, frames: &[Frame]) -> Refusal {
+    let several = frames.iter().any(|frame| {
+        let text = Fields::new(frame.body()).text().unwrap_or_default().trim().trim_end_matches(';');
+        frame.kind() == b'Q' && text.contains(';')
+    });
+    if !several && !starts_with_any(frames, &["commit", "end"]) {
+        refusal.execution = Outcome::NotRun;
     }
+    refusal
 }
 
 fn parse_position(result: &QueryResult) -> Option<Position> {
--- a/crates/proxy/src/home/member.rs
+++ b/crates/proxy/src/home/member.rs
@@ -9,10 +9,11 @@
     name::{Database, MemberId},
     outcome::{Refusal, RefusalKind},
     position::{Position, Term},
+    witness::PositionProof,
 };
 use smol::{Timer, future::FutureExt, lock::Mutex as AsyncMutex};
 
-use super::{Admission, gate, proofs::Proofs, read_index::MemberQuestion};
+use super::{Admission, gate, read_index::MemberQuestion};
 use crate::{
     node::{Group, Node},
     route::SharedIndex,
@@ -37,7 +38,6 @@
     /// Term in which the record table is known to exist.
     pub(super) recorded_term: AsyncMutex<Option<Term>>,
     index: Arc<SharedIndex<MemberQuestion>>,
-    proofs: Arc<Proofs>,
     record: MemberRecord,
 }
 
@@ -50,7 +50,6 @@
         let admission = Admission::new(record.slots, settings.times.queue_wait, node.clock());
         let member = Self {
             index: SharedIndex::new(MemberQuestion::new(pool.clone())),
-            proofs: Proofs::track(&node, &group),
             node,
             group,
             database,
@@ -133,7 +132,7 @@
     ) -> Result<(), Refusal> {
         let until = self.node.now().plus(self.node.settings().times.replica_wait);
         loop {
-            let reported = self.group.view().reports.get(&self.id).map(|report| report.position);
+            let reported = self.group.view().report(&self.id).map(|report| report.position);
             if reported.is_some_and(|position| position >= needed) {
                 return Ok(());
             }
@@ -163,9 +162,10 @@
         if view.primary.as_ref() == Some(&self.id) {
             return view.gate_open(view.term, self.node.now());
         }
-        let Some(report) = view.reports.get(&self.id) else { return false };
-        let age = self.proofs.age(report.position, self.node.now());
-        age.is_some_and(|age| age <= max_age)
+        let Some(report) = view.report(&self.id) else { return false };
+        let included = |proof: &&PositionProof| proof.position <= report.position;
+        let proof = view.witness.proofs().iter().rev().find(included);
+        proof.is_some_and(|proof| self.node.now().since(proof.sent) <= max_age)
     }
 
     /// Waits until an answer under `term` may be released.
--- a/crates/proxy/src/home/mod.rs
+++ b/crates/proxy/src/home/mod.rs
@@ -11,7 +11,6 @@
 mod gate;
 mod member;
 mod outlet;
-mod proofs;
 mod read_index;
 mod record;
 mod transaction;
--- a/crates/proxy/src/home/transaction.rs
+++ b/crates/proxy/src/home/transaction.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use hibiscusladder_core::{
-    at_most_once::RequestDecision,
     clock::Instant,
     outcome::{Refusal, RefusalKind},
+    position::Term,
     request::StatementClass,
 };
 use hibiscusladder_proto::{
@@ -48,6 +48,7 @@
 struct Open {
     pooled: Pooled,
     slot: Slot,
+    on_primary: bool,
 }
 
 /// End of a batch, and the transaction when it stays open.
@@ -168,11 +169,13 @@
         if !member.lease_usable() {
             return Err(member.no_member("the lease of its home has expired"));
         }
-        let mut execution = Execution::new(member, pooled, head.class, deadline);
+        let on_primary = self.on_primary(envelope)?;
+        let term = gate_term(member, head.class);
+        let mut execution = Execution::new(member, pooled, head.class, term, deadline);
         let finished = match request_key(envelope, &frames) {
             None => execution.run(data, &frames, outlet).await,
             Some(key) if self.keep && begins_transaction(&frames) => {
-                execution.begin_recorded(&key, data, &frames, outlet).await
+                execution.begin_recorded(&key, data, outlet).await
             }
             Some(key) => execution.run_recorded(&key, data, &frames, outlet).await,
         };
@@ -181,7 +184,7 @@
         }
         let finished = finished?;
         drop(span);
-        self.settle(finished, slot, self.keep).await
+        Ok(self.settle(finished, slot, on_primary, self.keep))
     }
 
     async fn exchange(
@@ -191,40 +194,36 @@
         data: &Bytes,
         outlet: &mut Outlet,
     ) -> Result<Ended, Refusal> {
-        let Open { pooled, slot } = transaction;
         let member = &self.member;
         let head = &envelope.head;
-        let frames = match split(data) {
-            Ok(frames) => frames,
-            Err(refusal) => {
-                roll_back(Open { pooled, slot });
-                return Err(refusal);
-            }
-        };
-        if !member.lease_usable() {
-            roll_back(Open { pooled, slot });
-            let refusal = member.no_member("the lease of its home has expired; rolled back");
+        let on_primary = transaction.on_primary;
+        let refusal = split(data).err().or_else(|| self.lapsed(on_primary));
+        if let Some(refusal) = refusal {
+            roll_back(transaction);
             return Err(refusal);
         }
+        let frames = split(data)?;
+        let Open { pooled, slot, .. } = transaction;
         let deadline = member.node.now().plus(head.remaining);
         let span = self.tracer.span(Hop::Upstream, &head.trace_parent);
-        let mut execution = Execution::new(member, pooled, head.class, deadline);
-        let finished = execution.continue_open(data, &frames, outlet).await?;
+        let term = gate_term(member, head.class);
+        let mut execution = Execution::new(member, pooled, head.class, term, deadline);
+        let finished = execution.continue_open(data, &frames, on_primary, outlet).await?;
         drop(span);
-        self.settle(finished, slot, true).await
+        Ok(self.settle(finished, slot, on_primary, true))
     }
 
     /// Returns the connection when the transaction has ended.
-    async fn settle(&self, finished: Finished, slot: Slot, keep: bool) -> Result<Ended, Refusal> {
+    fn settle(&self, finished: Finished, slot: Slot, on_primary: bool, keep: bool) -> Ended {
         let Finished { mut end, pooled } = finished;
         if end.status == TransactionStatus::Idle {
             drop(slot);
             smol::spawn(pooled.release()).detach();
-            return Ok((end, None));
+            return (end, None);
         }
-        let open = Open { pooled, slot };
+        let open = Open { pooled, slot, on_primary };
         if keep {
-            return Ok((end, Some(open)));
+            return (end, Some(open));
         }
         roll_back(open);
         end.status = TransactionStatus::Idle;
@@ -232,7 +231,32 @@
             Refusal::not_run(RefusalKind::Unsupported)
                 .detail("the statement opened a transaction within a text; send BEGIN by itself"),
         );
-        Ok((end, None))
+        (end, None)
+    }
+
+    /// Why a transaction that is open cannot go on.
+    fn lapsed(&self, on_primary: bool) -> Option<Refusal> {
+        if !self.member.lease_usable() {
+            let reason = "the lease of its home has expired; the transaction was rolled back";
+            return Some(self.member.no_member(reason));
+        }
+        if on_primary && self.member.primary_term().is_none() {
+            let reason = "it is no longer the primary; the transaction was rolled back";
+            return Some(self.member.no_member(reason));
+        }
+        None
+    }
+
+    /// Whether the request runs on the primary.
+    fn on_primary(&self, envelope: &Envelope) -> Result<bool, Refusal> {
+        let on_primary = self.member.primary_term().is_some();
+        let head = &envelope.head;
+        let needed = head.class.needs_primary()
+            || (head.class == StatementClass::Read && head.position.is_none());
+        if needed && !on_primary {
+            return Err(self.member.no_member("it is no longer the primary"));
+        }
+        Ok(on_primary)
     }
 
     /// Waits for the lease, a token of the share and a slot.
@@ -332,7 +356,7 @@
 /// Rolls back and returns the connection without making anybody wait.
 fn roll_back(open: Open) {
     smol::spawn(async move {
-        let Open { mut pooled, slot } = open;
+        let Open { mut pooled, slot, .. } = open;
         let done = bounded(ROLLBACK_BOUND, pooled.connection.query("ROLLBACK")).await;
         drop(slot);
         if done.is_ok() {
@@ -342,6 +366,14 @@
     .detach();
 }
 
+/// Term whose gate has to be open when an answer of the class is released.
+fn gate_term(member: &Member, class: StatementClass) -> Option<Term> {
+    match class {
+        StatementClass::StaleRead { .. } => None,
+        _ => Some(member.term()),
+    }
+}
+
 fn split(data: &Bytes) -> Result<Vec<Frame>, Refusal> {
     split_messages(data)
         .map_err(|error| Refusal::not_run(RefusalKind::Protocol).detail(error.to_string()))
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -3,12 +3,12 @@
 pub mod caller;
 pub mod classify;
 pub mod clock;
+pub mod control;
 pub mod home;
 pub mod metrics;
 pub mod node;
 pub mod platform;
 pub mod route;
-
 pub mod settings;
 pub mod trace;
 pub mod upstream;
