feat(core): add limits, configuration, keys and membership

The data path and the control tasks need the decisions on admission, fair queueing, keys, configuration and membership as one library without I/O.

Adds the modules bucket, config, key, membership, queue, retry and share, and the check and the rule lookup of contracts.

--- /dev/null
+++ b/crates/core/src/config.rs
@@ -0,0 +1,34 @@
+//! Every instance's copy of the configuration, and the proof of how recent it is.
+//!
+//! The store gives each object the global revision of its last change as version. A view applies a change only
+//! when its version is higher than the one it holds, and keeps deletions, so it never goes back.
+//!
+//! # Example
+//!
+//! ```
+//! use hibiscusladder_core::{
+//!     clock::Instant,
+//!     config::{Change, Changes, ConfigView, Kind},
+//!     name::MemberId,
+//!     database::UpstreamState,
+//! };
+//!
+//! let mut view = ConfigView::default();
+//! let leaving = Change::put(Kind::Upstream, "padron-1", 7, r#"{"state":"leaving"}"#);
+//! let stale = Change::put(Kind::Upstream, "padron-1", 6, r#"{"state":"live"}"#);
+//! view.apply(leaving).unwrap();
+//! view.apply(stale).unwrap();
+//! assert_eq!(view.upstream(&MemberId::new("padron-1")), UpstreamState::Leaving);
+//! ```
+
+mod change;
+mod doubt;
+mod freshness;
+mod view;
+
+pub use self::{
+    change::{Change, Changes, InvalidObject, Kind, ParseKindError},
+    doubt::{DoubtPolicy, Standing},
+    freshness::Freshness,
+    view::{Applied, BatchOutcome, ConfigView},
+};
--- /dev/null
+++ b/crates/core/src/config/doubt.rs
@@ -0,0 +1,122 @@
+//! The decision whether keyed requests may be served while the store gives no proof.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use super::ConfigView;
+use crate::{clock::Instant, name::DataCentre};
+
+/// Default age up to which a proof needs no other evidence.
+const MAX_CONFIG_AGE: Duration = Duration::from_secs(5);
+/// Default age up to which the answer of a data centre counts.
+const EVIDENCE_WINDOW: Duration = Duration::from_secs(2);
+
+/// Whether an instance may rely on its copy of the configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// The proof is recent.
+    Fresh,
+    /// The proof is old, but no data centre has a newer one: nobody can reach the store.
+    Outage,
+    /// A change may have been accepted that this instance does not have.
+    Doubt,
+}
+
+impl Standing {
+    /// Whether requests that need a valid key may be served.
+    pub const fn serves_keyed(self) -> bool {
+        !matches!(self, Self::Doubt)
+    }
+}
+
+/// Answers of the data centres, as evidence of an outage of the store.
+///
+/// An answer counts from the moment at which it was asked for. An answer with a newer revision than this
+/// instance has contradicts an outage. An answer with the same revision and a newer proof is a proof for this
+/// instance as well; [`ConfigView::hear`] takes it over.
+#[derive(Debug, Clone)]
+pub struct DoubtPolicy {
+    own: DataCentre,
+    max_config_age: Duration,
+    evidence_window: Duration,
+    answers: BTreeMap<DataCentre, Vec<Answer>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Answer {
+    asked: Instant,
+    revision: u64,
+}
+
+impl DoubtPolicy {
+    /// Creates the policy of an instance in `own`, in a topology of `data_centres`.
+    pub fn new<I>(own: DataCentre, data_centres: I) -> Self
+    where
+        I: IntoIterator<Item = DataCentre>,
+    {
+        let answers = data_centres.into_iter().map(|name| (name, Vec::new())).collect();
+        Self { own, max_config_age: MAX_CONFIG_AGE, evidence_window: EVIDENCE_WINDOW, answers }
+    }
+
+    /// Sets the age up to which a proof needs no other evidence.
+    #[must_use]
+    pub const fn max_config_age(mut self, age: Duration) -> Self {
+        self.max_config_age = age;
+        self
+    }
+
+    /// Sets the age up to which the answer of a data centre counts.
+    #[must_use]
+    pub const fn evidence_window(mut self, window: Duration) -> Self {
+        self.evidence_window = window;
+        self
+    }
+
+    /// Records that an instance of `data_centre` answered a request sent at `asked` and had `revision`.
+    ///
+    /// Answers from data centres outside the topology are no evidence.
+    pub fn answered(&mut self, data_centre: &DataCentre, revision: u64, asked: Instant) {
+        let window = self.evidence_window;
+        let Some(answers) = self.answers.get_mut(data_centre) else { return };
+        answers.retain(|answer| answer.revision > revision && asked.since(answer.asked) <= window);
+        answers.push(Answer { asked, revision });
+    }
+
+    /// Decides whether an instance with the copy `view` may rely on it.
+    pub fn standing(&self, view: &ConfigView, now: Instant) -> Standing {
+        let age = view.freshness().age(now);
+        if age.is_some_and(|age| age <= self.max_config_age) {
+            return Standing::Fresh;
+        }
+        // Without any proof the copy may be of any age.
+        if age.is_some() && self.proves_outage(view.revision(), now) {
+            return Standing::Outage;
+        }
+        Standing::Doubt
+    }
+
+    /// Data centres of the topology without a recent answer, for the operator.
+    pub fn silent(&self, now: Instant) -> Vec<DataCentre> {
+        let silent = self.answers.iter().filter(|(name, answers)| {
+            **name != self.own && self.recent(answers, now).next().is_none()
+        });
+        silent.map(|(name, _)| name.clone()).collect()
+    }
+
+    fn proves_outage(&self, revision: u64, now: Instant) -> bool {
+        // Without another data centre nothing tells an outage from a partition.
+        let has_others = self.answers.keys().any(|name| *name != self.own);
+        let mut recent = self.answers.values().flat_map(|answers| self.recent(answers, now));
+        has_others
+            && self.silent(now).is_empty()
+            && recent.all(|answer| answer.revision <= revision)
+    }
+
+    fn recent<'a>(
+        &'a self,
+        answers: &'a [Answer],
+        now: Instant,
+    ) -> impl Iterator<Item = &'a Answer> {
+        let window = self.evidence_window;
+        answers.iter().filter(move |answer| now.since(answer.asked) <= window)
+    }
+}
--- a/crates/core/src/contract.rs
+++ b/crates/core/src/contract.rs
@@ -1,10 +1,43 @@
 //! Contracts: what a workspace is promised.
+//!
+//! # Example
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use hibiscusladder_core::prelude::*;
+//!
+//! let contract = Contract {
+//!     workspace: "club-andino".into(),
+//!     databases: vec!["padron".into()],
+//!     rate: 50.0,
+//!     burst: 100.0,
+//!     weight: 1,
+//!     keys: vec![],
+//!     routes: vec![Route {
+//!         tables: vec!["horarios".into()],
+//!         rule: RouteRule::StaleRead { max_age_ms: 2_000 },
+//!     }],
+//! };
+//! assert!(contract.check().is_ok());
+//!
+//! let class = contract.classify(&["horarios"], false);
+//! assert_eq!(class, StatementClass::StaleRead { max_age: Duration::from_secs(2) });
+//! assert_eq!(contract.classify(&["horarios", "socios"], false), StatementClass::Read);
+//! ```
 
-use std::sync::Arc;
+mod check;
+
+pub use self::check::{ContractFault, ContractFaults};
+
+use std::{sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
-use crate::name::{Database, KeyId, Workspace};
+use crate::{
+    name::{Database, KeyId, Workspace},
+    request::StatementClass,
+};
 
 /// Everything that a workspace is promised, as one object that changes as a whole.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -12,7 +45,7 @@
 pub struct Contract {
     /// Workspace that the contract is for.
     pub workspace: Workspace,
-    /// Databases that it may use; the members of the first one hold its share of the rate.
+    /// Databases that it may use; their members hold the parts of its rate and burst.
     pub databases: Vec<Database>,
     /// Requests per second over all instances.
     pub rate: f64,
@@ -29,6 +62,73 @@
     pub routes: Vec<Route>,
 }
 
+impl Contract {
+    /// Checks everything that can be checked without the database groups.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of the contract, each with its remedy.
+    pub fn check(&self) -> Result<(), ContractFaults> {
+        check::check(self, None)
+    }
+
+    /// Checks the contract against the number of members that its databases have together.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of the contract, each with its remedy. A burst below `members` is one: the part of a member
+    /// would stay below one token, and no request could be admitted without a loan.
+    pub fn check_for(&self, members: usize) -> Result<(), ContractFaults> {
+        check::check(self, Some(members))
+    }
+
+    /// Class of a statement that uses `tables`, which are in lower case.
+    ///
+    /// A write that touches a table with an unrepeatable route is unrepeatable as a whole. A read is stale only
+    /// when one route covers all of its tables.
+    pub fn classify<S>(&self, tables: &[S], is_write: bool) -> StatementClass
+    where
+        S: AsRef<str>,
+    {
+        if is_write {
+            return self.write_class(tables);
+        }
+        match self.read_age(tables) {
+            Some(max_age) => StatementClass::StaleRead { max_age },
+            None => StatementClass::Read,
+        }
+    }
+
+    /// Largest age of the data when a caller without a key may read all of `tables`.
+    pub fn open_read<S>(&self, tables: &[S]) -> Option<Duration>
+    where
+        S: AsRef<str>,
+    {
+        let open = |route: &&Route| matches!(route.rule, RouteRule::OpenRead { .. });
+        self.routes.iter().filter(open).find(|route| route.covers(tables))?.rule.max_age()
+    }
+
+    fn write_class<S>(&self, tables: &[S]) -> StatementClass
+    where
+        S: AsRef<str>,
+    {
+        let unrepeatable =
+            |route: &Route| route.rule == RouteRule::Unrepeatable && route.touches(tables);
+        if self.routes.iter().any(unrepeatable) {
+            return StatementClass::UnrepeatableWrite;
+        }
+        StatementClass::Write
+    }
+
+    fn read_age<S>(&self, tables: &[S]) -> Option<Duration>
+    where
+        S: AsRef<str>,
+    {
+        let for_reads = |route: &&Route| route.rule.max_age().is_some();
+        self.routes.iter().filter(for_reads).find(|route| route.covers(tables))?.rule.max_age()
+    }
+}
+
 /// A rule for statements that use only the named tables.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -39,6 +139,28 @@
     pub rule: RouteRule,
 }
 
+impl Route {
+    /// Whether the route names all of `tables`, of which there has to be one.
+    pub fn covers<S>(&self, tables: &[S]) -> bool
+    where
+        S: AsRef<str>,
+    {
+        !tables.is_empty() && tables.iter().all(|table| self.names(table.as_ref()))
+    }
+
+    /// Whether the route names one of `tables`.
+    pub fn touches<S>(&self, tables: &[S]) -> bool
+    where
+        S: AsRef<str>,
+    {
+        tables.iter().any(|table| self.names(table.as_ref()))
+    }
+
+    fn names(&self, table: &str) -> bool {
+        self.tables.iter().any(|named| &**named == table)
+    }
+}
+
 /// What a route allows.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
@@ -57,6 +179,18 @@
     },
 }
 
+impl RouteRule {
+    /// Largest age of the data that the rule allows for reads.
+    pub const fn max_age(&self) -> Option<Duration> {
+        match self {
+            Self::StaleRead { max_age_ms } | Self::OpenRead { max_age_ms } => {
+                Some(Duration::from_millis(*max_age_ms))
+            }
+            Self::Unrepeatable => None,
+        }
+    }
+}
+
 const fn default_weight() -> u32 {
     1
 }
--- /dev/null
+++ b/crates/core/src/contract/check.rs
@@ -0,0 +1,196 @@
+//! Validation of contracts.
+
+use std::{collections::HashSet, fmt, hash::Hash, sync::Arc};
+
+use thiserror::Error;
+
+use super::{Contract, Route, RouteRule};
+use crate::name::{Database, KeyId};
+
+/// Largest weight; the ratio of two workspaces in a fair queue stays below it.
+const MAX_WEIGHT: u32 = 1_000;
+/// Largest number of characters in the name of a workspace, as for a user name of PostgreSQL.
+const MAX_NAME_CHARS: usize = 63;
+
+/// One fault of a contract; the text names the remedy.
+#[derive(Debug, Clone, PartialEq, Error)]
+pub enum ContractFault {
+    /// The name of the workspace cannot be a user name.
+    #[error(
+        "workspace name `{0}`: use 1 to {MAX_NAME_CHARS} lower-case letters, digits, `-`, `_` or `.`"
+    )]
+    WorkspaceName(String),
+    /// The contract names no database.
+    #[error("databases: name at least one database")]
+    NoDatabase,
+    /// A database is named twice.
+    #[error("databases: remove the second `{0}`")]
+    DuplicateDatabase(Database),
+    /// The rate is not a positive number.
+    #[error("rate {0}: set a number of requests per second above 0")]
+    Rate(f64),
+    /// The burst is below one request.
+    #[error("burst {0}: set a number of requests of at least 1")]
+    Burst(f64),
+    /// The burst leaves the members less than one token each.
+    #[error("burst {burst}: set at least {members}, one request for each member of the databases")]
+    BurstBelowMembers {
+        /// Burst of the contract.
+        burst: f64,
+        /// Members of all databases of the contract.
+        members: usize,
+    },
+    /// The weight is out of range.
+    #[error("weight {0}: set a number from 1 to {MAX_WEIGHT}")]
+    Weight(u32),
+    /// A key is named twice.
+    #[error("keys: remove the second `{0}`")]
+    DuplicateKey(KeyId),
+    /// A route names no table.
+    #[error("routes[{route}]: name at least one table or remove the route")]
+    NoTable {
+        /// Index of the route.
+        route: usize,
+    },
+    /// A route names a table twice.
+    #[error("routes[{route}]: remove the second `{table}`")]
+    DuplicateTable {
+        /// Index of the route.
+        route: usize,
+        /// Name of the table.
+        table: Arc<str>,
+    },
+    /// A table name is empty, has blanks or is not in lower case.
+    #[error("routes[{route}]: write the table `{table}` in lower case and without blanks")]
+    TableName {
+        /// Index of the route.
+        route: usize,
+        /// Name of the table.
+        table: Arc<str>,
+    },
+    /// A route allows no age.
+    #[error("routes[{route}]: set max_age_ms above 0 or remove the route")]
+    NoAge {
+        /// Index of the route.
+        route: usize,
+    },
+    /// An earlier route covers every read that a route covers.
+    #[error("routes[{route}]: never matches because of routes[{earlier}]; remove it or move it up")]
+    Unreachable {
+        /// Index of the route.
+        route: usize,
+        /// Index of the route that covers it.
+        earlier: usize,
+    },
+}
+
+/// All faults of a contract.
+#[derive(Debug, Clone, PartialEq, Error)]
+pub struct ContractFaults(Vec<ContractFault>);
+
+impl ContractFaults {
+    /// The faults in the order of the contract's fields; at least one.
+    pub fn faults(&self) -> &[ContractFault] {
+        &self.0
+    }
+}
+
+impl fmt::Display for ContractFaults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the contract has {} fault(s)", self.0.len())?;
+        for fault in &self.0 {
+            write!(f, "\n- {fault}")?;
+        }
+        Ok(())
+    }
+}
+
+pub(super) fn check(contract: &Contract, members: Option<usize>) -> Result<(), ContractFaults> {
+    let mut faults = Vec::new();
+    check_name(contract, &mut faults);
+    check_databases(contract, &mut faults);
+    check_amounts(contract, members, &mut faults);
+    let keys = duplicates(&contract.keys);
+    faults.extend(keys.cloned().map(ContractFault::DuplicateKey));
+    for (index, route) in contract.routes.iter().enumerate() {
+        check_route(index, route, &mut faults);
+        check_reachable(index, &contract.routes, &mut faults);
+    }
+    if faults.is_empty() { Ok(()) } else { Err(ContractFaults(faults)) }
+}
+
+fn check_name(contract: &Contract, faults: &mut Vec<ContractFault>) {
+    let name = contract.workspace.as_str();
+    let allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "-_.".contains(c);
+    let fits = (1..=MAX_NAME_CHARS).contains(&name.len());
+    if !fits || !name.chars().all(allowed) {
+        faults.push(ContractFault::WorkspaceName(name.to_owned()));
+    }
+}
+
+fn check_databases(contract: &Contract, faults: &mut Vec<ContractFault>) {
+    if contract.databases.is_empty() {
+        faults.push(ContractFault::NoDatabase);
+    }
+    let databases = duplicates(&contract.databases);
+    faults.extend(databases.cloned().map(ContractFault::DuplicateDatabase));
+}
+
+fn check_amounts(contract: &Contract, members: Option<usize>, faults: &mut Vec<ContractFault>) {
+    let Contract { rate, burst, weight, .. } = *contract;
+    if !rate.is_finite() || rate <= 0.0 {
+        faults.push(ContractFault::Rate(rate));
+    }
+    if !burst.is_finite() || burst < 1.0 {
+        faults.push(ContractFault::Burst(burst));
+    } else if let Some(members) = members.filter(|members| burst < as_amount(*members)) {
+        faults.push(ContractFault::BurstBelowMembers { burst, members });
+    }
+    if !(1..=MAX_WEIGHT).contains(&weight) {
+        faults.push(ContractFault::Weight(weight));
+    }
+}
+
+fn check_route(index: usize, route: &Route, faults: &mut Vec<ContractFault>) {
+    if route.tables.is_empty() {
+        faults.push(ContractFault::NoTable { route: index });
+    }
+    for table in duplicates(&route.tables) {
+        faults.push(ContractFault::DuplicateTable { route: index, table: table.clone() });
+    }
+    for table in &route.tables {
+        let wrong = |c: char| c.is_uppercase() || c.is_whitespace();
+        if table.is_empty() || table.contains(wrong) {
+            faults.push(ContractFault::TableName { route: index, table: table.clone() });
+        }
+    }
+    if route.rule.max_age().is_some_and(|age| age.is_zero()) {
+        faults.push(ContractFault::NoAge { route: index });
+    }
+}
+
+/// An open read is looked up among the open routes as well, so only a route of the same kind can hide it.
+fn check_reachable(index: usize, routes: &[Route], faults: &mut Vec<ContractFault>) {
+    let route = &routes[index];
+    let hides = |earlier: &Route| match route.rule {
+        RouteRule::StaleRead { .. } => earlier.rule.max_age().is_some(),
+        RouteRule::OpenRead { .. } => matches!(earlier.rule, RouteRule::OpenRead { .. }),
+        RouteRule::Unrepeatable => earlier.rule == RouteRule::Unrepeatable,
+    };
+    let hidden = |earlier: &Route| hides(earlier) && earlier.covers(&route.tables);
+    if let Some(earlier) = routes[..index].iter().position(hidden) {
+        faults.push(ContractFault::Unreachable { route: index, earlier });
+    }
+}
+
+fn duplicates<T>(items: &[T]) -> impl Iterator<Item = &T>
+where
+    T: Eq + Hash,
+{
+    let mut seen = HashSet::new();
+    items.iter().filter(move |item| !seen.insert(*item))
+}
+
+fn as_amount(count: usize) -> f64 {
+    u32::try_from(count).map_or(f64::INFINITY, f64::from)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,11 +13,18 @@
 //! assert!(before < after);
 //! ```
 
+pub mod bucket;
 pub mod clock;
+pub mod config;
 pub mod contract;
 pub mod database;
+pub mod key;
+pub mod membership;
 pub mod name;
 pub mod outcome;
 pub mod position;
 pub mod prelude;
+pub mod queue;
 pub mod request;
+pub mod retry;
+pub mod share;
--- /dev/null
+++ b/crates/core/src/share.rs
@@ -0,0 +1,60 @@
+//! The part of a workspace's rate and burst that is used at one member, and loans between members.
+//!
+//! Rate and burst of a contract are divided over the members of its databases. The home of a member uses its part
+//! without asking anybody, so admission costs no message. 30% of the part is the anchor, usable under the home
+//! lease alone. The rest is the term part, usable while the gate of the database's term is open as well, and what
+//! is not needed of it is lent to homes with more demand.
+//!
+//! At every instant the parts in use and the loans on their way sum to no more than the contract, and tokens arise
+//! only by refilling, so the requests admitted in any interval `t` are at most `rate * t + burst`.
+//!
+//! # Example
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use hibiscusladder_core::{
+//!     clock::Instant,
+//!     position::Term,
+//!     share::{Division, Divisions, Share},
+//! };
+//!
+//! let start = Instant::default();
+//! let members = ["padron-1".into(), "padron-2".into()];
+//! let division = Division::new(100.0, 40.0).database("padron".into(), 2);
+//! let home = |member: &str| {
+//!     let divisions = Divisions::settled(division.clone());
+//!     let mut share =
+//!         Share::new("club-andino".into(), "padron".into(), member.into(), divisions, start);
+//!     share.set_term(Term(1), &members, start);
+//!     share
+//! };
+//! let mut busy = home("padron-1");
+//! let mut idle = home("padron-2");
+//!
+//! // Five seconds later both hold their full part of the burst, 20 requests.
+//! let now = start.plus(Duration::from_secs(5));
+//! for share in [&mut busy, &mut idle] {
+//!     share.renew_lease(now.plus(Duration::from_secs(1)));
+//!     share.set_gate(Term(1), now.plus(Duration::from_secs(1)));
+//! }
+//! let admitted = (0..30).filter(|_| busy.try_admit(1.0, now).is_ok()).count();
+//! assert_eq!(admitted, 20);
+//!
+//! let request = busy.wanted(now).expect("ten requests wait");
+//! let loan = idle.lend(&request, now).expect("the other home is idle");
+//! assert!(busy.accept(&request, &loan, now, now));
+//! let admitted = (0..10).filter(|_| busy.try_again(1.0, now).is_ok()).count();
+//! assert_eq!(admitted, 10);
+//! ```
+
+mod demand;
+mod division;
+mod loan;
+mod state;
+
+pub use self::{
+    division::{Division, Divisions, Limits, Part, SHARE_SETTLE},
+    loan::{HandOver, LOAN_INTERVAL, LOAN_TIME, Loan, LoanRequest},
+    state::Share,
+};
--- /dev/null
+++ b/crates/core/src/share/demand.rs
@@ -0,0 +1,32 @@
+//! Estimate of the requests per second that arrive at a share.
+
+use std::time::Duration;
+
+use crate::clock::Instant;
+
+/// Time over which arrivals count; short enough to follow demand that moves, long enough for tens of requests.
+const MEMORY: Duration = Duration::from_millis(500);
+
+/// Arrivals weighted by their age.
+#[derive(Debug, Clone)]
+pub(super) struct Demand {
+    rate: f64,
+    updated: Instant,
+}
+
+impl Demand {
+    pub(super) const fn new(now: Instant) -> Self {
+        Self { rate: 0.0, updated: now }
+    }
+
+    pub(super) fn record(&mut self, n: f64, now: Instant) {
+        self.rate = self.rate(now) + n / MEMORY.as_secs_f64();
+        self.updated = self.updated.max(now);
+    }
+
+    /// Requests per second.
+    pub(super) fn rate(&self, now: Instant) -> f64 {
+        let age = now.since(self.updated).as_secs_f64() / MEMORY.as_secs_f64();
+        self.rate * (-age).exp()
+    }
+}
--- /dev/null
+++ b/crates/core/src/share/division.rs
@@ -0,0 +1,179 @@
+//! How a contract is divided over the members of its databases, now and a short time ago.
+
+use std::{collections::BTreeMap, hash::Hasher, time::Duration};
+
+use siphasher::sip::SipHasher24;
+
+use crate::{clock::Instant, config::ConfigView, contract::Contract, name::Database};
+
+/// Time for which an old division may still be in use at another home.
+///
+/// It exceeds the 5 s for which a home serves without a proof of its configuration and the 2 s for which an answer
+/// is evidence.
+pub const SHARE_SETTLE: Duration = Duration::from_secs(8);
+
+/// Fraction of rate and burst that is usable under the home lease alone.
+const ANCHOR_FRACTION: f64 = 0.3;
+
+/// A rate with a capacity.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Limits {
+    /// Requests per second.
+    pub rate: f64,
+    /// Requests at once.
+    pub capacity: f64,
+}
+
+impl Limits {
+    pub(super) fn divided_by(self, count: usize) -> Self {
+        let count = u32::try_from(count).map_or(f64::INFINITY, f64::from);
+        if count < 1.0 {
+            return Self::default();
+        }
+        Self { rate: self.rate / count, capacity: self.capacity / count }
+    }
+
+    fn scaled(self, factor: f64) -> Self {
+        Self { rate: self.rate * factor, capacity: self.capacity * factor }
+    }
+
+    fn min(self, other: Self) -> Self {
+        Self { rate: self.rate.min(other.rate), capacity: self.capacity.min(other.capacity) }
+    }
+}
+
+/// What the division gives to one database.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Part {
+    /// Anchor of each member.
+    pub anchor: Limits,
+    /// Term part of the database, to be divided over the members of the term.
+    pub term: Limits,
+}
+
+impl Part {
+    fn min(self, other: Self) -> Self {
+        Self { anchor: self.anchor.min(other.anchor), term: self.term.min(other.term) }
+    }
+}
+
+/// A contract's rate and burst, and the databases over which they are divided.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Division {
+    whole: Limits,
+    databases: BTreeMap<Database, usize>,
+}
+
+impl Division {
+    /// Creates a division of `rate` requests per second and a burst of `burst` requests, over no database yet.
+    pub const fn new(rate: f64, burst: f64) -> Self {
+        Self { whole: Limits { rate, capacity: burst }, databases: BTreeMap::new() }
+    }
+
+    /// Adds a database with its number of members.
+    #[must_use]
+    pub fn database(mut self, name: Database, members: usize) -> Self {
+        self.databases.insert(name, members);
+        self
+    }
+
+    /// The division of `contract` over the database records in `view`; a database without a record has no part.
+    pub fn of(contract: &Contract, view: &ConfigView) -> Self {
+        let records = contract.databases.iter().filter_map(|name| view.database(name));
+        records.fold(Self::new(contract.rate, contract.burst), |division, record| {
+            division.database(record.name.clone(), record.members.len())
+        })
+    }
+
+    /// Rate and burst of the contract.
+    pub const fn whole(&self) -> Limits {
+        self.whole
+    }
+
+    /// The part of one database; nothing when it is not in the division.
+    pub fn part(&self, database: &Database) -> Part {
+        if !self.databases.contains_key(database) {
+            return Part::default();
+        }
+        let members = self.databases.values().sum();
+        let term = self.whole.scaled(1.0 - ANCHOR_FRACTION);
+        Part {
+            anchor: self.whole.scaled(ANCHOR_FRACTION).divided_by(members),
+            term: term.divided_by(self.databases.len()),
+        }
+    }
+
+    /// Identifies the division; two homes lend to each other only under the same one.
+    pub fn fingerprint(&self) -> u64 {
+        let mut hasher = SipHasher24::new();
+        hasher.write(&self.whole.rate.to_bits().to_le_bytes());
+        hasher.write(&self.whole.capacity.to_bits().to_le_bytes());
+        for (name, members) in &self.databases {
+            hasher.write(&(name.as_str().len() as u64).to_le_bytes());
+            hasher.write(name.as_str().as_bytes());
+            hasher.write(&(*members as u64).to_le_bytes());
+        }
+        hasher.finish()
+    }
+
+    fn same_shape(&self, other: &Self) -> bool {
+        self.databases == other.databases
+    }
+}
+
+/// The present division and those that other homes may still use.
+///
+/// A new rate or burst counts at once: homes that do not know a lower one yet use what they were promised before.
+/// A new list of databases or members moves parts between homes, so for [`SHARE_SETTLE`] the smaller of the old
+/// and the new part counts.
+#[derive(Debug, Clone)]
+pub struct Divisions {
+    current: Division,
+    old: Vec<Old>,
+}
+
+#[derive(Debug, Clone)]
+struct Old {
+    division: Division,
+    until: Instant,
+}
+
+impl Divisions {
+    /// Creates the history of a contract that this process saw being created: no home uses another division.
+    pub const fn settled(division: Division) -> Self {
+        Self { current: division, old: Vec::new() }
+    }
+
+    /// Creates the history of a contract that this process found when it got its first configuration at `now`. It
+    /// cannot know what was in use before, so nothing may be used for [`SHARE_SETTLE`].
+    pub fn found(division: Division, now: Instant) -> Self {
+        let old = Old { division: Division::default(), until: now.plus(SHARE_SETTLE) };
+        Self { current: division, old: vec![old] }
+    }
+
+    /// Records the division that arrived at `now`; a deleted contract has the division without databases.
+    pub fn record(&mut self, division: Division, now: Instant) {
+        self.old.retain(|old| old.until > now);
+        let before = std::mem::replace(&mut self.current, division);
+        if !before.same_shape(&self.current) {
+            self.old.push(Old { division: before, until: now.plus(SHARE_SETTLE) });
+        }
+    }
+
+    /// The newest division.
+    pub const fn current(&self) -> &Division {
+        &self.current
+    }
+
+    /// The part of one database that may be used at `now`.
+    pub fn part(&self, database: &Database, now: Instant) -> Part {
+        let old = self.old.iter().filter(|old| old.until > now);
+        let parts = old.map(|old| old.division.part(database));
+        parts.fold(self.current.part(database), Part::min)
+    }
+
+    /// Times at which the usable part changes without another event.
+    pub(super) fn changes(&self) -> impl Iterator<Item = Instant> {
+        self.old.iter().map(|old| old.until)
+    }
+}
