--- a/crates/proxy/src/home/member.rs
+++ b/crates/proxy/src/home/member.rs
@@ -41,6 +41,13 @@
     record: MemberRecord,
 }
 
+/// Term and role of a member at one moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Standing {
+    pub(super) term: Term,
+    pub(super) is_primary: bool,
+}
+
 impl Member {
     pub(super) fn new(node: Arc<Node>, group: Arc<Group>, record: &MemberRecord) -> Arc<Self> {
         let settings = node.settings();
@@ -106,6 +113,12 @@
         (view.primary.as_ref() == Some(&self.id)).then_some(view.term)
     }
 
+    /// Newest term that this instance knows, and whether the member is its primary.
+    pub(super) fn standing(&self) -> Standing {
+        let view = self.group.view();
+        Standing { term: view.term, is_primary: view.primary.as_ref() == Some(&self.id) }
+    }
+
     /// Newest term that this instance knows.
     pub(super) fn term(&self) -> Term {
         self.group.view().term
--- a/crates/proxy/src/home/transaction.rs
+++ b/crates/proxy/src/home/transaction.rs
@@ -20,6 +20,7 @@
     admission::Slot,
     call::{Cancels, Registered},
     execute::{Execution, Finished},
+    member::Standing,
     outlet::{Abandoned, Outlet},
     record::{self, RequestKey},
 };
@@ -169,8 +170,9 @@
         if !member.lease_usable() {
             return Err(member.no_member("the lease of its home has expired"));
         }
-        let on_primary = self.on_primary(envelope)?;
-        let term = gate_term(member, head.class);
+        let standing = member.standing();
+        self.check_standing(envelope, standing)?;
+        let term = gate_term(standing, head.class);
         let mut execution = Execution::new(member, pooled, head.class, term, deadline);
         let finished = match request_key(envelope, &frames) {
             None => execution.run(data, &frames, outlet).await,
@@ -184,7 +186,7 @@
         }
         let finished = finished?;
         drop(span);
-        Ok(self.settle(finished, slot, on_primary, self.keep))
+        Ok(self.settle(finished, slot, standing.is_primary, self.keep))
     }
 
     async fn exchange(
@@ -197,7 +199,8 @@
         let member = &self.member;
         let head = &envelope.head;
         let on_primary = transaction.on_primary;
-        let refusal = split(data).err().or_else(|| self.lapsed(on_primary));
+        let standing = member.standing();
+        let refusal = split(data).err().or_else(|| self.lapsed(on_primary, standing));
         if let Some(refusal) = refusal {
             roll_back(transaction);
             return Err(refusal);
@@ -206,7 +209,7 @@
         let Open { pooled, slot, .. } = transaction;
         let deadline = member.node.now().plus(head.remaining);
         let span = self.tracer.span(Hop::Upstream, &head.trace_parent);
-        let term = gate_term(member, head.class);
+        let term = gate_term(standing, head.class);
         let mut execution = Execution::new(member, pooled, head.class, term, deadline);
         let finished = execution.continue_open(data, &frames, on_primary, outlet).await?;
         drop(span);
@@ -235,28 +238,27 @@
     }
 
     /// Why a transaction that is open cannot go on.
-    fn lapsed(&self, on_primary: bool) -> Option<Refusal> {
+    fn lapsed(&self, on_primary: bool, standing: Standing) -> Option<Refusal> {
         if !self.member.lease_usable() {
             let reason = "the lease of its home has expired; the transaction was rolled back";
             return Some(self.member.no_member(reason));
         }
-        if on_primary && self.member.primary_term().is_none() {
+        if on_primary && !standing.is_primary {
             let reason = "it is no longer the primary; the transaction was rolled back";
             return Some(self.member.no_member(reason));
         }
         None
     }
 
-    /// Whether the request runs on the primary.
-    fn on_primary(&self, envelope: &Envelope) -> Result<bool, Refusal> {
-        let on_primary = self.member.primary_term().is_some();
+    /// Checks that a request that needs the primary runs on it.
+    fn check_standing(&self, envelope: &Envelope, standing: Standing) -> Result<(), Refusal> {
         let head = &envelope.head;
         let needed = head.class.needs_primary()
             || (head.class == StatementClass::Read && head.position.is_none());
-        if needed && !on_primary {
+        if needed && !standing.is_primary {
             return Err(self.member.no_member("it is no longer the primary"));
         }
-        Ok(on_primary)
+        Ok(())
     }
 
     /// Waits for the lease, a token of the share and a slot.
@@ -367,10 +369,10 @@
 }
 
 /// Term whose gate has to be open when an answer of the class is released.
-fn gate_term(member: &Member, class: StatementClass) -> Option<Term> {
+const fn gate_term(standing: Standing, class: StatementClass) -> Option<Term> {
     match class {
         StatementClass::StaleRead { .. } => None,
-        _ => Some(member.term()),
+        _ => Some(standing.term),
     }
 }
 
