--- a/crates/proto/schema/instance.capnp
+++ b/crates/proto/schema/instance.capnp
@@ -112,6 +112,7 @@
   term @1 :UInt64;
   primary @2 :Text;
   # Empty while no primary is known.
+  hasTermStart @4 :Bool;
   termStart @3 :Position;
 }
 
@@ -122,6 +123,7 @@
   # Age of the proof that the revision was the newest.
   recent @3 :List(InstanceInfo);
   terms @4 :List(TermInfo);
+  hasProof @5 :Bool;
 }
 
 struct Change {
@@ -139,6 +141,7 @@
   complete @2 :Bool;
   # The list replaces everything that the receiver holds.
   items @3 :List(Change);
+  hasProof @4 :Bool;
 }
 
 struct LoanRequest {
@@ -152,6 +155,10 @@
   tokensPerMille @4 :UInt64;
   # Tokens, times 1000.
   term @5 :UInt64;
+  database @6 :Text;
+  # Database of the borrower.
+  division @7 :UInt64;
+  # Fingerprint of the division under which the borrower asks.
 }
 
 struct Loan {
@@ -164,4 +171,7 @@
 struct Bucket {
   workspace @0 :Text;
   tokensPerMille @1 :UInt64;
+  member @2 :Text;
+  lentForMs @3 :UInt32;
+  # Time after which no loan of the leaving home is in use.
 }
--- a/crates/proto/src/instance_capnp.rs
+++ b/crates/proto/src/instance_capnp.rs
@@ -8434,11 +8434,15 @@
         pub fn has_term_start(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
+        #[inline]
+        pub fn get_has_term_start(self) -> bool {
+            self.reader.get_bool_field(64)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8544,6 +8548,14 @@
         pub fn has_term_start(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
+        #[inline]
+        pub fn get_has_term_start(self) -> bool {
+            self.builder.get_bool_field(64)
+        }
+        #[inline]
+        pub fn set_has_term_start(&mut self, value: bool)  {
+            self.builder.set_bool_field(64, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8558,52 +8570,59 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 95] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(154, 162, 187, 204, 18, 102, 177, 191),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(165, 146, 126, 107, 196, 241, 163, 208),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 84),
             ::capnp::word(101, 114, 109, 73, 110, 102, 111, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(100, 97, 116, 97, 98, 97, 115, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -8638,6 +8657,15 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 97, 115, 84, 101, 114, 109, 83),
+            ::capnp::word(116, 97, 114, 116, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -8645,6 +8673,7 @@
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <crate::instance_capnp::position::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -8658,9 +8687,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,2,1,3];
         pub(crate) const TYPE_ID: u64 = 0xbfb1_6612_ccbb_a29a;
     }
 }
@@ -8758,11 +8787,15 @@
         pub fn has_terms(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
+        #[inline]
+        pub fn get_has_proof(self) -> bool {
+            self.reader.get_bool_field(128)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8876,6 +8909,14 @@
         pub fn has_terms(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
+        #[inline]
+        pub fn get_has_proof(self) -> bool {
+            self.builder.get_bool_field(128)
+        }
+        #[inline]
+        pub fn set_has_proof(&mut self, value: bool)  {
+            self.builder.set_bool_field(128, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8890,17 +8931,17 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 103] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 119] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(59, 229, 45, 115, 89, 17, 227, 147),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(165, 146, 126, 107, 196, 241, 163, 208),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
@@ -8908,42 +8949,49 @@
             ::capnp::word(101, 97, 114, 116, 98, 101, 97, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 128, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(138, 154, 244, 33, 0, 136, 158, 238),
@@ -8994,6 +9042,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 97, 115, 80, 114, 111, 111, 102),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -9002,6 +9059,7 @@
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::struct_list::Owned<crate::instance_capnp::instance_info::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::struct_list::Owned<crate::instance_capnp::term_info::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -9015,9 +9073,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,1,0,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,2,3,1,0,4];
         pub(crate) const TYPE_ID: u64 = 0x93e3_1159_732d_e53b;
     }
 }
@@ -9446,6 +9504,10 @@
         pub fn has_items(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
+        #[inline]
+        pub fn get_has_proof(self) -> bool {
+            self.reader.get_bool_field(129)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -9540,6 +9602,14 @@
         pub fn has_items(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
+        #[inline]
+        pub fn get_has_proof(self) -> bool {
+            self.builder.get_bool_field(129)
+        }
+        #[inline]
+        pub fn set_has_proof(&mut self, value: bool)  {
+            self.builder.set_bool_field(129, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -9551,7 +9621,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 84] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 100] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(57, 128, 150, 19, 5, 70, 183, 170),
             ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
@@ -9561,42 +9631,49 @@
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 67),
             ::capnp::word(104, 97, 110, 103, 101, 115, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 129, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -9636,6 +9713,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 97, 115, 80, 114, 111, 111, 102),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -9643,6 +9729,7 @@
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::struct_list::Owned<crate::instance_capnp::change::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -9656,9 +9743,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,1,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,4,3,1,0];
         pub(crate) const TYPE_ID: u64 = 0xaab7_4605_1396_8039;
     }
 }
@@ -9760,11 +9847,23 @@
         pub fn get_term(self) -> u64 {
             self.reader.get_data_field::<u64>(2)
         }
+        #[inline]
+        pub fn get_database(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_database(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+        #[inline]
+        pub fn get_division(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9886,6 +9985,30 @@
         pub fn set_term(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(2, value);
         }
+        #[inline]
+        pub fn get_database(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_database(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_database(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(3).init_text(size)
+        }
+        #[inline]
+        pub fn has_database(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+        #[inline]
+        pub fn get_division(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_division(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -9897,17 +10020,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 112] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 144] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(204, 8, 159, 36, 81, 92, 196, 145),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(165, 146, 126, 107, 196, 241, 163, 208),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
@@ -9915,49 +10038,63 @@
             ::capnp::word(111, 97, 110, 82, 101, 113, 117, 101),
             ::capnp::word(115, 116, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(119, 111, 114, 107, 115, 112, 97, 99),
             ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -10010,6 +10147,24 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 97, 116, 97, 98, 97, 115, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 105, 118, 105, 115, 105, 111, 110),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -10019,6 +10174,8 @@
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -10032,9 +10189,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,3,5,4,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,6,7,2,3,5,4,0];
         pub(crate) const TYPE_ID: u64 = 0x91c4_5c51_249f_08cc;
     }
 }
@@ -10407,11 +10564,23 @@
         pub fn get_tokens_per_mille(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
+        #[inline]
+        pub fn get_member(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_member(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_lent_for_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -10485,6 +10654,30 @@
         pub fn set_tokens_per_mille(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(0, value);
         }
+        #[inline]
+        pub fn get_member(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_member(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_member(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_member(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_lent_for_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_lent_for_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -10496,38 +10689,52 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(252, 177, 82, 67, 31, 5, 211, 213),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(165, 146, 126, 107, 196, 241, 163, 208),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 66),
             ::capnp::word(117, 99, 107, 101, 116, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(119, 111, 114, 107, 115, 112, 97, 99),
             ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -10546,11 +10753,30 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 101, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 110, 116, 70, 111, 114, 77),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -10564,9 +10790,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,2,1,0];
         pub(crate) const TYPE_ID: u64 = 0xd5d3_051f_4352_b1fc;
     }
 }
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -6,5 +6,8 @@
 #[allow(clippy::cast_possible_truncation)]
 #[rustfmt::skip]
 pub mod instance_capnp;
+pub mod config;
+pub mod membership;
 pub mod reply;
 pub mod request;
+pub mod share;
--- a/crates/proto/src/request.rs
+++ b/crates/proto/src/request.rs
@@ -39,7 +39,7 @@
         }
     };
     builder.set_class(class);
-    builder.set_max_age_ms(u64::try_from(max_age.as_millis()).unwrap_or(u64::MAX));
+    builder.set_max_age_ms(millis(max_age));
     builder.set_has_position(head.position.is_some());
     write_position(head.position.unwrap_or_default(), builder.reborrow().init_position());
     builder.set_remaining_ms(u32::try_from(head.remaining.as_millis()).unwrap_or(u32::MAX));
@@ -88,12 +88,21 @@
     Position::new(Term(reader.get_term()), Lsn(reader.get_lsn()))
 }
 
-fn required<'a>(text: capnp::text::Reader<'a>, field: &str) -> Result<&'a str, Error> {
+pub(crate) fn required<'a>(text: capnp::text::Reader<'a>, field: &str) -> Result<&'a str, Error> {
     let text = text.to_str()?;
-    if text.is_empty() { Err(Error::failed(format!("the field `{field}` is empty"))) } else { Ok(text) }
+    if text.is_empty() {
+        Err(Error::failed(format!("the field `{field}` is empty")))
+    } else {
+        Ok(text)
+    }
 }
 
-fn optional(text: capnp::text::Reader<'_>) -> Result<Option<&str>, Error> {
+pub(crate) fn optional(text: capnp::text::Reader<'_>) -> Result<Option<&str>, Error> {
     let text = text.to_str()?;
     Ok(if text.is_empty() { None } else { Some(text) })
 }
+
+/// Whole milliseconds of `time`.
+pub(crate) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/proxy/src/classify/statement.rs
+++ b/crates/proxy/src/classify/statement.rs
@@ -27,7 +27,12 @@
 /// Classifies `text` without a cache.
 pub fn classify(text: &str) -> Classified {
     if let Some(control) = session_control(text) {
-        return Classified { effect: Effect::Nothing, flow: Flow::Plain, control: Some(control), ..Classified::unreadable() };
+        return Classified {
+            effect: Effect::Nothing,
+            flow: Flow::Plain,
+            control: Some(control),
+            ..Classified::unreadable()
+        };
     }
     let mut classified = match parse(text) {
         Some(statements) => from_statements(&statements),
@@ -134,7 +139,8 @@
     }
 
     fn start_transaction(&mut self, modes: &[TransactionMode]) {
-        let read_only = modes.contains(&TransactionMode::AccessMode(TransactionAccessMode::ReadOnly));
+        let read_only =
+            modes.contains(&TransactionMode::AccessMode(TransactionAccessMode::ReadOnly));
         self.raise(if read_only { Effect::Read } else { Effect::Write });
         self.flow = Some(Flow::Begin);
     }
@@ -209,10 +215,7 @@
 
 /// Whether the body of a query, such as one in a WITH clause, changes data.
 fn writes(body: &SetExpr) -> bool {
-    matches!(
-        body,
-        SetExpr::Insert(_) | SetExpr::Update(_) | SetExpr::Delete(_) | SetExpr::Merge(_)
-    )
+    matches!(body, SetExpr::Insert(_) | SetExpr::Update(_) | SetExpr::Delete(_) | SetExpr::Merge(_))
 }
 
 /// The feature that a statement needs and transaction pooling cannot give.
--- a/crates/proxy/src/home/execute.rs
+++ b/crates/proxy/src/home/execute.rs
@@ -259,8 +259,7 @@
     ) -> Result<Finished, Refusal> {
         outlet.push_bytes(&record::replay(frames, outcome));
         let position = self.ask_position().await?;
-        let answer =
-            Answer { status: TransactionStatus::Idle, tags: Vec::new(), sqlstate: None };
+        let answer = Answer { status: TransactionStatus::Idle, tags: Vec::new(), sqlstate: None };
         self.release(answer, position, outlet).await
     }
 
@@ -464,7 +463,8 @@
 /// A text of several statements may have committed by itself.
 fn not_committed(mut refusal: Refusal, frames: &[Frame]) -> Refusal {
     let several = frames.iter().any(|frame| {
-        let text = Fields::new(frame.body()).text().unwrap_or_default().trim().trim_end_matches(';');
+        let text =
+            Fields::new(frame.body()).text().unwrap_or_default().trim().trim_end_matches(';');
         frame.kind() == b'Q' && text.contains(';')
     });
     if !several && !starts_with_any(frames, &["commit", "end"]) {
--- a/crates/proxy/src/home/member.rs
+++ b/crates/proxy/src/home/member.rs
@@ -129,7 +129,11 @@
     /// # Errors
     ///
     /// Returns "not run" when the workspace is past its rate.
-    pub(super) async fn admit(&self, _contract: &Contract, _deadline: Instant) -> Result<(), Refusal> {
+    pub(super) async fn admit(
+        &self,
+        _contract: &Contract,
+        _deadline: Instant,
+    ) -> Result<(), Refusal> {
         Ok(())
     }
 
--- a/crates/proxy/src/home/mod.rs
+++ b/crates/proxy/src/home/mod.rs
@@ -24,8 +24,9 @@
     name::{Database, MemberId},
     outcome::{Refusal, RefusalKind},
     position::Position,
+    share::{HandOver, Loan},
 };
-use hibiscusladder_proto::{reply::ReplyEnd, request::Envelope};
+use hibiscusladder_proto::{reply::ReplyEnd, request::Envelope, share::AddressedRequest};
 use smol::channel;
 
 pub use self::{
@@ -109,6 +110,16 @@
         Some(home)
     }
 
+    /// Lends a part of a workspace's rate to another home.
+    pub fn lend(&self, _addressed: &AddressedRequest) -> Option<Loan> {
+        None
+    }
+
+    /// Takes the shares over that the last home of `member` did not use.
+    pub fn take_over(&self, _member: &MemberId, _buckets: &[HandOver]) -> bool {
+        false
+    }
+
     /// Statements that wait or run at all members.
     pub fn active(&self) -> usize {
         self.cancels.len()
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod node;
 pub mod platform;
 pub mod route;
+pub mod rpc;
 pub mod settings;
 pub mod trace;
 pub mod upstream;
--- /dev/null
+++ b/crates/proxy/src/rpc/client.rs
@@ -0,0 +1,278 @@
+//! Calls to other instances.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use futures::channel::oneshot;
+use hibiscusladder_core::outcome::{Refusal, RefusalKind};
+use hibiscusladder_proto::{
+    config::read_changes,
+    instance_capnp::{reply, reply_stream, transaction},
+    membership::{read_heartbeat, write_heartbeat},
+    reply::{ReplyEnd, read_end},
+    request::{Envelope, read_position, write_envelope},
+    share::{read_loan, write_hand_over, write_loan_request},
+};
+use smol::{
+    Timer,
+    channel::{Receiver, Sender},
+    future::FutureExt,
+};
+
+use super::{
+    RpcError,
+    command::Command,
+    peer::{Peer, Peers},
+};
+use crate::home::{Chunk, Exchange};
+
+/// Longest time of a call that does not wait for an event at the other side.
+const CALL_BOUND: Duration = Duration::from_secs(1);
+
+/// Runs one command.
+pub(super) async fn run(peers: &Peers<'_>, command: Command) {
+    match command {
+        Command::Call { address, envelope, data, keep, chunks, batches } => {
+            let exchange = Exchange { envelope, data, chunks };
+            call(peers, &address, exchange, keep, &batches).await;
+        }
+        Command::ReadIndex { address, database, answer } => {
+            let result = ask(peers, &address, CALL_BOUND, async |peer: &Peer| {
+                let mut request = peer.client.read_index_request();
+                request.get().set_database(database.as_str());
+                let response = request.send().promise.await?;
+                let response = response.get()?;
+                let position = read_position(response.get_position()?);
+                Ok(response.get_open().then_some(position))
+            });
+            reply_to(answer, result.await);
+        }
+        Command::Heartbeat { address, beat, answer } => {
+            let result = ask(peers, &address, CALL_BOUND, async |peer: &Peer| {
+                let mut request = peer.client.heartbeat_request();
+                write_heartbeat(&beat, request.get().init_beat());
+                let response = request.send().promise.await?;
+                read_heartbeat(response.get()?.get_beat()?)
+            });
+            reply_to(answer, result.await);
+        }
+        Command::Changes { address, since, wait, answer } => {
+            let result = ask(peers, &address, CALL_BOUND + wait, async |peer: &Peer| {
+                let mut request = peer.client.changes_request();
+                request.get().set_since(since);
+                request.get().set_wait_ms(u32::try_from(wait.as_millis()).unwrap_or(u32::MAX));
+                let response = request.send().promise.await?;
+                read_changes(response.get()?.get_changes()?)
+            });
+            reply_to(answer, result.await);
+        }
+        Command::Borrow { address, requests, answer } => {
+            let result = ask(peers, &address, CALL_BOUND, async |peer: &Peer| {
+                let mut request = peer.client.borrow_request();
+                let count = u32::try_from(requests.len()).unwrap_or(u32::MAX);
+                let mut list = request.get().init_requests(count);
+                for (index, addressed) in (0..).zip(&requests) {
+                    write_loan_request(addressed, list.reborrow().get(index));
+                }
+                let response = request.send().promise.await?;
+                response.get()?.get_loans()?.iter().map(read_loan).collect()
+            });
+            reply_to(answer, result.await);
+        }
+        Command::HandOver { address, member, buckets, answer } => {
+            let result = ask(peers, &address, CALL_BOUND, async |peer: &Peer| {
+                let mut request = peer.client.hand_over_request();
+                request.get().set_member(member.as_str());
+                let count = u32::try_from(buckets.len()).unwrap_or(u32::MAX);
+                let mut list = request.get().init_buckets(count);
+                for (index, handed) in (0..).zip(&buckets) {
+                    write_hand_over(handed, list.reborrow().get(index));
+                }
+                let response = request.send().promise.await?;
+                Ok(response.get()?.get_accepted())
+            });
+            reply_to(answer, result.await);
+        }
+        Command::Status { address, answer } => {
+            let result = ask(peers, &address, CALL_BOUND, async |peer: &Peer| {
+                let response = peer.client.status_request().send().promise.await?;
+                Ok(response.get()?.get_json()?.to_string()?)
+            });
+            reply_to(answer, result.await);
+        }
+        Command::Cancel { address, token } => {
+            let result = ask(peers, &address, CALL_BOUND, async |peer: &Peer| {
+                let mut request = peer.client.cancel_request();
+                request.get().set_token(token);
+                request.send().promise.await.map(drop)
+            });
+            log_failure(result.await);
+        }
+        Command::CancelSession { address, process, secret } => {
+            let result = ask(peers, &address, CALL_BOUND, async |peer: &Peer| {
+                let mut request = peer.client.cancel_session_request();
+                request.get().set_process(process);
+                request.get().set_secret(secret);
+                request.send().promise.await.map(drop)
+            });
+            log_failure(result.await);
+        }
+    }
+}
+
+/// Sends the answer of a call to the part that asked; that part may be gone.
+fn reply_to<T>(answer: oneshot::Sender<Result<T, RpcError>>, result: Result<T, RpcError>) {
+    drop(answer.send(result));
+}
+
+fn log_failure(result: Result<(), RpcError>) {
+    if let Err(error) = result {
+        spdlog::warn!("entry: a cancel request was not forwarded: {error}");
+    }
+}
+
+/// Makes a call with a time bound.
+async fn ask<F, T>(
+    peers: &Peers<'_>,
+    address: &Arc<str>,
+    bound: Duration,
+    call: F,
+) -> Result<T, RpcError>
+where
+    F: AsyncFnOnce(&Peer) -> Result<T, capnp::Error>,
+{
+    let peer = peers.get(address).await?;
+    let failed = |reason: String| RpcError::MaybeSent { address: Arc::clone(address), reason };
+    let called = async { call(&peer).await.map_err(|error| failed(error.to_string())) };
+    let died = async {
+        peer.died().await;
+        Err(failed("the connection was silent for too long".to_owned()))
+    };
+    let timeout = async {
+        Timer::after(bound).await;
+        Err(failed(format!("no answer within {} ms", bound.as_millis())))
+    };
+    called.or(died).or(timeout).await
+}
+
+/// Forwards the batches of one transaction.
+async fn call(
+    peers: &Peers<'_>,
+    address: &Arc<str>,
+    first: Exchange,
+    keep: bool,
+    batches: &Receiver<Exchange>,
+) {
+    let peer = match peers.get(address).await {
+        Ok(peer) => peer,
+        Err(error) => {
+            let refusal = Refusal::not_run(RefusalKind::NoMember).detail(error.to_string());
+            let _ = first.chunks.send(Chunk::End(ReplyEnd::refused(refusal))).await;
+            return;
+        }
+    };
+    let Exchange { envelope, data, chunks } = first;
+    let Some(transaction) = begin(&peer, &envelope, &data, keep, &chunks).await else { return };
+    drop(chunks);
+    while let Ok(exchange) = batches.recv().await {
+        let Exchange { envelope, data, chunks } = exchange;
+        let mut request = transaction.exchange_request();
+        write_envelope(&envelope, request.get().init_head());
+        request.get().set_data(&data);
+        let answer = async {
+            let response = request.send().promise.await?;
+            relay(response.get()?.get_reply()?, &chunks).await
+        };
+        finish(&peer, &chunks, answer).await;
+    }
+}
+
+/// Sends the first batch; returns the transaction when one may be open.
+async fn begin(
+    peer: &Rc<Peer>,
+    envelope: &Envelope,
+    data: &[u8],
+    keep: bool,
+    chunks: &Sender<Chunk>,
+) -> Option<transaction::Client> {
+    if !keep {
+        let mut request = peer.client.run_request();
+        write_envelope(envelope, request.get().init_head());
+        request.get().set_data(data);
+        let answer = async {
+            let response = request.send().promise.await?;
+            relay(response.get()?.get_reply()?, chunks).await
+        };
+        finish(peer, chunks, answer).await;
+        return None;
+    }
+    let mut request = peer.client.begin_request();
+    write_envelope(envelope, request.get().init_head());
+    request.get().set_data(data);
+    let mut transaction = None;
+    let answer = async {
+        let response = request.send().promise.await?;
+        let response = response.get()?;
+        transaction = Some(response.get_transaction()?);
+        relay(response.get_reply()?, chunks).await
+    };
+    finish(peer, chunks, answer).await;
+    transaction
+}
+
+/// Completes an answer; when the connection fails, the outcome is unknown.
+async fn finish<F>(peer: &Peer, chunks: &Sender<Chunk>, answer: F)
+where
+    F: Future<Output = Result<(), capnp::Error>>,
+{
+    let died = async {
+        peer.died().await;
+        Err(capnp::Error::disconnected("the connection was silent for too long".to_owned()))
+    };
+    // The call is dropped when nobody takes its answer, which cancels it at the other side.
+    let abandoned = async {
+        chunks.closed().await;
+        Ok(())
+    };
+    if let Err(error) = answer.or(died).or(abandoned).await {
+        let refusal = Refusal::unknown(RefusalKind::ConnectionLost).detail(error.to_string());
+        let _ = chunks.send(Chunk::End(ReplyEnd::refused(refusal))).await;
+    }
+}
+
+/// Passes an answer on, chunk by chunk.
+async fn relay(reply: reply::Reader<'_>, chunks: &Sender<Chunk>) -> Result<(), capnp::Error> {
+    pass(reply.get_data()?, chunks).await?;
+    match reply.which()? {
+        reply::End(end) => send_end(read_end(end?)?, chunks).await,
+        reply::Rest(rest) => relay_rest(&rest?, chunks).await,
+    }
+}
+
+async fn relay_rest(
+    rest: &reply_stream::Client,
+    chunks: &Sender<Chunk>,
+) -> Result<(), capnp::Error> {
+    loop {
+        let response = rest.next_request().send().promise.await?;
+        let response = response.get()?;
+        pass(response.get_data()?, chunks).await?;
+        if response.get_last() {
+            return send_end(read_end(response.get_end()?)?, chunks).await;
+        }
+    }
+}
+
+async fn pass(data: &[u8], chunks: &Sender<Chunk>) -> Result<(), capnp::Error> {
+    if data.is_empty() {
+        return Ok(());
+    }
+    chunks.send(Chunk::Data(bytes::Bytes::copy_from_slice(data))).await.map_err(|_| gone())
+}
+
+async fn send_end(end: ReplyEnd, chunks: &Sender<Chunk>) -> Result<(), capnp::Error> {
+    chunks.send(Chunk::End(end)).await.map_err(|_| gone())
+}
+
+fn gone() -> capnp::Error {
+    capnp::Error::disconnected("nobody takes the answer".to_owned())
+}
--- /dev/null
+++ b/crates/proxy/src/rpc/mod.rs
@@ -0,0 +1,213 @@
+//! Calls between instances.
+//!
+//! The RPC system is bound to one thread. [`Rpc`] starts that thread and is the handle through which all other
+//! parts of the process reach it. Each connection carries a heartbeat; one that stays silent is replaced, and the
+//! calls on it fail.
+
+mod client;
+mod command;
+mod peer;
+mod server;
+mod thread;
+
+use std::{io, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures::channel::oneshot;
+use hibiscusladder_core::{
+    config::Changes,
+    membership::Heartbeat,
+    name::{Database, MemberId},
+    outcome::{Refusal, RefusalKind},
+    position::Position,
+    share::{HandOver, Loan},
+};
+use hibiscusladder_proto::{reply::ReplyEnd, request::Envelope, share::AddressedRequest};
+use smol::{
+    channel::{self, Sender},
+    net::TcpListener,
+};
+use thiserror::Error;
+
+use self::command::Command;
+pub use self::server::{ControlService, Services, SessionCancel};
+use crate::home::{Call, Chunk};
+
+/// Commands that wait for the RPC thread; more make their senders wait.
+const COMMANDS: usize = 1024;
+/// Chunks that wait for a slow reader of an answer.
+const CHUNKS_BUFFERED: usize = 2;
+
+/// A call to another instance failed.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum RpcError {
+    /// No connection could be had; the call was certainly not sent.
+    #[error("instance {address} cannot be reached: {reason}")]
+    NotSent {
+        /// Address of the instance.
+        address: Arc<str>,
+        /// What failed.
+        reason: String,
+    },
+    /// The connection failed after the call was sent, or the other side rejected the call.
+    #[error("the call to instance {address} failed: {reason}")]
+    MaybeSent {
+        /// Address of the instance.
+        address: Arc<str>,
+        /// What failed.
+        reason: String,
+    },
+    /// The RPC thread has ended.
+    #[error("the instance is shutting down")]
+    Stopped,
+}
+
+/// Handle of the RPC thread.
+#[derive(Debug, Clone)]
+pub struct Rpc {
+    commands: Sender<Command>,
+}
+
+impl Rpc {
+    /// Starts the thread; it ends when all handles are dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the thread cannot be started.
+    pub fn start() -> io::Result<Self> {
+        let (commands, receiver) = channel::bounded(COMMANDS);
+        thread::start(receiver)?;
+        Ok(Self { commands })
+    }
+
+    /// Starts a request at the home on the instance at `address`.
+    pub fn call(&self, address: &Arc<str>, envelope: Envelope, data: Bytes, keep: bool) -> Call {
+        let (chunks, answer) = channel::bounded(CHUNKS_BUFFERED);
+        let (exchanges, batches) = channel::bounded(1);
+        let address = Arc::clone(address);
+        let refused = chunks.clone();
+        let command = Command::Call { address, envelope, data, keep, chunks, batches };
+        if self.commands.try_send(command).is_err() {
+            let refusal = Refusal::not_run(RefusalKind::NoMember)
+                .detail("too many calls to other instances wait");
+            let _ = refused.try_send(Chunk::End(ReplyEnd::refused(refusal)));
+        }
+        Call { chunks: answer, exchanges }
+    }
+
+    /// The present position of the primary of `database`, from its home at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the instance does not answer.
+    pub async fn read_index(
+        &self,
+        address: &Arc<str>,
+        database: &Database,
+    ) -> Result<Option<Position>, RpcError> {
+        let (address, database) = (Arc::clone(address), database.clone());
+        self.ask(|answer| Command::ReadIndex { address, database, answer }).await
+    }
+
+    /// Exchanges heartbeats with the instance at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the instance does not answer.
+    pub async fn heartbeat(
+        &self,
+        address: &Arc<str>,
+        beat: Heartbeat,
+    ) -> Result<Heartbeat, RpcError> {
+        let address = Arc::clone(address);
+        self.ask(|answer| Command::Heartbeat { address, beat, answer }).await
+    }
+
+    /// Configuration changes since a revision; the other side waits up to `wait` for one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the instance does not answer.
+    pub async fn changes(
+        &self,
+        address: &Arc<str>,
+        since: u64,
+        wait: Duration,
+    ) -> Result<Changes, RpcError> {
+        let address = Arc::clone(address);
+        self.ask(|answer| Command::Changes { address, since, wait, answer }).await
+    }
+
+    /// Asks homes on the instance at `address` for loans; one answer for each request.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the instance does not answer.
+    pub async fn borrow(
+        &self,
+        address: &Arc<str>,
+        requests: Vec<AddressedRequest>,
+    ) -> Result<Vec<Option<Loan>>, RpcError> {
+        let address = Arc::clone(address);
+        self.ask(|answer| Command::Borrow { address, requests, answer }).await
+    }
+
+    /// Hands the buckets of `member` over to its next home at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the instance does not answer.
+    pub async fn hand_over(
+        &self,
+        address: &Arc<str>,
+        member: &MemberId,
+        buckets: Vec<HandOver>,
+    ) -> Result<bool, RpcError> {
+        let (address, member) = (Arc::clone(address), member.clone());
+        self.ask(|answer| Command::HandOver { address, member, buckets, answer }).await
+    }
+
+    /// Status text of the instance at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the instance does not answer.
+    pub async fn status(&self, address: &Arc<str>) -> Result<String, RpcError> {
+        let address = Arc::clone(address);
+        self.ask(|answer| Command::Status { address, answer }).await
+    }
+
+    /// Cancels the statement of the request with `token` at the home on the instance at `address`.
+    pub async fn cancel(&self, address: &Arc<str>, token: u64) {
+        let address = Arc::clone(address);
+        let _ = self.commands.send(Command::Cancel { address, token }).await;
+    }
+
+    /// Cancels the statement of a client that is connected to the instance at `address`.
+    pub async fn cancel_session(&self, address: &Arc<str>, process: u32, secret: u32) {
+        let address = Arc::clone(address);
+        let _ = self.commands.send(Command::CancelSession { address, process, secret }).await;
+    }
+
+    async fn ask<F, T>(&self, command: F) -> Result<T, RpcError>
+    where
+        F: FnOnce(oneshot::Sender<Result<T, RpcError>>) -> Command,
+    {
+        let (answer, receiver) = oneshot::channel();
+        self.commands.send(command(answer)).await.map_err(|_| RpcError::Stopped)?;
+        receiver.await.map_err(|_| RpcError::Stopped)?
+    }
+}
+
+/// Accepts calls of other instances on `listener`, on the present thread, until the listener fails.
+///
+/// # Errors
+///
+/// Returns an error when the listener fails.
+pub async fn serve<C, S>(listener: TcpListener, services: Services<C, S>) -> io::Result<()>
+where
+    C: ControlService,
+    S: SessionCancel,
+{
+    server::serve(listener, services).await
+}
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -10,8 +10,10 @@
     pin_mut,
 };
 use pgwire::messages::{
-    Message, cancel::CancelRequest, startup::Startup,
-    startup::{PasswordMessageFamily, Password, SecretKey},
+    Message,
+    cancel::CancelRequest,
+    startup::Startup,
+    startup::{Password, PasswordMessageFamily, SecretKey},
 };
 use smol::{Timer, net::TcpStream};
 use thiserror::Error;
@@ -49,7 +51,9 @@
         message: String,
     },
     /// The member asked for a way of authentication that is not supported.
-    #[error("the member asks for authentication of type {0}; configure cleartext passwords or trust")]
+    #[error(
+        "the member asks for authentication of type {0}; configure cleartext passwords or trust"
+    )]
     Authentication(i32),
     /// The member violated the protocol.
     #[error("the member sent an unexpected message of type {0:?}")]
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -98,7 +98,13 @@
         while let Some(mut idle) = self.pop_idle() {
             if is_quiet(&mut idle.connection).await {
                 let Idle { connection, committed, generation } = idle;
-                return Ok(Pooled { connection, committed, generation, pool: self.clone(), permit });
+                return Ok(Pooled {
+                    connection,
+                    committed,
+                    generation,
+                    pool: self.clone(),
+                    permit,
+                });
             }
         }
         let generation = self.shared.generation.load(Ordering::Acquire);
