--- /dev/null
+++ b/crates/proxy/src/control/promotion.rs
@@ -0,0 +1,272 @@
+//! Runs the core's promotion state machine against members and the store.
+
+use std::{sync::Arc, time::Duration};
+
+use hibiscusladder_core::{
+    clock::{Clock, Instant},
+    database::{DatabaseRecord, UpstreamState},
+    name::{Database, InstanceId, MemberId},
+    position::Term,
+    promotion::{
+        Promotion, PromotionAction, PromotionEvent, PromotionSettings, Publication, StoreAnswer,
+        TermRecord,
+    },
+};
+use smol::{
+    Timer,
+    channel::{Receiver, Sender, unbounded},
+    future::FutureExt,
+};
+
+use super::{members::Links, statement};
+use crate::{
+    clock::BootClock,
+    node::{Group, Node},
+    platform::{Expected, PlatformClient, PlatformError},
+};
+
+/// Time between two looks at the clock, as the state machine asks for while an attempt runs.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Time between two requests to replace a primary that is leaving.
+const HANDOVER_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Name under which this process claims terms; a restarted process is another claimant.
+pub fn claimant(node: &Node) -> InstanceId {
+    InstanceId::from(format!("{}.{}", node.id(), node.incarnation()))
+}
+
+/// Takes part in changes of the primary of one database.
+pub(crate) async fn run(
+    node: Arc<Node>,
+    platform: PlatformClient,
+    links: Arc<Links>,
+    group: Arc<Group>,
+) {
+    let (events, results) = unbounded();
+    let database = group.view().database.clone();
+    let settings = PromotionSettings::new(claimant(&node), node.data_centre().clone());
+    let driver = Driver {
+        claimant: claimant(&node),
+        node,
+        platform,
+        links,
+        group,
+        database,
+        events,
+        results,
+    };
+    driver.run(Promotion::new(settings)).await;
+}
+
+#[derive(Clone)]
+struct Driver {
+    node: Arc<Node>,
+    platform: PlatformClient,
+    links: Arc<Links>,
+    group: Arc<Group>,
+    database: Database,
+    claimant: InstanceId,
+    events: Sender<PromotionEvent>,
+    results: Receiver<PromotionEvent>,
+}
+
+impl Driver {
+    async fn run(self, mut promotion: Promotion) {
+        let mut known: Option<TermRecord> = None;
+        let mut handover_asked: Option<Instant> = None;
+        loop {
+            let event = self.next_event().await;
+            self.take(&mut promotion, event);
+            let record =
+                self.node.config().database(&self.database).map(|record| term_record(record));
+            if record != known {
+                known.clone_from(&record);
+                if let Some(record) = record {
+                    self.take(&mut promotion, PromotionEvent::Record(record));
+                }
+            }
+            let now = BootClock.now();
+            let due = handover_asked.is_none_or(|asked| now.since(asked) >= HANDOVER_INTERVAL);
+            if due && let Some(event) = self.handover() {
+                handover_asked = Some(now);
+                self.take(&mut promotion, event);
+            }
+        }
+    }
+
+    async fn next_event(&self) -> PromotionEvent {
+        let tick = async {
+            Timer::after(TICK).await;
+            PromotionEvent::Time
+        };
+        let result = async { self.results.recv().await.unwrap_or(PromotionEvent::Time) };
+        result.or(tick).await
+    }
+
+    /// A leaving primary is replaced by its home.
+    fn handover(&self) -> Option<PromotionEvent> {
+        let view = self.group.view();
+        let primary = view.primary.as_ref()?;
+        let leaving = self.node.config().upstream(primary) == UpstreamState::Leaving;
+        let home = self.node.is_home(&self.database, primary);
+        (leaving && home).then_some(PromotionEvent::Handover { term: view.term })
+    }
+
+    fn take(&self, promotion: &mut Promotion, event: PromotionEvent) {
+        let view = self.group.view();
+        let actions = promotion.handle(event, &view.witness, BootClock.now());
+        for action in actions {
+            let driver = self.clone();
+            smol::spawn(async move { driver.execute(action).await }).detach();
+        }
+    }
+
+    async fn execute(self, action: PromotionAction) {
+        let event = match action {
+            PromotionAction::Claim { term } => {
+                spdlog::info!("promotion: claiming term {term} of {}", self.database);
+                let claimant = self.claimant.clone();
+                let answer = self
+                    .update(term, move |record| {
+                        record.term = term;
+                        record.primary = None;
+                        record.claimant = Some(claimant);
+                        record.term_start = None;
+                        record.term_members.clear();
+                    })
+                    .await;
+                Some(PromotionEvent::Claimed { term, answer })
+            }
+            PromotionAction::ReadBack => {
+                let record = self.read().await.ok().flatten();
+                Some(PromotionEvent::ReadBack(record.map(|(_, record)| term_record(&record))))
+            }
+            PromotionAction::Raise { member, term } => self.raise(member, term).await,
+            PromotionAction::Promote { member, term, term_members } => {
+                self.promote(member, term, &term_members).await
+            }
+            PromotionAction::Follow { member, primary, term } => {
+                self.follow(&member, &primary, term).await;
+                None
+            }
+            PromotionAction::Publish(publication) => Some(self.publish(publication).await),
+            PromotionAction::Abandoned { term, reason } => {
+                spdlog::warn!("promotion: abandoned term {term} of {}: {reason:?}", self.database);
+                None
+            }
+        };
+        if let Some(event) = event {
+            let _ = self.events.try_send(event);
+        }
+    }
+
+    async fn raise(&self, member: MemberId, term: Term) -> Option<PromotionEvent> {
+        let link = self.links.get(&member)?;
+        match statement::raise_term(&link, term, &self.claimant).await {
+            Ok(Some((term, claimant))) => Some(PromotionEvent::Raised { member, term, claimant }),
+            Ok(None) => None,
+            Err(error) => {
+                spdlog::warn!("promotion: raising {member} to term {term}: {error}");
+                None
+            }
+        }
+    }
+
+    async fn promote(
+        &self,
+        member: MemberId,
+        term: Term,
+        term_members: &[MemberId],
+    ) -> Option<PromotionEvent> {
+        let link = self.links.get(&member)?;
+        match statement::promote(&link, term, term_members).await {
+            Ok(accepted) => {
+                spdlog::info!(
+                    "promotion: {member} for term {term} of {}: accepted {accepted}",
+                    self.database
+                );
+                Some(PromotionEvent::Promoted { member, term, accepted })
+            }
+            Err(error) => {
+                spdlog::warn!("promotion: {member} for term {term}: {error}");
+                None
+            }
+        }
+    }
+
+    async fn follow(&self, member: &MemberId, primary: &MemberId, term: Term) {
+        let view = self.group.view();
+        let Some(record) = view.member(primary) else { return };
+        let Some(link) = self.links.get(member) else { return };
+        if let Err(error) = statement::follow(&link, &record.address, term).await {
+            spdlog::warn!("promotion: {member} following {primary}: {error}");
+        }
+    }
+
+    async fn publish(&self, publication: Publication) -> PromotionEvent {
+        let term = publication.term;
+        let claimant = self.claimant.clone();
+        let answer = self
+            .update(term, move |record| {
+                record.term = publication.term;
+                record.primary = Some(publication.primary);
+                record.claimant = Some(claimant);
+                record.term_start = publication.term_start;
+                record.term_members = publication.term_members;
+            })
+            .await;
+        if answer == StoreAnswer::Stored {
+            spdlog::info!("promotion: published term {term} of {}", self.database);
+        }
+        PromotionEvent::Published { term, answer }
+    }
+
+    /// Changes the record while it holds a lower term, or `term` without primary from this claimant.
+    async fn update<F>(&self, term: Term, change: F) -> StoreAnswer
+    where
+        F: FnOnce(&mut DatabaseRecord),
+    {
+        let (version, mut record) = match self.read().await {
+            Ok(Some(found)) => found,
+            Ok(None) | Err(_) => return StoreAnswer::Unavailable,
+        };
+        let own_claim = record.term == term && record.primary.is_none();
+        if record.term >= term && !own_claim {
+            return StoreAnswer::Conflict(term_record(&record));
+        }
+        change(&mut record);
+        let Ok(value) = serde_json::to_value(&record) else {
+            return StoreAnswer::Unavailable;
+        };
+        let name = self.database.as_str();
+        match self.platform.put("databases", name, Expected::Version(version), &value).await {
+            Ok(_) => StoreAnswer::Stored,
+            Err(PlatformError::Conflict { current: Some(current), .. }) => {
+                match serde_json::from_value(current.value) {
+                    Ok(record) => StoreAnswer::Conflict(term_record(&record)),
+                    Err(_) => StoreAnswer::Unavailable,
+                }
+            }
+            Err(PlatformError::NoAnswer { .. }) => StoreAnswer::Unknown,
+            Err(_) => StoreAnswer::Unavailable,
+        }
+    }
+
+    async fn read(&self) -> Result<Option<(u64, DatabaseRecord)>, PlatformError> {
+        let object = self.platform.get("databases", self.database.as_str()).await?;
+        let record = object.and_then(|object| {
+            let record = serde_json::from_value(object.value).ok()?;
+            Some((object.version, record))
+        });
+        Ok(record)
+    }
+}
+
+fn term_record(record: &DatabaseRecord) -> TermRecord {
+    TermRecord {
+        term: record.term,
+        claimant: record.claimant.clone(),
+        primary: record.primary.clone(),
+    }
+}
--- a/crates/proxy/src/node/peers.rs
+++ b/crates/proxy/src/node/peers.rs
@@ -85,6 +85,19 @@
         self.peers.get(&id)
     }
 
+    /// Live home of `member` that would be chosen without the own instance.
+    pub fn predecessor(
+        &self,
+        database: &Database,
+        member: &MemberId,
+        data_centre: &DataCentre,
+    ) -> Option<&Peer> {
+        let mut others = self.clone();
+        others.peers.remove(&self.own);
+        let id = others.home(database, member, data_centre)?.id.clone();
+        self.peers.get(&id)
+    }
+
     /// Inserts or replaces an instance.
     pub fn insert(&mut self, peer: Peer) {
         self.peers.insert(peer.id.clone(), peer);
