--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,18 +14,25 @@
 //! ```
 
 pub mod at_most_once;
+pub mod bucket;
 pub mod clock;
+pub mod config;
 pub mod contract;
 pub mod database;
 pub mod home_lease;
+pub mod key;
+pub mod membership;
 pub mod name;
 pub mod outcome;
 pub mod position;
 pub mod prelude;
 pub mod promotion;
+pub mod queue;
 pub mod read_index;
 pub mod read_route;
 pub mod request;
+pub mod retry;
 pub mod session;
+pub mod share;
 pub mod term_history;
 pub mod witness;
--- a/crates/proxy/src/control/promotion.rs
+++ b/crates/proxy/src/control/promotion.rs
@@ -146,6 +146,10 @@
             PromotionAction::Promote { member, term, term_members } => {
                 self.promote(member, term, &term_members).await
             }
+            PromotionAction::Poll { member } => {
+                self.poll(&member).await;
+                Some(PromotionEvent::Time)
+            }
             PromotionAction::Follow { member, primary, term } => {
                 self.follow(&member, &primary, term).await;
                 None
@@ -161,6 +165,13 @@
         }
     }
 
+    async fn poll(&self, member: &MemberId) {
+        let Some(link) = self.links.get(member) else { return };
+        if let Ok(Some(report)) = statement::poll(&link, member, || BootClock.now()).await {
+            self.group.apply_report(report);
+        }
+    }
+
     async fn raise(&self, member: MemberId, term: Term) -> Option<PromotionEvent> {
         let link = self.links.get(&member)?;
         match statement::raise_term(&link, term, &self.claimant).await {
--- a/crates/proxy/src/node/config.rs
+++ b/crates/proxy/src/node/config.rs
@@ -1,109 +1,83 @@
-//! Immutable view of the configuration.
+//! The copy of the configuration and the decision whether it may be relied on.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{sync::Arc, time::Duration};
 
 use hibiscusladder_core::{
-    contract::Contract,
-    database::{DatabaseRecord, UpstreamRecord, UpstreamState},
-    name::{Database, KeyId, MemberId, Workspace},
+    clock::Instant,
+    config::{BatchOutcome, Changes, ConfigView, DoubtPolicy, Kind, Standing},
+    name::DataCentre,
 };
 
-/// One object of the platform's store.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ConfigObject {
-    /// Kind, such as `contracts`.
-    pub kind: Arc<str>,
-    /// Name within the kind.
-    pub name: Arc<str>,
-    /// Global revision at which the object changed last.
-    pub version: u64,
-    /// JSON text; absent when the object was deleted.
-    pub value: Option<Arc<str>>,
-}
+use crate::settings::Settings;
 
-/// Immutable view of the configuration at one revision.
-#[derive(Debug, Clone, Default)]
-pub struct ConfigSnapshot {
-    revision: u64,
-    contracts: HashMap<Workspace, Arc<Contract>>,
-    keys: HashMap<KeyId, Arc<str>>,
-    databases: HashMap<Database, Arc<DatabaseRecord>>,
-    upstreams: HashMap<MemberId, UpstreamState>,
+/// Configuration with the evidence about its age.
+#[derive(Debug)]
+pub(super) struct ConfigState {
+    view: ConfigView,
+    doubt: DoubtPolicy,
+    snapshot: Arc<ConfigView>,
+    version: u64,
 }
 
-impl ConfigSnapshot {
-    /// Reads the objects; an object that cannot be read is left out and returned in the second list.
-    pub fn from_objects<'a, I>(revision: u64, objects: I) -> (Self, Vec<String>)
-    where
-        I: IntoIterator<Item = &'a ConfigObject>,
-    {
-        let mut snapshot = Self { revision, ..Self::default() };
-        let mut faults = Vec::new();
-        for object in objects {
-            if let Err(error) = snapshot.insert(object) {
-                faults.push(format!("{}/{} cannot be read: {error}", object.kind, object.name));
-            }
-        }
-        (snapshot, faults)
+impl ConfigState {
+    pub(super) fn new(settings: &Settings) -> Self {
+        let places = settings.topology.iter().map(|place| place.data_centre.clone());
+        let doubt = DoubtPolicy::new(settings.instance.data_centre.clone(), places)
+            .max_config_age(settings.times.max_config_age);
+        Self { view: ConfigView::default(), doubt, snapshot: Arc::default(), version: 0 }
     }
 
-    fn insert(&mut self, object: &ConfigObject) -> Result<(), serde_json::Error> {
-        let Some(value) = &object.value else {
-            return Ok(());
-        };
-        match &*object.kind {
-            "contracts" => {
-                let contract: Contract = serde_json::from_str(value)?;
-                self.contracts.insert(Workspace::new(&object.name), Arc::new(contract));
-            }
-            "keys" => {
-                self.keys.insert(KeyId::new(&object.name), Arc::clone(value));
-            }
-            "databases" => {
-                let record: DatabaseRecord = serde_json::from_str(value)?;
-                self.databases.insert(Database::new(&object.name), Arc::new(record));
-            }
-            "upstreams" => {
-                let record: UpstreamRecord = serde_json::from_str(value)?;
-                self.upstreams.insert(MemberId::new(&object.name), record.state);
-            }
-            _ => {}
-        }
-        Ok(())
+    /// Immutable copy of the objects; its proof of freshness is not kept up to date.
+    pub(super) fn snapshot(&self) -> Arc<ConfigView> {
+        Arc::clone(&self.snapshot)
+    }
+
+    pub(super) fn standing(&self, now: Instant) -> Standing {
+        self.doubt.standing(&self.view, now)
     }
 
-    /// Revision of the store that the view includes.
-    pub const fn revision(&self) -> u64 {
-        self.revision
+    pub(super) const fn revision(&self) -> u64 {
+        self.view.revision()
     }
 
-    /// The contract of `workspace`.
-    pub fn contract(&self, workspace: &Workspace) -> Option<&Arc<Contract>> {
-        self.contracts.get(workspace)
+    /// Highest version of an object that was applied.
+    pub(super) const fn version(&self) -> u64 {
+        self.version
     }
 
-    /// All contracts.
-    pub fn contracts(&self) -> impl Iterator<Item = &Arc<Contract>> {
-        self.contracts.values()
+    pub(super) fn proof_age(&self, now: Instant) -> Option<Duration> {
+        self.view.freshness().age(now)
     }
 
-    /// The record of the key `id`, without its secret.
-    pub fn key(&self, id: &KeyId) -> Option<&Arc<str>> {
-        self.keys.get(id)
+    pub(super) fn changes_since(&self, since: u64, now: Instant) -> Changes {
+        self.view.changes_since(since, now)
     }
 
-    /// The record of `database`.
-    pub fn database(&self, database: &Database) -> Option<&Arc<DatabaseRecord>> {
-        self.databases.get(database)
+    pub(super) fn silent(&self, now: Instant) -> Vec<DataCentre> {
+        self.doubt.silent(now)
     }
 
-    /// All databases.
-    pub fn databases(&self) -> impl Iterator<Item = &Arc<DatabaseRecord>> {
-        self.databases.values()
+    pub(super) fn apply(&mut self, changes: Changes, since: u64, asked: Instant) -> BatchOutcome {
+        let outcome = self.view.apply_all(changes, since, asked);
+        if !outcome.updated.is_empty() {
+            self.snapshot = Arc::new(self.view.clone());
+            let versions =
+                outcome.updated.iter().map(|(kind, name)| self.view.version(*kind, name));
+            self.version = versions.max().unwrap_or(0).max(self.version);
+        }
+        outcome
+    }
+
+    pub(super) fn hear(&mut self, revision: u64, proof_age: Duration, asked: Instant) -> bool {
+        self.view.hear(revision, proof_age, asked)
     }
 
-    /// Whether `member` takes new work; members without a record do.
-    pub fn upstream(&self, member: &MemberId) -> UpstreamState {
-        self.upstreams.get(member).copied().unwrap_or(UpstreamState::Live)
+    pub(super) fn answered(&mut self, data_centre: &DataCentre, revision: u64, asked: Instant) {
+        self.doubt.answered(data_centre, revision, asked);
     }
 }
+
+/// Whether a change touches the groups of databases.
+pub(super) fn touches_databases(outcome: &BatchOutcome) -> bool {
+    outcome.updated.iter().any(|(kind, _)| *kind == Kind::Database)
+}
