--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -29,36 +29,45 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use event_listener::{Event, EventListener};
 use hibiscusladder_core::{
     clock::{Clock, Instant},
+    config::{BatchOutcome, Changes, ConfigView, Standing},
+    membership::{Heartbeat, InstanceInfo, Membership, StateChange},
     name::{DataCentre, Database, InstanceId, MemberId},
 };
 
+use self::config::{ConfigState, touches_databases};
 pub use self::{
-    config::{ConfigObject, ConfigSnapshot},
-    group::{Group, GroupView, TermInfo},
+    group::{Group, GroupView},
     lease::Lease,
-    peers::{Peer, PeerState, Peers},
+    peers::Peers,
+};
+use crate::{
+    clock::BootClock,
+    metrics::Metrics,
+    settings::{Place, Settings},
+    trace::Tracer,
 };
-use crate::{clock::BootClock, metrics::Metrics, settings::Settings, trace::Tracer};
 
 /// Shared state of one instance.
 #[derive(Debug)]
 pub struct Node {
     settings: Settings,
+    topology: Arc<[Place]>,
     incarnation: u64,
     clock: BootClock,
     metrics: Metrics,
     tracer: Tracer,
-    config: Mutex<Arc<ConfigSnapshot>>,
+    config: Mutex<ConfigState>,
     config_changed: Event,
-    usable: AtomicBool,
+    proof_changed: Event,
     groups: Mutex<Arc<HashMap<Database, Arc<Group>>>>,
     leases: Mutex<Arc<HashMap<MemberId, Arc<Lease>>>>,
+    membership: Mutex<Membership>,
     peers: Mutex<Arc<Peers>>,
     peers_changed: Event,
     draining: AtomicBool,
@@ -80,25 +89,29 @@
     pub fn with_tracer(settings: Settings, metrics: Metrics, tracer: Tracer) -> Arc<Self> {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let incarnation = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
-        let own = Peer {
-            id: settings.instance.id.clone(),
-            data_centre: settings.instance.data_centre.clone(),
-            rpc: settings.instance.rpc.to_string(),
-            state: PeerState::Live,
-            incarnation,
-        };
-        let peers = Peers::new(own, &settings.topology);
+        let mut own = InstanceInfo::new(
+            settings.instance.id.as_str(),
+            settings.instance.data_centre.as_str(),
+            &settings.instance.rpc.to_string(),
+        );
+        own.incarnation = incarnation;
+        let clock = BootClock;
+        let topology: Arc<[Place]> = Arc::from(settings.topology.as_slice());
+        let membership = Membership::new(own);
+        let peers = Peers::new(membership.clone(), Arc::clone(&topology));
         Arc::new(Self {
+            config: Mutex::new(ConfigState::new(&settings)),
             settings,
+            topology,
             incarnation,
-            clock: BootClock,
+            clock,
             metrics,
             tracer,
-            config: Mutex::default(),
             config_changed: Event::new(),
-            usable: AtomicBool::new(false),
+            proof_changed: Event::new(),
             groups: Mutex::default(),
             leases: Mutex::default(),
+            membership: Mutex::new(membership),
             peers: Mutex::new(Arc::new(peers)),
             peers_changed: Event::new(),
             draining: AtomicBool::new(false),
@@ -147,18 +160,53 @@
     }
 
     /// The configuration.
-    pub fn config(&self) -> Arc<ConfigSnapshot> {
-        Arc::clone(&lock(&self.config))
+    pub fn config(&self) -> Arc<ConfigView> {
+        lock(&self.config).snapshot()
     }
 
-    /// Completes at the next change of the configuration or of its usability.
+    /// Completes at the next change of an object of the configuration.
     pub fn config_changed(&self) -> EventListener {
         self.config_changed.listen()
     }
 
-    /// Whether requests with a key may be served on the configuration (freshness or evidence of an outage).
+    /// Completes at the next proof that the configuration is recent, or change of its revision.
+    pub fn proof_changed(&self) -> EventListener {
+        self.proof_changed.listen()
+    }
+
+    /// Whether the configuration is recent, or the store is unavailable to all instances.
+    pub fn config_standing(&self) -> Standing {
+        lock(&self.config).standing(self.now())
+    }
+
+    /// Whether requests with a key may be served on the configuration.
     pub fn config_usable(&self) -> bool {
-        self.usable.load(Ordering::Acquire)
+        self.config_standing().serves_keyed()
+    }
+
+    /// Revision of the store up to which every change was applied.
+    pub fn config_revision(&self) -> u64 {
+        lock(&self.config).revision()
+    }
+
+    /// Highest version of an object that was applied.
+    pub fn config_version(&self) -> u64 {
+        lock(&self.config).version()
+    }
+
+    /// Age of the proof that the configuration was the newest one; absent without a proof.
+    pub fn proof_age(&self) -> Option<Duration> {
+        lock(&self.config).proof_age(self.now())
+    }
+
+    /// Data centres without recent evidence, for the operator.
+    pub fn silent_data_centres(&self) -> Vec<DataCentre> {
+        lock(&self.config).silent(self.now())
+    }
+
+    /// Changes past the revision `since`, for another instance.
+    pub fn changes_since(&self, since: u64) -> Changes {
+        lock(&self.config).changes_since(since, self.now())
     }
 
     /// The group of `database`, when the configuration has it.
@@ -187,7 +235,7 @@
     }
 
     /// The instance that should serve as home of `member` of `database`.
-    pub fn home_of(&self, database: &Database, member: &MemberId) -> Option<Peer> {
+    pub fn home_of(&self, database: &Database, member: &MemberId) -> Option<InstanceInfo> {
         let group = self.group(database)?;
         let view = group.view();
         let record = view.member(member)?;
@@ -196,8 +244,7 @@
 
     /// Whether this instance should serve as home of `member` of `database`.
     pub fn is_home(&self, database: &Database, member: &MemberId) -> bool {
-        self.home_of(database, member)
-            .is_some_and(|peer| peer.id == *self.id() && peer.incarnation == self.incarnation)
+        self.home_of(database, member).is_some_and(|home| home.id == *self.id())
     }
 
     /// Whether the instance is leaving: it takes no new sessions and asks clients to reconnect.
@@ -210,15 +257,43 @@
         self.drain_started.listen()
     }
 
-    /// Starts to leave.
+    /// Starts to leave: the instance is no longer chosen as home.
     pub fn start_drain(&self) {
         self.draining.store(true, Ordering::Release);
         self.drain_started.notify(usize::MAX);
+        self.update_membership(Membership::leave);
+    }
+
+    /// Applies the answer to a request for the changes since `since` that was sent at `asked`.
+    pub fn apply_changes(&self, changes: Changes, since: u64, asked: Instant) -> BatchOutcome {
+        let outcome = {
+            let mut config = lock(&self.config);
+            let outcome = config.apply(changes, since, asked);
+            if touches_databases(&outcome) {
+                self.update_groups(&config.snapshot());
+            }
+            outcome
+        };
+        if !outcome.updated.is_empty() {
+            self.config_changed.notify(usize::MAX);
+        }
+        self.proof_changed.notify(usize::MAX);
+        outcome
+    }
+
+    /// Takes over the proof of another instance that has `revision`.
+    pub fn hear_proof(&self, revision: u64, age: Duration, asked: Instant) {
+        if lock(&self.config).hear(revision, age, asked) {
+            self.proof_changed.notify(usize::MAX);
+        }
     }
 
-    /// Replaces the configuration; groups follow the databases in it.
-    pub fn set_config(&self, config: ConfigSnapshot) {
-        let config = Arc::new(config);
+    /// Records that an instance of `data_centre` answered a request sent at `asked` and had `revision`.
+    pub fn data_centre_answered(&self, data_centre: &DataCentre, revision: u64, asked: Instant) {
+        lock(&self.config).answered(data_centre, revision, asked);
+    }
+
+    fn update_groups(&self, config: &ConfigView) {
         let mut groups = HashMap::new();
         let old = self.groups();
         for record in config.databases() {
@@ -228,16 +303,74 @@
             groups.insert(record.name.clone(), group);
         }
         *lock(&self.groups) = Arc::new(groups);
-        *lock(&self.config) = config;
-        self.config_changed.notify(usize::MAX);
     }
 
-    /// Sets whether requests with a key may be served.
-    pub fn set_config_usable(&self, usable: bool) {
-        let before = self.usable.swap(usable, Ordering::AcqRel);
-        if before != usable {
-            self.config_changed.notify(usize::MAX);
+    /// Takes a heartbeat or the answer to one.
+    pub fn receive_heartbeat(&self, beat: &Heartbeat) {
+        let now = self.now();
+        self.update_membership(|membership| membership.receive(beat, now));
+        for term in &beat.terms {
+            if let Some(group) = self.group(&term.database) {
+                group.apply_term(term);
+            }
+        }
+    }
+
+    /// Takes over the platform's list of instances.
+    pub fn seed_instances(&self, listed: Vec<InstanceInfo>) {
+        let now = self.now();
+        self.update_membership(|membership| membership.seed(listed, now));
+    }
+
+    /// Records that a connection to the instance `id` failed.
+    pub fn instance_unreachable(&self, id: &InstanceId) {
+        let now = self.now();
+        self.update_membership(|membership| membership.unreachable(id, now));
+    }
+
+    /// Records that the instance `id` answered a request.
+    pub fn instance_heard(&self, id: &InstanceId) {
+        let now = self.now();
+        self.update_membership(|membership| membership.heard(id, now));
+    }
+
+    /// Ages the known instances and returns those whose state changed.
+    pub fn tick_membership(&self) -> Vec<StateChange> {
+        let now = self.now();
+        let mut changes = Vec::new();
+        self.update_membership(|membership| changes = membership.tick(now));
+        changes
+    }
+
+    /// The instances to send the next heartbeats to.
+    pub fn heartbeat_targets(&self) -> Vec<InstanceInfo> {
+        lock(&self.membership).targets()
+    }
+
+    /// The next heartbeat to the instance `to`, or the answer to one from it.
+    pub fn heartbeat(&self, to: &InstanceId) -> Heartbeat {
+        let mut beat = lock(&self.membership).heartbeat(to);
+        beat.revision = self.config_revision();
+        beat.proof_age = self.proof_age();
+        beat.terms = self.groups().values().map(|group| group.term_info()).collect();
+        beat
+    }
+
+    /// Changes the known instances; the view is replaced when it differs.
+    fn update_membership<F>(&self, change: F)
+    where
+        F: FnOnce(&mut Membership),
+    {
+        let mut membership = lock(&self.membership);
+        change(&mut membership);
+        let known = self.peers();
+        if membership.instances().eq(known.iter()) {
+            return;
         }
+        let peers = Peers::new(membership.clone(), Arc::clone(&self.topology));
+        *lock(&self.peers) = Arc::new(peers);
+        drop(membership);
+        self.peers_changed.notify(usize::MAX);
     }
 
     /// The lease on `member`, created when it is absent.
@@ -252,10 +385,4 @@
         *leases = Arc::new(copy);
         lease
     }
-
-    /// Replaces the known instances.
-    pub fn set_peers(&self, peers: Peers) {
-        *lock(&self.peers) = Arc::new(peers);
-        self.peers_changed.notify(usize::MAX);
-    }
 }
--- a/crates/proxy/src/node/group.rs
+++ b/crates/proxy/src/node/group.rs
@@ -6,6 +6,7 @@
 use hibiscusladder_core::{
     clock::Instant,
     database::{DatabaseRecord, MemberRecord},
+    membership::TermInfo,
     name::{Database, MemberId},
     position::{Position, Term},
     witness::{MemberReport, WITNESS_WINDOW, Witness},
@@ -13,21 +14,6 @@
 
 use super::lock;
 
-/// Term of a group as instances pass it on.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct TermInfo {
-    /// Database of the group.
-    pub database: Database,
-    /// Term.
-    pub term: Term,
-    /// Primary of the term, when it was promoted.
-    pub primary: Option<MemberId>,
-    /// Position at which the term began.
-    pub term_start: Option<Position>,
-    /// Members that raised to the term.
-    pub term_members: Vec<MemberId>,
-}
-
 /// Immutable view of a group.
 #[derive(Debug, Clone)]
 pub struct GroupView {
@@ -63,6 +49,32 @@
         self.witness.report(member)
     }
 
+    /// Takes over a term; terms never decrease, and what is known about a term does not change.
+    fn merge_term(
+        &mut self,
+        term: Term,
+        primary: Option<&MemberId>,
+        start: Option<Position>,
+        members: &[MemberId],
+    ) {
+        if term < self.term {
+            return;
+        }
+        if term > self.term {
+            self.term = term;
+            self.primary = None;
+            self.term_start = None;
+            self.term_members.clear();
+        }
+        if self.primary.is_none() {
+            self.primary = primary.cloned();
+        }
+        self.term_start = self.term_start.or(start);
+        if self.term_members.is_empty() {
+            self.term_members = members.to_vec();
+        }
+    }
+
     /// Whether an answer under `term` may be released at `now`.
     pub fn gate_open(&self, term: Term, now: Instant) -> bool {
         self.witness.gate(term, now).is_open()
@@ -106,41 +118,42 @@
         self.changed.listen()
     }
 
+    /// The newest term, to be passed on.
+    pub fn term_info(&self) -> TermInfo {
+        let view = self.view();
+        TermInfo {
+            database: view.database.clone(),
+            term: view.term,
+            primary: view.primary.clone(),
+            term_start: view.term_start,
+        }
+    }
+
     /// Takes members and a newer term from the store's record.
     pub fn apply_record(&self, record: &DatabaseRecord) {
-        let term = TermInfo {
-            database: record.name.clone(),
-            term: record.term,
-            primary: record.primary.clone(),
-            term_start: record.term_start,
-            term_members: record.term_members.clone(),
-        };
         self.update(|view| {
             view.members.clone_from(&record.members);
             if !record.members.iter().map(|member| &member.id).eq(view.witness.members()) {
                 view.witness = witness(record);
             }
-            merge_term(view, &term);
+            let (primary, start) = (record.primary.as_ref(), record.term_start);
+            view.merge_term(record.term, primary, start, &record.term_members);
         });
     }
 
-    /// Takes a newer term that another instance or a member reported.
-    pub fn apply_term(&self, term: &TermInfo) {
-        self.update(|view| merge_term(view, term));
+    /// Takes a newer term that another instance passed on.
+    pub fn apply_term(&self, info: &TermInfo) {
+        self.update(|view| {
+            view.merge_term(info.term, info.primary.as_ref(), info.term_start, &[]);
+        });
     }
 
     /// Takes the answer of a member to a poll.
     pub fn apply_report(&self, report: MemberReport) {
         self.update(|view| {
             if report.is_primary() {
-                let term = TermInfo {
-                    database: view.database.clone(),
-                    term: report.term,
-                    primary: Some(report.member.clone()),
-                    term_start: Some(report.term_start),
-                    term_members: report.term_members.clone(),
-                };
-                merge_term(view, &term);
+                let start = Some(report.term_start);
+                view.merge_term(report.term, Some(&report.member), start, &report.term_members);
             }
             view.witness.record(report);
         });
@@ -173,17 +186,3 @@
     let members = record.members.iter().map(|member| member.id.clone()).collect();
     Witness::new(members, WITNESS_WINDOW)
 }
-
-/// Terms never decrease; within a term, the primary becomes known once and then stays.
-fn merge_term(view: &mut GroupView, term: &TermInfo) {
-    let newer = term.term > view.term;
-    let completes = term.term == view.term && view.primary.is_none() && term.primary.is_some();
-    if newer || completes {
-        view.term = term.term;
-        view.primary.clone_from(&term.primary);
-        view.term_start = term.term_start;
-        view.term_members.clone_from(&term.term_members);
-    } else if term.term == view.term && view.term_start.is_none() {
-        view.term_start = term.term_start;
-    }
-}
