--- /dev/null
+++ b/crates/emulator/src/database/config.rs
@@ -0,0 +1,116 @@
+//! Settings of database groups.
+
+use hibiscusladder_core::name::{DataCentre, Database, MemberId};
+use serde::{Deserialize, Serialize};
+
+/// Settings of the database emulator.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct GroupConfig {
+    /// Address of the admin interface; port 0 chooses a free one.
+    pub admin: String,
+    /// User that may connect.
+    pub user: String,
+    /// Password of the user.
+    pub password: String,
+    /// Time to set up a connection, in milliseconds.
+    pub setup_ms: u64,
+    /// Lag of replicas that set none of their own, in milliseconds.
+    pub lag_ms: u64,
+    /// Time that each statement holds its slot in addition to its own work, in microseconds.
+    pub statement_us: u64,
+    /// Number of statement texts that a member keeps for checks.
+    pub kept_statements: usize,
+    /// Databases, each with a group of members.
+    pub databases: Vec<DatabaseConfig>,
+}
+
+impl Default for GroupConfig {
+    fn default() -> Self {
+        Self {
+            admin: "127.0.0.1:0".to_owned(),
+            user: "proxy".to_owned(),
+            password: "proxy".to_owned(),
+            setup_ms: 12,
+            lag_ms: 5,
+            statement_us: 0,
+            kept_statements: 1_000,
+            databases: Vec::new(),
+        }
+    }
+}
+
+impl GroupConfig {
+    /// One database with the named members on free ports; the first is the primary.
+    pub fn single(database: &str, members: &[&str]) -> Self {
+        let members = members.iter().map(|id| MemberConfig::new(id)).collect();
+        let database = DatabaseConfig { name: Database::new(database), members, primary: None };
+        Self { databases: vec![database], ..Self::default() }
+    }
+}
+
+/// One database and its group of members.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DatabaseConfig {
+    /// Name that clients connect to.
+    pub name: Database,
+    /// Members of the group.
+    pub members: Vec<MemberConfig>,
+    /// Primary of term 1; the first member when absent.
+    #[serde(default)]
+    pub primary: Option<MemberId>,
+}
+
+/// One member of a group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MemberConfig {
+    /// Name of the member, unique over all databases.
+    pub id: MemberId,
+    /// Data centre of the member, for reports only.
+    #[serde(default)]
+    pub data_centre: Option<DataCentre>,
+    /// Address to listen on; port 0 chooses a free one.
+    #[serde(default = "any_port")]
+    pub listen: String,
+    /// Further addresses under which `group_follow` finds the member, such as those of relays in front of it.
+    #[serde(default)]
+    pub aliases: Vec<String>,
+    /// Statements of clients that run at a time.
+    #[serde(default = "default_slots")]
+    pub slots: usize,
+    /// Connections that the member accepts.
+    #[serde(default = "default_connections")]
+    pub connections: usize,
+    /// Lag as a replica, in milliseconds.
+    #[serde(default)]
+    pub lag_ms: Option<u64>,
+}
+
+impl MemberConfig {
+    /// A member on a free port with 2 slots and 16 connections.
+    pub fn new(id: &str) -> Self {
+        Self {
+            id: MemberId::new(id),
+            data_centre: None,
+            listen: any_port(),
+            aliases: Vec::new(),
+            slots: default_slots(),
+            connections: default_connections(),
+            lag_ms: None,
+        }
+    }
+}
+
+fn any_port() -> String {
+    "127.0.0.1:0".to_owned()
+}
+
+const fn default_slots() -> usize {
+    2
+}
+
+const fn default_connections() -> usize {
+    16
+}
--- /dev/null
+++ b/crates/emulator/src/database/error.rs
@@ -0,0 +1,115 @@
+//! Errors with an SQLSTATE, as clients get them.
+
+use pgwire::{error::ErrorInfo, messages::response::ErrorResponse};
+use rusqlite::ErrorCode;
+use thiserror::Error;
+
+/// An error that a client gets.
+#[derive(Debug, Clone, Error)]
+#[error("{code}: {message}")]
+pub(crate) struct SqlError {
+    pub(crate) code: &'static str,
+    pub(crate) message: String,
+    pub(crate) fatal: bool,
+}
+
+impl SqlError {
+    /// An error after which the connection goes on.
+    pub(crate) fn new<S>(code: &'static str, message: S) -> Self
+    where
+        S: Into<String>,
+    {
+        Self { code, message: message.into(), fatal: false }
+    }
+
+    /// An error that ends the connection.
+    pub(crate) fn fatal<S>(code: &'static str, message: S) -> Self
+    where
+        S: Into<String>,
+    {
+        Self { code, message: message.into(), fatal: true }
+    }
+
+    /// The statement was cancelled by the client.
+    pub(crate) fn cancelled() -> Self {
+        Self::new("57014", "canceling statement due to user request")
+    }
+
+    /// The backend was terminated.
+    pub(crate) fn terminated() -> Self {
+        Self::fatal("57P01", "terminating connection due to administrator command")
+    }
+
+    /// The member does not accept writes.
+    pub(crate) fn read_only() -> Self {
+        Self::new("25006", "cannot execute a write: the member is not the primary of its term")
+    }
+
+    /// The transaction has failed before.
+    pub(crate) fn transaction_failed() -> Self {
+        Self::new(
+            "25P02",
+            "current transaction is aborted, commands ignored until end of transaction block",
+        )
+    }
+
+    /// The message to the client.
+    pub(crate) fn response(&self) -> ErrorResponse {
+        let severity = if self.fatal { "FATAL" } else { "ERROR" };
+        let mut info =
+            ErrorInfo::new(severity.to_owned(), self.code.to_owned(), self.message.clone());
+        info.severity_nonlocalized = Some(severity.to_owned());
+        info.into()
+    }
+}
+
+impl From<rusqlite::Error> for SqlError {
+    fn from(error: rusqlite::Error) -> Self {
+        if error.sqlite_error_code() == Some(ErrorCode::OperationInterrupted) {
+            return Self::cancelled();
+        }
+        let message = match &error {
+            rusqlite::Error::SqlInputError { msg, .. } => msg.clone(),
+            other => other.to_string(),
+        };
+        let extended = error.sqlite_error().map_or(0, |error| error.extended_code);
+        Self::new(sqlstate(extended, &message), message)
+    }
+}
+
+/// SQLSTATE for an extended result code of SQLite and its message.
+fn sqlstate(extended: i32, message: &str) -> &'static str {
+    use rusqlite::ffi;
+
+    match extended {
+        ffi::SQLITE_CONSTRAINT_UNIQUE
+        | ffi::SQLITE_CONSTRAINT_PRIMARYKEY
+        | ffi::SQLITE_CONSTRAINT_ROWID => "23505",
+        ffi::SQLITE_CONSTRAINT_NOTNULL => "23502",
+        ffi::SQLITE_CONSTRAINT_FOREIGNKEY => "23503",
+        ffi::SQLITE_CONSTRAINT_CHECK => "23514",
+        ffi::SQLITE_CONSTRAINT_DATATYPE => "22P02",
+        _ => sqlstate_by_message(message),
+    }
+}
+
+/// SQLite reports all errors of a statement's text with one code, so only the message tells them apart.
+fn sqlstate_by_message(message: &str) -> &'static str {
+    const KNOWN: [(&str, &str); 9] = [
+        ("no such table", "42P01"),
+        ("no such index", "42704"),
+        ("no such column", "42703"),
+        ("has no column named", "42703"),
+        ("no such function", "42883"),
+        ("wrong number of arguments", "42883"),
+        ("already exists", "42P07"),
+        ("no such savepoint", "3B001"),
+        ("ambiguous column", "42702"),
+    ];
+    const SYNTAX: [&str; 4] =
+        ["syntax error", "incomplete input", "unrecognized token", "values for"];
+    if SYNTAX.iter().any(|part| message.contains(part)) {
+        return "42601";
+    }
+    KNOWN.iter().find(|(part, _)| message.contains(part)).map_or("XX000", |(_, code)| code)
+}
--- /dev/null
+++ b/crates/emulator/src/database/group.rs
@@ -0,0 +1,148 @@
+//! Starts database groups.
+
+use std::{io, net::SocketAddr, sync::Arc};
+
+use futures::FutureExt;
+use hibiscusladder_core::name::MemberId;
+use smol::net::TcpListener;
+
+use super::{
+    admin::{Admin, MemberFaults, MemberReport},
+    config::{DatabaseConfig, GroupConfig},
+    log::GroupLog,
+    member::{Member, Settings},
+    replication, server,
+};
+use crate::{http, runtime::Runtime};
+
+/// Threads that serve the connections of all members; SQLite runs on further ones.
+const THREADS: usize = 3;
+
+/// Starts the database emulator.
+#[derive(Debug)]
+pub struct Group;
+
+impl Group {
+    /// Binds the addresses of `cfg` and serves them until the handle is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address cannot be bound, a thread cannot be started, a member name is used twice
+    /// or the named primary is no member.
+    pub fn start(cfg: GroupConfig) -> io::Result<GroupHandle> {
+        let settings = Arc::new(Settings::new(&cfg));
+        let mut members = Vec::new();
+        let mut listeners = Vec::new();
+        for database in &cfg.databases {
+            let group = start_database(database, &settings, &mut listeners)?;
+            let weak: Vec<_> = group.iter().map(Arc::downgrade).collect();
+            group.iter().for_each(|member| member.set_group(weak.clone()));
+            members.extend(group);
+        }
+        check_names(&members)?;
+        let runtime = Runtime::start("database", THREADS)?;
+        let admin_listener = http::bind(&cfg.admin)?;
+        let admin = admin_listener.local_addr()?;
+        let members = Arc::new(members);
+        runtime.spawn(
+            http::serve(admin_listener, Admin(Arc::clone(&members)), runtime.spawner()).boxed(),
+        );
+        for (member, listener) in members.iter().zip(listeners) {
+            let spawner = runtime.spawner();
+            runtime.spawn(server::run(Arc::clone(member), listener, spawner).boxed());
+            runtime.spawn(replication::run(Arc::downgrade(member)).boxed());
+            spdlog::info!("emulator: member {} listens on {}", member.id(), member.address);
+        }
+        spdlog::info!("emulator: admin interface listens on {admin}");
+        Ok(GroupHandle { admin, members, runtime })
+    }
+}
+
+fn start_database(
+    database: &DatabaseConfig,
+    settings: &Arc<Settings>,
+    listeners: &mut Vec<TcpListener>,
+) -> io::Result<Vec<Arc<Member>>> {
+    let ids: Vec<MemberId> = database.members.iter().map(|member| member.id.clone()).collect();
+    let primary = database.primary.as_ref().or(ids.first());
+    let primary = primary.filter(|primary| ids.contains(primary)).ok_or_else(|| {
+        invalid(format!("the primary of database {} is not one of its members", database.name))
+    })?;
+    let mut members = Vec::with_capacity(ids.len());
+    for cfg in &database.members {
+        let listener = http::bind(&cfg.listen)?;
+        let address = listener.local_addr()?;
+        let log = GroupLog::new(primary, cfg.id == *primary, ids.clone());
+        let settings = Arc::clone(settings);
+        let member = Member::new(cfg.clone(), database.name.clone(), settings, address, log);
+        members.push(Arc::new(member.map_err(io::Error::other)?));
+        listeners.push(listener);
+    }
+    Ok(members)
+}
+
+fn check_names(members: &[Arc<Member>]) -> io::Result<()> {
+    for (index, member) in members.iter().enumerate() {
+        if members[..index].iter().any(|other| other.id() == member.id()) {
+            return Err(invalid(format!("the member name {} is used twice", member.id())));
+        }
+    }
+    Ok(())
+}
+
+fn invalid(message: String) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidInput, message)
+}
+
+/// Running database groups; dropping it stops them.
+#[derive(Debug)]
+pub struct GroupHandle {
+    admin: SocketAddr,
+    members: Arc<Vec<Arc<Member>>>,
+    runtime: Runtime,
+}
+
+impl GroupHandle {
+    /// Address of the admin interface.
+    pub const fn admin(&self) -> SocketAddr {
+        self.admin
+    }
+
+    /// Members with their addresses, in the order of the settings.
+    pub fn addresses(&self) -> Vec<(MemberId, SocketAddr)> {
+        self.members.iter().map(|member| (member.id().clone(), member.address)).collect()
+    }
+
+    /// Address of the member `id`.
+    pub fn address(&self, id: &str) -> Option<SocketAddr> {
+        self.member(id).map(|member| member.address)
+    }
+
+    /// Replaces the faults of the member `id`; false when there is no such member.
+    pub fn set_faults(&self, id: &str, faults: MemberFaults) -> bool {
+        let member = self.member(id);
+        if let Some(member) = member {
+            member.set_faults(faults);
+        }
+        member.is_some()
+    }
+
+    /// States of all members.
+    pub fn reports(&self) -> Vec<MemberReport> {
+        self.members.iter().map(|member| member.report()).collect()
+    }
+
+    /// State of the member `id`.
+    pub fn report(&self, id: &str) -> Option<MemberReport> {
+        self.member(id).map(|member| member.report())
+    }
+
+    /// Stops all members and waits until their threads have ended.
+    pub fn shutdown(self) {
+        drop(self.runtime);
+    }
+
+    fn member(&self, id: &str) -> Option<&Arc<Member>> {
+        self.members.iter().find(|member| member.id().as_str() == id)
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/database/log.rs
@@ -0,0 +1,233 @@
+//! Log of committed transactions, terms and roles: the replicated state of a member.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use hibiscusladder_core::{
+    name::MemberId,
+    position::{Lsn, Position, Term},
+};
+use rusqlite::types::Value;
+use serde::{Deserialize, Serialize};
+
+use super::error::SqlError;
+
+/// What a member does in its group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// Accepts writes.
+    Primary,
+    /// Copies the log of a primary.
+    Replica,
+    /// Was primary until its term was raised.
+    Fenced,
+}
+
+impl Role {
+    /// Name as in `group_status()`.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Primary => "primary",
+            Self::Replica => "replica",
+            Self::Fenced => "fenced",
+        }
+    }
+}
+
+/// One committed statement.
+#[derive(Debug, Clone)]
+pub(crate) struct Write {
+    pub(crate) sql: Arc<str>,
+    pub(crate) params: Vec<Value>,
+    /// Values of `now()` and `random()`, so that replicas get the same results.
+    pub(crate) context: Context,
+}
+
+/// What the result of a statement depends on besides data.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Context {
+    pub(crate) now: Duration,
+    pub(crate) seed: u64,
+}
+
+/// One entry of the log.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) term: Term,
+    pub(crate) committed: Instant,
+    pub(crate) content: Content,
+}
+
+/// What an entry holds.
+#[derive(Debug)]
+pub(crate) enum Content {
+    /// The statements of one transaction.
+    Writes(Vec<Write>),
+    /// The beginning of the entry's term.
+    TermStart(TermStart),
+}
+
+/// Where a term began, and who took part.
+#[derive(Debug, Clone)]
+pub(crate) struct TermStart {
+    pub(crate) position: Position,
+    pub(crate) members: Vec<MemberId>,
+}
+
+/// The replicated state of a member.
+#[derive(Debug)]
+pub(crate) struct GroupLog {
+    pub(crate) role: Role,
+    pub(crate) term: Term,
+    pub(crate) claimant: Option<String>,
+    pub(crate) promoted_term: Option<Term>,
+    pub(crate) source: Option<MemberId>,
+    pub(crate) source_heard: Instant,
+    entries: Vec<Arc<Entry>>,
+    terms: Vec<TermStart>,
+    generation: u64,
+}
+
+impl GroupLog {
+    /// The state at the start of term 1.
+    pub(crate) fn new(primary: &MemberId, is_primary: bool, members: Vec<MemberId>) -> Self {
+        let term = Term(1);
+        Self {
+            role: if is_primary { Role::Primary } else { Role::Replica },
+            term,
+            claimant: None,
+            promoted_term: is_primary.then_some(term),
+            source: (!is_primary).then(|| primary.clone()),
+            source_heard: Instant::now(),
+            entries: Vec::new(),
+            terms: vec![TermStart { position: Position::new(term, Lsn(0)), members }],
+            generation: 0,
+        }
+    }
+
+    /// Position of the last entry.
+    pub(crate) fn position(&self) -> Position {
+        self.position_at(self.entries.len())
+    }
+
+    /// Newest term that began in the log.
+    pub(crate) fn term_start(&self) -> Option<&TermStart> {
+        self.terms.last()
+    }
+
+    /// Number of entries.
+    pub(crate) const fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Count that rises whenever entries are removed.
+    pub(crate) const fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Entries from `index` on.
+    pub(crate) fn entries_from(&self, index: usize) -> &[Arc<Entry>] {
+        self.entries.get(index..).unwrap_or_default()
+    }
+
+    /// Commits a transaction as the primary.
+    pub(crate) fn commit(&mut self, writes: Vec<Write>) -> Result<Position, SqlError> {
+        if self.role != Role::Primary {
+            return Err(SqlError::read_only());
+        }
+        let entry =
+            Entry { term: self.term, committed: Instant::now(), content: Content::Writes(writes) };
+        self.push(Arc::new(entry));
+        Ok(self.position())
+    }
+
+    /// Appends an entry that the primary of its term has committed.
+    pub(crate) fn push(&mut self, entry: Arc<Entry>) {
+        if let Content::TermStart(start) = &entry.content {
+            self.terms.push(start.clone());
+        }
+        self.entries.push(entry);
+    }
+
+    /// Raises the term for `claimant`; a lower or equal term changes nothing.
+    pub(crate) fn raise_term(&mut self, term: Term, claimant: &str) {
+        if term <= self.term {
+            return;
+        }
+        self.term = term;
+        self.claimant = Some(claimant.to_owned());
+        if self.role == Role::Primary {
+            self.role = Role::Fenced;
+        }
+    }
+
+    /// Makes the member primary of `term`, which must be its present term.
+    pub(crate) fn promote(&mut self, term: Term, members: Vec<MemberId>) -> Result<(), SqlError> {
+        if self.term != term {
+            let message =
+                format!("cannot promote for term {term}: the member is at term {}", self.term);
+            return Err(SqlError::new("55000", message));
+        }
+        if self.role == Role::Primary {
+            return Ok(());
+        }
+        let position = Position::new(term, self.position().lsn);
+        let content = Content::TermStart(TermStart { position, members });
+        self.push(Arc::new(Entry { term, committed: Instant::now(), content }));
+        self.role = Role::Primary;
+        self.promoted_term = Some(term);
+        self.source = None;
+        Ok(())
+    }
+
+    /// Makes the member a replica of `source`, which is primary of `term`.
+    pub(crate) fn follow(&mut self, source: MemberId, term: Term) -> Result<(), SqlError> {
+        if term < self.term {
+            let message = format!("cannot follow term {term}: the member is at term {}", self.term);
+            return Err(SqlError::new("55000", message));
+        }
+        if term > self.term {
+            self.term = term;
+            self.claimant = None;
+        }
+        self.role = Role::Replica;
+        self.source = Some(source);
+        self.source_heard = Instant::now();
+        Ok(())
+    }
+
+    /// All entries.
+    pub(crate) fn entries(&self) -> &[Arc<Entry>] {
+        &self.entries
+    }
+
+    /// Number of entries that this log and `other` have in common from the start.
+    pub(crate) fn common_len(&self, other: &[Arc<Entry>]) -> usize {
+        let shortest = self.len().min(other.len());
+        let same = |index: &usize| Arc::ptr_eq(&self.entries[*index], &other[*index]);
+        // Entries are shared between members, and logs that agree at one index agree before it.
+        (0..shortest).rev().find(same).map_or(0, |index| index + 1)
+    }
+
+    /// Removes the entries from `len` on.
+    pub(crate) fn truncate(&mut self, len: usize) {
+        if len >= self.entries.len() {
+            return;
+        }
+        self.entries.truncate(len);
+        self.terms
+            .retain(|start| start.position.term == Term(1) || start.position.lsn.0 < len as u64);
+        self.generation += 1;
+    }
+
+    fn position_at(&self, len: usize) -> Position {
+        let term = match len.checked_sub(1) {
+            Some(last) => self.entries[last].term,
+            None => Term(1),
+        };
+        Position::new(term, Lsn(len as u64))
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/database/member.rs
@@ -0,0 +1,471 @@
+//! One member of a group: its log, data, backends, slots and faults.
+
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use hibiscusladder_core::{
+    name::{Database, MemberId},
+    position::Position,
+};
+use rusqlite::types::Value;
+use smol::{Timer, channel, future::FutureExt, lock::Semaphore};
+
+use super::{
+    admin::{MemberFaults, MemberReport},
+    config::{GroupConfig, MemberConfig},
+    error::SqlError,
+    log::{GroupLog, Write},
+    sqlite::{Running, Sqlite},
+    value::as_text,
+};
+
+/// Time between two looks at whether a fault has ended.
+pub(crate) const FAULT_CHECK: Duration = Duration::from_millis(2);
+
+/// Settings that all members share.
+#[derive(Debug)]
+pub(crate) struct Settings {
+    pub(crate) user: String,
+    pub(crate) password: String,
+    pub(crate) setup: Duration,
+    pub(crate) lag: Duration,
+    pub(crate) statement_time: Duration,
+    pub(crate) kept_statements: usize,
+}
+
+impl Settings {
+    /// The shared settings in `cfg`.
+    pub(crate) fn new(cfg: &GroupConfig) -> Self {
+        Self {
+            user: cfg.user.clone(),
+            password: cfg.password.clone(),
+            setup: Duration::from_millis(cfg.setup_ms),
+            lag: Duration::from_millis(cfg.lag_ms),
+            statement_time: Duration::from_micros(cfg.statement_us),
+            kept_statements: cfg.kept_statements,
+        }
+    }
+}
+
+/// Why a backend has to end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Stop {
+    /// The client gets an error.
+    Terminated,
+    /// The connection breaks without a word.
+    Crashed,
+}
+
+/// What a backend does, as in `pg_stat_activity`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Activity {
+    Active,
+    Idle,
+    IdleInTransaction,
+    IdleInFailedTransaction,
+}
+
+impl Activity {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Active => "active",
+            Self::Idle => "idle",
+            Self::IdleInTransaction => "idle in transaction",
+            Self::IdleInFailedTransaction => "idle in transaction (aborted)",
+        }
+    }
+}
+
+/// The server's side of one connection, as other connections see it.
+#[derive(Debug)]
+pub(crate) struct Backend {
+    pub(crate) pid: i32,
+    pub(crate) secret: i32,
+    pub(crate) peer: String,
+    pub(crate) writing: AtomicBool,
+    pub(crate) cancelled: channel::Receiver<()>,
+    pub(crate) stopped: channel::Receiver<()>,
+    cancel: channel::Sender<()>,
+    stop: channel::Sender<()>,
+    stop_reason: Mutex<Option<Stop>>,
+    activity: Mutex<Activity>,
+}
+
+impl Backend {
+    fn new(pid: i32, secret: i32, peer: String) -> Self {
+        let (cancel, cancelled) = channel::bounded(1);
+        let (stop, stopped) = channel::bounded(1);
+        Self {
+            pid,
+            secret,
+            peer,
+            writing: AtomicBool::new(false),
+            cancelled,
+            stopped,
+            cancel,
+            stop,
+            stop_reason: Mutex::new(None),
+            activity: Mutex::new(Activity::Active),
+        }
+    }
+
+    /// Ends the backend at the next point where it waits.
+    pub(crate) fn stop(&self, reason: Stop) {
+        lock(&self.stop_reason).get_or_insert(reason);
+        self.stop.close();
+    }
+
+    /// Why the backend has to end; `None` when it goes on.
+    pub(crate) fn stop_reason(&self) -> Option<Stop> {
+        *lock(&self.stop_reason)
+    }
+
+    /// Cancels the present statement.
+    pub(crate) fn cancel(&self) {
+        // A cancellation that is already waiting has the same effect.
+        self.cancel.try_send(()).ok();
+    }
+
+    /// Waits for `future` unless the statement is cancelled or the backend is stopped.
+    pub(crate) async fn interruptible<F>(&self, future: F) -> Result<F::Output, SqlError>
+    where
+        F: Future,
+    {
+        let cancelled = async {
+            self.cancelled.recv().await.ok();
+            Err(SqlError::cancelled())
+        };
+        let stopped = async {
+            self.stopped.recv().await.ok();
+            Err(SqlError::terminated())
+        };
+        let done = async { Ok(future.await) };
+        done.or(cancelled.or(stopped)).await
+    }
+
+    /// Sets what the backend does.
+    pub(crate) fn set_activity(&self, activity: Activity) {
+        *lock(&self.activity) = activity;
+    }
+}
+
+/// Backends and advisory locks of a member.
+#[derive(Debug, Default)]
+pub(crate) struct Backends {
+    next_pid: i32,
+    backends: BTreeMap<i32, Arc<Backend>>,
+    locks: HashMap<i64, (i32, usize)>,
+}
+
+impl Backends {
+    /// Takes the advisory lock `key` for `pid`, which may hold it several times.
+    pub(crate) fn try_lock(&mut self, key: i64, pid: i32) -> bool {
+        let (holder, count) = self.locks.entry(key).or_insert((pid, 0));
+        if *holder != pid {
+            return false;
+        }
+        *count += 1;
+        true
+    }
+
+    /// Gives the advisory lock `key` back once.
+    pub(crate) fn unlock(&mut self, key: i64, pid: i32) -> bool {
+        match self.locks.get_mut(&key) {
+            Some((holder, count)) if *holder == pid => {
+                *count -= 1;
+                if *count == 0 {
+                    self.locks.remove(&key);
+                }
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Backend that holds the advisory lock `key`.
+    pub(crate) fn lock_holder(&self, key: i64) -> Option<i32> {
+        self.locks.get(&key).map(|(pid, _)| *pid)
+    }
+
+    /// Process ids with what they do.
+    pub(crate) fn activity(&self) -> impl Iterator<Item = (i32, &'static str)> {
+        self.backends.values().map(|backend| (backend.pid, lock(&backend.activity).name()))
+    }
+
+    /// Ends the backends that have written in an open transaction.
+    pub(crate) fn stop_writers(&self) {
+        let writers =
+            self.backends.values().filter(|backend| backend.writing.load(Ordering::SeqCst));
+        writers.for_each(|backend| backend.stop(Stop::Terminated));
+    }
+
+    /// The backend `pid`.
+    pub(crate) fn get(&self, pid: i32) -> Option<&Arc<Backend>> {
+        self.backends.get(&pid)
+    }
+
+    fn stop_all(&self) {
+        self.backends.values().for_each(|backend| backend.stop(Stop::Crashed));
+    }
+
+    fn remove(&mut self, pid: i32) {
+        self.backends.remove(&pid);
+        self.locks.retain(|_, (holder, _)| *holder != pid);
+    }
+}
+
+/// Texts that a member has received.
+#[derive(Debug, Default)]
+struct Seen {
+    count: u64,
+    texts: VecDeque<String>,
+}
+
+/// One member of a group.
+#[derive(Debug)]
+pub(crate) struct Member {
+    pub(crate) cfg: MemberConfig,
+    pub(crate) database: Database,
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) address: SocketAddr,
+    pub(crate) slots: Arc<Semaphore>,
+    pub(crate) writer: Arc<smol::lock::Mutex<Sqlite>>,
+    pub(crate) reader: Arc<Mutex<Sqlite>>,
+    running: [Running; 2],
+    log: Mutex<GroupLog>,
+    faults: Mutex<MemberFaults>,
+    backends: Mutex<Backends>,
+    seen: Mutex<Seen>,
+    /// All members of the group, this one included.
+    group: OnceLock<Vec<Weak<Self>>>,
+}
+
+impl Member {
+    /// Creates a member with an empty database.
+    pub(crate) fn new(
+        cfg: MemberConfig,
+        database: Database,
+        settings: Arc<Settings>,
+        address: SocketAddr,
+        log: GroupLog,
+    ) -> rusqlite::Result<Self> {
+        let writer = Sqlite::open()?;
+        let reader = Sqlite::open()?;
+        let faults = MemberFaults {
+            lag_ms: cfg
+                .lag_ms
+                .unwrap_or(u64::try_from(settings.lag.as_millis()).unwrap_or(u64::MAX)),
+            ..MemberFaults::default()
+        };
+        Ok(Self {
+            slots: Arc::new(Semaphore::new(cfg.slots)),
+            running: [writer.running(), reader.running()],
+            writer: Arc::new(smol::lock::Mutex::new(writer)),
+            reader: Arc::new(Mutex::new(reader)),
+            log: Mutex::new(log),
+            faults: Mutex::new(faults),
+            backends: Mutex::default(),
+            seen: Mutex::default(),
+            group: OnceLock::new(),
+            cfg,
+            database,
+            settings,
+            address,
+        })
+    }
+
+    /// Tells the member which others belong to its group.
+    pub(crate) fn set_group(&self, members: Vec<Weak<Self>>) {
+        // A group is put together once, so an earlier value cannot exist.
+        self.group.set(members).ok();
+    }
+
+    /// Name of the member.
+    pub(crate) const fn id(&self) -> &MemberId {
+        &self.cfg.id
+    }
+
+    /// The replicated state.
+    pub(crate) fn log(&self) -> MutexGuard<'_, GroupLog> {
+        lock(&self.log)
+    }
+
+    /// The backends.
+    pub(crate) fn backends(&self) -> MutexGuard<'_, Backends> {
+        lock(&self.backends)
+    }
+
+    /// The faults.
+    pub(crate) fn faults(&self) -> MutexGuard<'_, MemberFaults> {
+        lock(&self.faults)
+    }
+
+    /// Replaces the faults; a member that goes down loses its connections.
+    pub(crate) fn set_faults(&self, faults: MemberFaults) {
+        spdlog::info!("emulator: faults of {} are now {faults:?}", self.id());
+        let down = faults.down;
+        *self.faults() = faults;
+        if down {
+            self.backends().stop_all();
+        }
+    }
+
+    /// The member of the group with the name `id`.
+    pub(crate) fn peer(&self, id: &MemberId) -> Option<Arc<Self>> {
+        self.peers().find(|member| member.id() == id)
+    }
+
+    /// The member of the group that is reached at `address`.
+    pub(crate) fn peer_by_address(&self, address: &str) -> Option<Arc<Self>> {
+        self.peers().find(|member| {
+            member.address.to_string() == address
+                || member.cfg.aliases.iter().any(|alias| alias == address)
+        })
+    }
+
+    fn peers(&self) -> impl Iterator<Item = Arc<Self>> {
+        self.group.get().into_iter().flatten().filter_map(Weak::upgrade)
+    }
+
+    /// Whether messages pass between the two members.
+    pub(crate) fn reaches(&self, other: &Self) -> bool {
+        let cut = |from: &Self, to: &Self| {
+            let faults = from.faults();
+            let data_centre = to.cfg.data_centre.as_ref().map_or("", |name| name.as_str());
+            faults.down
+                || faults.frozen
+                || faults.is_isolated_from(to.id().as_str())
+                || faults.is_isolated_from(data_centre)
+        };
+        !cut(self, other) && !cut(other, self)
+    }
+
+    /// Waits while the member is frozen or cannot be reached by `peer`.
+    pub(crate) async fn runnable(&self, peer: &str) {
+        while self.is_held_up(peer) {
+            Timer::after(FAULT_CHECK).await;
+        }
+    }
+
+    fn is_held_up(&self, peer: &str) -> bool {
+        let faults = self.faults();
+        faults.frozen || peer.split('/').any(|part| faults.is_isolated_from(part))
+    }
+
+    /// Registers a connection, unless the limit is reached.
+    pub(crate) fn register(&self, peer: &str, secret: i32) -> Option<Arc<Backend>> {
+        let mut backends = self.backends();
+        if backends.backends.len() >= self.cfg.connections {
+            return None;
+        }
+        backends.next_pid += 1;
+        let backend = Arc::new(Backend::new(backends.next_pid, secret, peer.to_owned()));
+        backends.backends.insert(backend.pid, Arc::clone(&backend));
+        Some(backend)
+    }
+
+    /// Forgets a connection and its advisory locks.
+    pub(crate) fn unregister(&self, pid: i32) {
+        self.backends().remove(pid);
+    }
+
+    /// Cancels the statement of the backend `pid` when `secret` fits.
+    pub(crate) fn cancel(&self, pid: i32, secret: i32) {
+        let backend = self.backends().get(pid).cloned();
+        if let Some(backend) = backend.filter(|backend| backend.secret == secret) {
+            backend.cancel();
+            self.interrupt(pid);
+        }
+    }
+
+    /// Ends the backend `pid`; false when it does not exist.
+    pub(crate) fn terminate(&self, pid: i32) -> bool {
+        let backend = self.backends().get(pid).cloned();
+        let Some(backend) = backend else { return false };
+        backend.stop(Stop::Terminated);
+        self.interrupt(pid);
+        true
+    }
+
+    fn interrupt(&self, pid: i32) {
+        self.running.iter().for_each(|running| running.interrupt(pid));
+    }
+
+    /// Keeps a text that a client has sent.
+    pub(crate) fn record(&self, text: &str) {
+        let mut seen = lock(&self.seen);
+        seen.count += 1;
+        seen.texts.push_back(text.to_owned());
+        if seen.texts.len() > self.settings.kept_statements {
+            seen.texts.pop_front();
+        }
+    }
+
+    /// Keeps parameters that a client has sent.
+    pub(crate) fn record_params(&self, params: &[Value]) {
+        if !params.is_empty() {
+            let texts: Vec<String> = params.iter().map(as_text).collect();
+            let mut seen = lock(&self.seen);
+            seen.texts.push_back(format!("parameters: {}", texts.join(", ")));
+            if seen.texts.len() > self.settings.kept_statements {
+                seen.texts.pop_front();
+            }
+        }
+    }
+
+    /// Brings a database up to the end of the log.
+    pub(crate) fn catch_up(&self, db: &mut Sqlite) -> Result<(), SqlError> {
+        let (generation, entries) = {
+            let log = self.log();
+            let from = if db.generation() == log.generation() { db.applied() } else { 0 };
+            (log.generation(), log.entries_from(from).to_vec())
+        };
+        if db.generation() != generation {
+            db.reset(generation)?;
+        }
+        db.apply(&entries)
+    }
+
+    /// Commits the open transaction of the writer.
+    pub(crate) fn commit(&self, db: &mut Sqlite, writes: Vec<Write>) -> Result<Position, SqlError> {
+        let mut log = self.log();
+        let current = log.generation() == db.generation() && log.len() == db.applied();
+        if log.role != super::log::Role::Primary || !current {
+            return Err(SqlError::read_only());
+        }
+        db.commit()?;
+        log.commit(writes)
+    }
+
+    /// What the admin interface reports.
+    pub(crate) fn report(&self) -> MemberReport {
+        let log = self.log();
+        let backends = self.backends();
+        let seen = lock(&self.seen);
+        MemberReport {
+            id: self.id().clone(),
+            database: self.database.clone(),
+            data_centre: self.cfg.data_centre.clone(),
+            address: self.address.to_string(),
+            role: log.role,
+            term: log.term,
+            position: log.position(),
+            connections: backends.backends.len(),
+            active: backends.activity().filter(|(_, state)| *state == "active").count(),
+            statements: seen.count,
+            recent: seen.texts.iter().cloned().collect(),
+            faults: self.faults().clone(),
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/emulator/src/database/server.rs
@@ -0,0 +1,222 @@
+//! Accepts the connections of a member and takes them through their start-up.
+
+use std::{
+    hash::{BuildHasher, Hasher, RandomState},
+    io,
+    sync::{Arc, Weak},
+};
+
+use pgwire::messages::{
+    PgWireBackendMessage as Message, PgWireFrontendMessage as Request, SslNegotiationMetaMessage,
+    response::SslResponse,
+    startup::{
+        Authentication, BackendKeyData, NegotiateProtocolVersion, ParameterStatus, SecretKey,
+        Startup,
+    },
+};
+use smol::{
+    Executor, Timer,
+    future::FutureExt,
+    net::{TcpListener, TcpStream},
+};
+
+use super::{
+    error::SqlError,
+    member::{Backend, FAULT_CHECK, Member, Stop},
+    session::Session,
+    wire::Wire,
+};
+use crate::runtime::spawn_on;
+
+/// Settings that every client is told at start-up.
+const PARAMETERS: [(&str, &str); 7] = [
+    ("server_version", "16.0"),
+    ("server_encoding", "UTF8"),
+    ("client_encoding", "UTF8"),
+    ("DateStyle", "ISO, MDY"),
+    ("TimeZone", "UTC"),
+    ("integer_datetimes", "on"),
+    ("standard_conforming_strings", "on"),
+];
+
+/// Accepts connections; while the member is down, the address is closed.
+pub(crate) async fn run(
+    member: Arc<Member>,
+    mut listener: TcpListener,
+    spawner: Weak<Executor<'static>>,
+) {
+    loop {
+        accept_until_down(&member, &listener, &spawner).await;
+        drop(listener);
+        listener = reopen(&member).await;
+    }
+}
+
+async fn accept_until_down(
+    member: &Arc<Member>,
+    listener: &TcpListener,
+    spawner: &Weak<Executor<'static>>,
+) {
+    let accept = async {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => spawn_on(spawner, serve(Arc::clone(member), stream)),
+                Err(error) => {
+                    spdlog::warn!("emulator: {} did not accept: {error}", member.id());
+                    Timer::after(FAULT_CHECK).await;
+                }
+            }
+        }
+    };
+    let down = async {
+        while !member.faults().down {
+            Timer::after(FAULT_CHECK).await;
+        }
+    };
+    down.or(accept).await;
+}
+
+async fn reopen(member: &Member) -> TcpListener {
+    loop {
+        Timer::after(FAULT_CHECK).await;
+        if member.faults().down {
+            continue;
+        }
+        match TcpListener::bind(member.address).await {
+            Ok(listener) => return listener,
+            Err(error) => spdlog::warn!("emulator: {} cannot listen again: {error}", member.id()),
+        }
+    }
+}
+
+async fn serve(member: Arc<Member>, stream: TcpStream) {
+    stream.set_nodelay(true).ok();
+    match start(&member, Wire::new(stream)).await {
+        Ok(Some((wire, backend))) => Session::new(member, backend, wire).run().await,
+        Ok(None) => {}
+        Err(error) => spdlog::debug!("emulator: a connection to {} failed: {error}", member.id()),
+    }
+}
+
+/// Takes a connection through its start-up; `None` when it was refused or only carried a cancellation.
+async fn start(member: &Arc<Member>, mut wire: Wire) -> io::Result<Option<(Wire, Arc<Backend>)>> {
+    let Some(startup) = read_startup(member, &mut wire).await? else { return Ok(None) };
+    let parameter = |name: &str| startup.parameters.get(name).map_or("", String::as_str);
+    let peer = parameter("application_name").to_owned();
+    member.record(&format!("start-up: {:?}", startup.parameters));
+    member.runnable(&peer).await;
+    if startup.protocol_number_minor > 0 {
+        let negotiate = NegotiateProtocolVersion::new(0, Vec::new());
+        wire.push(&Message::NegotiateProtocolVersion(negotiate))?;
+    }
+    let Some(backend) = member.register(&peer, secret()) else {
+        return refuse(&mut wire, SqlError::fatal("53300", "sorry, too many clients already"))
+            .await;
+    };
+    // Forgets the backend when the start-up does not succeed.
+    let registration = Registration { member, backend: &backend, kept: false };
+    Timer::after(member.settings.setup).await;
+    if let Err(error) = authenticate(member, &mut wire, &startup).await? {
+        return refuse(&mut wire, error).await;
+    }
+    member.runnable(&peer).await;
+    if backend.stop_reason() == Some(Stop::Crashed) {
+        return Ok(None);
+    }
+    push_welcome(&mut wire, &backend)?;
+    registration.keep();
+    Ok(Some((wire, backend)))
+}
+
+struct Registration<'a> {
+    member: &'a Member,
+    backend: &'a Backend,
+    kept: bool,
+}
+
+impl Registration<'_> {
+    fn keep(mut self) {
+        self.kept = true;
+    }
+}
+
+impl Drop for Registration<'_> {
+    fn drop(&mut self) {
+        if !self.kept {
+            self.member.unregister(self.backend.pid);
+        }
+    }
+}
+
+async fn read_startup(member: &Member, wire: &mut Wire) -> io::Result<Option<Startup>> {
+    while let Some(request) = wire.read().await? {
+        member.runnable("").await;
+        match request {
+            Request::SslNegotiation(SslNegotiationMetaMessage::None) => {
+                wire.ctx.awaiting_frontend_ssl = false;
+            }
+            Request::SslNegotiation(_) => {
+                wire.push_byte(SslResponse::BYTE_REFUSE);
+                wire.flush().await?;
+            }
+            Request::Startup(startup) => {
+                wire.ctx.awaiting_frontend_startup = false;
+                return Ok(Some(startup));
+            }
+            Request::CancelRequest(cancel) => {
+                if let Some(secret) = cancel.secret_key.as_i32() {
+                    member.cancel(cancel.pid, secret);
+                }
+                return Ok(None);
+            }
+            _ => return Ok(None),
+        }
+    }
+    Ok(None)
+}
+
+async fn authenticate(
+    member: &Member,
+    wire: &mut Wire,
+    startup: &Startup,
+) -> io::Result<Result<(), SqlError>> {
+    let user = startup.parameters.get("user").map_or("", String::as_str);
+    let database = startup.parameters.get("database").map_or(user, String::as_str);
+    wire.push(&Message::Authentication(Authentication::CleartextPassword))?;
+    wire.flush().await?;
+    let Some(Request::PasswordMessageFamily(answer)) = wire.read().await? else {
+        return Ok(Err(SqlError::fatal("08P01", "expected a password message")));
+    };
+    let password = answer.into_password()?.password;
+    if user != member.settings.user || password != member.settings.password {
+        let message = format!("password authentication failed for user \"{user}\"");
+        return Ok(Err(SqlError::fatal("28P01", message)));
+    }
+    if database != member.database.as_str() {
+        let message = format!("database \"{database}\" does not exist");
+        return Ok(Err(SqlError::fatal("3D000", message)));
+    }
+    Ok(Ok(()))
+}
+
+fn push_welcome(wire: &mut Wire, backend: &Backend) -> io::Result<()> {
+    wire.push(&Message::Authentication(Authentication::Ok))?;
+    for (name, value) in PARAMETERS {
+        let parameter = ParameterStatus::new(name.to_owned(), value.to_owned());
+        wire.push(&Message::ParameterStatus(parameter))?;
+    }
+    let key = BackendKeyData::new(backend.pid, SecretKey::I32(backend.secret));
+    wire.push(&Message::BackendKeyData(key))
+}
+
+async fn refuse<T>(wire: &mut Wire, error: SqlError) -> io::Result<Option<T>> {
+    wire.push(&Message::ErrorResponse(error.response()))?;
+    wire.flush().await?;
+    Ok(None)
+}
+
+/// A number that clients cannot guess.
+fn secret() -> i32 {
+    let bytes = RandomState::new().build_hasher().finish().to_be_bytes();
+    i32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]])
+}
--- /dev/null
+++ b/crates/emulator/src/database/sqlite.rs
@@ -0,0 +1,253 @@
+//! One SQLite connection that applies the log of its member.
+
+use std::{
+    fmt,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, SystemTime},
+};
+
+use rusqlite::{Connection, InterruptHandle, functions::FunctionFlags, types::Value};
+
+use super::{
+    error::SqlError,
+    infer::{self, Column, Types},
+    log::{Content, Context, Entry, Write},
+    sql::Statement,
+    value::PgType,
+};
+
+/// Rows of a statement.
+#[derive(Debug, Default)]
+pub(crate) struct Rows {
+    pub(crate) columns: Vec<Column>,
+    pub(crate) rows: Vec<Vec<Value>>,
+    pub(crate) changes: u64,
+}
+
+/// Which backend uses a connection at the moment.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Running(Arc<Mutex<RunningState>>);
+
+#[derive(Default)]
+struct RunningState {
+    pid: Option<i32>,
+    interrupt: Option<InterruptHandle>,
+}
+
+impl fmt::Debug for RunningState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("RunningState").field("pid", &self.pid).finish_non_exhaustive()
+    }
+}
+
+impl Running {
+    /// Interrupts the statement that backend `pid` is running, if any.
+    pub(crate) fn interrupt(&self, pid: i32) {
+        let state = self.state();
+        if state.pid == Some(pid)
+            && let Some(handle) = &state.interrupt
+        {
+            handle.interrupt();
+        }
+    }
+
+    fn set(&self, pid: Option<i32>) {
+        self.state().pid = pid;
+    }
+
+    fn state(&self) -> MutexGuard<'_, RunningState> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A database in memory with the entries of the log up to an index.
+#[derive(Debug)]
+pub(crate) struct Sqlite {
+    conn: Connection,
+    context: Arc<Mutex<Context>>,
+    running: Running,
+    applied: usize,
+    generation: u64,
+}
+
+impl Sqlite {
+    /// Opens an empty database.
+    pub(crate) fn open() -> rusqlite::Result<Self> {
+        let context = Arc::default();
+        let conn = connect(&context)?;
+        let running = Running::default();
+        running.state().interrupt = Some(conn.get_interrupt_handle());
+        Ok(Self { conn, context, running, applied: 0, generation: 0 })
+    }
+
+    /// Tells which backend uses the connection.
+    pub(crate) fn running(&self) -> Running {
+        self.running.clone()
+    }
+
+    /// Number of entries that were applied.
+    pub(crate) const fn applied(&self) -> usize {
+        self.applied
+    }
+
+    /// Count of removals in the log that the contents correspond to.
+    pub(crate) const fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Starts again with an empty database.
+    pub(crate) fn reset(&mut self, generation: u64) -> Result<(), SqlError> {
+        self.conn = connect(&self.context)?;
+        self.running.state().interrupt = Some(self.conn.get_interrupt_handle());
+        self.applied = 0;
+        self.generation = generation;
+        Ok(())
+    }
+
+    /// Applies the next entries of the log.
+    pub(crate) fn apply(&mut self, entries: &[Arc<Entry>]) -> Result<(), SqlError> {
+        if entries.is_empty() {
+            return Ok(());
+        }
+        self.conn.execute_batch("BEGIN")?;
+        for entry in entries {
+            if let Content::Writes(writes) = &entry.content {
+                writes.iter().try_for_each(|write| self.replay(write))?;
+            }
+        }
+        self.conn.execute_batch("COMMIT")?;
+        self.applied += entries.len();
+        Ok(())
+    }
+
+    fn replay(&self, write: &Write) -> Result<(), SqlError> {
+        self.set_context(write.context);
+        let mut statement = self.conn.prepare_cached(&write.sql)?;
+        bind(&mut statement, &write.params)?;
+        let mut rows = statement.raw_query();
+        while rows.next()?.is_some() {}
+        Ok(())
+    }
+
+    /// Begins a transaction.
+    pub(crate) fn begin(&self) -> Result<(), SqlError> {
+        Ok(self.conn.execute_batch("BEGIN IMMEDIATE")?)
+    }
+
+    /// Commits the open transaction, which is the next entry of the log.
+    pub(crate) fn commit(&mut self) -> Result<(), SqlError> {
+        self.conn.execute_batch("COMMIT")?;
+        self.applied += 1;
+        Ok(())
+    }
+
+    /// Rolls back the open transaction, if any.
+    pub(crate) fn rollback(&self) {
+        if !self.conn.is_autocommit()
+            && let Err(error) = self.conn.execute_batch("ROLLBACK")
+        {
+            spdlog::error!("emulator: a transaction was not rolled back: {error}");
+        }
+    }
+
+    /// Whether a transaction is open.
+    pub(crate) fn in_transaction(&self) -> bool {
+        !self.conn.is_autocommit()
+    }
+
+    /// Runs a statement for backend `pid`.
+    pub(crate) fn run(
+        &self,
+        pid: i32,
+        sql: &Statement,
+        params: &[Value],
+        types: &[PgType],
+        context: Context,
+    ) -> Result<Rows, SqlError> {
+        self.running.set(Some(pid));
+        self.set_context(context);
+        let result = self.query(sql, params, types);
+        self.running.set(None);
+        result
+    }
+
+    fn query(&self, sql: &Statement, params: &[Value], types: &[PgType]) -> Result<Rows, SqlError> {
+        let mut statement = self.conn.prepare(&sql.text)?;
+        let columns = infer::columns(&self.conn, sql, &statement, types);
+        let width = columns.len();
+        bind(&mut statement, params)?;
+        let mut found = Vec::new();
+        let mut rows = statement.raw_query();
+        while let Some(row) = rows.next()? {
+            let values: rusqlite::Result<Vec<Value>> =
+                (0..width).map(|index| row.get(index)).collect();
+            found.push(values?);
+        }
+        drop(rows);
+        Ok(Rows { columns, rows: found, changes: self.conn.changes() })
+    }
+
+    /// Types of the parameters and columns of a statement.
+    pub(crate) fn describe(&self, sql: &Statement, oids: &[u32]) -> Result<Types, SqlError> {
+        let statement = self.conn.prepare(&sql.text)?;
+        let params = infer::params(&self.conn, sql, oids);
+        let columns = infer::columns(&self.conn, sql, &statement, &params);
+        Ok(Types { params, columns })
+    }
+
+    fn set_context(&self, context: Context) {
+        *self.context.lock().unwrap_or_else(PoisonError::into_inner) = context;
+    }
+}
+
+/// Binds parameters by the number in their name.
+fn bind(statement: &mut rusqlite::Statement<'_>, params: &[Value]) -> Result<(), SqlError> {
+    for index in 1..=statement.parameter_count() {
+        let number = statement.parameter_name(index).and_then(|name| name.get(1..)?.parse().ok());
+        let value = number.and_then(|number: usize| params.get(number.checked_sub(1)?));
+        let missing = || SqlError::new("08P01", "a parameter of the statement was not bound");
+        statement.raw_bind_parameter(index, value.ok_or_else(missing)?)?;
+    }
+    Ok(())
+}
+
+/// Time since the epoch.
+pub(crate) fn now() -> Duration {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default()
+}
+
+fn connect(context: &Arc<Mutex<Context>>) -> rusqlite::Result<Connection> {
+    let conn = Connection::open_in_memory()?;
+    conn.pragma_update(None, "foreign_keys", true)?;
+    let flags = FunctionFlags::SQLITE_UTF8;
+
+    let shared = Arc::clone(context);
+    conn.create_scalar_function("now", 0, flags, move |_| {
+        let context = *shared.lock().unwrap_or_else(PoisonError::into_inner);
+        Ok(context.now.as_secs_f64())
+    })?;
+
+    let shared = Arc::clone(context);
+    conn.create_scalar_function("random", 0, flags, move |_| {
+        let mut context = shared.lock().unwrap_or_else(PoisonError::into_inner);
+        context.seed = next_random(context.seed);
+        // 53 bits fill the mantissa of a float between 0 and 1.
+        #[expect(clippy::cast_precision_loss, reason = "53 bits are exact")]
+        Ok((context.seed >> 11) as f64 / (1u64 << 53) as f64)
+    })?;
+
+    // The session waits before it runs the statement, so the function itself has nothing to do.
+    conn.create_scalar_function("pg_sleep", 1, flags, |_| Ok(String::new()))?;
+    conn.create_scalar_function("version", 0, flags, |_| {
+        Ok("PostgreSQL 16.0 (hibiscusladder emulator)")
+    })?;
+    Ok(conn)
+}
+
+/// One step of the SplitMix64 generator.
+const fn next_random(seed: u64) -> u64 {
+    let mut z = seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
--- /dev/null
+++ b/crates/emulator/tests/database.rs
@@ -0,0 +1,339 @@
+//! The wire protocol, transactions, replication and faults of database members, seen by a PostgreSQL client.
+
+use std::{
+    error::Error,
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use hibiscusladder_emulator::database::{Group, GroupConfig, GroupHandle, MemberFaults, Role};
+use postgres::{Client, NoTls, SimpleQueryMessage};
+use test_case::test_case;
+
+type TestResult = Result<(), Box<dyn Error>>;
+
+fn start() -> Result<GroupHandle, Box<dyn Error>> {
+    Ok(Group::start(GroupConfig::single("clubes", &["c1", "c2", "c3"]))?)
+}
+
+fn connect(address: SocketAddr) -> Result<Client, postgres::Error> {
+    let port = address.port();
+    let params = format!(
+        "host=127.0.0.1 port={port} user=proxy password=proxy dbname=clubes application_name=i1/dc-a"
+    );
+    Client::connect(&params, NoTls)
+}
+
+fn member(group: &GroupHandle, id: &str) -> Result<Client, Box<dyn Error>> {
+    Ok(connect(group.address(id).ok_or("the member does not exist")?)?)
+}
+
+fn code<T>(result: Result<T, postgres::Error>) -> Option<String> {
+    result.err()?.code().map(|state| state.code().to_owned())
+}
+
+fn cell(client: &mut Client, query: &str, column: &str) -> Result<String, Box<dyn Error>> {
+    for message in client.simple_query(query)? {
+        if let SimpleQueryMessage::Row(row) = message {
+            return Ok(row.get(column).unwrap_or_default().to_owned());
+        }
+    }
+    Err(format!("`{query}` returned no row").into())
+}
+
+fn wait_until<F>(what: &str, mut condition: F) -> TestResult
+where
+    F: FnMut() -> bool,
+{
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while !condition() {
+        if Instant::now() > deadline {
+            return Err(format!("waited in vain until {what}").into());
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    Ok(())
+}
+
+/// Values must keep their type in both directions, or checks compare damaged data.
+#[test]
+fn types_round_trip_in_binary_and_text() -> TestResult {
+    let group = start()?;
+    let mut client = member(&group, "c1")?;
+    client.batch_execute(
+        "CREATE TABLE IF NOT EXISTS v (a INT4, b BIGINT, c DOUBLE PRECISION, d TEXT, e BOOLEAN, f BYTEA)",
+    )?;
+    let bytes: &[u8] = &[0, 255, 7];
+    let inserted = client.execute(
+        "INSERT INTO v (a, b, c, d, e, f) VALUES ($1, $2, $3, $4, $5, $6)",
+        &[&-5i32, &(1i64 << 40), &0.25f64, &"it's", &true, &bytes],
+    )?;
+    assert_eq!(inserted, 1);
+    let row = client.query_one("SELECT a, b, c, d, e, f FROM v WHERE b = $1", &[&(1i64 << 40)])?;
+    assert_eq!(row.get::<_, i32>(0), -5);
+    assert_eq!(row.get::<_, i64>(1), 1 << 40);
+    assert_eq!(row.get::<_, f64>(2).to_bits(), 0.25f64.to_bits());
+    assert_eq!(row.get::<_, &str>(3), "it's");
+    assert!(row.get::<_, bool>(4));
+    assert_eq!(row.get::<_, &[u8]>(5), bytes);
+    assert_eq!(cell(&mut client, "SELECT f FROM v", "f")?, "\\x00ff07");
+    assert_eq!(cell(&mut client, "SELECT e FROM v", "e")?, "t");
+    let row = client.query_one("SELECT count(*), max(a), $1::int8 + 1 FROM v", &[&4i64])?;
+    assert_eq!((row.get::<_, i64>(0), row.get::<_, i32>(1), row.get::<_, i64>(2)), (1, -5, 5));
+    Ok(())
+}
+
+/// The proxy decides by SQLSTATE, so a wrong code would hide a fault of the proxy.
+#[test_case("SELEC 1", "42601"; "syntax")]
+#[test_case("SELECT * FROM missing", "42P01"; "no such table")]
+#[test_case("SELECT missing FROM t", "42703"; "no such column")]
+#[test_case("INSERT INTO t VALUES (1, 'again')", "23505"; "unique violation")]
+#[test_case("INSERT INTO t VALUES (2, NULL)", "23502"; "not null violation")]
+#[test_case("CREATE TABLE t (k INT)", "42P07"; "table exists")]
+#[test_case("LISTEN news", "0A000"; "not supported")]
+fn errors_have_sqlstate(statement: &str, expected: &str) -> TestResult {
+    let group = start()?;
+    let mut client = member(&group, "c1")?;
+    client.batch_execute("CREATE TABLE t (k INT PRIMARY KEY, v TEXT NOT NULL)")?;
+    client.batch_execute("INSERT INTO t VALUES (1, 'one')")?;
+    assert_eq!(code(client.batch_execute(statement)).as_deref(), Some(expected));
+    assert_eq!(cell(&mut client, "SELECT count(*) FROM t", "count")?, "1");
+    Ok(())
+}
+
+/// A reader must not see an open transaction, and a second writer must wait for it.
+#[test]
+fn transactions_do_not_mix() -> TestResult {
+    let group = start()?;
+    let mut writer = member(&group, "c1")?;
+    let mut other = member(&group, "c1")?;
+    writer.batch_execute("CREATE TABLE t (k INT PRIMARY KEY)")?;
+    writer.batch_execute("BEGIN; INSERT INTO t VALUES (1)")?;
+    assert_eq!(cell(&mut writer, "SELECT count(*) FROM t", "count")?, "1");
+    assert_eq!(cell(&mut other, "SELECT count(*) FROM t", "count")?, "0");
+    let blocked = thread::spawn(move || {
+        let started = Instant::now();
+        other.execute("INSERT INTO t VALUES (2)", &[]).map(|_| started.elapsed())
+    });
+    thread::sleep(Duration::from_millis(100));
+    writer.batch_execute("ROLLBACK")?;
+    let waited = blocked.join().map_err(|_| "the second writer panicked")??;
+    assert!(waited >= Duration::from_millis(80), "the second writer waited only {waited:?}");
+    assert_eq!(cell(&mut writer, "SELECT k FROM t", "k")?, "2");
+    Ok(())
+}
+
+/// A failed transaction must change nothing, and a savepoint must save the rest.
+#[test]
+fn failed_transaction_rolls_back_to_savepoint() -> TestResult {
+    let group = start()?;
+    let mut client = member(&group, "c1")?;
+    client.batch_execute("CREATE TABLE t (k INT PRIMARY KEY)")?;
+    client.batch_execute("BEGIN; INSERT INTO t VALUES (1); SAVEPOINT s")?;
+    assert_eq!(code(client.batch_execute("INSERT INTO t VALUES (1)")).as_deref(), Some("23505"));
+    assert_eq!(code(client.batch_execute("SELECT 1")).as_deref(), Some("25P02"));
+    client.batch_execute("ROLLBACK TO SAVEPOINT s; INSERT INTO t VALUES (2); COMMIT")?;
+    client.batch_execute("BEGIN; INSERT INTO t VALUES (3)")?;
+    assert!(client.batch_execute("SELECT * FROM missing").is_err());
+    client.batch_execute("COMMIT")?;
+    assert_eq!(cell(&mut client, "SELECT sum(k) AS s FROM t", "s")?, "3");
+    wait_until("the replica has both rows", || {
+        let replica = member(&group, "c2");
+        replica.is_ok_and(|mut client| {
+            cell(&mut client, "SELECT sum(k) AS s FROM t", "s").is_ok_and(|sum| sum == "3")
+        })
+    })
+}
+
+/// A replica must lag as set, keep the order of positions and refuse writes.
+#[test]
+fn replica_lags_and_refuses_writes() -> TestResult {
+    let group = start()?;
+    group.set_faults("c2", MemberFaults { lag_ms: 300, ..MemberFaults::default() });
+    let mut primary = member(&group, "c1")?;
+    let mut replica = member(&group, "c2")?;
+    primary.batch_execute("CREATE TABLE t (k INT)")?;
+    let written = Instant::now();
+    let position = cell(&mut primary, "SELECT group_position()", "group_position")?;
+    assert_eq!(position, "1:1");
+    assert_eq!(cell(&mut replica, "SELECT * FROM group_status()", "position")?, "1:0");
+    assert_eq!(code(replica.batch_execute("INSERT INTO t VALUES (1)")).as_deref(), Some("25006"));
+    let mut position_now = String::new();
+    wait_until("the replica has the write", || {
+        position_now =
+            cell(&mut replica, "SELECT * FROM group_status()", "position").unwrap_or_default();
+        position_now == position
+    })?;
+    assert!(written.elapsed() >= Duration::from_millis(280));
+    Ok(())
+}
+
+/// A replaced primary must refuse writes once it knows, and its unreplicated writes must go when it follows.
+#[test]
+fn promotion_fences_and_truncates() -> TestResult {
+    let group = start()?;
+    let mut old = member(&group, "c1")?;
+    let mut new = member(&group, "c2")?;
+    old.batch_execute("CREATE TABLE t (k INT)")?;
+    wait_until("the replicas have the table", || {
+        group.reports().iter().all(|report| report.position.to_string() == "1:1")
+    })?;
+    let isolated = vec!["c2".to_owned(), "c3".to_owned()];
+    group.set_faults("c1", MemberFaults { isolated_from: isolated, ..MemberFaults::default() });
+    old.batch_execute("INSERT INTO t VALUES (1)")?;
+
+    for id in ["c2", "c3"] {
+        let mut client = member(&group, id)?;
+        assert_eq!(cell(&mut client, "SELECT group_raise_term(2, 'i1')", "term")?, "2");
+        assert_eq!(cell(&mut client, "SELECT group_raise_term(2, 'i2')", "claimant")?, "i1");
+    }
+    assert_eq!(code(new.batch_execute("SELECT group_promote(3, 'c2')")).as_deref(), Some("55000"));
+    new.batch_execute("SELECT group_promote(2, 'c2,c3')")?;
+    assert_eq!(cell(&mut new, "SELECT * FROM group_status()", "term_start")?, "2:1");
+    new.batch_execute("INSERT INTO t VALUES (2)")?;
+    let follow =
+        format!("SELECT group_follow('{}', 2)", group.address("c2").ok_or("c2 is missing")?);
+    member(&group, "c3")?.batch_execute(&follow)?;
+
+    // The isolated primary does not know yet.
+    old.batch_execute("INSERT INTO t VALUES (3)")?;
+    old.batch_execute("SELECT group_raise_term(2, 'i1')")?;
+    assert_eq!(code(old.batch_execute("INSERT INTO t VALUES (4)")).as_deref(), Some("25006"));
+    group.set_faults("c1", MemberFaults::default());
+    old.batch_execute(&follow)?;
+    wait_until("all members have the new log", || {
+        group.reports().iter().all(|report| report.position.to_string() == "2:3")
+    })?;
+    for id in ["c1", "c2", "c3"] {
+        let mut client = member(&group, id)?;
+        assert_eq!(cell(&mut client, "SELECT sum(k) AS s FROM t", "s")?, "2", "rows at {id}");
+        assert_eq!(cell(&mut client, "SELECT * FROM group_status()", "term_members")?, "c2,c3");
+    }
+    assert_eq!(group.report("c1").map(|report| report.role), Some(Role::Replica));
+    Ok(())
+}
+
+/// The home lease rests on advisory locks that go with their connection.
+#[test]
+fn advisory_lock_goes_with_its_connection() -> TestResult {
+    let group = start()?;
+    let mut holder = member(&group, "c1")?;
+    let mut successor = member(&group, "c1")?;
+    let row = holder.query_one("SELECT pg_try_advisory_lock($1)", &[&-7i64])?;
+    assert!(row.get::<_, bool>(0));
+    let try_lock = "SELECT pg_try_advisory_lock(-7)";
+    assert_eq!(cell(&mut successor, try_lock, "pg_try_advisory_lock")?, "f");
+    let pid = cell(&mut successor, "SELECT pid FROM pg_locks WHERE objid = -7", "pid")?;
+    successor.batch_execute(&format!("SELECT pg_terminate_backend({pid})"))?;
+    wait_until("the lock is free", || {
+        cell(&mut successor, try_lock, "pg_try_advisory_lock").is_ok_and(|taken| taken == "t")
+    })?;
+    assert!(holder.batch_execute("SELECT 1").is_err());
+    Ok(())
+}
+
+/// Slots bound the statements that run at a time, and a cancellation frees one.
+#[test]
+fn cancel_frees_a_slot() -> TestResult {
+    let group = start()?;
+    let mut sleepers = Vec::new();
+    let mut tokens = Vec::new();
+    for _ in 0..2 {
+        let mut client = member(&group, "c1")?;
+        tokens.push(client.cancel_token());
+        sleepers.push(thread::spawn(move || code(client.batch_execute("SELECT pg_sleep(20)"))));
+    }
+    let mut observer = member(&group, "c1")?;
+    wait_until("both sleep", || group.report("c1").is_some_and(|report| report.active == 2))?;
+    let waiting = thread::spawn(move || observer.batch_execute("SELECT 1"));
+    thread::sleep(Duration::from_millis(100));
+    assert!(!waiting.is_finished(), "a third statement ran although both slots were taken");
+    for token in tokens {
+        token.cancel_query(NoTls)?;
+    }
+    waiting.join().map_err(|_| "the waiting client panicked")??;
+    for sleeper in sleepers {
+        let state = sleeper.join().map_err(|_| "a sleeping client panicked")?;
+        assert_eq!(state.as_deref(), Some("57014"));
+    }
+    Ok(())
+}
+
+/// A member accepts a bounded number of connections and only the configured user.
+#[test]
+fn connections_are_limited_and_authenticated() -> TestResult {
+    let mut cfg = GroupConfig::single("clubes", &["c1"]);
+    cfg.databases[0].members[0].connections = 2;
+    let group = Group::start(cfg)?;
+    let address = group.address("c1").ok_or("c1 is missing")?;
+    let started = Instant::now();
+    let first = connect(address)?;
+    assert!(started.elapsed() >= Duration::from_millis(12));
+    let _second = connect(address)?;
+    assert_eq!(code(connect(address)).as_deref(), Some("53300"));
+    drop(first);
+    wait_until("a connection is free", || connect(address).is_ok())?;
+    let port = address.port();
+    let wrong = format!("host=127.0.0.1 port={port} user=proxy password=no dbname=clubes");
+    wait_until("the wrong password is told", || {
+        code(Client::connect(&wrong, NoTls)).as_deref() == Some("28P01")
+    })
+}
+
+/// A suspended member must answer late, a stopped one must lose connections and keep its data.
+#[test]
+fn faults_freeze_and_stop_a_member() -> TestResult {
+    let group = start()?;
+    let mut client = member(&group, "c1")?;
+    client.batch_execute("CREATE TABLE t (k INT); INSERT INTO t VALUES (1)")?;
+    group.set_faults("c1", MemberFaults { frozen: true, ..MemberFaults::default() });
+    let late = thread::spawn(move || {
+        let result = client.batch_execute("INSERT INTO t VALUES (2)");
+        (client, result)
+    });
+    thread::sleep(Duration::from_millis(100));
+    assert!(!late.is_finished(), "a frozen member answered");
+    group.set_faults("c1", MemberFaults::default());
+    let (mut client, result) = late.join().map_err(|_| "the client panicked")?;
+    result?;
+    group.set_faults("c1", MemberFaults { down: true, ..MemberFaults::default() });
+    assert!(client.batch_execute("SELECT 1").is_err());
+    wait_until("connections are refused", || member(&group, "c1").is_err())?;
+    group.set_faults("c1", MemberFaults::default());
+    wait_until("connections are accepted", || member(&group, "c1").is_ok())?;
+    assert_eq!(cell(&mut member(&group, "c1")?, "SELECT count(*) FROM t", "count")?, "2");
+    Ok(())
+}
+
+/// A client on the far side of a partition must get no answer while others do.
+#[test]
+fn isolation_cuts_off_clients_by_name() -> TestResult {
+    let group = start()?;
+    let mut client = member(&group, "c1")?;
+    let isolated_from = vec!["dc-a".to_owned()];
+    group.set_faults("c1", MemberFaults { isolated_from, ..MemberFaults::default() });
+    let cut_off = thread::spawn(move || client.batch_execute("SELECT 1"));
+    thread::sleep(Duration::from_millis(100));
+    assert!(!cut_off.is_finished(), "an isolated client got an answer");
+    let port = group.address("c1").ok_or("c1 is missing")?.port();
+    let far = format!(
+        "host=127.0.0.1 port={port} user=proxy password=proxy dbname=clubes application_name=i2/dc-b"
+    );
+    Client::connect(&far, NoTls)?.batch_execute("SELECT 1")?;
+    group.set_faults("c1", MemberFaults::default());
+    cut_off.join().map_err(|_| "the client panicked")??;
+    Ok(())
+}
+
+/// A test that searches for leaked keys must find what clients have sent.
+#[test]
+fn report_has_recent_texts() -> TestResult {
+    let group = start()?;
+    let mut client = member(&group, "c1")?;
+    client.query("SELECT $1::text", &[&"hlk_leaked_secret"])?;
+    let report = group.report("c1").ok_or("c1 is missing")?;
+    assert!(report.recent.iter().any(|text| text.contains("hlk_leaked_secret")));
+    assert!(report.recent.iter().any(|text| text.contains("SELECT $1::text")));
+    Ok(())
+}
