--- /dev/null
+++ b/crates/proxy/src/caller/authorise.rs
@@ -0,0 +1,89 @@
+//! What a client may do at this moment, by the newest configuration.
+
+use std::sync::Arc;
+
+use hibiscusladder_core::{
+    contract::Contract,
+    key::{Key, SecretDetector},
+    name::{Database, Workspace},
+    outcome::{Refusal, RefusalKind},
+};
+
+use crate::node::Node;
+
+/// Who a client says it is.
+#[derive(Debug)]
+pub(super) struct Identity {
+    pub(super) workspace: Workspace,
+    pub(super) database: Database,
+    /// Absent for a client without a key, which may use open routes only.
+    pub(super) key: Option<ClientKey>,
+}
+
+/// The key that a client sent.
+#[derive(Debug)]
+pub(super) struct ClientKey {
+    key: Key,
+    detector: SecretDetector,
+}
+
+impl ClientKey {
+    pub(super) fn new(key: Key) -> Self {
+        Self { detector: key.detector(), key }
+    }
+
+    pub(super) const fn key(&self) -> &Key {
+        &self.key
+    }
+
+    /// Whether the secret of the key is in `bytes`.
+    pub(super) fn is_in(&self, bytes: &[u8]) -> bool {
+        self.detector.found_in(bytes)
+    }
+}
+
+/// What the client may use now.
+#[derive(Debug)]
+pub(super) struct Authorised {
+    pub(super) contract: Arc<Contract>,
+    /// Whether the key may be relied on; open routes can be used without that.
+    pub(super) keyed: Result<(), Refusal>,
+}
+
+impl Identity {
+    /// Checks key, contract and database again; a withdrawn key stops a client that is connected.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal after which the connection is closed.
+    pub(super) fn authorise(&self, node: &Node) -> Result<Authorised, Refusal> {
+        let config = node.config();
+        let rejected = || Refusal::not_run(RefusalKind::KeyRejected);
+        let usable = node.config_usable();
+        let Some(contract) = config.contract(&self.workspace).map(Arc::clone) else {
+            // Without a configuration nothing is known about the key.
+            return Err(if usable { rejected() } else { in_doubt() });
+        };
+        if !contract.databases.contains(&self.database) {
+            return Err(Refusal::not_run(RefusalKind::DatabaseNotInContract)
+                .detail(self.database.to_string()));
+        }
+        let Some(client) = &self.key else {
+            return Ok(Authorised { contract, keyed: Err(rejected()) });
+        };
+        let key = client.key();
+        let valid = config.key(key.id()).is_some_and(|record| {
+            record.verify(key)
+                && record.workspace == self.workspace
+                && contract.keys.contains(key.id())
+        });
+        if !valid {
+            return Err(rejected());
+        }
+        Ok(Authorised { contract, keyed: if usable { Ok(()) } else { Err(in_doubt()) } })
+    }
+}
+
+fn in_doubt() -> Refusal {
+    Refusal::not_run(RefusalKind::ConfigInDoubt)
+}
--- /dev/null
+++ b/crates/proxy/src/caller/batch.rs
@@ -0,0 +1,93 @@
+//! Collects the messages of a client into batches.
+
+use super::{
+    frame::{Frame, FrameError},
+    message::ClientMessage,
+};
+
+/// Messages that are run together.
+#[derive(Debug)]
+pub(super) enum Batch {
+    /// One `Query` message.
+    Simple(Frame),
+    /// Messages of the extended protocol, without the `Sync` that ends them.
+    Extended(Vec<Frame>),
+    /// Messages before a `Flush`; the client waits for their answers and sends `Sync` later.
+    Flushed(Vec<Frame>),
+    /// Messages that break the protocol, up to the next `Sync`.
+    Broken(&'static str),
+    /// The client says good-bye.
+    Terminate,
+}
+
+/// Messages of the batch that is being received.
+#[derive(Debug)]
+pub(super) struct Collector {
+    frames: Vec<Frame>,
+    bytes: usize,
+    bound: usize,
+    /// Skips messages up to `Sync` after an error, as the protocol asks for.
+    skipping: bool,
+}
+
+impl Collector {
+    /// Creates a collector of batches of at most `bound` bytes.
+    pub(super) const fn new(bound: usize) -> Self {
+        Self { frames: Vec::new(), bytes: 0, bound, skipping: false }
+    }
+
+    /// Whether no batch was begun.
+    pub(super) const fn is_idle(&self) -> bool {
+        self.frames.is_empty() && !self.skipping
+    }
+
+    /// Ignores messages up to the next `Sync`.
+    pub(super) const fn skip_to_sync(&mut self) {
+        self.skipping = true;
+    }
+
+    /// Takes a message; returns a batch when it ends one.
+    pub(super) fn push(&mut self, frame: Frame) -> Result<Option<Batch>, FrameError> {
+        let Some(message) = ClientMessage::parse(&frame) else {
+            return Ok(self.broken("a message is not valid"));
+        };
+        match message {
+            ClientMessage::Terminate => return Ok(Some(Batch::Terminate)),
+            ClientMessage::Sync => {
+                self.skipping = false;
+                return Ok(Some(Batch::Extended(self.take())));
+            }
+            _ if self.skipping => return Ok(None),
+            ClientMessage::Query { .. } if self.frames.is_empty() => {
+                return Ok(Some(Batch::Simple(frame)));
+            }
+            ClientMessage::Query { .. } => {
+                return Ok(self.broken("a query came before the end of an extended batch"));
+            }
+            ClientMessage::Other => return Ok(self.broken("a message has no place here")),
+            ClientMessage::Flush if self.frames.is_empty() => return Ok(None),
+            ClientMessage::Flush => return Ok(Some(Batch::Flushed(self.take()))),
+            _ => {}
+        }
+        self.bytes += frame.size();
+        if self.bytes > self.bound {
+            return Err(FrameError::TooLarge { length: self.bytes, bound: self.bound });
+        }
+        self.frames.push(frame);
+        Ok(None)
+    }
+
+    fn take(&mut self) -> Vec<Frame> {
+        self.bytes = 0;
+        std::mem::take(&mut self.frames)
+    }
+
+    fn broken(&mut self, reason: &'static str) -> Option<Batch> {
+        if self.skipping {
+            return None;
+        }
+        self.take();
+        self.skipping = true;
+        Some(Batch::Broken(reason))
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/caller/cancel.rs
@@ -0,0 +1,136 @@
+//! Cancel requests of clients.
+//!
+//! A cancel request comes on a connection of its own, which the load balancer may give to any instance. The upper
+//! half of the process id that a client is told therefore names the instance.
+
+use std::{
+    collections::HashMap,
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use hibiscusladder_core::name::{Database, InstanceId};
+
+use super::Entry;
+use crate::{
+    node::lock,
+    route::{Progress, Router},
+    rpc::SessionCancel,
+};
+
+/// Bits of the process id that name the session within its instance.
+const SESSION_BITS: u32 = 16;
+
+/// Sessions of the clients of one instance by the process ids they were told.
+#[derive(Debug)]
+pub(super) struct Sessions {
+    instance: u32,
+    /// Next token of a request; the first one is random, so tokens of instances do not meet at a home.
+    next_token: AtomicU64,
+    sessions: Mutex<HashMap<u32, Arc<Running>>>,
+}
+
+/// What a session runs now.
+#[derive(Debug)]
+pub(super) struct Running {
+    secret: u32,
+    request: Mutex<Option<RunningRequest>>,
+}
+
+#[derive(Debug, Clone)]
+struct RunningRequest {
+    database: Database,
+    progress: Arc<Progress>,
+    token: u64,
+}
+
+impl Sessions {
+    pub(super) fn new(instance: &InstanceId) -> Self {
+        let first_token = getrandom::u64().unwrap_or_default();
+        Self {
+            instance: instance_bits(instance),
+            next_token: AtomicU64::new(first_token),
+            sessions: Mutex::default(),
+        }
+    }
+
+    /// A token for the next request.
+    pub(super) fn token(&self) -> u64 {
+        self.next_token.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Registers a session; returns its process id, which is free among the sessions of this instance.
+    pub(super) fn register(&self) -> Option<(u32, Arc<Running>)> {
+        let random = getrandom::u64().ok()?.to_be_bytes();
+        let secret = u32::from_be_bytes([random[0], random[1], random[2], random[3]]);
+        let first = u32::from_be_bytes([0, 0, random[4], random[5]]);
+        let mut sessions = lock(&self.sessions);
+        let range = 0..1_u32 << SESSION_BITS;
+        let free = range
+            .map(|step| (first + step) & ((1 << SESSION_BITS) - 1))
+            .map(|number| self.instance << SESSION_BITS | number)
+            .find(|process| !sessions.contains_key(process))?;
+        let running = Arc::new(Running { secret, request: Mutex::default() });
+        sessions.insert(free, Arc::clone(&running));
+        Some((free, running))
+    }
+
+    pub(super) fn remove(&self, process: u32) {
+        lock(&self.sessions).remove(&process);
+    }
+
+    pub(super) fn find(&self, process: u32, secret: u32) -> Option<Arc<Running>> {
+        let running = lock(&self.sessions).get(&process).map(Arc::clone)?;
+        (running.secret == secret).then_some(running)
+    }
+
+    const fn is_own(&self, process: u32) -> bool {
+        process >> SESSION_BITS == self.instance
+    }
+}
+
+impl Running {
+    pub(super) const fn secret(&self) -> u32 {
+        self.secret
+    }
+
+    pub(super) fn begin(&self, database: &Database, progress: &Arc<Progress>, token: u64) {
+        let request =
+            RunningRequest { database: database.clone(), progress: Arc::clone(progress), token };
+        *lock(&self.request) = Some(request);
+    }
+
+    pub(super) fn end(&self) {
+        *lock(&self.request) = None;
+    }
+
+    pub(super) async fn cancel(&self, router: &Router) {
+        let request = lock(&self.request).clone();
+        let Some(request) = request else { return };
+        let Some(member) = request.progress.member() else { return };
+        router.cancel(&request.database, &member, request.token).await;
+    }
+}
+
+/// Serves a cancel request, which may be for a client of another instance.
+pub(super) async fn request(entry: &Entry, process: u32, secret: u32) {
+    if entry.sessions.is_own(process) {
+        entry.cancel_session(process, secret).await;
+        return;
+    }
+    let wanted = process >> SESSION_BITS;
+    let peers = entry.node().peers();
+    for peer in peers.others().filter(|peer| instance_bits(&peer.id) == wanted) {
+        entry.router.rpc().cancel_session(&peer.rpc, process, secret).await;
+    }
+}
+
+/// Number of an instance within process ids; the highest bit is zero, since process ids are positive.
+fn instance_bits(instance: &InstanceId) -> u32 {
+    let mut hasher = DefaultHasher::new();
+    instance.hash(&mut hasher);
+    u32::try_from(hasher.finish() & 0x7fff).unwrap_or(0)
+}
--- a/crates/proxy/src/caller/frame.rs
+++ b/crates/proxy/src/caller/frame.rs
@@ -14,7 +14,7 @@
 /// Length field of the shortest message, which has no body.
 const MIN_LENGTH: usize = 4;
 /// Bytes that one read asks for.
-const READ_BYTES: usize = 16 * 1024;
+const READ_BYTES: usize = 8 * 1024;
 
 /// The stream does not hold a valid message.
 #[derive(Debug, Error)]
@@ -154,6 +154,7 @@
 pub struct FrameReader<R> {
     stream: R,
     framer: Framer,
+    chunk: Box<[u8]>,
 }
 
 impl<R> FrameReader<R>
@@ -162,7 +163,7 @@
 {
     /// Creates a reader that rejects messages longer than `bound` bytes.
     pub fn new(stream: R, bound: usize) -> Self {
-        Self { stream, framer: Framer::new(bound) }
+        Self { stream, framer: Framer::new(bound), chunk: vec![0; READ_BYTES].into() }
     }
 
     /// Reads the next message; `None` when the connection ended between messages.
@@ -213,6 +214,11 @@
         self.framer.bound = bound;
     }
 
+    /// The stream, to write to it.
+    pub const fn stream(&mut self) -> &mut R {
+        &mut self.stream
+    }
+
     /// The stream, without bytes that were read and not taken.
     pub fn into_inner(self) -> R {
         self.stream
@@ -224,10 +230,9 @@
     }
 
     async fn fill(&mut self) -> Result<bool, FrameError> {
-        let mut chunk = [0; READ_BYTES];
-        let count = self.stream.read(&mut chunk).await?;
+        let count = self.stream.read(&mut self.chunk).await?;
         if count > 0 {
-            self.framer.push(&chunk[..count]);
+            self.framer.push(&self.chunk[..count]);
             return Ok(true);
         }
         if self.framer.is_empty() { Ok(false) } else { Err(FrameError::Truncated) }
--- /dev/null
+++ b/crates/proxy/src/caller/plan.rs
@@ -0,0 +1,215 @@
+//! What a batch does and which messages are sent for it.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
+
+use bytes::{Bytes, BytesMut};
+use hibiscusladder_core::outcome::{Refusal, RefusalKind};
+
+use super::{frame::Frame, message::ClientMessage};
+use crate::classify::{Classified, Classifier, Effect, Flow, SessionControl};
+
+/// Prepared statements that one client may keep.
+const MAX_STATEMENTS: usize = 1_000;
+/// The `Sync` message.
+const SYNC: &[u8] = &[b'S', 0, 0, 0, 4];
+
+/// A statement that the client prepared.
+#[derive(Debug, Clone)]
+pub(super) struct Statement {
+    /// The client's `Parse` message.
+    parse: Bytes,
+    classified: Arc<Classified>,
+}
+
+/// Statements of one client by name; the unnamed one has the empty name.
+///
+/// A server connection is reset after each transaction, so the entry keeps the statements and sends them again
+/// when a batch needs them.
+#[derive(Debug, Default)]
+pub(super) struct Statements {
+    known: HashMap<String, Statement>,
+}
+
+/// What a batch does.
+#[derive(Debug)]
+pub(super) struct Plan {
+    /// Messages for the upstream.
+    pub(super) data: Bytes,
+    /// Strictest effect.
+    pub(super) effect: Effect,
+    /// Effect on the transaction.
+    pub(super) flow: Flow,
+    /// Tables in use.
+    pub(super) tables: Vec<Arc<str>>,
+    /// Whether the list of tables is complete.
+    pub(super) tables_known: bool,
+    /// Whether a statement is run, and not only prepared or described.
+    pub(super) executes: bool,
+    /// Request id in a comment.
+    pub(super) request_id: Option<Arc<str>>,
+    /// Places of the `Parse` messages that the entry added among all of the batch.
+    pub(super) added: HashSet<usize>,
+    /// Names of the statements that the server connection knows after the batch.
+    pub(super) prepared: Vec<String>,
+    /// Settings that the entry answers; then nothing is sent.
+    pub(super) controls: Vec<SessionControl>,
+}
+
+/// Collects a plan from the statements of a batch.
+struct Planner<'a> {
+    plan: Plan,
+    messages: BytesMut,
+    parses: usize,
+    statements: usize,
+    present: &'a HashSet<String>,
+}
+
+/// Plans a simple query.
+pub(super) fn simple(classifier: &Classifier, frame: &Frame) -> Result<Plan, Refusal> {
+    let Some(ClientMessage::Query { text }) = ClientMessage::parse(frame) else {
+        return Err(Refusal::not_run(RefusalKind::Protocol));
+    };
+    let present = HashSet::new();
+    let mut planner = Planner::new(&present);
+    planner.add_statement(&classifier.classify(text))?;
+    planner.plan.executes = true;
+    planner.messages.extend_from_slice(frame.raw());
+    Ok(planner.finish())
+}
+
+/// Plans a batch of the extended protocol; `present` names the statements that the server connection knows.
+pub(super) fn extended(
+    classifier: &Classifier,
+    statements: &mut Statements,
+    present: &HashSet<String>,
+    frames: &[Frame],
+) -> Result<Plan, Refusal> {
+    let mut planner = Planner::new(present);
+    for frame in frames {
+        let message = ClientMessage::parse(frame);
+        match message.ok_or_else(|| Refusal::not_run(RefusalKind::Protocol))? {
+            ClientMessage::Parse { name, text } => {
+                let classified = classifier.classify(text);
+                planner.add_statement(&classified)?;
+                statements.insert(name, frame, classified)?;
+                planner.note_parse(name);
+            }
+            ClientMessage::Bind { statement } => planner.use_statement(statements, statement)?,
+            ClientMessage::DescribeStatement { name } => planner.use_statement(statements, name)?,
+            ClientMessage::CloseStatement { name } => statements.remove(name),
+            ClientMessage::Execute => planner.plan.executes = true,
+            _ => {}
+        }
+        planner.messages.extend_from_slice(frame.raw());
+    }
+    planner.messages.extend_from_slice(SYNC);
+    Ok(planner.finish())
+}
+
+impl<'a> Planner<'a> {
+    fn new(present: &'a HashSet<String>) -> Self {
+        let plan = Plan {
+            data: Bytes::new(),
+            effect: Effect::Nothing,
+            flow: Flow::Plain,
+            tables: Vec::new(),
+            tables_known: true,
+            executes: false,
+            request_id: None,
+            added: HashSet::new(),
+            prepared: Vec::new(),
+            controls: Vec::new(),
+        };
+        Self { plan, messages: BytesMut::new(), parses: 0, statements: 0, present }
+    }
+
+    /// Adds what a statement does.
+    fn add_statement(&mut self, classified: &Classified) -> Result<(), Refusal> {
+        if let Some(feature) = classified.unsupported {
+            return Err(Refusal::not_run(RefusalKind::Unsupported).detail(feature));
+        }
+        self.statements += 1;
+        self.plan.controls.extend(classified.control.clone());
+        let mixed = !self.plan.controls.is_empty() && self.plan.controls.len() != self.statements;
+        if mixed {
+            return Err(Refusal::not_run(RefusalKind::Unsupported)
+                .detail("settings of hibiscus together with other statements"));
+        }
+        self.plan.effect = self.plan.effect.max(classified.effect);
+        self.plan.tables_known &= classified.tables_known || classified.control.is_some();
+        for table in &classified.tables {
+            if !self.plan.tables.contains(table) {
+                self.plan.tables.push(Arc::clone(table));
+            }
+        }
+        if self.plan.request_id.is_none() {
+            self.plan.request_id.clone_from(&classified.request_id);
+        }
+        self.plan.flow = combine(self.plan.flow, classified.flow);
+        Ok(())
+    }
+
+    fn note_parse(&mut self, name: &str) {
+        self.parses += 1;
+        self.plan.prepared.push(name.to_owned());
+    }
+
+    /// Adds a statement that was prepared, and its `Parse` message when the connection does not know it.
+    fn use_statement(&mut self, statements: &Statements, name: &str) -> Result<(), Refusal> {
+        // A statement that nobody prepared is answered by the upstream.
+        let Some(statement) = statements.known.get(name) else { return Ok(()) };
+        if self.plan.prepared.iter().any(|known| known == name) {
+            return Ok(());
+        }
+        self.add_statement(&statement.classified)?;
+        if !self.present.contains(name) {
+            self.messages.extend_from_slice(&statement.parse);
+            self.plan.added.insert(self.parses);
+            self.note_parse(name);
+        }
+        Ok(())
+    }
+
+    fn finish(mut self) -> Plan {
+        self.plan.data = self.messages.freeze();
+        self.plan
+    }
+}
+
+impl Statements {
+    /// What the statement `name` is, when it was prepared.
+    pub(super) fn get(&self, name: &str) -> Option<&Classified> {
+        self.known.get(name).map(|statement| &*statement.classified)
+    }
+
+    fn insert(
+        &mut self,
+        name: &str,
+        frame: &Frame,
+        classified: Arc<Classified>,
+    ) -> Result<(), Refusal> {
+        if self.known.len() >= MAX_STATEMENTS && !self.known.contains_key(name) {
+            return Err(Refusal::not_run(RefusalKind::Unsupported)
+                .detail(format!("more than {MAX_STATEMENTS} prepared statements")));
+        }
+        let statement = Statement { parse: frame.raw().clone(), classified };
+        self.known.insert(name.to_owned(), statement);
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) {
+        self.known.remove(name);
+    }
+}
+
+/// Effect of two texts in one batch on the transaction; one that may stay open counts most.
+const fn combine(first: Flow, second: Flow) -> Flow {
+    match (first, second) {
+        (Flow::Begin, _) | (_, Flow::Begin) => Flow::Begin,
+        (flow, Flow::Plain) => flow,
+        (_, flow) => flow,
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/caller/session.rs
@@ -0,0 +1,640 @@
+//! One client connection after its start-up message.
+
+use std::{
+    collections::{BTreeMap, HashSet},
+    sync::Arc,
+};
+
+use bytes::{Bytes, BytesMut};
+use futures::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
+use hibiscusladder_core::{
+    key::Key,
+    name::{Database, Workspace},
+    outcome::{Refusal, RefusalKind},
+    position::Position,
+    read_route::ReadNeed,
+    request::StatementClass,
+    session::Session as Positions,
+};
+use hibiscusladder_proto::reply::{ReplyEnd, TransactionStatus};
+use pgwire::messages::startup::{BackendKeyData, NegotiateProtocolVersion, SecretKey};
+use smol::{
+    channel::{self, Receiver, Sender},
+    future::FutureExt,
+};
+
+use super::{
+    Entry, answer,
+    authorise::{Authorised, ClientKey, Identity},
+    batch::{Batch, Collector},
+    cancel::Running,
+    frame::{Fields, Frame, FrameError, FrameReader, Framer},
+    local::LocalSettings,
+    plan::{self, Plan, Statements},
+    startup::Greeting,
+};
+use crate::{
+    classify::{Effect, Flow},
+    home::{Chunk, Exchange},
+    route::{Progress, Request},
+    trace::Hop,
+};
+
+/// Parameters that a client is told at the start.
+const PARAMETERS: [(&str, &str); 8] = [
+    ("server_version", "16.0"),
+    ("server_encoding", "UTF8"),
+    ("client_encoding", "UTF8"),
+    ("DateStyle", "ISO, MDY"),
+    ("TimeZone", "UTC"),
+    ("integer_datetimes", "on"),
+    ("standard_conforming_strings", "on"),
+    ("hibiscus.request_id", ""),
+];
+/// Size at which collected messages are written to the client, in bytes.
+const WRITE_BYTES: usize = 64 * 1024;
+
+/// The client is gone.
+struct Gone;
+
+/// A session of a client.
+pub(super) struct Session<'a, S> {
+    entry: &'a Arc<Entry>,
+    reader: FrameReader<S>,
+    collector: Collector,
+    identity: Identity,
+    settings: LocalSettings,
+    statements: Statements,
+    transaction: Option<Open>,
+    process: u32,
+    running: Arc<Running>,
+}
+
+/// A transaction that is open at a home.
+struct Open {
+    exchanges: Sender<Exchange>,
+    request: Request,
+    status: TransactionStatus,
+    prepared: HashSet<String>,
+}
+
+/// What comes next from a client.
+enum Input {
+    Batch(Batch),
+    Failed(FrameError),
+    Closed,
+    Draining,
+}
+
+impl<'a, S> Session<'a, S>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    /// Authenticates the client and tells it that the session is ready.
+    pub(super) async fn start(greeting: Greeting<S>, entry: &'a Arc<Entry>) -> Option<Self> {
+        let Greeting { mut reader, parameters, minor } = greeting;
+        match Self::authenticate(&mut reader, &parameters, minor, entry).await {
+            Ok(identity) => Self::welcome(reader, &parameters, identity, entry).await,
+            Err(Some(refusal)) => {
+                entry.node().metrics().count("entry.rejected");
+                let mut buf = BytesMut::new();
+                answer::put_fatal(&mut buf, &refusal);
+                let _ = reader.stream().write_all(&buf).await;
+                None
+            }
+            Err(None) => None,
+        }
+    }
+
+    /// Asks for the key and checks it; the error is absent when the client is gone.
+    async fn authenticate(
+        reader: &mut FrameReader<S>,
+        parameters: &BTreeMap<String, String>,
+        minor: u16,
+        entry: &Entry,
+    ) -> Result<Identity, Option<Refusal>> {
+        let node = entry.node();
+        if node.is_draining() {
+            return Err(Some(Refusal::not_run(RefusalKind::Leaving)));
+        }
+        let bound =
+            usize::try_from(node.settings().limits.client_connections).unwrap_or(usize::MAX);
+        if entry.clients() > bound {
+            return Err(Some(
+                Refusal::not_run(RefusalKind::QueueFull).detail("too many client connections"),
+            ));
+        }
+        let (workspace, database) = names(parameters)?;
+        let mut buf = BytesMut::new();
+        if minor > 0 {
+            answer::put(&mut buf, &NegotiateProtocolVersion::new(0, Vec::new()));
+        }
+        answer::put_password_request(&mut buf);
+        reader.stream().write_all(&buf).await.map_err(|_| None)?;
+        let invalid = || Refusal::not_run(RefusalKind::Protocol).detail("a password was expected");
+        let frame = reader.next().await.map_err(|_| Some(invalid()))?.ok_or(None)?;
+        let password = Fields::new(frame.body()).text().filter(|_| frame.kind() == b'p');
+        let password = password.ok_or_else(|| Some(invalid()))?;
+        let key = match password {
+            "" => None,
+            text => {
+                let key: Result<Key, _> = text.parse();
+                // The error says nothing about the text, which may be a mistyped secret.
+                let key = key.map_err(|_| Some(Refusal::not_run(RefusalKind::KeyRejected)))?;
+                Some(ClientKey::new(key))
+            }
+        };
+        let identity = Identity { workspace, database, key };
+        identity.authorise(node).map_err(Some)?;
+        Ok(identity)
+    }
+
+    async fn welcome(
+        mut reader: FrameReader<S>,
+        parameters: &BTreeMap<String, String>,
+        identity: Identity,
+        entry: &'a Arc<Entry>,
+    ) -> Option<Self> {
+        let position = parameters.get("hibiscus.position");
+        let position: Option<Position> = position.and_then(|text| text.parse().ok());
+        let (process, running) = entry.sessions.register()?;
+        let mut buf = BytesMut::new();
+        answer::put_authenticated(&mut buf);
+        for (name, value) in PARAMETERS {
+            answer::put_parameter(&mut buf, name, value);
+        }
+        if let Some(position) = position {
+            answer::put_position(&mut buf, position);
+        }
+        let secret = SecretKey::I32(running.secret().cast_signed());
+        answer::put(&mut buf, &BackendKeyData::new(process.cast_signed(), secret));
+        answer::put_ready(&mut buf, TransactionStatus::Idle);
+        let bound =
+            usize::try_from(entry.node().settings().limits.batch_bytes).unwrap_or(usize::MAX);
+        reader.set_bound(bound);
+        let session = position.map_or_else(Positions::new, Positions::with_position);
+        let mut session = Self {
+            entry,
+            reader,
+            collector: Collector::new(bound),
+            identity,
+            settings: LocalSettings { session, request_id: None },
+            statements: Statements::default(),
+            transaction: None,
+            process,
+            running,
+        };
+        session.write(&buf).await.ok()?;
+        Some(session)
+    }
+
+    /// Serves the client until it leaves.
+    pub(super) async fn run(mut self) {
+        loop {
+            let served = match self.next_input().await {
+                Input::Batch(Batch::Terminate) | Input::Closed => return,
+                Input::Batch(batch) => self.serve(batch).await,
+                Input::Failed(error) => {
+                    let refusal = Refusal::not_run(RefusalKind::Protocol).detail(error.to_string());
+                    self.close(&refusal).await
+                }
+                Input::Draining => self.close(&Refusal::not_run(RefusalKind::Leaving)).await,
+            };
+            if served.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Reads the next batch; between transactions, a shutdown comes first.
+    async fn next_input(&mut self) -> Input {
+        loop {
+            let drain = self.entry.node().drain_started();
+            let between = self.transaction.is_none() && self.collector.is_idle();
+            if between && self.entry.node().is_draining() {
+                return Input::Draining;
+            }
+            let reader = &mut self.reader;
+            let next = async { Some(reader.next().await) };
+            let next = if between {
+                let drain = async {
+                    drain.await;
+                    None
+                };
+                next.or(drain).await
+            } else {
+                next.await
+            };
+            let frame = match next {
+                None => return Input::Draining,
+                Some(Ok(Some(frame))) => frame,
+                Some(Ok(None)) => return Input::Closed,
+                Some(Err(error)) => return Input::Failed(error),
+            };
+            match self.collector.push(frame) {
+                Ok(Some(batch)) => return Input::Batch(batch),
+                Ok(None) => {}
+                Err(error) => return Input::Failed(error),
+            }
+        }
+    }
+
+    /// Runs a batch and answers it.
+    async fn serve(&mut self, batch: Batch) -> Result<(), Gone> {
+        let authorised = match self.identity.authorise(self.entry.node()) {
+            Ok(authorised) => authorised,
+            Err(refusal) => {
+                self.entry.node().metrics().count("entry.rejected");
+                return self.close(&refusal).await;
+            }
+        };
+        self.entry.node().metrics().count("entry.batches");
+        let mut span = self.entry.node().tracer().span(Hop::Caller, "");
+        span.attribute("workspace", self.identity.workspace.as_str());
+        span.attribute("database", self.identity.database.as_str());
+        let parent = span.trace_parent();
+        match batch {
+            Batch::Simple(frame) => {
+                let result = self.simple(&frame, &authorised, &parent).await?;
+                self.ready(result).await
+            }
+            Batch::Extended(frames) if frames.is_empty() => self.ready(Ok(())).await,
+            Batch::Extended(frames) => {
+                let result = self.extended(&frames, &authorised, &parent).await?;
+                self.ready(result).await
+            }
+            Batch::Flushed(frames) => self.flushed(&frames, &authorised, &parent).await,
+            Batch::Broken(reason) => {
+                let refusal = Refusal::not_run(RefusalKind::Protocol).detail(reason);
+                self.error(&refusal).await
+            }
+            Batch::Terminate => Err(Gone),
+        }
+    }
+
+    async fn simple(
+        &mut self,
+        frame: &Frame,
+        authorised: &Authorised,
+        parent: &Arc<str>,
+    ) -> Result<Result<(), Refusal>, Gone> {
+        let plan = match plan::simple(&self.entry.classifier, frame) {
+            Ok(plan) => plan,
+            Err(refusal) => return Ok(Err(refusal)),
+        };
+        if let Some(control) = plan.controls.first() {
+            let mut buf = BytesMut::new();
+            let applied = self.settings.apply(control);
+            if applied.is_ok() {
+                self.settings.answer_simple(control, &mut buf);
+                self.write(&buf).await?;
+            }
+            return Ok(applied);
+        }
+        self.run_plan(plan, authorised, parent).await
+    }
+
+    async fn extended(
+        &mut self,
+        frames: &[Frame],
+        authorised: &Authorised,
+        parent: &Arc<str>,
+    ) -> Result<Result<(), Refusal>, Gone> {
+        let nothing = HashSet::new();
+        let present = self.transaction.as_ref().map_or(&nothing, |open| &open.prepared);
+        let classifier = &self.entry.classifier;
+        let plan = match plan::extended(classifier, &mut self.statements, present, frames) {
+            Ok(plan) => plan,
+            Err(refusal) => return Ok(Err(refusal)),
+        };
+        if plan.controls.is_empty() {
+            return self.run_plan(plan, authorised, parent).await;
+        }
+        if plan.executes {
+            for control in &plan.controls {
+                if let Err(refusal) = self.settings.apply(control) {
+                    return Ok(Err(refusal));
+                }
+            }
+        }
+        let mut buf = BytesMut::new();
+        self.settings.answer_extended(frames, &self.statements, &mut buf);
+        self.write(&buf).await?;
+        Ok(Ok(()))
+    }
+
+    /// Answers messages whose answers the client waits for before it sends `Sync`.
+    async fn flushed(
+        &mut self,
+        frames: &[Frame],
+        authorised: &Authorised,
+        parent: &Arc<str>,
+    ) -> Result<(), Gone> {
+        let executes = frames.iter().any(|frame| frame.kind() == b'E');
+        let result = if executes {
+            Err(Refusal::not_run(RefusalKind::Unsupported).detail("Flush after Execute; send Sync"))
+        } else {
+            self.extended(frames, authorised, parent).await?
+        };
+        if let Err(refusal) = result {
+            self.collector.skip_to_sync();
+            return self.error(&refusal).await;
+        }
+        Ok(())
+    }
+
+    /// Runs a planned batch on an upstream.
+    async fn run_plan(
+        &mut self,
+        plan: Plan,
+        authorised: &Authorised,
+        parent: &Arc<str>,
+    ) -> Result<Result<(), Refusal>, Gone> {
+        if self.identity.key.as_ref().is_some_and(|key| key.is_in(&plan.data)) {
+            self.entry.node().metrics().count("entry.key_in_statement");
+            return Ok(Err(Refusal::not_run(RefusalKind::KeyInStatement)));
+        }
+        let mut span = self.entry.node().tracer().span(Hop::Entry, parent);
+        let result = match self.transaction.take() {
+            Some(open) => self.exchange(open, plan, authorised).await?,
+            None => self.begin(plan, authorised, &span.trace_parent()).await?,
+        };
+        if let Err(refusal) = &result {
+            span.fail(refusal.sqlstate());
+        }
+        Ok(result)
+    }
+
+    /// Runs a batch outside a transaction.
+    async fn begin(
+        &mut self,
+        plan: Plan,
+        authorised: &Authorised,
+        parent: &Arc<str>,
+    ) -> Result<Result<(), Refusal>, Gone> {
+        let request = match self.request(&plan, authorised, parent).await {
+            Ok(request) => request,
+            Err(refusal) => return Ok(Err(refusal)),
+        };
+        self.running.begin(&request.database, &request.progress, request.cancel_token);
+        let dispatched = self.entry.router.dispatch(&request).await;
+        let dispatched = match dispatched {
+            Ok(dispatched) => dispatched,
+            Err(refusal) => {
+                self.running.end();
+                return Ok(Err(refusal));
+            }
+        };
+        let chunks = dispatched.call.chunks;
+        let end = self.relay(Some(dispatched.first), &chunks, &plan).await?;
+        self.running.end();
+        if end.status != TransactionStatus::Idle {
+            let prepared = plan.prepared.into_iter().collect();
+            let exchanges = dispatched.call.exchanges;
+            let status = end.status;
+            self.transaction = Some(Open { exchanges, request, status, prepared });
+        }
+        self.note_end(end).await
+    }
+
+    /// Runs a batch in the open transaction.
+    async fn exchange(
+        &mut self,
+        mut open: Open,
+        plan: Plan,
+        authorised: &Authorised,
+    ) -> Result<Result<(), Refusal>, Gone> {
+        if let Err(refusal) = &authorised.keyed {
+            self.transaction = Some(open);
+            return Ok(Err(refusal.clone()));
+        }
+        let node = self.entry.node();
+        open.request.deadline = node.now().plus(node.settings().times.statement);
+        open.request.class = match plan.effect {
+            Effect::Write => StatementClass::Write,
+            Effect::Nothing | Effect::Read => StatementClass::Read,
+        };
+        open.request.request_id = None;
+        let member = open.request.progress.member();
+        let Some(member) = member else { return Ok(Err(rolled_back())) };
+        let left = node.settings().times.statement;
+        let envelope = open.request.envelope(&member, left, Arc::from(""));
+        let (chunks, receiver) = channel::bounded(2);
+        let exchange = Exchange { envelope, data: plan.data.clone(), chunks };
+        if open.exchanges.send(exchange).await.is_err() {
+            return Ok(Err(rolled_back()));
+        }
+        let request = &open.request;
+        self.running.begin(&request.database, &request.progress, request.cancel_token);
+        let end = self.relay(None, &receiver, &plan).await?;
+        self.running.end();
+        if end.status != TransactionStatus::Idle {
+            open.status = end.status;
+            open.prepared.extend(plan.prepared);
+            self.transaction = Some(open);
+        }
+        self.note_end(end).await
+    }
+
+    /// Describes a batch to the router.
+    async fn request(
+        &mut self,
+        plan: &Plan,
+        authorised: &Authorised,
+        parent: &Arc<str>,
+    ) -> Result<Request, Refusal> {
+        let class = classify(plan, authorised)?;
+        let identity = &self.identity;
+        let router = &self.entry.router;
+        let session = &mut self.settings.session;
+        if let Some(kind) = router.check_session(&identity.database, session) {
+            return Err(Refusal::not_run(kind));
+        }
+        let position = match session.need(class) {
+            ReadNeed::Position(position) => Some(position),
+            ReadNeed::ReadIndex => {
+                let position = router.read_index(&identity.database).await;
+                if let Some(position) = position {
+                    session.proved(position);
+                }
+                position
+            }
+            ReadNeed::Age(_) | ReadNeed::Primary => None,
+        };
+        let own_id = if plan.executes { self.settings.request_id.take() } else { None };
+        let node = self.entry.node();
+        let key = identity.key.as_ref().filter(|_| authorised.keyed.is_ok());
+        Ok(Request {
+            workspace: identity.workspace.clone(),
+            database: identity.database.clone(),
+            key: key.map(|key| key.key().id().clone()),
+            request_id: plan.request_id.clone().or(own_id).filter(|_| plan.executes),
+            class,
+            position,
+            deadline: node.now().plus(node.settings().times.statement),
+            revision: node.config_revision(),
+            trace_parent: Arc::clone(parent),
+            cancel_token: self.entry.sessions.token(),
+            progress: Arc::new(Progress::default()),
+            data: plan.data.clone(),
+            keep: plan.flow == Flow::Begin,
+        })
+    }
+
+    /// Passes the answer to the client, without the answers to messages that the entry added.
+    async fn relay(
+        &mut self,
+        first: Option<Chunk>,
+        chunks: &Receiver<Chunk>,
+        plan: &Plan,
+    ) -> Result<ReplyEnd, Gone> {
+        let mut filter = Filter::new(plan);
+        let mut next = first;
+        loop {
+            let chunk = match next.take() {
+                Some(chunk) => chunk,
+                None => chunks.recv().await.unwrap_or_else(|_| Chunk::End(lost())),
+            };
+            match chunk {
+                Chunk::Data(data) => {
+                    let data = filter.pass(data);
+                    self.write(&data).await?;
+                }
+                Chunk::End(end) => return Ok(end),
+            }
+        }
+    }
+
+    /// Takes the end of an answer over.
+    async fn note_end(&mut self, end: ReplyEnd) -> Result<Result<(), Refusal>, Gone> {
+        if let Some(position) = end.position {
+            self.settings.session.committed(position);
+            let mut buf = BytesMut::new();
+            answer::put_position(&mut buf, position);
+            self.write(&buf).await?;
+        }
+        Ok(end.refusal.map_or(Ok(()), Err))
+    }
+
+    /// Ends the answer to a batch.
+    async fn ready(&mut self, result: Result<(), Refusal>) -> Result<(), Gone> {
+        let mut buf = BytesMut::new();
+        if let Err(refusal) = &result {
+            self.count_refusal(refusal);
+            answer::put_error(&mut buf, refusal);
+        }
+        let status = self.transaction.as_ref().map_or(TransactionStatus::Idle, |open| open.status);
+        answer::put_ready(&mut buf, status);
+        self.write(&buf).await
+    }
+
+    /// Reports an error within an extended batch.
+    async fn error(&mut self, refusal: &Refusal) -> Result<(), Gone> {
+        self.count_refusal(refusal);
+        let mut buf = BytesMut::new();
+        answer::put_error(&mut buf, refusal);
+        self.write(&buf).await
+    }
+
+    /// Reports an error and ends the session.
+    async fn close(&mut self, refusal: &Refusal) -> Result<(), Gone> {
+        self.count_refusal(refusal);
+        let mut buf = BytesMut::new();
+        answer::put_fatal(&mut buf, refusal);
+        let _ = self.write(&buf).await;
+        let _ = self.reader.stream().close().await;
+        Err(Gone)
+    }
+
+    fn count_refusal(&self, refusal: &Refusal) {
+        let metrics = self.entry.node().metrics();
+        metrics.count_tagged("entry.refusals", "sqlstate", refusal.sqlstate());
+    }
+
+    async fn write(&mut self, bytes: &[u8]) -> Result<(), Gone> {
+        let stream = self.reader.stream();
+        stream.write_all(bytes).await.map_err(|_| Gone)?;
+        stream.flush().await.map_err(|_| Gone)
+    }
+}
+
+impl<S> Drop for Session<'_, S> {
+    fn drop(&mut self) {
+        self.entry.sessions.remove(self.process);
+    }
+}
+
+/// Removes the answers to `Parse` messages that the entry added.
+struct Filter<'a> {
+    added: &'a HashSet<usize>,
+    framer: Framer,
+    seen: usize,
+}
+
+impl<'a> Filter<'a> {
+    fn new(plan: &'a Plan) -> Self {
+        Self { added: &plan.added, framer: Framer::new(usize::MAX), seen: 0 }
+    }
+
+    /// Part of the answer that the client is given.
+    fn pass(&mut self, data: Bytes) -> Bytes {
+        if self.added.is_empty() {
+            return data;
+        }
+        self.framer.push(&data);
+        let mut kept = BytesMut::with_capacity(data.len().min(WRITE_BYTES));
+        while let Ok(Some(frame)) = self.framer.pop() {
+            if frame.kind() == b'1' {
+                self.seen += 1;
+                if self.added.contains(&(self.seen - 1)) {
+                    continue;
+                }
+            }
+            kept.extend_from_slice(frame.raw());
+        }
+        kept.freeze()
+    }
+}
+
+/// Class of a batch by the contract and the client's key.
+fn classify(plan: &Plan, authorised: &Authorised) -> Result<StatementClass, Refusal> {
+    let contract = &authorised.contract;
+    let writes = plan.effect == Effect::Write || !plan.tables_known;
+    if let Err(refusal) = &authorised.keyed {
+        let open = if writes { None } else { contract.open_read(&plan.tables) };
+        return match open {
+            Some(max_age) => Ok(StatementClass::StaleRead { max_age }),
+            None => Err(refusal.clone()),
+        };
+    }
+    Ok(contract.classify(&plan.tables, writes))
+}
+
+/// Workspace and database that a client names.
+fn names(parameters: &BTreeMap<String, String>) -> Result<(Workspace, Database), Option<Refusal>> {
+    let invalid =
+        |detail: &str| Some(Refusal::not_run(RefusalKind::Protocol).detail(detail.to_owned()));
+    let user = parameters.get("user").filter(|user| !user.is_empty());
+    let user = user.ok_or_else(|| invalid("the start-up message names no user"))?;
+    let database = parameters.get("database").filter(|name| !name.is_empty()).unwrap_or(user);
+    if let Some(encoding) = parameters.get("client_encoding") {
+        let encoding = encoding.trim_matches('\'').to_ascii_uppercase();
+        if !matches!(encoding.as_str(), "UTF8" | "UTF-8" | "UNICODE" | "AUTO") {
+            return Err(Some(
+                Refusal::not_run(RefusalKind::Unsupported).detail("encodings other than UTF8"),
+            ));
+        }
+    }
+    Ok((Workspace::new(user), Database::new(database)))
+}
+
+/// End of an answer whose rest was lost.
+const fn lost() -> ReplyEnd {
+    ReplyEnd::refused(Refusal::unknown(RefusalKind::ConnectionLost))
+}
+
+/// Refusal of a batch in a transaction that no longer exists.
+fn rolled_back() -> Refusal {
+    Refusal::not_run(RefusalKind::NoMember)
+        .detail("the connection of the transaction was lost and the transaction rolled back")
+}
--- a/crates/proxy/src/classify/mod.rs
+++ b/crates/proxy/src/classify/mod.rs
@@ -18,6 +18,7 @@
 
 use std::sync::Arc;
 
+pub(crate) use self::statement::MAX_REQUEST_ID_BYTES;
 pub use self::{cache::Classifier, statement::classify};
 
 /// What a query text does to the database.
--- a/crates/proxy/src/home/gate.rs
+++ b/crates/proxy/src/home/gate.rs
@@ -25,7 +25,9 @@
         if left.is_zero() {
             return false;
         }
-        let timer = async { drop(Timer::after(left).await) };
+        let timer = async {
+            Timer::after(left).await;
+        };
         changed.or(timer).await;
     }
 }
--- a/crates/proxy/src/home/member.rs
+++ b/crates/proxy/src/home/member.rs
@@ -6,7 +6,7 @@
     clock::Instant,
     contract::Contract,
     database::MemberRecord,
-    name::{Database, MemberId},
+    name::MemberId,
     outcome::{Refusal, RefusalKind},
     position::{Position, Term},
     witness::PositionProof,
@@ -31,7 +31,6 @@
 pub struct Member {
     pub(super) node: Arc<Node>,
     pub(super) group: Arc<Group>,
-    pub(super) database: Database,
     pub(super) id: MemberId,
     pub(super) pool: Pool,
     pub(super) admission: Admission,
@@ -59,7 +58,6 @@
             index: SharedIndex::new(MemberQuestion::new(pool.clone())),
             node,
             group,
-            database,
             id: record.id.clone(),
             pool,
             admission,
@@ -102,7 +100,9 @@
             if left.is_zero() {
                 return Err(self.no_member("its home has no lease yet"));
             }
-            let timer = async { drop(Timer::after(left.min(REPLICA_POLL * 10)).await) };
+            let timer = async {
+                Timer::after(left.min(REPLICA_POLL * 10)).await;
+            };
             changed.or(timer).await;
         }
     }
--- a/crates/proxy/src/home/mod.rs
+++ b/crates/proxy/src/home/mod.rs
@@ -35,10 +35,7 @@
     member::Member,
 };
 use self::{call::Cancels, transaction::Transaction};
-use crate::{
-    node::{Node, lock},
-    trace::Tracer,
-};
+use crate::node::{Node, lock};
 
 /// Chunks that wait for a slow reader of an answer; more make the upstream wait.
 const CHUNKS_BUFFERED: usize = 2;
@@ -47,15 +44,14 @@
 #[derive(Debug)]
 pub struct Homes {
     node: Arc<Node>,
-    tracer: Tracer,
     members: Mutex<HashMap<MemberId, Arc<Member>>>,
     cancels: Arc<Cancels>,
 }
 
 impl Homes {
     /// Creates the homes of `node`.
-    pub fn new(node: Arc<Node>, tracer: Tracer) -> Arc<Self> {
-        Arc::new(Self { node, tracer, members: Mutex::default(), cancels: Arc::default() })
+    pub fn new(node: Arc<Node>) -> Arc<Self> {
+        Arc::new(Self { node, members: Mutex::default(), cancels: Arc::default() })
     }
 
     /// Starts a request. With `keep`, the transaction that it opens stays open for further batches.
@@ -66,7 +62,7 @@
             Some(member) => {
                 let first = Exchange { envelope, data, chunks };
                 let cancels = Arc::clone(&self.cancels);
-                let transaction = Transaction::new(member, self.tracer.clone(), cancels, keep);
+                let transaction = Transaction::new(member, cancels, keep);
                 smol::spawn(transaction.run(first, batches)).detach();
             }
             None => {
--- a/crates/proxy/src/home/outlet.rs
+++ b/crates/proxy/src/home/outlet.rs
@@ -82,11 +82,6 @@
         self.chunks.send(Chunk::End(end)).await.map_err(|_| Abandoned)
     }
 
-    /// Completes when the entry no longer takes the answer.
-    pub(crate) async fn abandoned(&self) {
-        self.chunks.closed().await;
-    }
-
     async fn flush(&mut self) -> Result<(), Abandoned> {
         let mut data: Bytes = self.ready.split().freeze();
         self.sent = true;
--- a/crates/proxy/src/home/transaction.rs
+++ b/crates/proxy/src/home/transaction.rs
@@ -26,7 +26,7 @@
 };
 use crate::{
     caller::frame::{Frame, split_messages},
-    trace::{Hop, Tracer},
+    trace::Hop,
     upstream::{Pooled, connection::bounded},
 };
 
@@ -39,7 +39,6 @@
 #[derive(Debug)]
 pub(super) struct Transaction {
     member: Arc<Member>,
-    tracer: Tracer,
     cancels: Arc<Cancels>,
     keep: bool,
 }
@@ -56,13 +55,8 @@
 type Ended = (ReplyEnd, Option<Open>);
 
 impl Transaction {
-    pub(super) const fn new(
-        member: Arc<Member>,
-        tracer: Tracer,
-        cancels: Arc<Cancels>,
-        keep: bool,
-    ) -> Self {
-        Self { member, tracer, cancels, keep }
+    pub(super) const fn new(member: Arc<Member>, cancels: Arc<Cancels>, keep: bool) -> Self {
+        Self { member, cancels, keep }
     }
 
     /// Runs the first batch and, when it leaves a transaction open, those that follow.
@@ -165,7 +159,7 @@
         }
         let pooled = self.connect(envelope, deadline).await?;
         registered.connected(pooled.connection.cancel_key());
-        let mut span = self.tracer.span(Hop::Upstream, &head.trace_parent);
+        let mut span = self.member.node.tracer().span(Hop::Upstream, &head.trace_parent);
         span.attribute("member", member.id.as_str());
         if !member.lease_usable() {
             return Err(member.no_member("the lease of its home has expired"));
@@ -208,7 +202,7 @@
         let frames = split(data)?;
         let Open { pooled, slot, .. } = transaction;
         let deadline = member.node.now().plus(head.remaining);
-        let span = self.tracer.span(Hop::Upstream, &head.trace_parent);
+        let span = self.member.node.tracer().span(Hop::Upstream, &head.trace_parent);
         let term = gate_term(standing, head.class);
         let mut execution = Execution::new(member, pooled, head.class, term, deadline);
         let finished = execution.continue_open(data, &frames, on_primary, outlet).await?;
@@ -265,7 +259,7 @@
     async fn admit(&self, envelope: &Envelope, deadline: Instant) -> Result<Slot, Refusal> {
         let member = &self.member;
         let head = &envelope.head;
-        let mut span = self.tracer.span(Hop::Queue, &head.trace_parent);
+        let mut span = self.member.node.tracer().span(Hop::Queue, &head.trace_parent);
         span.attribute("workspace", head.workspace.as_str());
         let now = member.node.now();
         member.wait_lease(deadline.min(now.plus(LEASE_WAIT))).await?;
--- a/crates/proxy/src/route/mod.rs
+++ b/crates/proxy/src/route/mod.rs
@@ -1,5 +1,238 @@
-//! Choice of the member that serves a request, and of the instance that is its home.
+//! Choice of the member that serves a request, and forwarding to the instance that is its home.
+//!
+//! [`Router::dispatch`] returns when the first part of the answer is there. Until then, a request that certainly
+//! did not run is sent to another member or again, within a budget.
 
+mod database;
 mod read_index;
+mod request;
 
-pub use self::read_index::{Question, SharedIndex};
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use hibiscusladder_core::{
+    name::{Database, InstanceId, MemberId},
+    outcome::{Execution, Refusal, RefusalKind},
+    position::{Position, Term},
+    request::StatementClass,
+    retry::RetryBudget,
+    session::Session,
+    term_history::TermHistory,
+};
+use hibiscusladder_proto::request::Envelope;
+use smol::{Timer, future::FutureExt};
+
+use self::database::DatabaseRoute;
+pub use self::{
+    read_index::{Question, SharedIndex},
+    request::{Dispatched, Progress, Request},
+};
+use crate::{
+    home::{Call, Chunk, Homes},
+    node::{Node, lock},
+    rpc::Rpc,
+    trace::Hop,
+};
+
+/// Shortest and longest pause before a request goes to the same home again.
+const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
+
+/// Routes the requests of the clients of one instance.
+#[derive(Debug)]
+pub struct Router {
+    node: Arc<Node>,
+    homes: Arc<Homes>,
+    rpc: Rpc,
+    databases: Mutex<HashMap<Database, Arc<DatabaseRoute>>>,
+    retries: Mutex<RetryBudget>,
+}
+
+/// Where a request was sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Target {
+    member: MemberId,
+    home: InstanceId,
+    incarnation: u64,
+    term: Term,
+}
+
+impl Router {
+    /// Creates the router of `node`.
+    pub fn new(node: Arc<Node>, homes: Arc<Homes>, rpc: Rpc) -> Arc<Self> {
+        Arc::new(Self { node, homes, rpc, databases: Mutex::default(), retries: Mutex::default() })
+    }
+
+    /// State of the instance.
+    pub const fn node(&self) -> &Arc<Node> {
+        &self.node
+    }
+
+    /// Homes of the instance.
+    pub const fn homes(&self) -> &Arc<Homes> {
+        &self.homes
+    }
+
+    /// Calls to other instances.
+    pub const fn rpc(&self) -> &Rpc {
+        &self.rpc
+    }
+
+    /// Reports a write of the session that was lost when the primary changed; each loss once.
+    pub fn check_session(&self, database: &Database, session: &mut Session) -> Option<RefusalKind> {
+        let route = self.database(database)?;
+        session.check(&route.history(&self.node))
+    }
+
+    /// Starts terms that the instance knows of.
+    pub fn history(&self, database: &Database) -> TermHistory {
+        self.database(database).map(|route| route.history(&self.node)).unwrap_or_default()
+    }
+
+    /// A position that the primary of `database` had after this call.
+    pub async fn read_index(&self, database: &Database) -> Option<Position> {
+        self.database(database)?.index().position().await
+    }
+
+    /// Sends a request to the home of a member that can serve it, and waits for the first part of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal that the client is to be given.
+    pub async fn dispatch(&self, request: &Request) -> Result<Dispatched, Refusal> {
+        lock(&self.retries).record_request(self.node.now());
+        let mut excluded: Vec<MemberId> = Vec::new();
+        let mut last: Option<Target> = None;
+        let mut refusal =
+            Refusal::not_run(RefusalKind::NoMember).detail("no primary of the database is known");
+        let mut pause = RETRY_PAUSE.0;
+        loop {
+            let target = self.choose(request, &excluded);
+            let again = target.is_some() && target == last;
+            let allowed = !again || lock(&self.retries).try_retry(self.node.now());
+            if let Some(target) = target.filter(|_| allowed) {
+                match self.attempt(request, &target).await {
+                    Ok(dispatched) => return Ok(dispatched),
+                    Err(failed) if !may_retry(request, &failed) => return Err(failed),
+                    Err(failed) => refusal = failed,
+                }
+                if !request.class.needs_primary() && !self.is_primary(request, &target.member) {
+                    excluded.push(target.member.clone());
+                    last = None;
+                    continue;
+                }
+                last = Some(target);
+            }
+            self.node.metrics().count("entry.waits_for_member");
+            if !self.wait(request, &mut pause).await {
+                return Err(refusal);
+            }
+            excluded.clear();
+        }
+    }
+
+    /// Cancels the statement of a request that was dispatched.
+    pub async fn cancel(&self, database: &Database, member: &MemberId, token: u64) {
+        match self.node.home_of(database, member) {
+            Some(home) if home.id != *self.node.id() => self.rpc.cancel(&home.rpc, token).await,
+            _ => self.homes.cancel(token).await,
+        }
+    }
+
+    async fn attempt(&self, request: &Request, target: &Target) -> Result<Dispatched, Refusal> {
+        let mut span = self.node.tracer().span(Hop::Forward, &request.trace_parent);
+        span.attribute("member", target.member.as_str());
+        let parent = span.trace_parent();
+        let left = request.deadline.since(self.node.now());
+        let envelope = request.envelope(&target.member, left, parent);
+        request.progress.set(&target.member);
+        let call = self.call(target, envelope, request);
+        let dispatched = Dispatched::receive(call, target.member.clone()).await;
+        if let Err(refusal) = &dispatched {
+            span.fail(refusal.sqlstate());
+        }
+        dispatched
+    }
+
+    fn call(&self, target: &Target, envelope: Envelope, request: &Request) -> Call {
+        let data = request.data.clone();
+        let peers = self.node.peers();
+        match peers.get(&target.home) {
+            Some(peer) if peer.id != *self.node.id() => {
+                self.node.metrics().count("entry.forwarded");
+                self.rpc.call(&peer.rpc, envelope, data, request.keep)
+            }
+            _ => self.homes.call(envelope, data, request.keep),
+        }
+    }
+
+    /// The member that serves the request next, with its home.
+    fn choose(&self, request: &Request, excluded: &[MemberId]) -> Option<Target> {
+        let route = self.database(&request.database)?;
+        let member = route.choose(&self.node, request, excluded)?;
+        let home = self.node.home_of(&request.database, &member)?;
+        let term = self.node.group(&request.database)?.view().term;
+        Some(Target { member, home: home.id, incarnation: home.incarnation, term })
+    }
+
+    /// Waits for a change of the group or the instances, or a pause; false when the deadline comes first.
+    async fn wait(&self, request: &Request, pause: &mut Duration) -> bool {
+        let left = request.deadline.since(self.node.now());
+        if left <= *pause || self.node.is_draining() {
+            return false;
+        }
+        let instances = self.node.peers_changed();
+        let timer = async {
+            Timer::after(*pause).await;
+        };
+        instances.or(timer).await;
+        *pause = (*pause * 2).min(RETRY_PAUSE.1);
+        true
+    }
+
+    fn is_primary(&self, request: &Request, member: &MemberId) -> bool {
+        let group = self.node.group(&request.database);
+        group.is_some_and(|group| group.view().primary.as_ref() == Some(member))
+    }
+
+    fn database(&self, database: &Database) -> Option<Arc<DatabaseRoute>> {
+        let group = self.node.group(database)?;
+        let mut databases = lock(&self.databases);
+        if let Some(route) = databases.get(database)
+            && route.is_for(&group)
+        {
+            return Some(Arc::clone(route));
+        }
+        let route = DatabaseRoute::new(&self.node, &self.homes, &self.rpc, group);
+        databases.insert(database.clone(), Arc::clone(&route));
+        Some(route)
+    }
+}
+
+/// Whether a request that failed before any part of its answer left may be sent again.
+fn may_retry(request: &Request, refusal: &Refusal) -> bool {
+    let not_run = refusal.execution == Execution::NotRun;
+    match refusal.kind {
+        RefusalKind::NoMember => not_run,
+        RefusalKind::StaleReadUnproved => not_run,
+        // A read has no effect, so it does not matter whether it ran.
+        RefusalKind::ConnectionLost | RefusalKind::TermUnconfirmed => {
+            not_run || is_plain_read(request)
+        }
+        _ => false,
+    }
+}
+
+fn is_plain_read(request: &Request) -> bool {
+    matches!(request.class, StatementClass::Read | StatementClass::StaleRead { .. })
+}
+
+/// The chunk of a refused request.
+pub(crate) fn refusal_of(chunk: &Chunk) -> Option<&Refusal> {
+    match chunk {
+        Chunk::End(end) => end.refusal.as_ref(),
+        Chunk::Data(_) => None,
+    }
+}
--- a/crates/proxy/src/upstream/probe.rs
+++ b/crates/proxy/src/upstream/probe.rs
@@ -38,9 +38,9 @@
     ///
     /// Returns an error when the member does not answer.
     pub async fn backend(&mut self, process: i32) -> Result<BackendState, UpstreamError> {
-        let sql = format!("SELECT state FROM pg_stat_activity WHERE pid = {process}");
+        let sql = format!("SELECT pid, state FROM pg_stat_activity WHERE pid = {process}");
         let result = bounded(PROBE_BOUND, self.connection.query(&sql)).await?;
-        Ok(match result.value(0) {
+        Ok(match result.value(1) {
             Some("active") => BackendState::Active,
             _ => BackendState::Inactive,
         })
