--- /dev/null
+++ b/crates/proxy/tests/support/mod.rs
@@ -0,0 +1,408 @@
+//! Instances in one process in front of emulated members, without the control tasks.
+//!
+//! A thread polls the members on behalf of all instances and passes heartbeats between them.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::{
+    net::{SocketAddr, TcpListener as StdListener},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant as WallInstant},
+};
+
+use hibiscusladder_core::{
+    clock::Instant,
+    config::{Change, Changes, Kind},
+    contract::{Contract, Route},
+    database::{DatabaseRecord, MemberRecord},
+    home_lease::LeaseEvent,
+    key::{Key, KeyRecord},
+    membership::Heartbeat,
+    name::{Database, MemberId, Workspace},
+    position::Term,
+    witness::{MemberReport, MemberRole},
+};
+use hibiscusladder_emulator::database::{Group, GroupConfig, GroupHandle};
+use hibiscusladder_proxy::{
+    caller::{self, Entry},
+    home::Homes,
+    metrics::Metrics,
+    node::Node,
+    route::Router,
+    rpc::{self, ControlService, Rpc, Services},
+    settings::Settings,
+    upstream::Connection,
+};
+use postgres::{Client, Config, NoTls};
+use smol::net::TcpListener;
+
+/// Database of the tests.
+pub const DATABASE: &str = "padron";
+/// Workspace of the tests.
+pub const WORKSPACE: &str = "club-andino";
+/// Time between two polls.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after which a poll is given up.
+const POLL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What a test may set.
+pub struct Options {
+    pub instances: usize,
+    pub members: Vec<&'static str>,
+    pub times: &'static str,
+    pub limits: &'static str,
+    pub rate: f64,
+    pub routes: Vec<Route>,
+    pub statement_us: u64,
+    pub lag_ms: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            instances: 2,
+            members: vec!["p1", "p2", "p3"],
+            times: "",
+            limits: "",
+            rate: 100_000.0,
+            routes: Vec::new(),
+            statement_us: 0,
+            lag_ms: 5,
+        }
+    }
+}
+
+/// One instance of the proxy.
+pub struct Instance {
+    pub node: Arc<Node>,
+    pub homes: Arc<Homes>,
+    pub entry: Arc<Entry>,
+    pub address: SocketAddr,
+    pub rpc: SocketAddr,
+}
+
+/// Instances and members.
+pub struct Cluster {
+    pub group: GroupHandle,
+    pub instances: Vec<Instance>,
+    pub key: Key,
+    version: u64,
+    contract: Contract,
+    paused: Arc<AtomicBool>,
+    stop: Arc<AtomicBool>,
+}
+
+struct TestControl {
+    node: Arc<Node>,
+}
+
+impl ControlService for TestControl {
+    fn heartbeat(&self, beat: &Heartbeat) -> Heartbeat {
+        self.node.receive_heartbeat(beat);
+        self.node.heartbeat(&beat.sender.id)
+    }
+
+    async fn changes(&self, since: u64, _: Duration) -> Changes {
+        self.node.changes_since(since)
+    }
+
+    fn status(&self) -> String {
+        "{}".to_owned()
+    }
+}
+
+impl Cluster {
+    /// Starts with the defaults.
+    pub fn start() -> Self {
+        Self::with(Options::default())
+    }
+
+    /// Starts members and instances and waits until requests can be served.
+    pub fn with(options: Options) -> Self {
+        let mut cfg = GroupConfig::single(DATABASE, &options.members);
+        cfg.statement_us = options.statement_us;
+        cfg.lag_ms = options.lag_ms;
+        let group = Group::start(cfg).unwrap();
+        let key = Key::from_random(&[7; Key::RANDOM_BYTES]);
+        let contract = Contract {
+            workspace: Workspace::new(WORKSPACE),
+            databases: vec![Database::new(DATABASE)],
+            rate: options.rate,
+            burst: options.rate,
+            weight: 1,
+            keys: vec![key.id().clone()],
+            routes: options.routes.clone(),
+        };
+        let instances: Vec<Instance> =
+            (0..options.instances).map(|number| start_instance(number, &options)).collect();
+        let mut cluster = Self {
+            group,
+            instances,
+            key,
+            version: 0,
+            contract,
+            paused: Arc::default(),
+            stop: Arc::default(),
+        };
+        cluster.configure();
+        cluster.start_polls();
+        cluster.wait_ready();
+        cluster
+    }
+
+    fn configure(&mut self) {
+        let record = KeyRecord::new(&self.key, Workspace::new(WORKSPACE));
+        let database = self.database_record();
+        let contract = self.contract.clone();
+        self.change(Kind::Database, DATABASE, &serde_json::to_string(&database).unwrap());
+        self.change(
+            Kind::Key,
+            self.key.id().as_str().to_owned().as_str(),
+            &serde_json::to_string(&record).unwrap(),
+        );
+        self.change(Kind::Contract, WORKSPACE, &serde_json::to_string(&contract).unwrap());
+    }
+
+    /// Writes an object of the configuration.
+    pub fn change(&mut self, kind: Kind, name: &str, value: &str) {
+        self.version += 1;
+        self.apply(Change::put(kind, name, self.version, value));
+    }
+
+    /// Withdraws the key of the tests.
+    pub fn withdraw_key(&mut self) {
+        self.version += 1;
+        let id = self.key.id().clone();
+        self.apply(Change::delete(Kind::Key, id.as_str(), self.version));
+    }
+
+    fn apply(&self, change: Change) {
+        for instance in &self.instances {
+            let changes = Changes {
+                revision: self.version,
+                proof_age: Some(Duration::ZERO),
+                complete: false,
+                items: vec![change.clone()],
+            };
+            instance.node.apply_changes(changes, self.version - 1, instance.node.now());
+        }
+    }
+
+    fn database_record(&self) -> DatabaseRecord {
+        let members = self.group.addresses().into_iter().map(|(id, address)| MemberRecord {
+            id,
+            data_centre: "stgo-a".into(),
+            address: address.to_string(),
+            slots: 2,
+            connections: 16,
+        });
+        let members: Vec<_> = members.collect();
+        DatabaseRecord {
+            name: Database::new(DATABASE),
+            primary: Some(members[0].id.clone()),
+            term: Term(1),
+            claimant: None,
+            term_start: None,
+            term_members: members.iter().map(|member| member.id.clone()).collect(),
+            members,
+        }
+    }
+
+    /// Polls every member for every instance and holds the leases of the homes.
+    fn start_polls(&self) {
+        for instance in &self.instances {
+            for (member, address) in self.group.addresses() {
+                let node = Arc::clone(&instance.node);
+                let (stop, paused) = (Arc::clone(&self.stop), Arc::clone(&self.paused));
+                thread::spawn(move || {
+                    smol::block_on(poll(&node, &member, address, &stop, &paused));
+                });
+            }
+        }
+        let nodes: Vec<_> = self.instances.iter().map(|i| Arc::clone(&i.node)).collect();
+        let stop = Arc::clone(&self.stop);
+        thread::spawn(move || {
+            while !stop.load(Ordering::Acquire) {
+                for from in &nodes {
+                    for to in nodes.iter().filter(|to| to.id() != from.id()) {
+                        to.receive_heartbeat(&from.heartbeat(to.id()));
+                    }
+                    from.tick_membership();
+                    from.hear_proof(from.config_revision(), Duration::ZERO, from.now());
+                }
+                thread::sleep(POLL_INTERVAL);
+            }
+        });
+    }
+
+    /// Stops the polls, so that leases and gates expire.
+    pub fn pause_polls(&self, paused: bool) {
+        self.paused.store(paused, Ordering::Release);
+    }
+
+    fn wait_ready(&self) {
+        let start = WallInstant::now();
+        let ready = || {
+            self.instances.iter().all(|instance| {
+                let group = instance.node.group(&Database::new(DATABASE)).unwrap();
+                let view = group.view();
+                let members = &view.members;
+                view.gate_open(Term(1), instance.node.now())
+                    && instance.node.peers().iter().count() == self.instances.len()
+                    && members.iter().all(|member| {
+                        !instance.node.is_home(&view.database, &member.id)
+                            || instance
+                                .node
+                                .lease(&member.id)
+                                .is_some_and(|lease| lease.usable(instance.node.now()))
+                    })
+            })
+        };
+        while !ready() {
+            assert!(start.elapsed() < Duration::from_secs(10), "the instances did not get ready");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Settings of a client of the instance `number`.
+    pub fn config(&self, number: usize) -> Config {
+        let address = self.instances[number].address;
+        let mut config = Config::new();
+        config
+            .host(&address.ip().to_string())
+            .port(address.port())
+            .user(WORKSPACE)
+            .dbname(DATABASE)
+            .password(self.key.expose())
+            .connect_timeout(Duration::from_secs(5));
+        config
+    }
+
+    /// A client of the instance `number`.
+    pub fn client(&self, number: usize) -> Client {
+        self.config(number).connect(NoTls).unwrap()
+    }
+
+    /// The instance that is home of the member `id`.
+    pub fn home_of(&self, id: &str) -> usize {
+        let (database, member) = (Database::new(DATABASE), MemberId::new(id));
+        let home = self.instances[0].node.home_of(&database, &member).unwrap();
+        self.instances.iter().position(|instance| *instance.node.id() == home.id).unwrap()
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Release);
+    }
+}
+
+fn start_instance(number: usize, options: &Options) -> Instance {
+    let listener = StdListener::bind("127.0.0.1:0").unwrap();
+    let rpc_listener = StdListener::bind("127.0.0.1:0").unwrap();
+    let (address, rpc_address) =
+        (listener.local_addr().unwrap(), rpc_listener.local_addr().unwrap());
+    let text = format!(
+        "[instance]\nid = \"i{number}\"\ndata_centre = \"stgo-a\"\nlisten = \"{address}\"\n\
+         rpc = \"{rpc_address}\"\nhealth = \"127.0.0.1:1\"\n\
+         [platform]\nurl = \"http://127.0.0.1:1\"\n\
+         [[topology]]\ndata_centre = \"stgo-a\"\nregion = \"stgo\"\n\
+         [upstream]\nuser = \"proxy\"\npassword = \"proxy\"\n\
+         [times]\n{}\n[limits]\n{}\n",
+        options.times, options.limits
+    );
+    let settings = Settings::parse("test.toml", &text).unwrap_or_else(|error| panic!("{error:?}"));
+    let node = Node::new(settings, Metrics::disabled());
+    let homes = Homes::new(Arc::clone(&node));
+    let rpc = Rpc::start().unwrap();
+    let router = Router::new(Arc::clone(&node), Arc::clone(&homes), rpc);
+    let entry = Entry::new(router, None);
+    let services = Services {
+        homes: Arc::clone(&homes),
+        control: Arc::new(TestControl { node: Arc::clone(&node) }),
+        sessions: Arc::clone(&entry),
+    };
+    let serving = Arc::clone(&entry);
+    thread::spawn(move || {
+        let listener = TcpListener::try_from(listener).unwrap();
+        smol::block_on(caller::serve(listener, serving))
+    });
+    thread::spawn(move || {
+        let listener = TcpListener::try_from(rpc_listener).unwrap();
+        smol::block_on(rpc::serve(listener, services))
+    });
+    Instance { node, homes, entry, address, rpc: rpc_address }
+}
+
+async fn poll(
+    node: &Arc<Node>,
+    member: &MemberId,
+    address: SocketAddr,
+    stop: &AtomicBool,
+    paused: &AtomicBool,
+) {
+    let database = Database::new(DATABASE);
+    let mut connection = None;
+    while !stop.load(Ordering::Acquire) {
+        let lease = node.lease_or_new(member);
+        if !paused.load(Ordering::Acquire) && node.is_home(&database, member) && !lease.holds_lock()
+        {
+            lease.handle(LeaseEvent::Connected, node.now());
+            lease.handle(LeaseEvent::LockTaken { sent: node.now() }, node.now());
+        }
+        if !paused.load(Ordering::Acquire) {
+            let sent = node.now();
+            let asked = poll_once(&mut connection, node, address, sent);
+            let timeout = async {
+                smol::Timer::after(POLL_TIMEOUT).await;
+                None
+            };
+            match smol::future::or(asked, timeout).await {
+                Some(report) => {
+                    if let Some(group) = node.group(&database) {
+                        group.apply_report(report);
+                    }
+                    lease.handle(LeaseEvent::PollAnswered { sent }, node.now());
+                }
+                None => connection = None,
+            }
+        }
+        smol::Timer::after(POLL_INTERVAL).await;
+    }
+}
+
+async fn poll_once(
+    connection: &mut Option<Connection>,
+    node: &Node,
+    address: SocketAddr,
+    sent: Instant,
+) -> Option<MemberReport> {
+    if connection.is_none() {
+        let credentials = &node.settings().upstream;
+        *connection = Connection::open(&address.to_string(), DATABASE, credentials).await.ok();
+    }
+    let result = connection.as_mut()?.query("SELECT * FROM group_status()").await.ok()?;
+    let value = |column| result.value(column);
+    let term = |text: Option<&str>| text.and_then(|text| text.parse().ok()).map(Term);
+    Some(MemberReport {
+        member: MemberId::new(value(0)?),
+        role: match value(1)? {
+            "primary" => MemberRole::Primary,
+            "replica" => MemberRole::Replica,
+            _ => MemberRole::Fenced,
+        },
+        term: term(value(2))?,
+        claimant: None,
+        promoted_term: term(value(4)).unwrap_or_default(),
+        position: value(5)?.parse().ok()?,
+        term_start: value(6).and_then(|text| text.parse().ok()).unwrap_or_default(),
+        term_members: Vec::new(),
+        source_silent: None,
+        sent,
+        received: node.now(),
+    })
+}
