feat(proxy): add the control tasks

Polls and leases of members, configuration from the store or from relays, heartbeats, promotions, status per data centre, registration and the health address. Calls to other instances go through the PeerCalls trait, which the RPC client implements.

--- a/crates/proxy/src/clock.rs
+++ b/crates/proxy/src/clock.rs
@@ -4,6 +4,7 @@
 
 use hibiscusladder_core::clock::{Clock, Instant};
 use rustix::time::{ClockId, clock_gettime};
+use smol::Timer;
 
 /// Monotonic time since the machine was started, including the time it was suspended.
 #[derive(Debug, Clone, Copy, Default)]
@@ -17,3 +18,8 @@
         Instant::new(Duration::new(seconds, nanos))
     }
 }
+
+/// Waits for `duration`.
+pub(crate) async fn sleep(duration: Duration) {
+    Timer::after(duration).await;
+}
--- /dev/null
+++ b/crates/proxy/src/control/heartbeat.rs
@@ -0,0 +1,191 @@
+//! Heartbeats between instances, and the platform's list as their seed.
+
+use std::{
+    collections::{BTreeMap, HashSet},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use hibiscusladder_core::{
+    clock::Instant,
+    membership::{Heartbeat, InstanceInfo, InstanceState, StateChange},
+    name::InstanceId,
+};
+
+use super::calls::PeerCalls;
+use crate::{
+    clock::sleep,
+    node::{Node, lock},
+    platform::{PlatformClient, Registration, RegistrationState, random_up_to},
+};
+
+/// Time between two heartbeats to the same neighbour.
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Average time between two reads of the platform's list while other instances are known.
+const LIST_INTERVAL: Duration = Duration::from_secs(60);
+
+/// Average time between two reads of the platform's list while no other instance is known.
+const LONELY_LIST_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Time for which an instance that died without leaving is still listed as not confirmed.
+///
+/// It covers the time in which the instance, cut off from its neighbours, relies on its configuration.
+const DEAD_SHOWN: Duration = Duration::from_secs(10);
+
+/// What the heartbeats of other instances confirmed.
+#[derive(Debug, Default)]
+pub struct Confirmations {
+    state: Mutex<ConfirmationState>,
+}
+
+#[derive(Debug, Default)]
+struct ConfirmationState {
+    revisions: BTreeMap<InstanceId, u64>,
+    died: BTreeMap<InstanceId, Instant>,
+}
+
+impl Confirmations {
+    /// Records that the sender of `beat` applied every change up to the beat's revision.
+    pub fn record(&self, beat: &Heartbeat) {
+        let mut state = lock(&self.state);
+        state.revisions.insert(beat.sender.id.clone(), beat.revision);
+        state.died.remove(&beat.sender.id);
+    }
+
+    /// Revision that `id` confirmed last; 0 when it never did.
+    pub fn revision(&self, id: &InstanceId) -> u64 {
+        lock(&self.state).revisions.get(id).copied().unwrap_or(0)
+    }
+
+    /// Whether `id` died without leaving so recently that it may still rely on its configuration.
+    pub fn died_recently(&self, id: &InstanceId, now: Instant) -> bool {
+        let state = lock(&self.state);
+        state.died.get(id).is_some_and(|died| now.since(*died) < DEAD_SHOWN)
+    }
+
+    fn note(&self, change: &StateChange, now: Instant) {
+        let mut state = lock(&self.state);
+        let id = &change.instance.id;
+        let left = change.before == Some(InstanceState::Leaving);
+        match change.instance.state {
+            InstanceState::Dead if !left => {
+                state.died.insert(id.clone(), now);
+            }
+            InstanceState::Dead => {
+                state.revisions.remove(id);
+            }
+            InstanceState::Live | InstanceState::Suspected | InstanceState::Leaving => {}
+        }
+        state.died.retain(|_, died| now.since(*died) < DEAD_SHOWN);
+    }
+}
+
+/// Sends heartbeats until the instance ends.
+pub(crate) async fn run<P>(node: Arc<Node>, calls: P, confirmations: Arc<Confirmations>)
+where
+    P: PeerCalls,
+{
+    sleep(random_up_to(HEARTBEAT_INTERVAL)).await;
+    loop {
+        for change in node.tick_membership() {
+            log_change(&change);
+            confirmations.note(&change, node.now());
+        }
+        for target in targets(&node) {
+            let send = beat(Arc::clone(&node), calls.clone(), Arc::clone(&confirmations), target);
+            smol::spawn(send).detach();
+        }
+        for seed in unknown_seeds(&node) {
+            smol::spawn(greet(Arc::clone(&node), calls.clone(), seed)).detach();
+        }
+        sleep(HEARTBEAT_INTERVAL).await;
+    }
+}
+
+fn log_change(change: &StateChange) {
+    let InstanceInfo { id, data_centre, state, .. } = &change.instance;
+    match change.before {
+        Some(before) => {
+            spdlog::info!("membership: instance {id} in {data_centre}: {before} -> {state}");
+        }
+        None => spdlog::info!("membership: instance {id} in {data_centre} is {state}"),
+    }
+}
+
+/// Neighbours, and the relays of the own data centre, which sum up the confirmations.
+fn targets(node: &Node) -> Vec<InstanceInfo> {
+    let mut targets = node.heartbeat_targets();
+    let peers = node.peers();
+    for id in peers.relays(node.data_centre()) {
+        let known = targets.iter().any(|target| target.id == id) || id == *node.id();
+        if let Some(info) = peers.get(&id).filter(|_| !known) {
+            targets.push(info.clone());
+        }
+    }
+    targets
+}
+
+async fn beat<P>(node: Arc<Node>, calls: P, confirmations: Arc<Confirmations>, target: InstanceInfo)
+where
+    P: PeerCalls,
+{
+    let asked = node.now();
+    let beat = node.heartbeat(&target.id);
+    match calls.heartbeat(&target.rpc, beat).await {
+        Ok(answer) => take_answer(&node, &answer, &confirmations, asked),
+        Err(error) => spdlog::debug!("membership: {error}"),
+    }
+}
+
+/// Takes the answer to a heartbeat that was sent at `asked`.
+fn take_answer(node: &Node, answer: &Heartbeat, confirmations: &Confirmations, asked: Instant) {
+    confirmations.record(answer);
+    node.receive_heartbeat(answer);
+    node.data_centre_answered(&answer.sender.data_centre, answer.revision, asked);
+    if let Some(age) = answer.proof_age {
+        node.hear_proof(answer.revision, age, asked);
+    }
+}
+
+/// Addresses from the settings that belong to no instance that answers.
+fn unknown_seeds(node: &Node) -> Vec<String> {
+    let peers = node.peers();
+    let live: HashSet<&str> = peers
+        .iter()
+        .filter(|info| info.state == InstanceState::Live)
+        .map(|info| &*info.rpc)
+        .collect();
+    let seeds = node.settings().instance.seeds.iter().map(ToString::to_string);
+    seeds.filter(|seed| !live.contains(seed.as_str())).collect()
+}
+
+async fn greet<P>(node: Arc<Node>, calls: P, address: String)
+where
+    P: PeerCalls,
+{
+    let beat = node.heartbeat(node.id());
+    if let Ok(answer) = calls.heartbeat(&address, beat).await {
+        node.receive_heartbeat(&answer);
+    }
+}
+
+/// Reads the platform's list from time to time.
+pub(crate) async fn seed(node: Arc<Node>, platform: PlatformClient) {
+    loop {
+        if let Ok(listed) = platform.instances().await {
+            node.seed_instances(listed.into_iter().map(listed_instance).collect());
+        }
+        let lonely = node.peers().others().next().is_none();
+        let interval = if lonely { LONELY_LIST_INTERVAL } else { LIST_INTERVAL };
+        sleep(interval / 2 + random_up_to(interval)).await;
+    }
+}
+
+fn listed_instance(listed: Registration) -> InstanceInfo {
+    let mut info = InstanceInfo::new(listed.id.as_str(), listed.data_centre.as_str(), &listed.rpc);
+    if listed.state == RegistrationState::Leaving {
+        info.state = InstanceState::Leaving;
+    }
+    info
+}
--- a/crates/proxy/src/control/link.rs
+++ b/crates/proxy/src/control/link.rs
@@ -15,7 +15,6 @@
     startup::{Authentication, Password, Startup},
 };
 use smol::{
-    Timer,
     channel::{Receiver, Sender, bounded, unbounded},
     future::FutureExt as _,
     io::{AsyncReadExt, AsyncWriteExt},
@@ -23,7 +22,10 @@
 };
 use thiserror::Error;
 
-use crate::{clock::BootClock, settings::UpstreamSettings};
+use crate::{
+    clock::{BootClock, sleep},
+    settings::UpstreamSettings,
+};
 
 /// Longest time for a control statement or a new connection.
 pub const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -112,7 +114,7 @@
         let address: Arc<str> = Arc::from(address);
         let connect = Connection::open(&address, database, user);
         let late = async {
-            Timer::after(CONTROL_TIMEOUT).await;
+            sleep(CONTROL_TIMEOUT).await;
             Err(lost(&address, "no answer to the start-up"))
         };
         let connection = connect.or(late).await?;
@@ -139,7 +141,7 @@
         }
         let answer = async { rx.await.unwrap_or_else(|_| Err(lost(&self.address, "closed"))) };
         let late = async {
-            Timer::after(CONTROL_TIMEOUT).await;
+            sleep(CONTROL_TIMEOUT).await;
             self.close();
             Err(lost(&self.address, "no answer within 1 s"))
         };
--- a/crates/proxy/src/control/members.rs
+++ b/crates/proxy/src/control/members.rs
@@ -15,15 +15,16 @@
     name::{Database, MemberId},
     witness::POLL_INTERVAL,
 };
-use smol::{Task, Timer, future::FutureExt};
+use smol::{Task, future::FutureExt};
 
 use super::{
+    calls::PeerCalls,
     handover::Handover,
     link::{LinkError, MemberLink},
     statement,
 };
 use crate::{
-    clock::BootClock,
+    clock::{BootClock, sleep},
     node::{Group, Lease, Node, lock},
     platform::random_up_to,
 };
@@ -60,9 +61,9 @@
 }
 
 /// Starts and ends the tasks of members as the configuration and the known instances change.
-pub(crate) async fn run<H>(node: Arc<Node>, links: Arc<Links>, handover: H)
+pub(crate) async fn run<P>(node: Arc<Node>, links: Arc<Links>, handover: Handover<P>)
 where
-    H: Handover,
+    P: PeerCalls,
 {
     let mut tasks: HashMap<(Database, MemberId), (MemberRecord, Task<()>)> = HashMap::new();
     loop {
@@ -87,7 +88,7 @@
                 (kept, smol::spawn(member.run()))
             });
         }
-        let timer = async { drop(Timer::after(REVIEW_INTERVAL).await) };
+        let timer = sleep(REVIEW_INTERVAL);
         config_changed.or(peers_changed).or(timer).await;
     }
 }
@@ -119,7 +120,7 @@
     wanted
 }
 
-struct MemberTask<H> {
+struct MemberTask<P> {
     node: Arc<Node>,
     links: Arc<Links>,
     lease: Arc<Lease>,
@@ -127,7 +128,7 @@
     database: Database,
     record: MemberRecord,
     key: u32,
-    handover: H,
+    handover: Handover<P>,
 }
 
 /// What a connection does about the lease.
@@ -139,20 +140,20 @@
     Since(Instant),
 }
 
-impl<H> Drop for MemberTask<H> {
+impl<P> Drop for MemberTask<P> {
     fn drop(&mut self) {
         self.links.remove(&self.record.id);
         self.lease.handle(LeaseEvent::ConnectionLost, BootClock.now());
     }
 }
 
-impl<H> MemberTask<H>
+impl<P> MemberTask<P>
 where
-    H: Handover,
+    P: PeerCalls,
 {
     async fn run(self) {
         // Spreads the polls of many instances over the interval.
-        Timer::after(random_up_to(POLL_INTERVAL)).await;
+        sleep(random_up_to(POLL_INTERVAL)).await;
         let mut reported = false;
         loop {
             let started = BootClock.now();
@@ -179,7 +180,7 @@
                 }
             }
             let left = POLL_INTERVAL.saturating_sub(BootClock.now().since(started));
-            Timer::after(left).await;
+            sleep(left).await;
         }
     }
 
@@ -190,7 +191,7 @@
     {
         let missing = async {
             loop {
-                Timer::after(POLL_INTERVAL).await;
+                sleep(POLL_INTERVAL).await;
                 self.group.poll_sent(&self.record.id, BootClock.now());
             }
         };
@@ -208,20 +209,9 @@
                 self.record.id.clone(),
             ))
             .detach();
-            let step = self.drive_lease(link, &mut homing);
-            if let Err(error) = step.await {
+            if let Err(error) = self.hold_lease(link, &mut homing, due).await {
                 return error;
             }
-            let left = due.since(BootClock.now());
-            let changed = self.node.peers_changed();
-            let timer = async { drop(Timer::after(left).await) };
-            if homing == Homing::No || self.lease.holds_lock() {
-                timer.await;
-            } else {
-                // A change of instances can decide whether a busy lock is waited for.
-                timer.or(changed).await;
-                Timer::after(due.since(BootClock.now())).await;
-            }
             if link.is_closed() {
                 return LinkError::Lost {
                     address: Arc::from(self.record.address.as_str()),
@@ -231,6 +221,25 @@
         }
     }
 
+    /// Acts on the lease until the next poll is due.
+    async fn hold_lease(
+        &self,
+        link: &MemberLink,
+        homing: &mut Homing,
+        due: Instant,
+    ) -> Result<(), LinkError> {
+        loop {
+            let peers_changed = self.node.peers_changed();
+            let handover = self.lease.handover_announced();
+            self.drive_lease(link, homing).await?;
+            let left = due.since(BootClock.now());
+            if left.is_zero() {
+                return Ok(());
+            }
+            sleep(left).or(peers_changed).or(handover).await;
+        }
+    }
+
     async fn drive_lease(&self, link: &MemberLink, homing: &mut Homing) -> Result<(), LinkError> {
         let now = BootClock.now();
         let is_home = self.node.is_home(&self.database, &self.record.id);
@@ -244,7 +253,10 @@
                 return self.release(link).await;
             }
             (Homing::Since(since), true) if !self.lease.holds_lock() => {
-                self.run_action(link, self.lease.handle(LeaseEvent::Time, now)).await?;
+                if let Some(announced) = self.lease.take_handover() {
+                    return self.act(link, LeaseEvent::HandedOver, announced).await;
+                }
+                self.act(link, LeaseEvent::Time, now).await?;
                 if self.lease.holds_lock() || !self.predecessor_is_silent(since, now) {
                     return Ok(());
                 }
@@ -277,6 +289,15 @@
         Ok(())
     }
 
+    async fn act(
+        &self,
+        link: &MemberLink,
+        event: LeaseEvent,
+        at: Instant,
+    ) -> Result<(), LinkError> {
+        self.run_action(link, self.lease.handle(event, at)).await
+    }
+
     async fn run_action(
         &self,
         link: &MemberLink,
--- a/crates/proxy/src/control/mod.rs
+++ b/crates/proxy/src/control/mod.rs
@@ -1,9 +1,146 @@
 //! Tasks that keep an instance's state up to date and act on it.
+//!
+//! | Task | Keeps up to date |
+//! | --- | --- |
+//! | `configuration` | the configuration, from the store or from relays |
+//! | `heartbeat` | the known instances |
+//! | `members` | reports of the members and the leases of this home |
+//! | `promotion` | the primary of each polled database |
+//! | `status` | the confirmations of a data centre in the store |
+//! | `registration` | the platform's list of instances |
+//! | `health` | the health address |
 
+mod calls;
+mod configuration;
 mod handover;
+mod health;
+mod heartbeat;
 pub mod link;
 mod members;
 mod promotion;
+mod registration;
+mod report;
+mod service;
 mod statement;
+pub mod status;
 
-pub use self::{handover::Handover, members::Links, promotion::claimant, statement::lock_key};
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use hibiscusladder_core::name::{Database, MemberId};
+use smol::{Task, future::FutureExt, net::TcpListener};
+
+use self::handover::Handover;
+pub use self::{
+    calls::{CALL_TIMEOUT, CallError, HandedBucket, PeerCalls},
+    configuration::WATCH_WAIT,
+    heartbeat::{Confirmations, HEARTBEAT_INTERVAL},
+    members::Links,
+    promotion::claimant,
+    service::ControlService,
+    statement::lock_key,
+};
+use crate::{clock::sleep, node::Node, platform::PlatformClient};
+
+/// Time between two looks at which databases take part in promotions.
+const REVIEW_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time between two looks at whether all locks are released.
+const RELEASE_LOOK: Duration = Duration::from_millis(20);
+
+/// The control tasks of one instance; dropping it ends them.
+#[derive(Debug)]
+pub struct Control {
+    node: Arc<Node>,
+    platform: PlatformClient,
+    tasks: Vec<Task<()>>,
+}
+
+impl Control {
+    /// Starts all tasks.
+    pub fn start<P>(
+        node: &Arc<Node>,
+        platform: &PlatformClient,
+        confirmations: &Arc<Confirmations>,
+        health: TcpListener,
+        calls: &P,
+    ) -> Self
+    where
+        P: PeerCalls,
+    {
+        let links: Arc<Links> = Arc::default();
+        let n = || Arc::clone(node);
+        let p = || platform.clone();
+        let c = || Arc::clone(confirmations);
+        let handover = Handover { node: n(), calls: calls.clone() };
+        let tasks = vec![
+            smol::spawn(health::run(n(), p(), health)),
+            smol::spawn(registration::run(n(), p())),
+            smol::spawn(heartbeat::seed(n(), p())),
+            smol::spawn(heartbeat::run(n(), calls.clone(), c())),
+            smol::spawn(configuration::run(n(), p(), calls.clone())),
+            smol::spawn(status::run(n(), p(), c())),
+            smol::spawn(members::run(n(), Arc::clone(&links), handover)),
+            smol::spawn(run_promotions(n(), p(), links)),
+        ];
+        Self { node: n(), platform: p(), tasks }
+    }
+
+    /// Waits until no lock of a member is held, at most for `bound`.
+    pub async fn released(&self, bound: Duration) -> bool {
+        let until = self.node.now().plus(bound);
+        while self.holds_locks() {
+            if self.node.now() >= until {
+                return false;
+            }
+            sleep(RELEASE_LOOK).await;
+        }
+        true
+    }
+
+    /// Ends all tasks and removes the registration.
+    pub async fn stop(self) {
+        for task in self.tasks {
+            task.cancel().await;
+        }
+        if let Err(error) = self.platform.deregister(self.node.id()).await {
+            spdlog::warn!("platform: the registration was not removed: {error}");
+        }
+    }
+
+    fn holds_locks(&self) -> bool {
+        let groups = self.node.groups();
+        let held =
+            |member: &MemberId| self.node.lease(member).is_some_and(|lease| lease.holds_lock());
+        groups.values().any(|group| group.view().members.iter().any(|member| held(&member.id)))
+    }
+}
+
+/// Runs one promotion task for each database that this instance polls.
+async fn run_promotions(node: Arc<Node>, platform: PlatformClient, links: Arc<Links>) {
+    let mut tasks: HashMap<Database, Task<()>> = HashMap::new();
+    loop {
+        let config_changed = node.config_changed();
+        let peers_changed = node.peers_changed();
+        let groups = node.groups();
+        let polled = |database: &Database| {
+            groups.get(database).is_some_and(|group| {
+                let view = group.view();
+                view.members.iter().any(|member| node.is_home(database, &member.id))
+            })
+        };
+        tasks.retain(|database, _| polled(database));
+        for (database, group) in groups.iter().filter(|(database, _)| polled(database)) {
+            tasks.entry(database.clone()).or_insert_with(|| {
+                let driver = promotion::run(
+                    Arc::clone(&node),
+                    platform.clone(),
+                    Arc::clone(&links),
+                    Arc::clone(group),
+                );
+                smol::spawn(driver)
+            });
+        }
+        let timer = sleep(REVIEW_INTERVAL);
+        config_changed.or(peers_changed).or(timer).await;
+    }
+}
--- a/crates/proxy/src/control/promotion.rs
+++ b/crates/proxy/src/control/promotion.rs
@@ -13,14 +13,13 @@
     },
 };
 use smol::{
-    Timer,
     channel::{Receiver, Sender, unbounded},
     future::FutureExt,
 };
 
 use super::{members::Links, statement};
 use crate::{
-    clock::BootClock,
+    clock::{BootClock, sleep},
     node::{Group, Node},
     platform::{Expected, PlatformClient, PlatformError},
 };
@@ -97,7 +96,7 @@
 
     async fn next_event(&self) -> PromotionEvent {
         let tick = async {
-            Timer::after(TICK).await;
+            sleep(TICK).await;
             PromotionEvent::Time
         };
         let result = async { self.results.recv().await.unwrap_or(PromotionEvent::Time) };
--- a/crates/proxy/src/control/statement.rs
+++ b/crates/proxy/src/control/statement.rs
@@ -20,7 +20,7 @@
 /// # Errors
 ///
 /// Returns an error when the connection is lost or the member rejects the statement.
-pub async fn poll(
+pub(super) async fn poll(
     link: &MemberLink,
     member: &MemberId,
     now: fn() -> Instant,
@@ -66,7 +66,7 @@
 /// # Errors
 ///
 /// Returns an error when the connection is lost or the member rejects the statement.
-pub async fn raise_term(
+pub(super) async fn raise_term(
     link: &MemberLink,
     term: Term,
     claimant_name: &InstanceId,
@@ -82,7 +82,7 @@
 /// # Errors
 ///
 /// Returns an error when the connection is lost.
-pub async fn promote(
+pub(super) async fn promote(
     link: &MemberLink,
     term: Term,
     members: &[MemberId],
@@ -101,7 +101,7 @@
 /// # Errors
 ///
 /// Returns an error when the connection is lost or the member rejects the statement.
-pub async fn follow(link: &MemberLink, address: &str, term: Term) -> Result<(), LinkError> {
+pub(super) async fn follow(link: &MemberLink, address: &str, term: Term) -> Result<(), LinkError> {
     let address = quoted(address);
     link.query(format!("SELECT group_follow({address}, {term})")).await.map(drop)
 }
@@ -123,7 +123,7 @@
 /// # Errors
 ///
 /// Returns an error when the connection is lost or the member rejects the statement.
-pub async fn try_lock(link: &MemberLink, key: u32) -> Result<(bool, Instant), LinkError> {
+pub(super) async fn try_lock(link: &MemberLink, key: u32) -> Result<(bool, Instant), LinkError> {
     let answer = link.query(format!("SELECT pg_try_advisory_lock({key})")).await?;
     Ok((answer.rows.scalar() == Some("t"), answer.sent))
 }
@@ -133,7 +133,7 @@
 /// # Errors
 ///
 /// Returns an error when the connection is lost or the member rejects the statement.
-pub async fn unlock(link: &MemberLink, key: u32) -> Result<(), LinkError> {
+pub(super) async fn unlock(link: &MemberLink, key: u32) -> Result<(), LinkError> {
     link.query(format!("SELECT pg_advisory_unlock({key})")).await.map(drop)
 }
 
@@ -142,7 +142,7 @@
 /// # Errors
 ///
 /// Returns an error when the connection is lost or the member rejects the statement.
-pub async fn lock_holder(link: &MemberLink, key: u32) -> Result<Option<i32>, LinkError> {
+pub(super) async fn lock_holder(link: &MemberLink, key: u32) -> Result<Option<i32>, LinkError> {
     let answer = link.query(format!("SELECT pid FROM pg_locks WHERE objid = {key}")).await?;
     Ok(answer.rows.scalar().and_then(|text| text.parse().ok()))
 }
@@ -152,7 +152,7 @@
 /// # Errors
 ///
 /// Returns an error when the connection is lost or the member rejects the statement.
-pub async fn terminate(link: &MemberLink, pid: i32) -> Result<(), LinkError> {
+pub(super) async fn terminate(link: &MemberLink, pid: i32) -> Result<(), LinkError> {
     link.query(format!("SELECT pg_terminate_backend({pid})")).await.map(drop)
 }
 
--- a/crates/proxy/src/node/lease.rs
+++ b/crates/proxy/src/node/lease.rs
@@ -15,18 +15,20 @@
 pub struct Lease {
     state: Mutex<State>,
     changed: Event,
+    handover: Event,
 }
 
 #[derive(Debug)]
 struct State {
     lease: HomeLease,
     epoch: u64,
+    announced: Option<Instant>,
 }
 
 impl Default for Lease {
     fn default() -> Self {
-        let state = State { lease: HomeLease::new(LEASE_WINDOW), epoch: 0 };
-        Self { state: Mutex::new(state), changed: Event::new() }
+        let state = State { lease: HomeLease::new(LEASE_WINDOW), epoch: 0, announced: None };
+        Self { state: Mutex::new(state), changed: Event::new(), handover: Event::new() }
     }
 }
 
@@ -56,6 +58,22 @@
         self.changed.listen()
     }
 
+    /// Records at `now` that the former home announced a handover.
+    pub fn announce_handover(&self, now: Instant) {
+        lock(&self.state).announced = Some(now);
+        self.handover.notify(usize::MAX);
+    }
+
+    /// Time of an announced handover that the control connection has not acted on.
+    pub fn take_handover(&self) -> Option<Instant> {
+        lock(&self.state).announced.take()
+    }
+
+    /// Completes at the next announcement of a handover.
+    pub fn handover_announced(&self) -> EventListener {
+        self.handover.listen()
+    }
+
     /// Takes an event on the control connection and returns what has to be done there.
     pub fn handle(&self, event: LeaseEvent, now: Instant) -> Option<LeaseAction> {
         let action = {
--- a/crates/proxy/src/settings/mod.rs
+++ b/crates/proxy/src/settings/mod.rs
@@ -64,6 +64,8 @@
     pub rpc: SocketAddr,
     /// Address for the health check.
     pub health: SocketAddr,
+    /// Addresses of other instances to start from when the platform is away.
+    pub seeds: Vec<SocketAddr>,
 }
 
 /// Where the platform service is.
--- a/crates/proxy/src/settings/reader.rs
+++ b/crates/proxy/src/settings/reader.rs
@@ -109,6 +109,7 @@
         let listen = self.required_address(&mut section, "listen");
         let rpc = self.required_address(&mut section, "rpc");
         let health = self.required_address(&mut section, "health");
+        let seeds = self.addresses(&mut section, "seeds");
         if let Some((name, span)) = &data_centre
             && !topology.iter().any(|place| place.data_centre.as_str() == name)
         {
@@ -122,6 +123,7 @@
             listen: listen?,
             rpc: rpc?,
             health: health?,
+            seeds,
         })
     }
 
@@ -326,6 +328,25 @@
         address
     }
 
+    fn addresses(&mut self, section: &mut Section<'_, '_>, key: &'static str) -> Vec<SocketAddr> {
+        let Some(value) = section.get(key) else {
+            return Vec::new();
+        };
+        let remedy = format!("write it like {key} = [\"127.0.0.1:7301\"]");
+        let Some(items) = value.get_ref().as_array() else {
+            self.fault(value.span(), &format!("`{key}` is not a list of addresses"), &remedy);
+            return Vec::new();
+        };
+        let mut addresses = Vec::new();
+        for item in items.iter() {
+            match item.get_ref().as_str().map(str::parse) {
+                Some(Ok(address)) => addresses.push(address),
+                _ => self.fault(item.span(), "an entry is not an IP address with a port", &remedy),
+            }
+        }
+        addresses
+    }
+
     fn http_address(&mut self, url: &str, span: Range<usize>) -> Option<String> {
         let authority = url.strip_prefix("http://").map(|rest| rest.split('/').next());
         let address = authority.flatten().filter(|address| {
