--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,9 +1,15 @@
 //! The daemon: client side, forwarding, upstream pools, platform client and control tasks.
 
+pub mod caller;
+pub mod classify;
 pub mod clock;
 pub mod control;
+pub mod home;
 pub mod metrics;
 pub mod node;
 pub mod platform;
+pub mod route;
+pub mod rpc;
 pub mod settings;
 pub mod trace;
+pub mod upstream;
