feat(proxy): call other instances through the RPC client

The control tasks use the Rpc handle of the request path instead of a trait of their own. A handover is announced to the lease of the successor.

--- a/crates/proxy/src/control/configuration.rs
+++ b/crates/proxy/src/control/configuration.rs
@@ -12,11 +12,11 @@
 };
 use smol::future::FutureExt;
 
-use super::calls::PeerCalls;
 use crate::{
     clock::sleep,
     node::Node,
     platform::{ChangeType, Jitter, PlatformClient, PlatformError, StoreEvent, StoredObject},
+    rpc::Rpc,
 };
 
 /// Longest wait of a watch, which bounds the age of its proof.
@@ -26,14 +26,11 @@
 const ROUND_WAIT: Duration = Duration::from_millis(100);
 
 /// Keeps the configuration of `node` recent.
-pub(crate) async fn run<P>(node: Arc<Node>, platform: PlatformClient, calls: P)
-where
-    P: PeerCalls,
-{
+pub(crate) async fn run(node: Arc<Node>, platform: PlatformClient, rpc: Rpc) {
     let mut source = Source {
         node,
         platform,
-        calls,
+        rpc,
         listed: false,
         store_jitter: Jitter::default(),
         store_due: Instant::default(),
@@ -44,10 +41,10 @@
     }
 }
 
-struct Source<P> {
+struct Source {
     node: Arc<Node>,
     platform: PlatformClient,
-    calls: P,
+    rpc: Rpc,
     /// Whether the store was listed, so that a watch can resume.
     listed: bool,
     store_jitter: Jitter,
@@ -57,10 +54,7 @@
     store_available: Option<bool>,
 }
 
-impl<P> Source<P>
-where
-    P: PeerCalls,
-{
+impl Source {
     async fn round(&mut self) {
         let is_relay = self.is_relay();
         if is_relay && self.try_store().await {
@@ -162,7 +156,7 @@
         for relay in self.relays(local) {
             let since = self.node.config_revision();
             let asked = self.node.now();
-            match self.calls.changes(&relay.rpc, since, WATCH_WAIT).await {
+            match self.rpc.changes(&relay.rpc, since, WATCH_WAIT).await {
                 Ok(changes) => {
                     let revision = changes.revision;
                     self.node.instance_heard(&relay.id);
--- a/crates/proxy/src/control/heartbeat.rs
+++ b/crates/proxy/src/control/heartbeat.rs
@@ -12,11 +12,11 @@
     name::InstanceId,
 };
 
-use super::calls::PeerCalls;
 use crate::{
     clock::sleep,
     node::{Node, lock},
     platform::{PlatformClient, Registration, RegistrationState, random_up_to},
+    rpc::Rpc,
 };
 
 /// Time between two heartbeats to the same neighbour.
@@ -82,10 +82,7 @@
 }
 
 /// Sends heartbeats until the instance ends.
-pub(crate) async fn run<P>(node: Arc<Node>, calls: P, confirmations: Arc<Confirmations>)
-where
-    P: PeerCalls,
-{
+pub(crate) async fn run(node: Arc<Node>, rpc: Rpc, confirmations: Arc<Confirmations>) {
     sleep(random_up_to(HEARTBEAT_INTERVAL)).await;
     loop {
         for change in node.tick_membership() {
@@ -93,11 +90,11 @@
             confirmations.note(&change, node.now());
         }
         for target in targets(&node) {
-            let send = beat(Arc::clone(&node), calls.clone(), Arc::clone(&confirmations), target);
+            let send = beat(Arc::clone(&node), rpc.clone(), Arc::clone(&confirmations), target);
             smol::spawn(send).detach();
         }
         for seed in unknown_seeds(&node) {
-            smol::spawn(greet(Arc::clone(&node), calls.clone(), seed)).detach();
+            smol::spawn(greet(Arc::clone(&node), rpc.clone(), seed)).detach();
         }
         sleep(HEARTBEAT_INTERVAL).await;
     }
@@ -126,13 +123,10 @@
     targets
 }
 
-async fn beat<P>(node: Arc<Node>, calls: P, confirmations: Arc<Confirmations>, target: InstanceInfo)
-where
-    P: PeerCalls,
-{
+async fn beat(node: Arc<Node>, rpc: Rpc, confirmations: Arc<Confirmations>, target: InstanceInfo) {
     let asked = node.now();
     let beat = node.heartbeat(&target.id);
-    match calls.heartbeat(&target.rpc, beat).await {
+    match rpc.heartbeat(&target.rpc, beat).await {
         Ok(answer) => take_answer(&node, &answer, &confirmations, asked),
         Err(error) => spdlog::debug!("membership: {error}"),
     }
@@ -149,23 +143,20 @@
 }
 
 /// Addresses from the settings that belong to no instance that answers.
-fn unknown_seeds(node: &Node) -> Vec<String> {
+fn unknown_seeds(node: &Node) -> Vec<Arc<str>> {
     let peers = node.peers();
     let live: HashSet<&str> = peers
         .iter()
         .filter(|info| info.state == InstanceState::Live)
         .map(|info| &*info.rpc)
         .collect();
-    let seeds = node.settings().instance.seeds.iter().map(ToString::to_string);
-    seeds.filter(|seed| !live.contains(seed.as_str())).collect()
+    let seeds = node.settings().instance.seeds.iter().map(|seed| Arc::from(seed.to_string()));
+    seeds.filter(|seed: &Arc<str>| !live.contains(&**seed)).collect()
 }
 
-async fn greet<P>(node: Arc<Node>, calls: P, address: String)
-where
-    P: PeerCalls,
-{
+async fn greet(node: Arc<Node>, rpc: Rpc, address: Arc<str>) {
     let beat = node.heartbeat(node.id());
-    if let Ok(answer) = calls.heartbeat(&address, beat).await {
+    if let Ok(answer) = rpc.heartbeat(&address, beat).await {
         node.receive_heartbeat(&answer);
     }
 }
--- a/crates/proxy/src/control/members.rs
+++ b/crates/proxy/src/control/members.rs
@@ -18,7 +18,6 @@
 use smol::{Task, future::FutureExt};
 
 use super::{
-    calls::PeerCalls,
     handover::Handover,
     link::{LinkError, MemberLink},
     statement,
@@ -61,10 +60,7 @@
 }
 
 /// Starts and ends the tasks of members as the configuration and the known instances change.
-pub(crate) async fn run<P>(node: Arc<Node>, links: Arc<Links>, handover: Handover<P>)
-where
-    P: PeerCalls,
-{
+pub(crate) async fn run(node: Arc<Node>, links: Arc<Links>, handover: Handover) {
     let mut tasks: HashMap<(Database, MemberId), (MemberRecord, Task<()>)> = HashMap::new();
     loop {
         let config_changed = node.config_changed();
@@ -120,7 +116,7 @@
     wanted
 }
 
-struct MemberTask<P> {
+struct MemberTask {
     node: Arc<Node>,
     links: Arc<Links>,
     lease: Arc<Lease>,
@@ -128,7 +124,7 @@
     database: Database,
     record: MemberRecord,
     key: u32,
-    handover: Handover<P>,
+    handover: Handover,
 }
 
 /// What a connection does about the lease.
@@ -140,17 +136,14 @@
     Since(Instant),
 }
 
-impl<P> Drop for MemberTask<P> {
+impl Drop for MemberTask {
     fn drop(&mut self) {
         self.links.remove(&self.record.id);
         self.lease.handle(LeaseEvent::ConnectionLost, BootClock.now());
     }
 }
 
-impl<P> MemberTask<P>
-where
-    P: PeerCalls,
-{
+impl MemberTask {
     async fn run(self) {
         // Spreads the polls of many instances over the interval.
         sleep(random_up_to(POLL_INTERVAL)).await;
--- a/crates/proxy/src/control/mod.rs
+++ b/crates/proxy/src/control/mod.rs
@@ -10,7 +10,6 @@
 //! | `registration` | the platform's list of instances |
 //! | `health` | the health address |
 
-mod calls;
 mod configuration;
 mod handover;
 mod health;
@@ -31,15 +30,14 @@
 
 use self::handover::Handover;
 pub use self::{
-    calls::{CALL_TIMEOUT, CallError, HandedBucket, PeerCalls},
     configuration::WATCH_WAIT,
     heartbeat::{Confirmations, HEARTBEAT_INTERVAL},
     members::Links,
     promotion::claimant,
-    service::ControlService,
+    service::ControlHandler,
     statement::lock_key,
 };
-use crate::{clock::sleep, node::Node, platform::PlatformClient};
+use crate::{clock::sleep, node::Node, platform::PlatformClient, rpc::Rpc};
 
 /// Time between two looks at which databases take part in promotions.
 const REVIEW_INTERVAL: Duration = Duration::from_secs(1);
@@ -57,27 +55,24 @@
 
 impl Control {
     /// Starts all tasks.
-    pub fn start<P>(
+    pub fn start(
         node: &Arc<Node>,
         platform: &PlatformClient,
         confirmations: &Arc<Confirmations>,
         health: TcpListener,
-        calls: &P,
-    ) -> Self
-    where
-        P: PeerCalls,
-    {
+        rpc: &Rpc,
+    ) -> Self {
         let links: Arc<Links> = Arc::default();
         let n = || Arc::clone(node);
         let p = || platform.clone();
         let c = || Arc::clone(confirmations);
-        let handover = Handover { node: n(), calls: calls.clone() };
+        let handover = Handover { node: n(), rpc: rpc.clone() };
         let tasks = vec![
             smol::spawn(health::run(n(), p(), health)),
             smol::spawn(registration::run(n(), p())),
             smol::spawn(heartbeat::seed(n(), p())),
-            smol::spawn(heartbeat::run(n(), calls.clone(), c())),
-            smol::spawn(configuration::run(n(), p(), calls.clone())),
+            smol::spawn(heartbeat::run(n(), rpc.clone(), c())),
+            smol::spawn(configuration::run(n(), p(), rpc.clone())),
             smol::spawn(status::run(n(), p(), c())),
             smol::spawn(members::run(n(), Arc::clone(&links), handover)),
             smol::spawn(run_promotions(n(), p(), links)),
--- a/crates/proxy/src/control/service.rs
+++ b/crates/proxy/src/control/service.rs
@@ -5,21 +5,21 @@
 use hibiscusladder_core::{config::Changes, membership::Heartbeat, name::MemberId};
 use smol::future::FutureExt;
 
-use super::{calls::HandedBucket, heartbeat::Confirmations, report};
-use crate::{clock::sleep, node::Node, platform::PlatformClient};
+use super::{heartbeat::Confirmations, report};
+use crate::{clock::sleep, node::Node, platform::PlatformClient, rpc::ControlService};
 
 /// Longest wait that a caller of `changes` may ask for.
 const LONGEST_WAIT: Duration = Duration::from_secs(5);
 
 /// Answers the control calls of other instances.
 #[derive(Debug, Clone)]
-pub struct ControlService {
+pub struct ControlHandler {
     node: Arc<Node>,
     platform: PlatformClient,
     confirmations: Arc<Confirmations>,
 }
 
-impl ControlService {
+impl ControlHandler {
     /// Creates the service of `node`.
     pub const fn new(
         node: Arc<Node>,
@@ -28,16 +28,16 @@
     ) -> Self {
         Self { node, platform, confirmations }
     }
+}
 
-    /// Takes a heartbeat and returns the answer to it.
-    pub fn heartbeat(&self, beat: &Heartbeat) -> Heartbeat {
+impl ControlService for ControlHandler {
+    fn heartbeat(&self, beat: &Heartbeat) -> Heartbeat {
         self.confirmations.record(beat);
         self.node.receive_heartbeat(beat);
         self.node.heartbeat(&beat.sender.id)
     }
 
-    /// The changes since a revision, when there are any or after `wait`.
-    pub async fn changes(&self, since: u64, wait: Duration) -> Changes {
+    async fn changes(&self, since: u64, wait: Duration) -> Changes {
         let until = self.node.now().plus(wait.min(LONGEST_WAIT));
         loop {
             let proof = self.node.proof_changed();
@@ -50,16 +50,13 @@
         }
     }
 
-    /// Takes over a member whose former home no longer uses its lease.
-    pub fn hand_over(&self, member: &MemberId, _buckets: &[HandedBucket]) -> bool {
+    fn handed_over(&self, member: &MemberId) {
         let lease = self.node.lease_or_new(member);
         lease.announce_handover(self.node.now());
         spdlog::info!("home: member {member} is handed over to this instance");
-        true
     }
 
-    /// Status of the instance as JSON.
-    pub fn status(&self) -> String {
+    fn status(&self) -> String {
         report::status(&self.node, &self.platform).to_string()
     }
 }
--- a/crates/proxy/src/rpc/server.rs
+++ b/crates/proxy/src/rpc/server.rs
@@ -39,6 +39,9 @@
     /// Configuration changes since a revision, after the first change or `wait`.
     fn changes(&self, since: u64, wait: Duration) -> impl Future<Output = Changes> + Send;
 
+    /// Takes note that the former home of `member` no longer uses its lease.
+    fn handed_over(&self, member: &MemberId);
+
     /// Status of the instance as JSON.
     fn status(&self) -> String;
 }
@@ -201,6 +204,7 @@
         let member = MemberId::new(params.get_member()?.to_str()?);
         let buckets = params.get_buckets()?.iter().map(read_hand_over);
         let buckets = buckets.collect::<Result<Vec<_>, _>>()?;
+        self.services.control.handed_over(&member);
         results.get().set_accepted(self.services.homes.take_over(&member, &buckets));
         Ok(())
     }
