feat: add the command line and the running instance

serve, check, emulate, contract, key, upstream and status. An instance binds its addresses first, so a port in use is reported with its key in the settings.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod platform;
 pub mod route;
 pub mod rpc;
+pub mod serve;
 pub mod settings;
 pub mod trace;
 pub mod upstream;
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -27,6 +27,7 @@
 mod message;
 
 use std::{
+    io,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -89,6 +90,22 @@
     pub watches: u64,
 }
 
+/// Gets `path` from the HTTP server at `address` within `timeout`.
+///
+/// # Errors
+///
+/// Returns an error when the server does not answer with success.
+pub async fn http_get(address: &str, path: &str, timeout: Duration) -> io::Result<Bytes> {
+    let req = Request::builder().uri(path).header(header::HOST, address);
+    let req = req.body(Full::new(Bytes::new())).map_err(io::Error::other)?;
+    let answer = HttpClient::new(address).send(req, timeout).await;
+    let answer = answer.map_err(HttpError::into_io)?;
+    if answer.status().is_success() {
+        return Ok(answer.into_body());
+    }
+    Err(io::Error::other(format!("status {}", answer.status().as_u16())))
+}
+
 #[derive(Debug, Default)]
 struct Counters {
     reads: AtomicU64,
--- a/crates/proxy/src/platform/http.rs
+++ b/crates/proxy/src/platform/http.rs
@@ -31,6 +31,15 @@
     MaybeSent(io::Error),
 }
 
+impl HttpError {
+    /// The error of the operating system or of the protocol.
+    pub(crate) fn into_io(self) -> io::Error {
+        match self {
+            Self::NotSent(error) | Self::MaybeSent(error) => error,
+        }
+    }
+}
+
 /// Client for one server.
 #[derive(Debug, Clone)]
 pub(crate) struct HttpClient {
--- /dev/null
+++ b/crates/proxy/src/serve.rs
@@ -0,0 +1,230 @@
+//! One running instance: listeners, request path and control tasks.
+//!
+//! # Example
+//!
+//! ```no_run
+//! use hibiscusladder_proxy::{serve::{self, Listeners}, settings::Settings};
+//!
+//! # fn example(settings: Settings) -> Result<(), serve::ServeError> {
+//! let listeners = Listeners::bind(&settings)?;
+//! smol::block_on(serve::run(settings, listeners, smol::future::pending()))
+//! # }
+//! ```
+
+use std::{
+    io,
+    net::{SocketAddr, TcpListener as StdListener},
+    sync::Arc,
+    thread,
+    time::Duration,
+};
+
+use miette::Diagnostic;
+use smol::net::TcpListener;
+use thiserror::Error;
+
+use crate::{
+    clock::sleep,
+    control::{Confirmations, Control, ControlHandler},
+    home::Homes,
+    metrics::Metrics,
+    node::Node,
+    platform::PlatformClient,
+    rpc::{self, Rpc, Services, SessionCancel},
+    settings::Settings,
+    trace::{TraceError, Tracer},
+};
+
+/// Longest wait for the release of the locks of members at a shutdown.
+const RELEASE_BOUND: Duration = Duration::from_secs(3);
+
+/// Time between two looks at whether the last request has ended.
+const DRAIN_LOOK: Duration = Duration::from_millis(20);
+
+/// An instance could not start.
+#[derive(Debug, Error, Diagnostic)]
+pub enum ServeError {
+    /// Another process listens on an address.
+    #[error("the address {address} of [instance] {key} is in use")]
+    #[diagnostic(
+        code(hibiscusladder::port_in_use),
+        help("end the process that listens there, or set another port for `{key}`")
+    )]
+    PortInUse {
+        /// The address.
+        address: SocketAddr,
+        /// Key in the settings.
+        key: &'static str,
+    },
+    /// An address cannot be bound.
+    #[error("the address {address} of [instance] {key} cannot be used: {reason}")]
+    #[diagnostic(
+        code(hibiscusladder::address),
+        help("set an address of this machine and a port that the process may use for `{key}`")
+    )]
+    Address {
+        /// The address.
+        address: SocketAddr,
+        /// Key in the settings.
+        key: &'static str,
+        /// What the operating system reported.
+        reason: String,
+    },
+    /// Metrics cannot be sent.
+    #[error("metrics cannot be sent: {0}")]
+    #[diagnostic(code(hibiscusladder::metrics), help("check [metrics] statsd"))]
+    Metrics(io::Error),
+    /// Traces cannot be sent.
+    #[error(transparent)]
+    #[diagnostic(code(hibiscusladder::trace), help("check [trace] otlp"))]
+    Trace(#[from] TraceError),
+    /// A thread cannot be started.
+    #[error("a thread cannot be started: {0}")]
+    #[diagnostic(code(hibiscusladder::thread), help("raise the limit of threads of the process"))]
+    Thread(io::Error),
+}
+
+/// Bound addresses of an instance.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For clients.
+    pub clients: StdListener,
+    /// For other instances.
+    pub rpc: StdListener,
+    /// For the health check.
+    pub health: StdListener,
+}
+
+impl Listeners {
+    /// Binds the addresses in the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the key of the address that cannot be bound.
+    pub fn bind(settings: &Settings) -> Result<Self, ServeError> {
+        let instance = &settings.instance;
+        Ok(Self {
+            clients: bind(instance.listen, "listen")?,
+            rpc: bind(instance.rpc, "rpc")?,
+            health: bind(instance.health, "health")?,
+        })
+    }
+}
+
+fn bind(address: SocketAddr, key: &'static str) -> Result<StdListener, ServeError> {
+    StdListener::bind(address).map_err(|error| match error.kind() {
+        io::ErrorKind::AddrInUse => ServeError::PortInUse { address, key },
+        _ => ServeError::Address { address, key, reason: error.to_string() },
+    })
+}
+
+fn listener(
+    std: StdListener,
+    address: SocketAddr,
+    key: &'static str,
+) -> Result<TcpListener, ServeError> {
+    let failed = |error: io::Error| ServeError::Address { address, key, reason: error.to_string() };
+    std.set_nonblocking(true).map_err(failed)?;
+    smol::Async::try_from(std).map(TcpListener::from).map_err(failed)
+}
+
+/// Runs an instance until `shutdown` completes, and then leaves without interrupting a request.
+///
+/// # Errors
+///
+/// Returns an error when the instance cannot start.
+pub async fn run<F>(settings: Settings, listeners: Listeners, shutdown: F) -> Result<(), ServeError>
+where
+    F: Future<Output = ()>,
+{
+    let instance = Instance::start(settings, listeners)?;
+    shutdown.await;
+    instance.leave().await;
+    Ok(())
+}
+
+/// Parts of a running instance.
+struct Instance {
+    node: Arc<Node>,
+    homes: Arc<Homes>,
+    control: Control,
+    tracer: Tracer,
+}
+
+impl Instance {
+    fn start(settings: Settings, listeners: Listeners) -> Result<Self, ServeError> {
+        let addresses = settings.instance.clone();
+        let _clients = listener(listeners.clients, addresses.listen, "listen")?;
+        let rpc_listener = listener(listeners.rpc, addresses.rpc, "rpc")?;
+        let health = listener(listeners.health, addresses.health, "health")?;
+        let metrics = settings.statsd.map_or_else(|| Ok(Metrics::disabled()), Metrics::to_statsd);
+        let metrics = metrics.map_err(ServeError::Metrics)?;
+        let tracer = tracer(&settings)?;
+        let platform =
+            PlatformClient::new(&settings.platform.address, settings.times.platform_call);
+        let node = Node::with_tracer(settings, metrics, tracer.clone());
+        let homes = Homes::new(Arc::clone(&node), tracer.clone());
+        let rpc = Rpc::start().map_err(ServeError::Thread)?;
+        let confirmations: Arc<Confirmations> = Arc::default();
+        let handler =
+            ControlHandler::new(Arc::clone(&node), platform.clone(), Arc::clone(&confirmations));
+        let services = Services {
+            homes: Arc::clone(&homes),
+            control: Arc::new(handler),
+            sessions: Arc::new(NoSessions),
+        };
+        serve_calls(rpc_listener, services).map_err(ServeError::Thread)?;
+        let control = Control::start(&node, &platform, &confirmations, health, &rpc);
+        spdlog::info!(
+            "entry: instance {} in {} listens on {}",
+            node.id(),
+            node.data_centre(),
+            addresses.listen
+        );
+        Ok(Self { node, homes, control, tracer })
+    }
+
+    /// Hands the members over, answers the requests that are held, and ends.
+    async fn leave(self) {
+        spdlog::info!("entry: leaving");
+        self.node.start_drain();
+        if !self.control.released(RELEASE_BOUND).await {
+            spdlog::warn!("home: some locks were not released in time");
+        }
+        let until = self.node.now().plus(self.node.settings().times.drain_time);
+        while self.homes.active() > 0 && self.node.now() < until {
+            sleep(DRAIN_LOOK).await;
+        }
+        self.control.stop().await;
+        self.tracer.shutdown();
+        spdlog::info!("entry: left");
+    }
+}
+
+fn tracer(settings: &Settings) -> Result<Tracer, TraceError> {
+    let Some(url) = &settings.otlp else {
+        return Ok(Tracer::disabled());
+    };
+    let instance = &settings.instance;
+    Tracer::to_otlp(url, instance.id.as_str(), instance.data_centre.as_str())
+}
+
+/// Answers the calls of other instances on a thread of its own, since the RPC system is bound to one.
+fn serve_calls<S>(listener: TcpListener, services: Services<ControlHandler, S>) -> io::Result<()>
+where
+    S: SessionCancel,
+{
+    let serve = move || {
+        if let Err(error) = smol::block_on(rpc::serve(listener, services)) {
+            spdlog::error!("home: calls of other instances are no longer accepted: {error}");
+        }
+    };
+    thread::Builder::new().name("rpc-server".to_owned()).spawn(serve).map(drop)
+}
+
+/// Stands in until the client side is attached.
+struct NoSessions;
+
+impl SessionCancel for NoSessions {
+    async fn cancel_session(&self, _process: u32, _secret: u32) {}
+}
--- a/crates/proxy/src/trace.rs
+++ b/crates/proxy/src/trace.rs
@@ -23,7 +23,7 @@
 };
 use thiserror::Error;
 
-use crate::platform::http::{HttpClient, HttpError};
+use crate::platform::http::HttpClient;
 
 /// Longest time of one export.
 const EXPORT_TIMEOUT: Duration = Duration::from_secs(5);
@@ -210,8 +210,6 @@
         }
         let request = Request::from_parts(parts, Full::new(body));
         let answer = self.http.send(request, EXPORT_TIMEOUT).await;
-        answer.map_err(|error| match error {
-            HttpError::NotSent(error) | HttpError::MaybeSent(error) => error.into(),
-        })
+        answer.map_err(|error| error.into_io().into())
     }
 }
--- a/hibiscusladder/src/cli/args.rs
+++ b/hibiscusladder/src/cli/args.rs
@@ -82,6 +82,9 @@
     /// settings file of the emulator
     #[argh(option)]
     pub(crate) config: PathBuf,
+    /// URL of a platform that gets the records of databases it does not have
+    #[argh(option)]
+    pub(crate) platform: Option<String>,
 }
 
 /// Change and show contracts.
--- a/hibiscusladder/src/cli/contract.rs
+++ b/hibiscusladder/src/cli/contract.rs
@@ -33,9 +33,7 @@
     let name = contract.workspace.to_string();
     let value = serde_json::to_value(&contract).map_err(|error| unreadable(&args.file, &error))?;
     let version = match args.expect {
-        Some(expected) => {
-            operator::put_expected(&platform, KIND, &name, expected, &value).await?
-        }
+        Some(expected) => operator::put_expected(&platform, KIND, &name, expected, &value).await?,
         None => {
             let base = platform.get(KIND, &name).await?;
             operator::put(&platform, KIND, &name, base.as_ref(), &value).await?
@@ -57,7 +55,8 @@
 fn row(object: &StoredObject) -> Vec<String> {
     let field = |name: &str| object.value.get(name).map(Value::to_string).unwrap_or_default();
     let databases = object.value.get("databases").and_then(Value::as_array);
-    let databases = databases.map(|names| names.iter().filter_map(Value::as_str).collect::<Vec<_>>());
+    let databases =
+        databases.map(|names| names.iter().filter_map(Value::as_str).collect::<Vec<_>>());
     vec![
         object.name.clone(),
         object.version.to_string(),
@@ -99,10 +98,7 @@
 }
 
 /// Members of all databases of the contract.
-async fn count_members(
-    platform: &PlatformClient,
-    contract: &Contract,
-) -> Result<usize, CliError> {
+async fn count_members(platform: &PlatformClient, contract: &Contract) -> Result<usize, CliError> {
     let listing = platform.list("databases").await?;
     let records: Vec<DatabaseRecord> = listing
         .items
@@ -143,6 +139,7 @@
     CliError::File {
         path: path.to_owned(),
         reason: error.to_string().trim_end().to_owned(),
-        remedy: "give a contract with workspace, databases, rate and burst as TOML or JSON".to_owned(),
+        remedy: "give a contract with workspace, databases, rate and burst as TOML or JSON"
+            .to_owned(),
     }
 }
--- a/hibiscusladder/src/cli/error.rs
+++ b/hibiscusladder/src/cli/error.rs
@@ -3,11 +3,7 @@
 use std::{io, path::PathBuf};
 
 use hibiscusladder_core::contract::ContractFaults;
-use hibiscusladder_proxy::{
-    platform::PlatformError,
-    serve::ServeError,
-    settings::SettingsFaults,
-};
+use hibiscusladder_proxy::{platform::PlatformError, serve::ServeError, settings::SettingsFaults};
 use miette::Diagnostic;
 use thiserror::Error;
 
@@ -41,7 +37,9 @@
     #[error("{object} was changed by another operator to version {version}: {}", changes.join(", "))]
     #[diagnostic(
         code(hibiscusladder::conflict),
-        help("nothing was written; look at the present object and repeat the command on top of it")
+        help(
+            "nothing was written; look at the present object and repeat the command on top of it"
+        )
     )]
     LostRace { object: String, version: u64, changes: Vec<String> },
     /// Another operator deleted the object in between.
@@ -101,7 +99,10 @@
     Emulator(io::Error),
     /// Output could not be written, or the operating system refused a resource.
     #[error("{0}")]
-    #[diagnostic(code(hibiscusladder::system), help("check the terminal and the limits of the process"))]
+    #[diagnostic(
+        code(hibiscusladder::system),
+        help("check the terminal and the limits of the process")
+    )]
     System(#[from] io::Error),
 }
 
@@ -111,7 +112,8 @@
         let message = output.trim().lines().next().unwrap_or("the command line is not valid");
         let command: Vec<&str> =
             arguments.iter().copied().take_while(|word| !word.starts_with('-')).take(2).collect();
-        let words = if command.is_empty() { String::new() } else { format!(" {}", command.join(" ")) };
+        let words =
+            if command.is_empty() { String::new() } else { format!(" {}", command.join(" ")) };
         Self::Usage {
             message: message.to_owned(),
             remedy: format!("see `hibiscusladder{words} --help` for the options and commands"),
--- a/hibiscusladder/src/cli/in_force.rs
+++ b/hibiscusladder/src/cli/in_force.rs
@@ -61,11 +61,7 @@
 ///
 /// An instance that is cut off relies on evidence of an outage only while no data centre has a newer version,
 /// so the bound counts once all live instances of one data centre have confirmed.
-fn unconfirmed(
-    statuses: &[DataCentreStatus],
-    version: u64,
-    elapsed: Duration,
-) -> Vec<String> {
+fn unconfirmed(statuses: &[DataCentreStatus], version: u64, elapsed: Duration) -> Vec<String> {
     let complete = |status: &&DataCentreStatus| {
         let mut live = status.live().peekable();
         live.peek().is_some() && live.all(|instance| instance.version >= version)
--- a/hibiscusladder/src/cli/key.rs
+++ b/hibiscusladder/src/cli/key.rs
@@ -4,6 +4,7 @@
     key::{Key, KeyRecord},
     name::Workspace,
 };
+use hibiscusladder_proxy::platform::PlatformClient;
 use serde_json::{Value, json};
 
 use super::{
@@ -15,6 +16,9 @@
 
 const KIND: &str = "keys";
 
+/// Attempts to name a key in a contract that other operators change at the same time.
+const NAME_ATTEMPTS: u32 = 8;
+
 /// Runs the action.
 pub(crate) async fn run(args: &args::Key) -> Result<(), CliError> {
     match &args.action {
@@ -27,7 +31,7 @@
 /// Writes the hash of a new key and names the key in the contract; the secret goes to the terminal only.
 async fn issue(args: &KeyIssue) -> Result<(), CliError> {
     let platform = operator::client(&args.platform)?;
-    let base = contract::existing(&platform, &args.workspace).await?;
+    contract::existing(&platform, &args.workspace).await?;
     let mut random = [0; Key::RANDOM_BYTES];
     getrandom::fill(&mut random).map_err(std::io::Error::other)?;
     let key = Key::from_random(&random);
@@ -35,14 +39,29 @@
     let value = serde_json::to_value(&record).map_err(std::io::Error::other)?;
     let id = key.id().to_string();
     operator::put(&platform, KIND, &id, None, &value).await?;
-    let mut contract = base.value.clone();
-    name_key(&mut contract, &id);
-    let version =
-        operator::put(&platform, "contracts", &args.workspace, Some(&base), &contract).await?;
+    let version = name_in_contract(&platform, &args.workspace, &id).await?;
     output::line(&key.expose())?;
     operator::accepted(&platform, &format!("{KIND}/{id}"), version, args.no_wait).await
 }
 
+/// Names the key in the contract; a change of another operator in between does not contradict it.
+async fn name_in_contract(
+    platform: &PlatformClient,
+    workspace: &str,
+    id: &str,
+) -> Result<u64, CliError> {
+    let mut attempt = 1;
+    loop {
+        let base = contract::existing(platform, workspace).await?;
+        let mut value = base.value.clone();
+        name_key(&mut value, id);
+        match operator::put(platform, "contracts", workspace, Some(&base), &value).await {
+            Err(CliError::LostRace { .. }) if attempt < NAME_ATTEMPTS => attempt += 1,
+            result => return result,
+        }
+    }
+}
+
 fn name_key(contract: &mut Value, id: &str) {
     if let Some(fields) = contract.as_object_mut() {
         let keys = fields.entry("keys").or_insert_with(|| json!([]));
--- a/hibiscusladder/src/main.rs
+++ b/hibiscusladder/src/main.rs
@@ -1,3 +1,9 @@
 //! The `hibiscusladder` command.
 
-fn main() {}
+mod cli;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::main()
+}
