feat(proxy): attach the client side to the running instance

Also: a lock is taken from its holder at once only when a preferred instance is gone; at a start without known instances two homes had terminated each other's connections. A replica's newest term is read from the start of the term in its log; without it every replica was told to follow twice a second.

--- a/crates/proxy/src/control/members.rs
+++ b/crates/proxy/src/control/members.rs
@@ -260,12 +260,12 @@
         self.run_action(link, action).await
     }
 
-    /// Whether the instance that would be home without this one cannot hand over.
+    /// Whether the holder of the lock is known or likely to be unable to hand over.
     fn predecessor_is_silent(&self, since: Instant, now: Instant) -> bool {
         let peers = self.node.peers();
         let data_centre = &self.record.data_centre;
-        let alive = peers.predecessor(&self.database, &self.record.id, data_centre).is_some();
-        !alive || now.since(since) >= HANDOVER_PATIENCE
+        peers.preferred_is_gone(&self.database, &self.record.id, data_centre)
+            || now.since(since) >= HANDOVER_PATIENCE
     }
 
     async fn release(&self, link: &MemberLink) -> Result<(), LinkError> {
--- a/crates/proxy/src/control/statement.rs
+++ b/crates/proxy/src/control/statement.rs
@@ -33,6 +33,7 @@
     let rows = &answer.rows;
     let term = |column| rows.first(column).and_then(|text| text.parse().ok()).map(Term);
     let position = |column| rows.first(column).and_then(|text| text.parse::<Position>().ok());
+    let start = position("term_start").unwrap_or_default();
     let silent = rows.first("source_silent_ms").and_then(|text| text.parse().ok());
     Some(MemberReport {
         member: rows.first("member").map_or_else(|| member.clone(), MemberId::new),
@@ -43,9 +44,10 @@
         },
         term: term("term")?,
         claimant: claimant(rows),
-        promoted_term: term("promoted_term").unwrap_or_default(),
+        // A replica reports no promotion of its own; the start of the newest term in its log names the term.
+        promoted_term: term("promoted_term").unwrap_or(start.term),
         position: position("position")?,
-        term_start: position("term_start").unwrap_or_default(),
+        term_start: start,
         term_members: names(rows.first("term_members").unwrap_or_default()),
         source_silent: silent.map(Duration::from_millis),
         sent: answer.sent,
--- a/crates/proxy/src/node/peers.rs
+++ b/crates/proxy/src/node/peers.rs
@@ -1,9 +1,9 @@
 //! The instances that this one knows.
 
-use std::sync::Arc;
+use std::{cmp::Reverse, sync::Arc};
 
 use hibiscusladder_core::{
-    membership::{InstanceInfo, Membership},
+    membership::{InstanceInfo, InstanceState, Membership, weight},
     name::{DataCentre, Database, InstanceId, MemberId},
 };
 
@@ -54,17 +54,23 @@
         self.membership.instance(&id)
     }
 
-    /// Live home of `member` that would be chosen without the own instance.
-    pub fn predecessor(
+    /// Whether an instance that was preferred to this one as home of `member` is no longer live.
+    ///
+    /// Such an instance may hold the lock of the member without being able to hand it over.
+    pub fn preferred_is_gone(
         &self,
         database: &Database,
         member: &MemberId,
         data_centre: &DataCentre,
-    ) -> Option<InstanceId> {
-        let mut others = self.membership.clone();
-        others.leave();
-        let nearest = nearest(&self.topology, data_centre);
-        others.home(database, member, data_centre, &nearest)
+    ) -> bool {
+        let key = ["home", database.as_str(), member.as_str()];
+        let me = self.membership.me();
+        let mut places = vec![data_centre.clone()];
+        places.extend(nearest(&self.topology, data_centre));
+        let place = |info: &InstanceInfo| places.iter().position(|p| *p == info.data_centre);
+        let rank = |info: &InstanceInfo| (place(info), Reverse(weight(&key, info.id.as_str())));
+        let own = rank(me);
+        self.others().any(|info| info.state != InstanceState::Live && rank(info) < own)
     }
 }
 
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -20,16 +20,18 @@
 };
 
 use miette::Diagnostic;
-use smol::net::TcpListener;
+use smol::{Task, net::TcpListener};
 use thiserror::Error;
 
 use crate::{
+    caller::{self, Entry, Tls, TlsError},
     clock::sleep,
     control::{Confirmations, Control, ControlHandler},
     home::Homes,
     metrics::Metrics,
     node::Node,
     platform::PlatformClient,
+    route::Router,
     rpc::{self, Rpc, Services, SessionCancel},
     settings::Settings,
     trace::{TraceError, Tracer},
@@ -38,6 +40,9 @@
 /// Longest wait for the release of the locks of members at a shutdown.
 const RELEASE_BOUND: Duration = Duration::from_secs(3);
 
+/// Wait after a client could not be accepted.
+const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+
 /// Time between two looks at whether the last request has ended.
 const DRAIN_LOOK: Duration = Duration::from_millis(20);
 
@@ -70,6 +75,10 @@
         /// What the operating system reported.
         reason: String,
     },
+    /// The certificate cannot be used.
+    #[error(transparent)]
+    #[diagnostic(code(hibiscusladder::tls), help("check the files of [tls] cert and key"))]
+    Tls(#[from] TlsError),
     /// Metrics cannot be sent.
     #[error("metrics cannot be sent: {0}")]
     #[diagnostic(code(hibiscusladder::metrics), help("check [metrics] statsd"))]
@@ -147,6 +156,8 @@
 struct Instance {
     node: Arc<Node>,
     homes: Arc<Homes>,
+    entry: Arc<Entry>,
+    accepting: Task<()>,
     control: Control,
     tracer: Tracer,
 }
@@ -154,34 +165,38 @@
 impl Instance {
     fn start(settings: Settings, listeners: Listeners) -> Result<Self, ServeError> {
         let addresses = settings.instance.clone();
-        let _clients = listener(listeners.clients, addresses.listen, "listen")?;
+        let clients = listener(listeners.clients, addresses.listen, "listen")?;
         let rpc_listener = listener(listeners.rpc, addresses.rpc, "rpc")?;
         let health = listener(listeners.health, addresses.health, "health")?;
+        let tls = settings.tls.as_ref().map(Tls::load).transpose()?;
         let metrics = settings.statsd.map_or_else(|| Ok(Metrics::disabled()), Metrics::to_statsd);
         let metrics = metrics.map_err(ServeError::Metrics)?;
         let tracer = tracer(&settings)?;
         let platform =
             PlatformClient::new(&settings.platform.address, settings.times.platform_call);
         let node = Node::with_tracer(settings, metrics, tracer.clone());
-        let homes = Homes::new(Arc::clone(&node), tracer.clone());
+        let homes = Homes::new(Arc::clone(&node));
         let rpc = Rpc::start().map_err(ServeError::Thread)?;
+        let router = Router::new(Arc::clone(&node), Arc::clone(&homes), rpc.clone());
+        let entry = Entry::new(router, tls);
         let confirmations: Arc<Confirmations> = Arc::default();
         let handler =
             ControlHandler::new(Arc::clone(&node), platform.clone(), Arc::clone(&confirmations));
         let services = Services {
             homes: Arc::clone(&homes),
             control: Arc::new(handler),
-            sessions: Arc::new(NoSessions),
+            sessions: Arc::clone(&entry),
         };
         serve_calls(rpc_listener, services).map_err(ServeError::Thread)?;
         let control = Control::start(&node, &platform, &confirmations, health, &rpc);
+        let accepting = smol::spawn(accept(clients, Arc::clone(&entry)));
         spdlog::info!(
             "entry: instance {} in {} listens on {}",
             node.id(),
             node.data_centre(),
             addresses.listen
         );
-        Ok(Self { node, homes, control, tracer })
+        Ok(Self { node, homes, entry, accepting, control, tracer })
     }
 
     /// Hands the members over, answers the requests that are held, and ends.
@@ -192,15 +207,32 @@
             spdlog::warn!("home: some locks were not released in time");
         }
         let until = self.node.now().plus(self.node.settings().times.drain_time);
-        while self.homes.active() > 0 && self.node.now() < until {
+        let busy = || self.entry.clients() > 0 || self.homes.active() > 0;
+        while busy() && self.node.now() < until {
             sleep(DRAIN_LOOK).await;
         }
+        if busy() {
+            let clients = self.entry.clients();
+            spdlog::warn!("entry: {clients} clients stayed connected past drain_time");
+        }
+        self.accepting.cancel().await;
         self.control.stop().await;
         self.tracer.shutdown();
         spdlog::info!("entry: left");
     }
 }
 
+/// Accepts clients until the instance ends.
+async fn accept(listener: TcpListener, entry: Arc<Entry>) {
+    loop {
+        if let Err(error) = caller::serve(listener.clone(), Arc::clone(&entry)).await {
+            // The limit of open files is the usual reason, and passes.
+            spdlog::error!("entry: a client was not accepted: {error}");
+            sleep(ACCEPT_RETRY).await;
+        }
+    }
+}
+
 fn tracer(settings: &Settings) -> Result<Tracer, TraceError> {
     let Some(url) = &settings.otlp else {
         return Ok(Tracer::disabled());
@@ -221,10 +253,3 @@
     };
     thread::Builder::new().name("rpc-server".to_owned()).spawn(serve).map(drop)
 }
-
-/// Stands in until the client side is attached.
-struct NoSessions;
-
-impl SessionCancel for NoSessions {
-    async fn cancel_session(&self, _process: u32, _secret: u32) {}
-}
