--- a/crates/proxy/src/control/statement.rs
+++ b/crates/proxy/src/control/statement.rs
@@ -20,7 +20,7 @@
 /// # Errors
 ///
 /// Returns an error when the connection is lost or the member rejects the statement.
-pub async fn poll(
+pub(super) async fn poll(
     link: &MemberLink,
     member: &MemberId,
     now: fn() -> Instant,
@@ -33,6 +33,7 @@
     let rows = &answer.rows;
     let term = |column| rows.first(column).and_then(|text| text.parse().ok()).map(Term);
     let position = |column| rows.first(column).and_then(|text| text.parse::<Position>().ok());
+    let start = position("term_start").unwrap_or_default();
     let silent = rows.first("source_silent_ms").and_then(|text| text.parse().ok());
     Some(MemberReport {
         member: rows.first("member").map_or_else(|| member.clone(), MemberId::new),
@@ -43,9 +44,10 @@
         },
         term: term("term")?,
         claimant: claimant(rows),
-        promoted_term: term("promoted_term").unwrap_or_default(),
+        // A replica reports no promotion of its own; the start of the newest term in its log names the term.
+        promoted_term: term("promoted_term").unwrap_or(start.term),
         position: position("position")?,
-        term_start: position("term_start").unwrap_or_default(),
+        term_start: start,
         term_members: names(rows.first("term_members").unwrap_or_default()),
         source_silent: silent.map(Duration::from_millis),
         sent: answer.sent,
@@ -66,7 +68,7 @@
 /// # Errors
 ///
 /// Returns an error when the connection is lost or the member rejects the statement.
-pub async fn raise_term(
+pub(super) async fn raise_term(
     link: &MemberLink,
     term: Term,
     claimant_name: &InstanceId,
@@ -82,7 +84,7 @@
 /// # Errors
 ///
 /// Returns an error when the connection is lost.
-pub async fn promote(
+pub(super) async fn promote(
     link: &MemberLink,
     term: Term,
     members: &[MemberId],
@@ -101,7 +103,7 @@
 /// # Errors
 ///
 /// Returns an error when the connection is lost or the member rejects the statement.
-pub async fn follow(link: &MemberLink, address: &str, term: Term) -> Result<(), LinkError> {
+pub(super) async fn follow(link: &MemberLink, address: &str, term: Term) -> Result<(), LinkError> {
     let address = quoted(address);
     link.query(format!("SELECT group_follow({address}, {term})")).await.map(drop)
 }
@@ -123,7 +125,7 @@
 /// # Errors
 ///
 /// Returns an error when the connection is lost or the member rejects the statement.
-pub async fn try_lock(link: &MemberLink, key: u32) -> Result<(bool, Instant), LinkError> {
+pub(super) async fn try_lock(link: &MemberLink, key: u32) -> Result<(bool, Instant), LinkError> {
     let answer = link.query(format!("SELECT pg_try_advisory_lock({key})")).await?;
     Ok((answer.rows.scalar() == Some("t"), answer.sent))
 }
@@ -133,7 +135,7 @@
 /// # Errors
 ///
 /// Returns an error when the connection is lost or the member rejects the statement.
-pub async fn unlock(link: &MemberLink, key: u32) -> Result<(), LinkError> {
+pub(super) async fn unlock(link: &MemberLink, key: u32) -> Result<(), LinkError> {
     link.query(format!("SELECT pg_advisory_unlock({key})")).await.map(drop)
 }
 
@@ -142,7 +144,7 @@
 /// # Errors
 ///
 /// Returns an error when the connection is lost or the member rejects the statement.
-pub async fn lock_holder(link: &MemberLink, key: u32) -> Result<Option<i32>, LinkError> {
+pub(super) async fn lock_holder(link: &MemberLink, key: u32) -> Result<Option<i32>, LinkError> {
     let answer = link.query(format!("SELECT pid FROM pg_locks WHERE objid = {key}")).await?;
     Ok(answer.rows.scalar().and_then(|text| text.parse().ok()))
 }
@@ -152,7 +154,7 @@
 /// # Errors
 ///
 /// Returns an error when the connection is lost or the member rejects the statement.
-pub async fn terminate(link: &MemberLink, pid: i32) -> Result<(), LinkError> {
+pub(super) async fn terminate(link: &MemberLink, pid: i32) -> Result<(), LinkError> {
     link.query(format!("SELECT pg_terminate_backend({pid})")).await.map(drop)
 }
 
