feat(proxy): admit by shares with loans, and test the data path end to end

The share of a workspace at a member lives as long as the lease of its home. Idle clients of a leaving instance are told to reconnect 200 ms after their last answer, since a client library may take the notice for the answer; a rejected client gets up to 500 ms to read the reason.

--- a/crates/proxy/src/caller/session.rs
+++ b/crates/proxy/src/caller/session.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, HashSet},
     sync::Arc,
+    time::Duration,
 };
 
 use bytes::{Bytes, BytesMut};
@@ -19,6 +20,7 @@
 use hibiscusladder_proto::reply::{ReplyEnd, TransactionStatus};
 use pgwire::messages::startup::{BackendKeyData, NegotiateProtocolVersion, SecretKey};
 use smol::{
+    Timer,
     channel::{self, Receiver, Sender},
     future::FutureExt,
 };
@@ -36,6 +38,7 @@
 use crate::{
     classify::{Effect, Flow},
     home::{Chunk, Exchange},
+    node::Node,
     route::{Progress, Request},
     trace::Hop,
 };
@@ -54,6 +57,13 @@
 /// Size at which collected messages are written to the client, in bytes.
 const WRITE_BYTES: usize = 64 * 1024;
 
+/// Idle time after which a client is told that the instance leaves.
+///
+/// A client that gets the message together with the end of its answer may take it for the answer.
+const DRAIN_PAUSE: Duration = Duration::from_millis(200);
+/// Longest time that a rejected client gets to read why before the connection is closed.
+const LINGER: Duration = Duration::from_millis(500);
+
 /// The client is gone.
 struct Gone;
 
@@ -206,25 +216,14 @@
         }
     }
 
-    /// Reads the next batch; between transactions, a shutdown comes first.
+    /// Reads the next batch; between transactions, a shutdown ends the wait for one.
     async fn next_input(&mut self) -> Input {
         loop {
-            let drain = self.entry.node().drain_started();
             let between = self.transaction.is_none() && self.collector.is_idle();
-            if between && self.entry.node().is_draining() {
-                return Input::Draining;
-            }
+            let node = self.entry.node();
             let reader = &mut self.reader;
             let next = async { Some(reader.next().await) };
-            let next = if between {
-                let drain = async {
-                    drain.await;
-                    None
-                };
-                next.or(drain).await
-            } else {
-                next.await
-            };
+            let next = if between { next.or(drained(node)).await } else { next.await };
             let frame = match next {
                 None => return Input::Draining,
                 Some(Ok(Some(frame))) => frame,
@@ -241,6 +240,9 @@
 
     /// Runs a batch and answers it.
     async fn serve(&mut self, batch: Batch) -> Result<(), Gone> {
+        if self.transaction.is_none() && self.entry.node().is_draining() {
+            return self.close(&Refusal::not_run(RefusalKind::Leaving)).await;
+        }
         let authorised = match self.identity.authorise(self.entry.node()) {
             Ok(authorised) => authorised,
             Err(refusal) => {
@@ -541,7 +543,14 @@
         self.count_refusal(refusal);
         let mut buf = BytesMut::new();
         answer::put_fatal(&mut buf, refusal);
-        let _ = self.write(&buf).await;
+        if self.write(&buf).await.is_ok() {
+            // Closing with unread messages would reset the connection and lose the reason.
+            let read = async { while let Ok(Some(_)) = self.reader.next().await {} };
+            let timer = async {
+                Timer::after(LINGER).await;
+            };
+            read.or(timer).await;
+        }
         let _ = self.reader.stream().close().await;
         Err(Gone)
     }
@@ -596,6 +605,16 @@
     }
 }
 
+/// Completes when the instance has been leaving for a while.
+async fn drained<T>(node: &Node) -> Option<T> {
+    let drain = node.drain_started();
+    if !node.is_draining() {
+        drain.await;
+    }
+    Timer::after(DRAIN_PAUSE).await;
+    None
+}
+
 /// Class of a batch by the contract and the client's key.
 fn classify(plan: &Plan, authorised: &Authorised) -> Result<StatementClass, Refusal> {
     let contract = &authorised.contract;
--- /dev/null
+++ b/crates/proxy/src/home/contracts.rs
@@ -0,0 +1,86 @@
+//! Divisions of the contracts as they changed since the process started.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, Weak},
+};
+
+use hibiscusladder_core::{
+    name::Workspace,
+    share::{Division, Divisions},
+};
+
+use crate::node::{Node, lock};
+
+/// How each contract is and was divided.
+#[derive(Debug, Default)]
+pub(super) struct Contracts {
+    histories: Mutex<Histories>,
+}
+
+#[derive(Debug, Default)]
+struct Histories {
+    by_workspace: HashMap<Workspace, Divisions>,
+    /// Whether a configuration was seen before; contracts in the first one may have been changed just before it.
+    started: bool,
+}
+
+impl Contracts {
+    /// Follows the configuration of `node` for as long as the result is used.
+    pub(super) fn follow(node: &Arc<Node>) -> Arc<Self> {
+        let contracts = Arc::new(Self::default());
+        contracts.update(node);
+        smol::spawn(follow(Arc::downgrade(&contracts), Arc::clone(node))).detach();
+        contracts
+    }
+
+    /// The divisions of the contract of `workspace`.
+    pub(super) fn divisions(&self, node: &Node, workspace: &Workspace) -> Option<Divisions> {
+        if let Some(divisions) = lock(&self.histories).by_workspace.get(workspace) {
+            return Some(divisions.clone());
+        }
+        // The change has arrived, and the task that follows the configuration has not run since.
+        self.update(node);
+        lock(&self.histories).by_workspace.get(workspace).cloned()
+    }
+
+    fn update(&self, node: &Node) {
+        let config = node.config();
+        let now = node.now();
+        let mut histories = lock(&self.histories);
+        if config.revision() == 0 && config.contracts().next().is_none() {
+            return;
+        }
+        let started = histories.started;
+        histories.started = true;
+        for contract in config.contracts() {
+            let division = Division::of(contract, &config);
+            match histories.by_workspace.get_mut(&contract.workspace) {
+                Some(divisions) if *divisions.current() == division => {}
+                Some(divisions) => divisions.record(division, now),
+                None => {
+                    let divisions = match started {
+                        true => Divisions::settled(division),
+                        false => Divisions::found(division, now),
+                    };
+                    histories.by_workspace.insert(contract.workspace.clone(), divisions);
+                }
+            }
+        }
+        for (workspace, divisions) in &mut histories.by_workspace {
+            if config.contract(workspace).is_none() && *divisions.current() != Division::default() {
+                divisions.record(Division::default(), now);
+            }
+        }
+    }
+}
+
+async fn follow(contracts: Weak<Contracts>, node: Arc<Node>) {
+    loop {
+        let changed = node.config_changed();
+        let Some(contracts) = contracts.upgrade() else { return };
+        contracts.update(&node);
+        drop(contracts);
+        changed.await;
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/home/loans.rs
@@ -0,0 +1,89 @@
+//! Exchange of loans between homes.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Weak},
+};
+
+use hibiscusladder_core::{
+    name::InstanceId,
+    share::{LOAN_INTERVAL, LoanRequest},
+};
+use hibiscusladder_proto::share::AddressedRequest;
+use smol::Timer;
+
+use super::{Homes, Member};
+use crate::rpc::Rpc;
+
+/// A request with the home that makes it.
+struct Pending {
+    member: Arc<Member>,
+    addressed: AddressedRequest,
+}
+
+/// Asks other homes for loans for as long as `homes` are used.
+pub(super) async fn run(homes: Weak<Homes>, rpc: Rpc) {
+    loop {
+        Timer::after(LOAN_INTERVAL).await;
+        let Some(homes) = homes.upgrade() else { return };
+        for (home, pending) in collect(&homes) {
+            smol::spawn(ask(Arc::clone(&homes), rpc.clone(), home, pending)).detach();
+        }
+    }
+}
+
+/// The requests that are due, by the instance that is asked.
+fn collect(homes: &Homes) -> HashMap<InstanceId, Vec<Pending>> {
+    let mut by_home: HashMap<InstanceId, Vec<Pending>> = HashMap::new();
+    for member in homes.own_members() {
+        for request in member.shares.wanted() {
+            for (home, addressed) in lenders(homes, &request) {
+                let pending = Pending { member: Arc::clone(&member), addressed };
+                by_home.entry(home).or_default().push(pending);
+            }
+        }
+    }
+    by_home
+}
+
+/// The other members of the workspace's databases with their homes.
+fn lenders(homes: &Homes, request: &LoanRequest) -> Vec<(InstanceId, AddressedRequest)> {
+    let node = &homes.node;
+    let config = node.config();
+    let Some(contract) = config.contract(&request.workspace) else { return Vec::new() };
+    let mut found = Vec::new();
+    for database in &contract.databases {
+        let Some(record) = config.database(database) else { continue };
+        for lender in record.members.iter().filter(|member| member.id != request.borrower) {
+            let Some(home) = node.home_of(database, &lender.id) else { continue };
+            let addressed =
+                AddressedRequest { lender: lender.id.clone(), request: request.clone() };
+            found.push((home.id, addressed));
+        }
+    }
+    found
+}
+
+/// Asks one instance for all loans that are wanted of its homes.
+async fn ask(homes: Arc<Homes>, rpc: Rpc, home: InstanceId, pending: Vec<Pending>) {
+    let asked = homes.node.now();
+    let requests: Vec<_> = pending.iter().map(|pending| pending.addressed.clone()).collect();
+    let loans = if home == *homes.node.id() {
+        requests.iter().map(|addressed| homes.lend(addressed)).collect()
+    } else {
+        let peers = homes.node.peers();
+        let Some(address) = peers.get(&home).map(|peer| Arc::clone(&peer.rpc)) else { return };
+        match rpc.borrow(&address, requests).await {
+            Ok(loans) => loans,
+            Err(error) => {
+                spdlog::debug!("home: no loans from {home}: {error}");
+                return;
+            }
+        }
+    };
+    for (pending, loan) in pending.iter().zip(loans) {
+        if let Some(loan) = loan {
+            pending.member.shares.accept(&pending.addressed.request, &loan, asked);
+        }
+    }
+}
--- a/crates/proxy/src/home/member.rs
+++ b/crates/proxy/src/home/member.rs
@@ -4,16 +4,15 @@
 
 use hibiscusladder_core::{
     clock::Instant,
-    contract::Contract,
     database::MemberRecord,
-    name::MemberId,
+    name::{MemberId, Workspace},
     outcome::{Refusal, RefusalKind},
     position::{Position, Term},
     witness::PositionProof,
 };
 use smol::{Timer, future::FutureExt, lock::Mutex as AsyncMutex};
 
-use super::{Admission, gate, read_index::MemberQuestion};
+use super::{Admission, contracts::Contracts, gate, read_index::MemberQuestion, shares::Shares};
 use crate::{
     node::{Group, Node},
     route::SharedIndex,
@@ -36,6 +35,7 @@
     pub(super) admission: Admission,
     /// Term in which the record table is known to exist.
     pub(super) recorded_term: AsyncMutex<Option<Term>>,
+    pub(super) shares: Shares,
     index: Arc<SharedIndex<MemberQuestion>>,
     record: MemberRecord,
 }
@@ -48,7 +48,12 @@
 }
 
 impl Member {
-    pub(super) fn new(node: Arc<Node>, group: Arc<Group>, record: &MemberRecord) -> Arc<Self> {
+    pub(super) fn new(
+        node: &Arc<Node>,
+        group: &Arc<Group>,
+        contracts: &Arc<Contracts>,
+        record: &MemberRecord,
+    ) -> Arc<Self> {
         let settings = node.settings();
         let database = group.view().database.clone();
         let size = record.connections.saturating_sub(RESERVED_CONNECTIONS).max(1);
@@ -56,8 +61,9 @@
         let admission = Admission::new(record.slots, settings.times.queue_wait, node.clock());
         let member = Self {
             index: SharedIndex::new(MemberQuestion::new(pool.clone())),
-            node,
-            group,
+            shares: Shares::new(node, group, contracts, &record.id),
+            node: Arc::clone(node),
+            group: Arc::clone(group),
             id: record.id.clone(),
             pool,
             admission,
@@ -131,10 +137,26 @@
     /// Returns "not run" when the workspace is past its rate.
     pub(super) async fn admit(
         &self,
-        _contract: &Contract,
-        _deadline: Instant,
+        workspace: &Workspace,
+        deadline: Instant,
     ) -> Result<(), Refusal> {
-        Ok(())
+        let wait = self.node.settings().times.admit_wait;
+        let until = self.node.now().plus(wait).min(deadline);
+        let mut again = false;
+        loop {
+            let loan = self.shares.loan_arrived();
+            let Err(retry_after) = self.shares.admit(workspace, again) else { return Ok(()) };
+            again = true;
+            let left = until.since(self.node.now());
+            if left.is_zero() {
+                self.node.metrics().count("home.rate_exceeded");
+                return Err(Refusal::not_run(RefusalKind::RateExceeded).retry_after(retry_after));
+            }
+            let timer = async {
+                Timer::after(retry_after.min(left)).await;
+            };
+            loan.or(timer).await;
+        }
     }
 
     /// Waits until the replica has `needed`, by the reports and by asking it on `pooled`.
--- a/crates/proxy/src/home/mod.rs
+++ b/crates/proxy/src/home/mod.rs
@@ -7,12 +7,15 @@
 
 mod admission;
 mod call;
+mod contracts;
 mod execute;
 mod gate;
+mod loans;
 mod member;
 mod outlet;
 mod read_index;
 mod record;
+mod shares;
 mod transaction;
 
 use std::{
@@ -34,8 +37,11 @@
     call::{Call, Chunk, Exchange},
     member::Member,
 };
-use self::{call::Cancels, transaction::Transaction};
-use crate::node::{Node, lock};
+use self::{call::Cancels, contracts::Contracts, transaction::Transaction};
+use crate::{
+    node::{Node, lock},
+    rpc::Rpc,
+};
 
 /// Chunks that wait for a slow reader of an answer; more make the upstream wait.
 const CHUNKS_BUFFERED: usize = 2;
@@ -46,12 +52,19 @@
     node: Arc<Node>,
     members: Mutex<HashMap<MemberId, Arc<Member>>>,
     cancels: Arc<Cancels>,
+    contracts: Arc<Contracts>,
 }
 
 impl Homes {
     /// Creates the homes of `node`.
     pub fn new(node: Arc<Node>) -> Arc<Self> {
-        Arc::new(Self { node, members: Mutex::default(), cancels: Arc::default() })
+        let contracts = Contracts::follow(&node);
+        Arc::new(Self { node, members: Mutex::default(), cancels: Arc::default(), contracts })
+    }
+
+    /// Starts to ask other homes for loans when a workspace needs more than its part.
+    pub fn start_loans(self: &Arc<Self>, rpc: &Rpc) {
+        smol::spawn(loans::run(Arc::downgrade(self), rpc.clone())).detach();
     }
 
     /// Starts a request. With `keep`, the transaction that it opens stays open for further batches.
@@ -101,19 +114,42 @@
         {
             return Some(Arc::clone(known));
         }
-        let home = Member::new(Arc::clone(&self.node), group, record);
+        let home = Member::new(&self.node, &group, &self.contracts, record);
         members.insert(member.clone(), Arc::clone(&home));
         Some(home)
     }
 
     /// Lends a part of a workspace's rate to another home.
-    pub fn lend(&self, _addressed: &AddressedRequest) -> Option<Loan> {
-        None
+    pub fn lend(&self, addressed: &AddressedRequest) -> Option<Loan> {
+        self.member_by_id(&addressed.lender)?.shares.lend(&addressed.request)
+    }
+
+    /// Takes the tokens over that the last home of `member` did not use; whether any of them were of use.
+    pub fn take_over(&self, member: &MemberId, buckets: &[HandOver]) -> bool {
+        let Some(home) = self.member_by_id(member) else { return false };
+        let taken = buckets.iter().filter(|handed| home.shares.take_over(handed));
+        taken.count() > 0
+    }
+
+    /// The members that this instance is home of.
+    fn own_members(&self) -> Vec<Arc<Member>> {
+        let groups = self.node.groups();
+        let mut own = Vec::new();
+        for (database, group) in groups.iter() {
+            for record in &group.view().members {
+                let lease = self.node.lease(&record.id);
+                if lease.is_some_and(|lease| lease.usable(self.node.now())) {
+                    own.extend(self.member(database, &record.id));
+                }
+            }
+        }
+        own
     }
 
-    /// Takes the shares over that the last home of `member` did not use.
-    pub fn take_over(&self, _member: &MemberId, _buckets: &[HandOver]) -> bool {
-        false
+    fn member_by_id(&self, id: &MemberId) -> Option<Arc<Member>> {
+        let groups = self.node.groups();
+        let database = groups.iter().find(|(_, group)| group.view().member(id).is_some());
+        self.member(database?.0, id)
     }
 
     /// Statements that wait or run at all members.
--- a/crates/proxy/src/home/transaction.rs
+++ b/crates/proxy/src/home/transaction.rs
@@ -233,10 +233,7 @@
 
     /// Why a transaction that is open cannot go on.
     fn lapsed(&self, on_primary: bool, standing: Standing) -> Option<Refusal> {
-        if !self.member.lease_usable() {
-            let reason = "the lease of its home has expired; the transaction was rolled back";
-            return Some(self.member.no_member(reason));
-        }
+        // The lease is not needed to go on: a home that leaves completes the transactions that it holds.
         if on_primary && !standing.is_primary {
             let reason = "it is no longer the primary; the transaction was rolled back";
             return Some(self.member.no_member(reason));
@@ -267,7 +264,7 @@
         let contract = member.node.config().contract(&head.workspace).map(Arc::clone);
         let contract = contract.ok_or_else(|| Refusal::not_run(RefusalKind::KeyRejected))?;
         let result = async {
-            member.admit(&contract, deadline).await?;
+            member.admit(&head.workspace, deadline).await?;
             member.admission.slot(&head.workspace, contract.weight, deadline).await
         };
         let slot = result.await;
--- a/crates/proxy/src/route/mod.rs
+++ b/crates/proxy/src/route/mod.rs
@@ -60,8 +60,9 @@
 }
 
 impl Router {
-    /// Creates the router of `node`.
+    /// Creates the router of `node` and lets its homes ask others for loans.
     pub fn new(node: Arc<Node>, homes: Arc<Homes>, rpc: Rpc) -> Arc<Self> {
+        homes.start_loans(&rpc);
         Arc::new(Self { node, homes, rpc, databases: Mutex::default(), retries: Mutex::default() })
     }
 
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -3,6 +3,7 @@
 //! A thread polls the members on behalf of all instances and passes heartbeats between them.
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
+#![allow(clippy::unwrap_used, reason = "a test fails when its set-up does")]
 
 use std::{
     net::{SocketAddr, TcpListener as StdListener},
@@ -41,24 +42,24 @@
 use smol::net::TcpListener;
 
 /// Database of the tests.
-pub const DATABASE: &str = "padron";
+pub(crate) const DATABASE: &str = "padron";
 /// Workspace of the tests.
-pub const WORKSPACE: &str = "club-andino";
+pub(crate) const WORKSPACE: &str = "club-andino";
 /// Time between two polls.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which a poll is given up.
 const POLL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// What a test may set.
-pub struct Options {
-    pub instances: usize,
-    pub members: Vec<&'static str>,
-    pub times: &'static str,
-    pub limits: &'static str,
-    pub rate: f64,
-    pub routes: Vec<Route>,
-    pub statement_us: u64,
-    pub lag_ms: u64,
+pub(crate) struct Options {
+    pub(crate) instances: usize,
+    pub(crate) members: Vec<&'static str>,
+    pub(crate) times: &'static str,
+    pub(crate) limits: &'static str,
+    pub(crate) rate: f64,
+    pub(crate) routes: Vec<Route>,
+    pub(crate) statement_us: u64,
+    pub(crate) lag_ms: u64,
 }
 
 impl Default for Options {
@@ -77,19 +78,19 @@
 }
 
 /// One instance of the proxy.
-pub struct Instance {
-    pub node: Arc<Node>,
-    pub homes: Arc<Homes>,
-    pub entry: Arc<Entry>,
-    pub address: SocketAddr,
-    pub rpc: SocketAddr,
+pub(crate) struct Instance {
+    pub(crate) node: Arc<Node>,
+    pub(crate) homes: Arc<Homes>,
+    pub(crate) entry: Arc<Entry>,
+    pub(crate) address: SocketAddr,
+    pub(crate) rpc: SocketAddr,
 }
 
 /// Instances and members.
-pub struct Cluster {
-    pub group: GroupHandle,
-    pub instances: Vec<Instance>,
-    pub key: Key,
+pub(crate) struct Cluster {
+    pub(crate) group: GroupHandle,
+    pub(crate) instances: Vec<Instance>,
+    pub(crate) key: Key,
     version: u64,
     contract: Contract,
     paused: Arc<AtomicBool>,
@@ -110,6 +111,8 @@
         self.node.changes_since(since)
     }
 
+    fn handed_over(&self, _: &MemberId) {}
+
     fn status(&self) -> String {
         "{}".to_owned()
     }
@@ -117,12 +120,12 @@
 
 impl Cluster {
     /// Starts with the defaults.
-    pub fn start() -> Self {
+    pub(crate) fn start() -> Self {
         Self::with(Options::default())
     }
 
     /// Starts members and instances and waits until requests can be served.
-    pub fn with(options: Options) -> Self {
+    pub(crate) fn with(options: Options) -> Self {
         let mut cfg = GroupConfig::single(DATABASE, &options.members);
         cfg.statement_us = options.statement_us;
         cfg.lag_ms = options.lag_ms;
@@ -137,13 +140,16 @@
             keys: vec![key.id().clone()],
             routes: options.routes.clone(),
         };
-        let instances: Vec<Instance> =
-            (0..options.instances).map(|number| start_instance(number, &options)).collect();
+        // A contract counts as new only for instances that saw a configuration before, so this one comes first.
+        let record = serde_json::to_string(&database_record(&group)).unwrap();
+        let first = Change::put(Kind::Database, DATABASE, 1, &record);
+        let instances = (0..options.instances).map(|n| start_instance(n, &options, &first));
+        let instances = instances.collect();
         let mut cluster = Self {
             group,
             instances,
             key,
-            version: 0,
+            version: 1,
             contract,
             paused: Arc::default(),
             stop: Arc::default(),
@@ -156,25 +162,20 @@
 
     fn configure(&mut self) {
         let record = KeyRecord::new(&self.key, Workspace::new(WORKSPACE));
-        let database = self.database_record();
-        let contract = self.contract.clone();
-        self.change(Kind::Database, DATABASE, &serde_json::to_string(&database).unwrap());
-        self.change(
-            Kind::Key,
-            self.key.id().as_str().to_owned().as_str(),
-            &serde_json::to_string(&record).unwrap(),
-        );
-        self.change(Kind::Contract, WORKSPACE, &serde_json::to_string(&contract).unwrap());
+        let id = self.key.id().as_str().to_owned();
+        let contract = serde_json::to_string(&self.contract).unwrap();
+        self.change(Kind::Key, &id, &serde_json::to_string(&record).unwrap());
+        self.change(Kind::Contract, WORKSPACE, &contract);
     }
 
     /// Writes an object of the configuration.
-    pub fn change(&mut self, kind: Kind, name: &str, value: &str) {
+    pub(crate) fn change(&mut self, kind: Kind, name: &str, value: &str) {
         self.version += 1;
         self.apply(Change::put(kind, name, self.version, value));
     }
 
     /// Withdraws the key of the tests.
-    pub fn withdraw_key(&mut self) {
+    pub(crate) fn withdraw_key(&mut self) {
         self.version += 1;
         let id = self.key.id().clone();
         self.apply(Change::delete(Kind::Key, id.as_str(), self.version));
@@ -182,36 +183,11 @@
 
     fn apply(&self, change: Change) {
         for instance in &self.instances {
-            let changes = Changes {
-                revision: self.version,
-                proof_age: Some(Duration::ZERO),
-                complete: false,
-                items: vec![change.clone()],
-            };
+            let changes = changes(self.version, &change);
             instance.node.apply_changes(changes, self.version - 1, instance.node.now());
         }
     }
 
-    fn database_record(&self) -> DatabaseRecord {
-        let members = self.group.addresses().into_iter().map(|(id, address)| MemberRecord {
-            id,
-            data_centre: "stgo-a".into(),
-            address: address.to_string(),
-            slots: 2,
-            connections: 16,
-        });
-        let members: Vec<_> = members.collect();
-        DatabaseRecord {
-            name: Database::new(DATABASE),
-            primary: Some(members[0].id.clone()),
-            term: Term(1),
-            claimant: None,
-            term_start: None,
-            term_members: members.iter().map(|member| member.id.clone()).collect(),
-            members,
-        }
-    }
-
     /// Polls every member for every instance and holds the leases of the homes.
     fn start_polls(&self) {
         for instance in &self.instances {
@@ -240,7 +216,7 @@
     }
 
     /// Stops the polls, so that leases and gates expire.
-    pub fn pause_polls(&self, paused: bool) {
+    pub(crate) fn pause_polls(&self, paused: bool) {
         self.paused.store(paused, Ordering::Release);
     }
 
@@ -269,7 +245,7 @@
     }
 
     /// Settings of a client of the instance `number`.
-    pub fn config(&self, number: usize) -> Config {
+    pub(crate) fn config(&self, number: usize) -> Config {
         let address = self.instances[number].address;
         let mut config = Config::new();
         config
@@ -283,12 +259,19 @@
     }
 
     /// A client of the instance `number`.
-    pub fn client(&self, number: usize) -> Client {
+    pub(crate) fn client(&self, number: usize) -> Client {
         self.config(number).connect(NoTls).unwrap()
     }
 
+    /// Number of statements with `text` that the members received.
+    pub(crate) fn received(&self, text: &str) -> usize {
+        let reports = self.group.reports();
+        let recent = reports.iter().flat_map(|report| &report.recent);
+        recent.filter(|statement| statement.contains(text)).count()
+    }
+
     /// The instance that is home of the member `id`.
-    pub fn home_of(&self, id: &str) -> usize {
+    pub(crate) fn home_of(&self, id: &str) -> usize {
         let (database, member) = (Database::new(DATABASE), MemberId::new(id));
         let home = self.instances[0].node.home_of(&database, &member).unwrap();
         self.instances.iter().position(|instance| *instance.node.id() == home.id).unwrap()
@@ -301,7 +284,32 @@
     }
 }
 
-fn start_instance(number: usize, options: &Options) -> Instance {
+fn database_record(group: &GroupHandle) -> DatabaseRecord {
+    let members = group.addresses().into_iter().map(|(id, address)| MemberRecord {
+        id,
+        data_centre: "stgo-a".into(),
+        address: address.to_string(),
+        slots: 2,
+        connections: 16,
+    });
+    let members: Vec<_> = members.collect();
+    DatabaseRecord {
+        name: Database::new(DATABASE),
+        primary: Some(members[0].id.clone()),
+        term: Term(1),
+        claimant: None,
+        term_start: None,
+        term_members: members.iter().map(|member| member.id.clone()).collect(),
+        members,
+    }
+}
+
+fn changes(revision: u64, change: &Change) -> Changes {
+    let proof_age = Some(Duration::ZERO);
+    Changes { revision, proof_age, complete: false, items: vec![change.clone()] }
+}
+
+fn start_instance(number: usize, options: &Options, first: &Change) -> Instance {
     let listener = StdListener::bind("127.0.0.1:0").unwrap();
     let rpc_listener = StdListener::bind("127.0.0.1:0").unwrap();
     let (address, rpc_address) =
@@ -317,6 +325,7 @@
     );
     let settings = Settings::parse("test.toml", &text).unwrap_or_else(|error| panic!("{error:?}"));
     let node = Node::new(settings, Metrics::disabled());
+    node.apply_changes(changes(1, first), 0, node.now());
     let homes = Homes::new(Arc::clone(&node));
     let rpc = Rpc::start().unwrap();
     let router = Router::new(Arc::clone(&node), Arc::clone(&homes), rpc);
