feat(emulator): number rows of BIGSERIAL columns and apply copied entries early

SQLite reports the type of a numbered column as INTEGER in one case only, so a BIGSERIAL column was described as a 32-bit integer and clients failed to read it; tables.rs now finds the 64-bit type by a constraint name.

--- a/crates/emulator/src/database/group.rs
+++ b/crates/emulator/src/database/group.rs
@@ -51,6 +51,7 @@
             let spawner = runtime.spawner();
             runtime.spawn(server::run(Arc::clone(member), listener, spawner).boxed());
             runtime.spawn(replication::run(Arc::downgrade(member)).boxed());
+            runtime.spawn(replication::apply(Arc::downgrade(member)).boxed());
             spdlog::info!("emulator: member {} listens on {}", member.id(), member.address);
         }
         spdlog::info!("emulator: admin interface listens on {admin}");
--- a/crates/emulator/src/database/infer.rs
+++ b/crates/emulator/src/database/infer.rs
@@ -5,7 +5,7 @@
 
 use super::{
     sql::{self, Statement, is_word, name, word},
-    value::PgType,
+    value::{BIGSERIAL_TYPE, PgType},
 };
 
 /// A result column.
@@ -58,11 +58,13 @@
         .enumerate()
         .map(|(index, column)| {
             let item = items.as_ref().map(|items| strip_alias(items[index]));
-            let pg_type = column
-                .decl_type()
+            // The declared type `INTEGER` does not tell a serial column from others.
+            let declared = column.decl_type().filter(|name| *name != "INTEGER");
+            let pg_type = declared
                 .map(PgType::from_name)
                 .or_else(|| item.and_then(|item| expression(&tables, item, params)))
                 .or_else(|| tables.column(column.name()))
+                .or_else(|| column.decl_type().map(PgType::from_name))
                 .unwrap_or(PgType::Text);
             Column::new(&column_name(column.name(), item), pg_type)
         })
@@ -106,11 +108,15 @@
     /// Type of the first column with that name.
     fn column(&self, column: &str) -> Option<PgType> {
         self.names.iter().find_map(|table| {
-            let query = "SELECT type FROM pragma_table_info(?1) WHERE name = ?2 COLLATE NOCASE";
+            let query = "SELECT type, EXISTS (SELECT 1 FROM sqlite_master WHERE name = ?1 COLLATE NOCASE \
+                         AND sql LIKE '% ' || ?2 || ' ' || ?3 || ' %') \
+                         FROM pragma_table_info(?1) WHERE name = ?2 COLLATE NOCASE";
             let mut statement = self.conn.prepare_cached(query).ok()?;
-            let found =
-                statement.query_row([table.as_str(), column], |row| row.get::<_, String>(0));
-            found.optional().ok()?.map(|declared| PgType::from_name(&declared))
+            let found = statement.query_row([table.as_str(), column, BIGSERIAL_TYPE], |row| {
+                let declared: String = row.get(0)?;
+                Ok(if row.get(1)? { PgType::Int8 } else { PgType::from_name(&declared) })
+            });
+            found.optional().ok()?
         })
     }
 
@@ -274,7 +280,8 @@
             return Some(pg_type);
         }
     }
-    if sql::at_depth_zero(item).any(is_condition) {
+    let is_case = item.first().is_some_and(|token| is_word(token, "case"));
+    if !is_case && sql::at_depth_zero(item).any(is_condition) {
         return Some(PgType::Bool);
     }
     match item {
@@ -321,7 +328,7 @@
             Some(PgType::Float4 | PgType::Float8) => Some(PgType::Float8),
             _ => Some(PgType::Int8),
         },
-        "avg" | "now" | "random" => Some(PgType::Float8),
+        "avg" | "random" => Some(PgType::Float8),
         "length" | "octet_length" => Some(PgType::Int4),
         "cast" => {
             let keyword = args.iter().rposition(|token| is_word(token, "as"))?;
--- a/crates/emulator/src/database/member.rs
+++ b/crates/emulator/src/database/member.rs
@@ -433,6 +433,17 @@
         db.apply(&entries)
     }
 
+    /// Brings the databases that are not in use up to the end of the log.
+    pub(crate) fn apply_copied(&self) -> Result<(), SqlError> {
+        if let Ok(mut reader) = self.reader.try_lock() {
+            self.catch_up(&mut reader)?;
+        }
+        match self.writer.try_lock() {
+            Some(mut writer) => self.catch_up(&mut writer),
+            None => Ok(()),
+        }
+    }
+
     /// Commits the open transaction of the writer.
     pub(crate) fn commit(&self, db: &mut Sqlite, writes: Vec<Write>) -> Result<Position, SqlError> {
         let mut log = self.log();
--- a/crates/emulator/src/database/replication.rs
+++ b/crates/emulator/src/database/replication.rs
@@ -14,6 +14,8 @@
 
 /// Time between two copies.
 const COPY_INTERVAL: Duration = Duration::from_millis(2);
+/// Time between two applications of copied entries; reads that come earlier apply them themselves.
+const APPLY_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Copies from time to time, as long as the member exists.
 pub(crate) async fn run(member: Weak<Member>) {
@@ -24,6 +26,17 @@
     }
 }
 
+/// Applies copied entries from time to time, so that neither the first read nor a promotion has to wait for it.
+pub(crate) async fn apply(member: Weak<Member>) {
+    loop {
+        Timer::after(APPLY_INTERVAL).await;
+        let Some(member) = member.upgrade() else { return };
+        if let Err(error) = smol::unblock(move || member.apply_copied()).await {
+            spdlog::error!("emulator: copied entries were not applied: {error}");
+        }
+    }
+}
+
 /// Copies the entries that are due.
 pub(crate) fn step(member: &Member) {
     let Some(source) = source(member).filter(|source| member.reaches(source)) else { return };
@@ -46,8 +59,14 @@
             (Some(own), Some(entry)) => Arc::ptr_eq(own, entry),
             (Some(_), None) => false,
         };
-        let from = if continues { own_len } else { 0 };
-        Excerpt { from, entries: log.entries_from(from).to_vec() }
+        if continues {
+            let now = Instant::now();
+            let due = |entry: &&Arc<Entry>| now.duration_since(entry.committed) >= lag;
+            let next = log.entries_from(own_len).iter().take_while(due);
+            Excerpt::Continuation(next.cloned().collect())
+        } else {
+            Excerpt::Whole(log.entries().to_vec())
+        }
     };
     let mut log = member.log();
     let unchanged = log.role == Role::Replica
@@ -56,7 +75,7 @@
         && log.len() == own_len;
     if unchanged {
         log.source_heard = Instant::now();
-        theirs.append_to(&mut log, lag);
+        theirs.merge_into(&mut log);
     }
 }
 
@@ -68,20 +87,23 @@
     member.peer(&id?)
 }
 
-/// Part of the log of a primary from an index on.
-struct Excerpt {
-    from: usize,
-    entries: Vec<Arc<Entry>>,
+/// Part of the log of a primary.
+enum Excerpt {
+    /// Entries that follow those of the replica.
+    Continuation(Vec<Arc<Entry>>),
+    /// All entries, because the replica has some that the primary has not.
+    Whole(Vec<Arc<Entry>>),
 }
 
 impl Excerpt {
-    /// Removes what the replica does not share, and appends what is older than `lag`.
-    fn append_to(&self, log: &mut GroupLog, lag: Duration) {
-        let common = if self.from == 0 { log.common_len(&self.entries) } else { self.from };
-        log.truncate(common);
-        let now = Instant::now();
-        let due = |entry: &&Arc<Entry>| now.duration_since(entry.committed) >= lag;
-        let next = self.entries.get(common - self.from..).unwrap_or_default();
-        next.iter().take_while(due).cloned().for_each(|entry| log.push(entry));
+    /// Appends the entries, or removes what the replica does not share.
+    fn merge_into(self, log: &mut GroupLog) {
+        match self {
+            Self::Continuation(entries) => entries.into_iter().for_each(|entry| log.push(entry)),
+            Self::Whole(entries) => {
+                let common = log.common_len(&entries);
+                log.truncate(common);
+            }
+        }
     }
 }
--- a/crates/emulator/src/database/sqlite.rs
+++ b/crates/emulator/src/database/sqlite.rs
@@ -224,7 +224,7 @@
     let shared = Arc::clone(context);
     conn.create_scalar_function("now", 0, flags, move |_| {
         let context = *shared.lock().unwrap_or_else(PoisonError::into_inner);
-        Ok(context.now.as_secs_f64())
+        Ok(timestamp(context.now))
     })?;
 
     let shared = Arc::clone(context);
@@ -244,6 +244,30 @@
     Ok(conn)
 }
 
+/// Text of a time since the epoch, as PostgreSQL writes it in UTC.
+fn timestamp(since_epoch: Duration) -> String {
+    let seconds = since_epoch.as_secs();
+    let (days, of_day) = (seconds / 86_400, seconds % 86_400);
+    let (year, month, day) = civil_date(days);
+    let (hour, minute, second) = (of_day / 3_600, of_day / 60 % 60, of_day % 60);
+    let micros = since_epoch.subsec_micros();
+    format!("{year:04}-{month:02}-{day:02} {hour:02}:{minute:02}:{second:02}.{micros:06}+00")
+}
+
+/// Year, month and day of a day since 1 January 1970 in the Gregorian calendar.
+const fn civil_date(days: u64) -> (u64, u64, u64) {
+    // Years are counted from March, so that the leap day is the last one; an era has 400 years.
+    let shifted = days + 719_468;
+    let (era, of_era) = (shifted / 146_097, shifted % 146_097);
+    let year_of_era = (of_era - of_era / 1_460 + of_era / 36_524 - of_era / 146_096) / 365;
+    let of_year = of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+    let month_from_march = (5 * of_year + 2) / 153;
+    let day = of_year - (153 * month_from_march + 2) / 5 + 1;
+    let month = if month_from_march < 10 { month_from_march + 3 } else { month_from_march - 9 };
+    let year = era * 400 + year_of_era + if month <= 2 { 1 } else { 0 };
+    (year, month, day)
+}
+
 /// One step of the SplitMix64 generator.
 const fn next_random(seed: u64) -> u64 {
     let mut z = seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/crates/emulator/src/database/value.rs
+++ b/crates/emulator/src/database/value.rs
@@ -5,11 +5,11 @@
 
 use super::error::SqlError;
 
-/// Type name that is declared for `BIGSERIAL` columns.
+/// What a `BIGSERIAL` column is declared as.
 ///
-/// SQLite only numbers rows by itself in a column whose type is `INTEGER` in any case; the unusual case tells the
-/// 64-bit type from `SERIAL`.
-pub(crate) const BIGSERIAL_TYPE: &str = "INTEGer";
+/// SQLite only numbers rows by itself in a column of the type `INTEGER`; the name of the constraint, which has no
+/// effect, tells the 64-bit type from `SERIAL`.
+pub(crate) const BIGSERIAL_TYPE: &str = "INTEGER CONSTRAINT bigserial";
 
 /// A type that clients may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -69,9 +69,6 @@
 
     /// The type with the declared name `name`.
     pub(crate) fn from_name(name: &str) -> Self {
-        if name == BIGSERIAL_TYPE {
-            return Self::Int8;
-        }
         let lower = name.to_ascii_lowercase();
         match lower.split(['(', ' ']).next().unwrap_or_default() {
             "bool" | "boolean" => Self::Bool,
--- a/crates/emulator/tests/database.rs
+++ b/crates/emulator/tests/database.rs
@@ -337,3 +337,74 @@
     assert!(report.recent.iter().any(|text| text.contains("SELECT $1::text")));
     Ok(())
 }
+
+/// Replaying statements must give replicas the same rows, also for `now()`, `random()` and rolled back parts.
+#[test]
+fn replicas_equal_primary_after_concurrent_writes() -> TestResult {
+    let group = start()?;
+    member(&group, "c1")?.batch_execute(
+        "CREATE TABLE t (id BIGSERIAL PRIMARY KEY, worker INT, r FLOAT8, at TIMESTAMPTZ DEFAULT now())",
+    )?;
+    let address = group.address("c1").ok_or("c1 is missing")?;
+    let workers: Vec<_> = (0..4i32)
+        .map(|worker| {
+            thread::spawn(move || -> Result<(), postgres::Error> {
+                let mut client = connect(address)?;
+                let insert = client
+                    .prepare("INSERT INTO t (worker, r) VALUES ($1, random()) RETURNING id")?;
+                for round in 0..50 {
+                    let mut transaction = client.transaction()?;
+                    let id: i64 = transaction.query_one(&insert, &[&worker])?.get(0);
+                    let mut savepoint = transaction.savepoint("s")?;
+                    savepoint.execute("DELETE FROM t WHERE id = $1", &[&id])?;
+                    savepoint.rollback()?;
+                    if round % 5 == 0 {
+                        transaction.rollback()?;
+                    } else {
+                        transaction.commit()?;
+                    }
+                }
+                Ok(())
+            })
+        })
+        .collect();
+    for worker in workers {
+        worker.join().map_err(|_| "a worker panicked")??;
+    }
+    let position = group.report("c1").map(|report| report.position);
+    assert_eq!(position.map(|position| position.to_string()).as_deref(), Some("1:161"));
+    wait_until("replicas are at the primary's position", || {
+        group.reports().iter().all(|report| Some(report.position) == position)
+    })?;
+    let rows = |id| -> Result<Vec<(i64, i32, f64, String)>, Box<dyn Error>> {
+        let rows = member(&group, id)?.query("SELECT id, worker, r, at FROM t ORDER BY id", &[])?;
+        Ok(rows.iter().map(|row| (row.get(0), row.get(1), row.get(2), row.get(3))).collect())
+    };
+    let expected = rows("c1")?;
+    assert_eq!(expected.len(), 160);
+    assert_eq!(rows("c2")?, expected);
+    assert_eq!(rows("c3")?, expected);
+    Ok(())
+}
+
+/// Tests of other processes set faults over HTTP; a misspelt fault must not pass unnoticed.
+#[test_case(r#"{"lag_ms": 77, "isolated_from": ["c3"]}"#, 200; "partial change")]
+#[test_case(r#"{"frozn": true}"#, 400; "unknown key")]
+fn admin_sets_faults(body: &str, expected: u16) -> TestResult {
+    use std::io::{Read, Write};
+
+    let group = start()?;
+    let mut stream = std::net::TcpStream::connect(group.admin())?;
+    let len = body.len();
+    write!(
+        stream,
+        "PUT /admin/members/c2 HTTP/1.1\r\nhost: admin\r\nconnection: close\r\ncontent-length: {len}\r\n\r\n{body}"
+    )?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer)?;
+    assert!(answer.starts_with(&format!("HTTP/1.1 {expected} ")), "{answer}");
+    let faults = group.report("c2").ok_or("c2 is missing")?.faults;
+    assert_eq!(faults.lag_ms == 77, expected == 200);
+    assert!(!faults.frozen);
+    Ok(())
+}
