--- a/crates/emulator/tests/database.rs
+++ b/crates/emulator/tests/database.rs
@@ -376,9 +376,13 @@
     wait_until("replicas are at the primary's position", || {
         group.reports().iter().all(|report| Some(report.position) == position)
     })?;
-    let rows = |id| -> Result<Vec<(i64, i32, f64, String)>, Box<dyn Error>> {
+    let rows = |id| -> Result<Vec<String>, Box<dyn Error>> {
         let rows = member(&group, id)?.query("SELECT id, worker, r, at FROM t ORDER BY id", &[])?;
-        Ok(rows.iter().map(|row| (row.get(0), row.get(1), row.get(2), row.get(3))).collect())
+        let text = |row: &postgres::Row| {
+            let (id, worker, r): (i64, i32, f64) = (row.get(0), row.get(1), row.get(2));
+            format!("{id} {worker} {r} {}", row.get::<_, &str>(3))
+        };
+        Ok(rows.iter().map(text).collect())
     };
     let expected = rows("c1")?;
     assert_eq!(expected.len(), 160);
