perf(emulator): run short statements on the thread that reads them

Handing each statement to another thread took longer than the statement. Statements with a join, union or recursion still run on other threads, so that a cancellation reaches them.

--- a/crates/emulator/src/database/group.rs
+++ b/crates/emulator/src/database/group.rs
@@ -15,8 +15,10 @@
 };
 use crate::{http, runtime::Runtime};
 
-/// Threads that serve the connections of all members; SQLite runs on further ones.
-const THREADS: usize = 3;
+/// Threads that serve the connections of all members; long statements run on further ones.
+///
+/// With more of them, each message wakes another thread first, which takes longer than a short statement.
+const THREADS: usize = 1;
 
 /// Starts the database emulator.
 #[derive(Debug)]
--- a/crates/emulator/src/database/session.rs
+++ b/crates/emulator/src/database/session.rs
@@ -289,7 +289,7 @@
     ) -> Result<Types, SqlError> {
         let statement = Arc::clone(statement);
         if let Some(writer) = self.transaction.as_mut().and_then(|tx| tx.writer.take()) {
-            let (writer, types) = smol::unblock(move || {
+            let (writer, types) = run_job(statement.is_short(), move || {
                 let types = writer.0.describe(&statement, &oids);
                 (writer, types)
             })
@@ -300,7 +300,7 @@
             return types;
         }
         let member = Arc::clone(&self.member);
-        smol::unblock(move || {
+        run_job(statement.is_short(), move || {
             let mut db = member.reader.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
             member.catch_up(&mut db)?;
             db.describe(&statement, &oids)
@@ -487,7 +487,7 @@
     async fn commit(&mut self, transaction: Transaction) -> Result<(), SqlError> {
         self.backend.writing.store(false, Ordering::SeqCst);
         self.member.runnable(&self.backend.peer).await;
-        if let Some(position) = transaction.commit(&self.member).await? {
+        if let Some(position) = transaction.commit(&self.member)? {
             self.last_commit = Some(position);
         }
         Ok(())
@@ -682,7 +682,7 @@
         let member = Arc::clone(&self.member);
         let (pid, statement) = (self.backend.pid, Arc::clone(statement));
         let (params, types) = (params.to_vec(), types.to_vec());
-        smol::unblock(move || {
+        run_job(statement.is_short(), move || {
             let mut db = member.reader.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
             member.catch_up(&mut db)?;
             db.run(pid, &statement, &params, &types, context)
@@ -705,7 +705,7 @@
         let member = Arc::clone(&self.member);
         let (pid, sql) = (self.backend.pid, Arc::clone(statement));
         let (values, types) = (params.to_vec(), types.to_vec());
-        let (writer, result) = smol::unblock(move || {
+        let (writer, result) = run_job(sql.is_short(), move || {
             let mut writer = writer;
             let db = &mut *writer.0;
             let ready = if fresh { member.catch_up(db).and_then(|()| db.begin()) } else { Ok(()) };
@@ -740,6 +740,16 @@
     }
 }
 
+/// Runs a job that uses SQLite; only a short one may hold up the tasks of the other connections.
+async fn run_job<T, F>(short: bool, job: F) -> T
+where
+    T: Send + 'static,
+    F: FnOnce() -> T + Send + 'static,
+{
+    // Handing a job to another thread takes longer than most statements do.
+    if short { job() } else { smol::unblock(job).await }
+}
+
 /// Format of the value at `index`: one code is valid for all, none means text.
 fn format_at(codes: &[i16], index: usize) -> Format {
     let code = if codes.len() == 1 { codes.first() } else { codes.get(index) };
--- a/crates/emulator/src/database/sql.rs
+++ b/crates/emulator/src/database/sql.rs
@@ -69,6 +69,14 @@
     pub(crate) sleep: Option<Duration>,
 }
 
+impl Statement {
+    /// Whether the statement certainly takes little time on tables of the size that tests use.
+    pub(crate) fn is_short(&self) -> bool {
+        const LONG: [&str; 3] = ["recursive", "join", "union"];
+        !self.tokens.iter().any(|token| LONG.iter().any(|keyword| is_word(token, keyword)))
+    }
+}
+
 /// Splits a text into statements.
 pub(crate) fn parse(text: &str) -> Result<Vec<Statement>, SqlError> {
     let tokens = Tokenizer::new(&PostgreSqlDialect {}, text)
--- a/crates/emulator/src/database/transaction.rs
+++ b/crates/emulator/src/database/transaction.rs
@@ -1,7 +1,5 @@
 //! An open transaction with what it holds.
 
-use std::sync::Arc;
-
 use hibiscusladder_core::position::Position;
 use smol::lock::{MutexGuardArc, SemaphoreGuardArc};
 
@@ -30,18 +28,13 @@
 
 impl Transaction {
     /// Commits; the position is absent when nothing was written.
-    pub(crate) async fn commit(
-        mut self,
-        member: &Arc<Member>,
-    ) -> Result<Option<Position>, SqlError> {
+    pub(crate) fn commit(mut self, member: &Member) -> Result<Option<Position>, SqlError> {
         let Some(mut writer) = self.writer.take() else { return Ok(None) };
         if self.writes.is_empty() {
             return Ok(None);
         }
-        let member = Arc::clone(member);
         let writes = std::mem::take(&mut self.writes);
-        let position = smol::unblock(move || member.commit(&mut writer.0, writes)).await?;
-        Ok(Some(position))
+        member.commit(&mut writer.0, writes).map(Some)
     }
 
     /// Marks the transaction as failed; without a savepoint to return to, it gives up its writes.
