feat(proxy): keep requests alive over a change of primary

Waiting requests look at every report of the group and go on as soon as another member or home would serve them. A write with a request id is dispatched again after its outcome became unknown, since its home looks the id up first. The home checks what became of a session's position and of the end of a replica's log, because an entry may not have heard of the last promotion. Steps in which nothing is committed are bounded by silence_bound; a claim on a frozen member waited for ever before, which the new failover test showed. Connections are kept warm.

--- a/crates/proxy/src/caller/session.rs
+++ b/crates/proxy/src/caller/session.rs
@@ -250,22 +250,35 @@
                 return self.close(&refusal).await;
             }
         };
+        let started = self.entry.node().now();
         self.entry.node().metrics().count("entry.batches");
         let mut span = self.entry.node().tracer().span(Hop::Caller, "");
         span.attribute("workspace", self.identity.workspace.as_str());
         span.attribute("database", self.identity.database.as_str());
         let parent = span.trace_parent();
+        let served = self.serve_kind(batch, &authorised, &parent).await;
+        let node = self.entry.node();
+        node.metrics().time("entry.batch_time", node.now().since(started));
+        served
+    }
+
+    async fn serve_kind(
+        &mut self,
+        batch: Batch,
+        authorised: &Authorised,
+        parent: &Arc<str>,
+    ) -> Result<(), Gone> {
         match batch {
             Batch::Simple(frame) => {
-                let result = self.simple(&frame, &authorised, &parent).await?;
+                let result = self.simple(&frame, authorised, parent).await?;
                 self.ready(result).await
             }
             Batch::Extended(frames) if frames.is_empty() => self.ready(Ok(())).await,
             Batch::Extended(frames) => {
-                let result = self.extended(&frames, &authorised, &parent).await?;
+                let result = self.extended(&frames, authorised, parent).await?;
                 self.ready(result).await
             }
-            Batch::Flushed(frames) => self.flushed(&frames, &authorised, &parent).await,
+            Batch::Flushed(frames) => self.flushed(&frames, authorised, parent).await,
             Batch::Broken(reason) => {
                 let refusal = Refusal::not_run(RefusalKind::Protocol).detail(reason);
                 self.error(&refusal).await
@@ -384,6 +397,9 @@
             Ok(dispatched) => dispatched,
             Err(refusal) => {
                 self.running.end();
+                if let RefusalKind::WriteLost { term_start, .. } = refusal.kind {
+                    self.settings.session = Positions::with_position(term_start);
+                }
                 return Ok(Err(refusal));
             }
         };
--- a/crates/proxy/src/home/execute.rs
+++ b/crates/proxy/src/home/execute.rs
@@ -135,7 +135,9 @@
             return self.release(answer, None, outlet).await;
         }
         // The transaction has not been committed, so nothing that fails from here on has run.
-        let claimed = key.claim_in_transaction(&mut self.connection()?.connection).await;
+        let bound = self.silence_bound();
+        let connection = &mut self.connection()?.connection;
+        let claimed = bounded(bound, key.claim_in_transaction(connection)).await;
         if !claimed.map_err(|error| self.not_run(&error))? {
             let refusal = Refusal::not_run(RefusalKind::RequestIdReused)
                 .detail("the transaction with this request id has already committed");
@@ -154,7 +156,9 @@
     ) -> Result<Finished, Refusal> {
         self.ensure_table().await?;
         // Only the claim is sent here; without a commit, it leaves no trace.
-        let decision = key.claim(&mut self.connection()?.connection).await;
+        let bound = self.silence_bound();
+        let connection = &mut self.connection()?.connection;
+        let decision = bounded(bound, key.claim(connection)).await;
         match decision.map_err(|error| self.not_run(&error))? {
             RequestDecision::Run => {}
             RequestDecision::Reject => {
@@ -205,7 +209,7 @@
 
     /// Records the outcome and commits.
     async fn commit(&mut self, outcome: &str) -> Result<Option<Position>, UpstreamError> {
-        let bound = self.member.node.settings().times.silence_bound;
+        let bound = self.silence_bound();
         let pooled = self.pooled.as_mut().ok_or(UpstreamError::Closed)?;
         let mut messages = BytesMut::new();
         messages.put(query_message(outcome));
@@ -268,7 +272,9 @@
         mut answer: Answer,
         outlet: &mut Outlet,
     ) -> Result<Finished, Refusal> {
-        let done = self.connection()?.connection.query("ROLLBACK").await;
+        let bound = self.silence_bound();
+        let connection = &mut self.connection()?.connection;
+        let done = bounded(bound, connection.query("ROLLBACK")).await;
         done.map_err(|error| self.not_run(&error))?;
         answer.status = TransactionStatus::Idle;
         self.check_rejected(&answer, outlet)?;
@@ -285,7 +291,9 @@
         if *known == Some(term) {
             return Ok(());
         }
-        let result = self.connection()?.connection.query(record::CREATE_TABLE).await;
+        let bound = self.silence_bound();
+        let connection = &mut self.connection()?.connection;
+        let result = bounded(bound, connection.query(record::CREATE_TABLE)).await;
         result.map_err(|error| self.not_run(&error))?;
         *known = Some(term);
         Ok(())
@@ -378,7 +386,7 @@
     }
 
     async fn read_position(&mut self) -> Result<Option<Position>, Refusal> {
-        let bound = self.member.node.settings().times.silence_bound;
+        let bound = self.silence_bound();
         let connection = &mut self.connection()?.connection;
         match bounded(bound, connection.read_result()).await {
             Ok(result) => Ok(parse_position(&result)),
@@ -402,7 +410,7 @@
             if left.is_zero() {
                 return self.cancel().await;
             }
-            let bound = self.member.node.settings().times.silence_bound.min(left);
+            let bound = self.silence_bound().min(left);
             let connection = &mut self.connection()?.connection;
             match bounded(bound, connection.next()).await {
                 Ok(frame) => return Ok(frame),
@@ -440,6 +448,11 @@
         answer.await.map_err(|error| self.lost(&error))
     }
 
+    /// Time after which a silent connection is checked, or given up when nothing was committed on it.
+    fn silence_bound(&self) -> Duration {
+        self.member.node.settings().times.silence_bound
+    }
+
     fn connection(&mut self) -> Result<&mut Pooled, Refusal> {
         let sent = self.sent;
         self.pooled.as_mut().ok_or_else(|| sent.refusal(RefusalKind::ConnectionLost))
--- a/crates/proxy/src/home/member.rs
+++ b/crates/proxy/src/home/member.rs
@@ -1,6 +1,9 @@
 //! State of the home of one member.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use hibiscusladder_core::{
     clock::Instant,
@@ -8,20 +11,23 @@
     name::{MemberId, Workspace},
     outcome::{Refusal, RefusalKind},
     position::{Position, Term},
+    term_history::{Fate, TermHistory},
     witness::PositionProof,
 };
 use smol::{Timer, future::FutureExt, lock::Mutex as AsyncMutex};
 
 use super::{Admission, contracts::Contracts, gate, read_index::MemberQuestion, shares::Shares};
 use crate::{
-    node::{Group, Node},
+    node::{Group, Node, lock},
     route::SharedIndex,
-    upstream::{Pool, Pooled},
+    upstream::{Pool, Pooled, connection::bounded},
 };
 
 /// Connections of the member that the pool leaves free: three control connections, the one for checks and the one
 /// for the read index.
 const RESERVED_CONNECTIONS: u32 = 5;
+/// Longest time for which a replica may leave the question for its position unanswered.
+const POSITION_BOUND: Duration = Duration::from_millis(500);
 /// Time between two questions for the position of a replica that is waited for.
 const REPLICA_POLL: Duration = Duration::from_millis(5);
 
@@ -38,6 +44,9 @@
     pub(super) shares: Shares,
     index: Arc<SharedIndex<MemberQuestion>>,
     record: MemberRecord,
+    /// Whether the member was primary at the last look.
+    role: Mutex<Option<bool>>,
+    history: Mutex<TermHistory>,
 }
 
 /// Term and role of a member at one moment.
@@ -69,6 +78,8 @@
             admission,
             recorded_term: AsyncMutex::new(None),
             record: record.clone(),
+            role: Mutex::default(),
+            history: Mutex::default(),
         };
         Arc::new(member)
     }
@@ -78,6 +89,28 @@
         self.record == *record
     }
 
+    /// Keeps connections ready, and closes those of an earlier role.
+    ///
+    /// On a connection with an old commit, a member that became a replica would not answer its own position.
+    pub(super) fn keep_ready(&self) {
+        let standing = self.standing();
+        let before = lock(&self.role).replace(standing.is_primary);
+        if before.is_some_and(|before| before != standing.is_primary) {
+            self.pool.clear();
+        }
+        self.pool.keep_warm(usize::try_from(self.record.slots).unwrap_or(1));
+    }
+
+    /// What became of a position of a session.
+    pub(super) fn fate(&self, position: Position) -> Fate {
+        let view = self.group.view();
+        let mut history = lock(&self.history);
+        if let Some(start) = view.term_start.filter(|_| view.primary.is_some()) {
+            history.record(view.term, start);
+        }
+        history.fate(position)
+    }
+
     /// Slots and queue of the member.
     pub const fn admission(&self) -> &Admission {
         &self.admission
@@ -172,13 +205,17 @@
         let until = self.node.now().plus(self.node.settings().times.replica_wait);
         loop {
             let reported = self.group.view().report(&self.id).map(|report| report.position);
-            if reported.is_some_and(|position| position >= needed) {
-                return Ok(());
-            }
-            if pooled.has_committed() {
-                return Err(self.no_member("its position is not known yet"));
+            let position = match reported.filter(|position| *position >= needed) {
+                Some(position) => position,
+                None if pooled.has_committed() => {
+                    return Err(self.no_member("its position is not known yet"));
+                }
+                None => self.ask_position(pooled).await?,
+            };
+            if self.fate(position) != Fate::Kept {
+                return Err(self.no_member("the end of its log is not part of the present term"));
             }
-            if self.ask_position(pooled).await? >= needed {
+            if position >= needed {
                 return Ok(());
             }
             if self.node.now() >= until {
@@ -189,7 +226,8 @@
     }
 
     async fn ask_position(&self, pooled: &mut Pooled) -> Result<Position, Refusal> {
-        let result = pooled.connection.query("SELECT group_position()").await;
+        let question = pooled.connection.query("SELECT group_position()");
+        let result = bounded(POSITION_BOUND, question).await;
         let result = result.map_err(|error| self.no_member(&error.to_string()))?;
         let position = result.value(0).and_then(|text| text.parse().ok());
         position.ok_or_else(|| self.no_member("it answered no position"))
--- a/crates/proxy/src/home/mod.rs
+++ b/crates/proxy/src/home/mod.rs
@@ -10,13 +10,13 @@
 mod contracts;
 mod execute;
 mod gate;
-mod loans;
 mod member;
 mod outlet;
 mod read_index;
 mod record;
 mod shares;
 mod transaction;
+mod upkeep;
 
 use std::{
     collections::HashMap,
@@ -44,7 +44,7 @@
 };
 
 /// Chunks that wait for a slow reader of an answer; more make the upstream wait.
-const CHUNKS_BUFFERED: usize = 2;
+const CHUNKS_BUFFERED: usize = 4;
 
 /// The homes of one instance.
 #[derive(Debug)]
@@ -62,9 +62,9 @@
         Arc::new(Self { node, members: Mutex::default(), cancels: Arc::default(), contracts })
     }
 
-    /// Starts to ask other homes for loans when a workspace needs more than its part.
-    pub fn start_loans(self: &Arc<Self>, rpc: &Rpc) {
-        smol::spawn(loans::run(Arc::downgrade(self), rpc.clone())).detach();
+    /// Starts to keep connections ready and to ask other homes for loans when a workspace needs more than its part.
+    pub fn start_upkeep(self: &Arc<Self>, rpc: &Rpc) {
+        smol::spawn(upkeep::run(Arc::downgrade(self), rpc.clone())).detach();
     }
 
     /// Starts a request. With `keep`, the transaction that it opens stays open for further batches.
--- a/crates/proxy/src/home/outlet.rs
+++ b/crates/proxy/src/home/outlet.rs
@@ -1,14 +1,18 @@
 //! The way of an answer to the entry: packs messages into chunks and holds acknowledgements back.
 
+use std::time::Duration;
+
 use bytes::{Bytes, BytesMut};
 use hibiscusladder_proto::reply::ReplyEnd;
-use smol::channel::Sender;
+use smol::{Timer, channel::Sender, future::FutureExt};
 
 use super::Chunk;
 use crate::caller::frame::Frame;
 
 /// Size at which collected messages are sent, in bytes.
 const CHUNK_BYTES: usize = 256 * 1024;
+/// Time that a reader may stop taking its answer; a slot is not kept for it any longer.
+const STALL_BOUND: Duration = Duration::from_secs(5);
 
 /// The entry no longer takes the answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -79,7 +83,16 @@
         if !self.ready.is_empty() {
             self.flush().await?;
         }
-        self.chunks.send(Chunk::End(end)).await.map_err(|_| Abandoned)
+        self.send(Chunk::End(end)).await
+    }
+
+    async fn send(&self, chunk: Chunk) -> Result<(), Abandoned> {
+        let send = async { self.chunks.send(chunk).await.map_err(|_| Abandoned) };
+        let stalled = async {
+            Timer::after(STALL_BOUND).await;
+            Err(Abandoned)
+        };
+        send.or(stalled).await
     }
 
     async fn flush(&mut self) -> Result<(), Abandoned> {
@@ -87,7 +100,7 @@
         self.sent = true;
         while !data.is_empty() {
             let part = data.split_to(data.len().min(CHUNK_BYTES));
-            self.chunks.send(Chunk::Data(part)).await.map_err(|_| Abandoned)?;
+            self.send(Chunk::Data(part)).await?;
         }
         Ok(())
     }
--- a/crates/proxy/src/home/transaction.rs
+++ b/crates/proxy/src/home/transaction.rs
@@ -8,6 +8,7 @@
     outcome::{Refusal, RefusalKind},
     position::Term,
     request::StatementClass,
+    term_history::Fate,
 };
 use hibiscusladder_proto::{
     reply::{ReplyEnd, TransactionStatus},
@@ -286,6 +287,12 @@
         if head.position.is_some_and(|position| position.term > known) {
             return Err(member.no_member("its home does not know the term of the session yet"));
         }
+        // The entry may not have heard of the last promotion.
+        if let Some(lost) = head.position
+            && let Fate::Lost { term_start } = member.fate(lost)
+        {
+            return Err(Refusal::not_run(RefusalKind::WriteLost { lost, term_start }));
+        }
         Ok(())
     }
 
--- a/crates/proxy/src/home/loans.rs
+++ b/crates/proxy/src/home/upkeep.rs
@@ -1,4 +1,4 @@
-//! Exchange of loans between homes.
+//! Regular work of the homes: connections that are kept ready, and loans between homes.
 
 use std::{
     collections::HashMap,
@@ -21,11 +21,14 @@
     addressed: AddressedRequest,
 }
 
-/// Asks other homes for loans for as long as `homes` are used.
+/// Works for as long as `homes` are used.
 pub(super) async fn run(homes: Weak<Homes>, rpc: Rpc) {
     loop {
         Timer::after(LOAN_INTERVAL).await;
         let Some(homes) = homes.upgrade() else { return };
+        for member in homes.own_members() {
+            member.keep_ready();
+        }
         for (home, pending) in collect(&homes) {
             smol::spawn(ask(Arc::clone(&homes), rpc.clone(), home, pending)).detach();
         }
--- a/crates/proxy/src/route/mod.rs
+++ b/crates/proxy/src/route/mod.rs
@@ -23,7 +23,10 @@
     term_history::TermHistory,
 };
 use hibiscusladder_proto::request::Envelope;
-use smol::{Timer, future::FutureExt};
+use smol::{
+    Timer,
+    future::{self, FutureExt},
+};
 
 use self::database::DatabaseRoute;
 pub use self::{
@@ -60,9 +63,9 @@
 }
 
 impl Router {
-    /// Creates the router of `node` and lets its homes ask others for loans.
+    /// Creates the router of `node` and starts the upkeep of its homes.
     pub fn new(node: Arc<Node>, homes: Arc<Homes>, rpc: Rpc) -> Arc<Self> {
-        homes.start_loans(&rpc);
+        homes.start_upkeep(&rpc);
         Arc::new(Self { node, homes, rpc, databases: Mutex::default(), retries: Mutex::default() })
     }
 
@@ -127,7 +130,7 @@
                 last = Some(target);
             }
             self.node.metrics().count("entry.waits_for_member");
-            if !self.wait(request, &mut pause).await {
+            if !self.wait(request, last.as_ref(), &excluded, &mut pause).await {
                 return Err(refusal);
             }
             excluded.clear();
@@ -178,19 +181,39 @@
         Some(Target { member, home: home.id, incarnation: home.incarnation, term })
     }
 
-    /// Waits for a change of the group or the instances, or a pause; false when the deadline comes first.
-    async fn wait(&self, request: &Request, pause: &mut Duration) -> bool {
-        let left = request.deadline.since(self.node.now());
-        if left <= *pause || self.node.is_draining() {
-            return false;
-        }
-        let instances = self.node.peers_changed();
-        let timer = async {
-            Timer::after(*pause).await;
-        };
-        instances.or(timer).await;
+    /// Waits until the request would go elsewhere than to `last`, or a pause; false when the deadline comes first.
+    async fn wait(
+        &self,
+        request: &Request,
+        last: Option<&Target>,
+        excluded: &[MemberId],
+        pause: &mut Duration,
+    ) -> bool {
+        let until = self.node.now().plus(*pause);
         *pause = (*pause * 2).min(RETRY_PAUSE.1);
-        true
+        loop {
+            let now = self.node.now();
+            if request.deadline <= until || self.node.is_draining() {
+                return false;
+            }
+            let instances = self.node.peers_changed();
+            let group = self.node.group(&request.database);
+            let reports = group.as_ref().map(|group| group.changed());
+            let target = self.choose(request, excluded);
+            if now >= until || (target.is_some() && target.as_ref() != last) {
+                return true;
+            }
+            let reported = async {
+                match reports {
+                    Some(reports) => reports.await,
+                    None => future::pending().await,
+                }
+            };
+            let timer = async {
+                Timer::after(until.since(now)).await;
+            };
+            instances.or(reported).or(timer).await;
+        }
     }
 
     fn is_primary(&self, request: &Request, member: &MemberId) -> bool {
@@ -216,16 +239,20 @@
 fn may_retry(request: &Request, refusal: &Refusal) -> bool {
     let not_run = refusal.execution == Execution::NotRun;
     match refusal.kind {
-        RefusalKind::NoMember => not_run,
-        RefusalKind::StaleReadUnproved => not_run,
-        // A read has no effect, so it does not matter whether it ran.
+        RefusalKind::NoMember | RefusalKind::StaleReadUnproved => not_run,
         RefusalKind::ConnectionLost | RefusalKind::TermUnconfirmed => {
-            not_run || is_plain_read(request)
+            not_run || is_plain_read(request) || is_recorded(request)
         }
         _ => false,
     }
 }
 
+/// Whether the home finds out by the request id that the statement has run before.
+const fn is_recorded(request: &Request) -> bool {
+    request.request_id.is_some() && request.class.needs_primary() && !request.keep
+}
+
+/// Whether it does not matter how often the request runs.
 fn is_plain_read(request: &Request) -> bool {
     matches!(request.class, StatementClass::Read | StatementClass::StaleRead { .. })
 }
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -1,9 +1,10 @@
 //! A bounded number of connections to one member.
 
 use std::{
+    ops::{Deref, DerefMut},
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -46,11 +47,42 @@
     idle: Mutex<Vec<Idle>>,
     /// Raised by [`Pool::clear`]; connections of an older generation are not kept.
     generation: AtomicU64,
+    /// Connections that are idle or in use.
+    open: AtomicUsize,
+    /// Whether a task opens connections.
+    warming: AtomicBool,
 }
 
+/// A connection that counts as open until it is dropped.
 #[derive(Debug)]
-struct Idle {
+pub(crate) struct Counted {
     connection: Connection,
+    shared: Arc<Shared>,
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.shared.open.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Deref for Counted {
+    type Target = Connection;
+
+    fn deref(&self) -> &Connection {
+        &self.connection
+    }
+}
+
+impl DerefMut for Counted {
+    fn deref_mut(&mut self) -> &mut Connection {
+        &mut self.connection
+    }
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Counted,
     committed: bool,
     generation: u64,
 }
@@ -61,7 +93,7 @@
 #[derive(Debug)]
 pub struct Pooled {
     /// The connection.
-    pub connection: Connection,
+    pub(crate) connection: Counted,
     committed: bool,
     generation: u64,
     pool: Pool,
@@ -79,6 +111,8 @@
             permits: Arc::new(Semaphore::new(size)),
             idle: Mutex::default(),
             generation: AtomicU64::new(0),
+            open: AtomicUsize::new(0),
+            warming: AtomicBool::new(false),
         };
         Self { shared: Arc::new(shared) }
     }
@@ -108,7 +142,7 @@
             }
         }
         let generation = self.shared.generation.load(Ordering::Acquire);
-        let connection = self.open().await?;
+        let connection = self.counted().await?;
         Ok(Pooled { connection, committed: false, generation, pool: self.clone(), permit })
     }
 
@@ -122,15 +156,26 @@
         Connection::open(&shared.address, &shared.database, &shared.credentials).await
     }
 
-    /// Opens connections until `count` are idle, so that requests do not wait for the set-up.
-    pub async fn warm(&self, count: usize) {
-        while self.idle_count() < count {
-            let Some(permit) = self.shared.permits.try_acquire_arc() else { return };
-            let generation = self.shared.generation.load(Ordering::Acquire);
-            let Ok(connection) = self.open().await else { return };
-            self.push_idle(Idle { connection, committed: false, generation });
-            drop(permit);
+    /// Opens connections in the background until `count` are open, so that requests do not wait for the set-up.
+    pub fn keep_warm(&self, count: usize) {
+        let shared = &self.shared;
+        if shared.open.load(Ordering::Acquire) >= count
+            || shared.warming.swap(true, Ordering::AcqRel)
+        {
+            return;
         }
+        let pool = self.clone();
+        smol::spawn(async move {
+            while pool.shared.open.load(Ordering::Acquire) < count {
+                let Some(permit) = pool.shared.permits.try_acquire_arc() else { break };
+                let generation = pool.shared.generation.load(Ordering::Acquire);
+                let Ok(connection) = pool.counted().await else { break };
+                pool.push_idle(Idle { connection, committed: false, generation });
+                drop(permit);
+            }
+            pool.shared.warming.store(false, Ordering::Release);
+        })
+        .detach();
     }
 
     /// Closes all idle connections; those in use are closed when they are released.
@@ -144,6 +189,12 @@
         self.shared.idle.lock().unwrap_or_else(PoisonError::into_inner).len()
     }
 
+    async fn counted(&self) -> Result<Counted, UpstreamError> {
+        let connection = self.open().await?;
+        self.shared.open.fetch_add(1, Ordering::AcqRel);
+        Ok(Counted { connection, shared: Arc::clone(&self.shared) })
+    }
+
     async fn permit(&self, wait: Duration) -> Result<SemaphoreGuardArc, PoolError> {
         if let Some(permit) = self.shared.permits.try_acquire_arc() {
             return Ok(permit);
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -263,6 +263,28 @@
         self.config(number).connect(NoTls).unwrap()
     }
 
+    /// Raises the term on all members but `old`, waits as the protocol demands, and promotes the most advanced.
+    pub(crate) fn promote(&self, old: &str, term: u64) {
+        let others: Vec<_> =
+            self.group.addresses().into_iter().filter(|(id, _)| id.as_str() != old).collect();
+        let run = |address: &SocketAddr, sql: &str| {
+            let mut config = Config::new();
+            config.host("127.0.0.1").port(address.port()).user("proxy").password("proxy");
+            config.dbname(DATABASE).connect(NoTls).unwrap().simple_query(sql).unwrap();
+        };
+        for (_, address) in &others {
+            run(address, &format!("SELECT group_raise_term({term}, 'test')"));
+        }
+        thread::sleep(Duration::from_millis(1100));
+        let position = |id: &MemberId| self.group.report(id.as_str()).unwrap().position;
+        let (new, primary) = others.iter().rev().max_by_key(|(id, _)| position(id)).unwrap();
+        let names: Vec<_> = others.iter().map(|(id, _)| id.as_str()).collect();
+        run(primary, &format!("SELECT group_promote({term}, '{}')", names.join(",")));
+        for (_, address) in others.iter().filter(|(id, _)| id != new) {
+            run(address, &format!("SELECT group_follow('{primary}', {term})"));
+        }
+    }
+
     /// Number of statements with `text` that the members received.
     pub(crate) fn received(&self, text: &str) -> usize {
         let reports = self.group.reports();
@@ -409,7 +431,7 @@
         promoted_term: term(value(4)).unwrap_or_default(),
         position: value(5)?.parse().ok()?,
         term_start: value(6).and_then(|text| text.parse().ok()).unwrap_or_default(),
-        term_members: Vec::new(),
+        term_members: value(7)?.split(',').filter(|id| !id.is_empty()).map(MemberId::new).collect(),
         source_silent: None,
         sent,
         received: node.now(),
