--- /dev/null
+++ b/hibiscusladder/tests/support/mod.rs
@@ -0,0 +1,287 @@
+//! Runs the binary as child processes against emulators on free ports.
+
+#![allow(dead_code, reason = "each test file uses a part of the support")]
+
+use std::{
+    fs,
+    net::TcpListener,
+    path::PathBuf,
+    process::{Child, Command, Output, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+use hibiscusladder::{
+    emulator::{
+        database::{Group, GroupConfig, GroupHandle},
+        platform::{Platform, PlatformConfig, PlatformHandle},
+    },
+    proxy::platform::http_get,
+};
+use postgres::{Client, NoTls};
+use serde_json::Value;
+
+/// Longest wait for a state that follows from what a test did.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Path of the binary under test.
+pub const BINARY: &str = env!("CARGO_BIN_EXE_hibiscusladder");
+
+/// Runs a command to its end.
+pub fn command(args: &[&str]) -> Output {
+    Command::new(BINARY).args(args).output().unwrap()
+}
+
+/// Standard output of a command that succeeds.
+pub fn succeeds(args: &[&str]) -> String {
+    let output = command(args);
+    let error = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(output.status.success(), "{args:?} failed: {error}");
+    String::from_utf8(output.stdout).unwrap()
+}
+
+/// Standard error of a command that fails, with blanks and box characters folded.
+pub fn fails(args: &[&str]) -> String {
+    let output = command(args);
+    assert!(!output.status.success(), "{args:?} succeeded");
+    folded(&String::from_utf8_lossy(&output.stderr))
+}
+
+/// Joins wrapped lines of a report.
+pub fn folded(text: &str) -> String {
+    let plain = text.replace(['│', '╰', '─', '▶', '×', '╭', '├', '·'], " ");
+    plain.split_whitespace().collect::<Vec<_>>().join(" ")
+}
+
+/// A port that was free a moment ago.
+pub fn free_port() -> u16 {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+}
+
+/// Waits until `condition` gives a value.
+pub fn eventually<F, T>(what: &str, mut condition: F) -> T
+where
+    F: FnMut() -> Option<T>,
+{
+    let start = Instant::now();
+    loop {
+        if let Some(value) = condition() {
+            return value;
+        }
+        assert!(start.elapsed() < PATIENCE, "{what}: not within {PATIENCE:?}");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// A folder for the files of one test, removed at its end.
+#[derive(Debug)]
+pub struct Folder(PathBuf);
+
+impl Folder {
+    pub fn new() -> Self {
+        let name = format!("hibiscusladder-test-{}-{}", std::process::id(), free_port());
+        let path = std::env::temp_dir().join(name);
+        fs::create_dir_all(&path).unwrap();
+        Self(path)
+    }
+
+    /// Writes a file and returns its path.
+    pub fn write(&self, name: &str, text: &str) -> String {
+        let path = self.0.join(name);
+        fs::write(&path, text).unwrap();
+        path.display().to_string()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        if thread::panicking() { return; }
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A child process that is killed when it is dropped.
+#[derive(Debug)]
+pub struct Process(pub Child);
+
+impl Process {
+    pub fn start(args: &[&str], log: Stdio) -> Self {
+        let child = Command::new(BINARY).args(args).stdout(Stdio::null()).stderr(log).spawn();
+        Self(child.unwrap())
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        let pid = i32::try_from(self.0.id()).unwrap();
+        let pid = rustix::process::Pid::from_raw(pid).unwrap();
+        rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
+    }
+
+    /// Exit code of a process that ends by itself.
+    pub fn exit_code(&mut self) -> i32 {
+        eventually("exit of the process", || self.0.try_wait().unwrap()).code().unwrap_or(-1)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// One running instance.
+#[derive(Debug)]
+pub struct Instance {
+    pub process: Process,
+    pub id: String,
+    pub port: u16,
+    pub health: u16,
+}
+
+impl Instance {
+    /// Status of the instance, when it answers.
+    pub fn status(&self) -> Option<Value> {
+        let address = format!("127.0.0.1:{}", self.health);
+        let body = smol::block_on(http_get(&address, "/status", Duration::from_secs(1))).ok()?;
+        serde_json::from_slice(&body).ok()
+    }
+
+    /// Connects with a key.
+    pub fn connect(&self, key: &str) -> Result<Client, postgres::Error> {
+        let port = self.port;
+        let config =
+            format!("host=127.0.0.1 port={port} user=club-andino dbname=padron password={key}");
+        Client::connect(&config, NoTls)
+    }
+}
+
+/// Platform, one database of three members and instances in two data centres.
+#[derive(Debug)]
+pub struct Installation {
+    pub platform: PlatformHandle,
+    pub group: GroupHandle,
+    pub instances: Vec<Instance>,
+    pub folder: Folder,
+}
+
+impl Installation {
+    /// Starts everything and waits until every member has a home.
+    pub fn start(data_centres: &[&str]) -> Self {
+        let platform = Platform::start(PlatformConfig::default()).unwrap();
+        let mut cfg = GroupConfig::single("padron", &["padron-1", "padron-2", "padron-3"]);
+        for (index, member) in cfg.databases[0].members.iter_mut().enumerate() {
+            member.data_centre = Some(["stgo-a", "stgo-b"][index % 2].into());
+        }
+        let group = Group::start(cfg.clone()).unwrap();
+        let mut installation =
+            Self { platform, group, instances: Vec::new(), folder: Folder::new() };
+        installation.register();
+        for data_centre in data_centres {
+            installation.add(data_centre);
+        }
+        installation.wait_for_homes();
+        installation
+    }
+
+    fn register(&self) {
+        let members: Vec<Value> = self
+            .group
+            .addresses()
+            .iter()
+            .enumerate()
+            .map(|(index, (id, address))| {
+                let data_centre = ["stgo-a", "stgo-b"][index % 2];
+                serde_json::json!({
+                    "id": id, "data_centre": data_centre,
+                    "address": address.to_string(), "slots": 2, "connections": 16,
+                })
+            })
+            .collect();
+        let record = serde_json::json!({
+            "name": "padron", "members": members, "term": 1, "primary": "padron-1",
+            "term_members": ["padron-1", "padron-2", "padron-3"],
+        });
+        let client = self.client();
+        let absent = hibiscusladder::prelude::Expected::Absent;
+        smol::block_on(client.put("databases", "padron", absent, &record)).unwrap();
+    }
+
+    /// A client of the platform.
+    pub fn client(&self) -> hibiscusladder::prelude::PlatformClient {
+        let address = self.platform.address().to_string();
+        hibiscusladder::prelude::PlatformClient::new(&address, Duration::from_secs(2))
+    }
+
+    /// Starts one more instance.
+    pub fn add(&mut self, data_centre: &str) {
+        let id = format!("i{}", self.instances.len() + 1);
+        let (port, rpc, health) = (free_port(), free_port(), free_port());
+        let settings = format!(
+            r#"
+[instance]
+id = "{id}"
+data_centre = "{data_centre}"
+listen = "127.0.0.1:{port}"
+rpc = "127.0.0.1:{rpc}"
+health = "127.0.0.1:{health}"
+[platform]
+url = "{}"
+[[topology]]
+data_centre = "stgo-a"
+region = "stgo"
+[[topology]]
+data_centre = "stgo-b"
+region = "stgo"
+[upstream]
+user = "proxy"
+password = "proxy"
+"#,
+            self.platform.url()
+        );
+        let path = self.folder.write(&format!("{id}.toml"), &settings);
+        let log = fs::File::create(format!("{path}.log")).unwrap();
+        let process = Process::start(&["serve", "--config", &path], log.into());
+        self.instances.push(Instance { process, id, port, health });
+    }
+
+    /// Waits until each member's home, as all instances see it, has its lease.
+    pub fn wait_for_homes(&self) {
+        eventually("a home with a lease for every member", || {
+            let mut leases = 0;
+            for instance in &self.instances {
+                let status = instance.status()?;
+                if status["instances"].as_array()?.len() < self.instances.len() {
+                    return None;
+                }
+                for member in status["databases"][0]["members"].as_array()? {
+                    leases += usize::from(member["lease"] == true);
+                }
+            }
+            (leases == 3).then_some(())
+        });
+    }
+
+    /// Writes a contract and issues a key.
+    pub fn issue_key(&self) -> String {
+        let contract = self.contract(200);
+        let url = self.platform.url();
+        succeeds(&["contract", "put", "--platform", &url, "--file", &contract]);
+        let issued = succeeds(&["key", "issue", "--platform", &url, "club-andino"]);
+        issued.lines().next().unwrap().to_owned()
+    }
+
+    /// Writes the file of a contract with this rate.
+    pub fn contract(&self, rate: u32) -> String {
+        let text = format!(
+            "workspace = \"club-andino\"\ndatabases = [\"padron\"]\nrate = {rate}\nburst = 100\n"
+        );
+        self.folder.write(&format!("contract-{rate}.toml"), &text)
+    }
+
+    /// Log of an instance.
+    pub fn log(&self, index: usize) -> String {
+        let id = &self.instances[index].id;
+        fs::read_to_string(self.folder.0.join(format!("{id}.toml.log"))).unwrap()
+    }
+}
--- /dev/null
+++ b/hibiscusladder/tests/whole_path.rs
@@ -0,0 +1,108 @@
+//! Clients of an installation whose instances are child processes.
+
+mod support;
+
+use std::{thread, time::Duration};
+
+use support::{Installation, eventually, succeeds};
+
+/// A read through another instance that missed the write would break the session guarantee.
+#[test]
+fn insert_is_read_through_the_other_instance() {
+    let installation = Installation::start(&["stgo-a", "stgo-b"]);
+    let key = installation.issue_key();
+    let mut writer = installation.instances[0].connect(&key).unwrap();
+    writer.batch_execute("CREATE TABLE socios (id INTEGER PRIMARY KEY, nombre TEXT)").unwrap();
+    let changed = writer.execute("INSERT INTO socios VALUES ($1, $2)", &[&7_i32, &"Ana"]).unwrap();
+    assert_eq!(changed, 1);
+
+    let mut reader = installation.instances[1].connect(&key).unwrap();
+    let row = reader.query_one("SELECT nombre FROM socios WHERE id = 7", &[]).unwrap();
+    assert_eq!(row.get::<_, String>(0), "Ana");
+}
+
+/// A key that still works after its withdrawal was reported as in force would act for a former holder.
+#[test]
+fn withdrawn_key_stops_a_connected_client() {
+    let installation = Installation::start(&["stgo-a", "stgo-b"]);
+    let key = installation.issue_key();
+    let mut client = installation.instances[1].connect(&key).unwrap();
+    client.batch_execute("SELECT 1").unwrap();
+
+    let id = key.split('_').nth(1).unwrap();
+    let url = installation.platform.url();
+    let report = succeeds(&["key", "withdraw", "--platform", &url, id]);
+    assert!(report.contains("in force on all 2 live instances"), "{report}");
+    let error = client.batch_execute("SELECT 1").unwrap_err();
+    assert_eq!(error.code().map(|code| code.code()), Some("28000"), "{error:?}");
+    assert!(installation.instances[0].connect(&key).is_err());
+}
+
+/// A shutdown that cut a transaction would lose an answer that the client waits for.
+#[test]
+fn sigterm_lets_a_transaction_end_and_exits_with_0() {
+    let mut installation = Installation::start(&["stgo-a", "stgo-b"]);
+    let key = installation.issue_key();
+    let mut client = installation.instances[0].connect(&key).unwrap();
+    client.batch_execute("CREATE TABLE cuotas (id INTEGER PRIMARY KEY)").unwrap();
+    let mut transaction = client.transaction().unwrap();
+    transaction.execute("INSERT INTO cuotas VALUES (1)", &[]).unwrap();
+
+    installation.instances[0].process.terminate();
+    thread::sleep(Duration::from_millis(300));
+    transaction.execute("INSERT INTO cuotas VALUES (2)", &[]).unwrap();
+    transaction.commit().unwrap();
+    drop(client);
+    assert_eq!(installation.instances[0].process.exit_code(), 0);
+
+    let mut other = eventually("a connection to the other instance", || {
+        installation.instances[1].connect(&key).ok()
+    });
+    let count = eventually("a read through the remaining home", || {
+        other.query_one("SELECT count(*) FROM cuotas", &[]).ok()
+    });
+    assert_eq!(count.get::<_, i64>(0), 2);
+}
+
+/// A key in a log line would be exposed to everyone who reads logs.
+#[test]
+fn key_is_neither_stored_nor_logged() {
+    let installation = Installation::start(&["stgo-a", "stgo-b"]);
+    let key = installation.issue_key();
+    let secret = key.rsplit('_').next().unwrap().to_owned();
+    let mut client = installation.instances[0].connect(&key).unwrap();
+    client.batch_execute("SELECT 1").unwrap();
+    let statement = format!("SELECT '{key}'");
+    assert!(client.batch_execute(&statement).is_err());
+
+    let keys = smol::block_on(installation.client().list("keys")).unwrap();
+    assert!(!serde_json::to_string(&keys.items).unwrap().contains(&secret));
+    for (index, instance) in installation.instances.iter().enumerate() {
+        assert!(!installation.log(index).contains(&secret));
+        assert!(!instance.status().unwrap().to_string().contains(&secret));
+    }
+}
+
+/// Without the agreement on a new primary, a failed one would stop all writes.
+#[test]
+fn writes_continue_after_the_primary_is_lost() {
+    let installation = Installation::start(&["stgo-a", "stgo-b"]);
+    let key = installation.issue_key();
+    let mut client = installation.instances[0].connect(&key).unwrap();
+    client.batch_execute("CREATE TABLE pagos (id INTEGER PRIMARY KEY)").unwrap();
+    client.execute("INSERT INTO pagos VALUES (1)", &[]).unwrap();
+
+    let faults = hibiscusladder::emulator::database::MemberFaults {
+        frozen: true,
+        ..Default::default()
+    };
+    assert!(installation.group.set_faults("padron-1", faults));
+    eventually("a write under the next term", || {
+        let mut client = installation.instances[1].connect(&key).ok()?;
+        client.execute("INSERT INTO pagos VALUES (2)", &[]).ok()
+    });
+    let record = smol::block_on(installation.client().get("databases", "padron"));
+    let record = record.unwrap().unwrap().value;
+    assert!(record["term"].as_u64() >= Some(2), "{record}");
+    assert_ne!(record["primary"], "padron-1", "{record}");
+}
