--- a/hibiscusladder/src/cli/demo.rs
+++ b/hibiscusladder/src/cli/demo.rs
@@ -1,8 +1,203 @@
-//! `demo`: a whole installation on loopback.
+//! `demo`: a whole installation on loopback in one process.
 
-use super::{args::Demo, error::CliError};
+use std::{
+    net::{SocketAddr, TcpListener},
+    time::Duration,
+};
 
-/// Runs the demo.
-pub(crate) fn run(_args: &Demo) -> Result<(), CliError> {
+use async_signal::{Signal, Signals};
+use futures::future::join_all;
+use hibiscusladder_core::name::DataCentre;
+use hibiscusladder_emulator::{
+    database::{DatabaseConfig, Group, GroupConfig, GroupHandle, MemberConfig},
+    platform::{Platform, PlatformConfig},
+};
+use hibiscusladder_proxy::{
+    platform::{Expected, PlatformClient, http_get},
+    serve::{self, Listeners},
+    settings::{LogLevel, Settings},
+};
+use serde_json::{Value, json};
+use smol::{Timer, channel, future::FutureExt};
+
+use super::{args::Demo, emulate, error::CliError, in_force, key, log, operator, output};
+
+/// Data centres with their regions; each has one instance and one member of each database.
+const DATA_CENTRES: [(&str, &str); 3] = [("stgo-a", "stgo"), ("stgo-b", "stgo"), ("vld-a", "vld")];
+
+/// Databases of the demo.
+const DATABASES: [&str; 3] = ["padron", "cuotas", "torneos"];
+
+/// Workspace of the demo.
+const WORKSPACE: &str = "club-andino";
+
+/// Longest wait until every member has a home.
+const READY_BOUND: Duration = Duration::from_secs(15);
+
+/// Time between two looks at whether every member has a home.
+const READY_LOOK: Duration = Duration::from_millis(100);
+
+/// Runs the demo until SIGINT, SIGTERM or its time is over.
+pub(crate) fn run(args: &Demo) -> Result<(), CliError> {
+    log::init(LogLevel::Warn);
+    let platform_cfg = PlatformConfig { list_lag_ms: 0, ..PlatformConfig::default() };
+    let platform = Platform::start(platform_cfg).map_err(CliError::Emulator)?;
+    let cfg = group_config();
+    let group = Group::start(cfg.clone()).map_err(CliError::Emulator)?;
+    smol::block_on(run_instances(args, &platform.url(), &cfg, &group))?;
+    group.shutdown();
+    platform.shutdown();
+    output::line("demo ended")
+}
+
+fn group_config() -> GroupConfig {
+    let member = |database: &str, index: usize| {
+        let mut member = MemberConfig::new(&format!("{database}-{}", index + 1));
+        member.data_centre = Some(DataCentre::new(DATA_CENTRES[index].0));
+        member
+    };
+    let database = |name: &str| DatabaseConfig {
+        name: name.into(),
+        members: (0..DATA_CENTRES.len()).map(|index| member(name, index)).collect(),
+        primary: None,
+    };
+    let databases = DATABASES.iter().map(|name| database(name)).collect();
+    GroupConfig { databases, ..GroupConfig::default() }
+}
+
+async fn run_instances(
+    args: &Demo,
+    url: &str,
+    cfg: &GroupConfig,
+    group: &GroupHandle,
+) -> Result<(), CliError> {
+    let signals = Signals::new([Signal::Term, Signal::Int])?;
+    let platform = operator::client(url)?;
+    emulate::register(&platform, cfg, group).await?;
+    let (stop, stopped) = channel::bounded::<()>(1);
+    let mut instances = Vec::new();
+    let mut places = Vec::new();
+    for (settings, listeners) in bind_instances(url)? {
+        places.push(settings.instance.clone());
+        let stopped = stopped.clone();
+        let shutdown = async move {
+            let _ = stopped.recv().await;
+        };
+        instances.push(smol::spawn(serve::run(settings, listeners, shutdown)));
+    }
+    let health: Vec<SocketAddr> = places.iter().map(|place| place.health).collect();
+    wait_until_ready(&health).await;
+    // An instance that finds a contract at its start uses no share of it for 8 s; one that sees it arrive does.
+    let key = prepare(&platform).await?;
+    for place in &places {
+        let listen = place.listen;
+        output::line(&format!(
+            "{:7} postgresql://{WORKSPACE}:{key}@{listen}/{}",
+            place.data_centre.as_str(),
+            DATABASES[0]
+        ))?;
+    }
+    output::line(&format!("platform {url} (for `hibiscusladder status --platform {url}`)"))?;
+    output::line("try:")?;
+    output::line("  CREATE TABLE socios (id INTEGER PRIMARY KEY, nombre TEXT);")?;
+    output::line("  INSERT INTO socios VALUES (1, 'Ana'); SELECT * FROM socios;")?;
+    wait_for_end(args.seconds, signals).await;
+    drop(stop);
+    for result in join_all(instances).await {
+        result?;
+    }
     Ok(())
 }
+
+/// Writes a contract for all databases and issues a key.
+async fn prepare(platform: &PlatformClient) -> Result<String, CliError> {
+    let contract = json!({
+        "workspace": WORKSPACE,
+        "databases": DATABASES,
+        "rate": 1000.0,
+        "burst": 500.0,
+    });
+    platform.put("contracts", WORKSPACE, Expected::Absent, &contract).await?;
+    let (key, version) = key::create(platform, WORKSPACE).await?;
+    in_force::wait(platform, version).await?;
+    Ok(key.expose())
+}
+
+/// Binds free ports for all instances, which name each other as seeds.
+fn bind_instances(url: &str) -> Result<Vec<(Settings, Listeners)>, CliError> {
+    let free = || TcpListener::bind("127.0.0.1:0");
+    let mut bound = Vec::new();
+    for _ in DATA_CENTRES {
+        bound.push(Listeners { clients: free()?, rpc: free()?, health: free()? });
+    }
+    let seeds: Vec<String> = bound
+        .iter()
+        .map(|listeners| listeners.rpc.local_addr().map(|address| format!("\"{address}\"")))
+        .collect::<Result<_, _>>()?;
+    let mut instances = Vec::new();
+    for (listeners, (data_centre, _)) in bound.into_iter().zip(DATA_CENTRES) {
+        let text = settings(url, data_centre, &listeners, &seeds.join(", "))?;
+        instances.push((Settings::parse("demo", &text)?, listeners));
+    }
+    Ok(instances)
+}
+
+fn settings(
+    url: &str,
+    data_centre: &str,
+    listeners: &Listeners,
+    seeds: &str,
+) -> Result<String, CliError> {
+    let mut text = format!(
+        "[instance]\nid = \"{data_centre}-1\"\ndata_centre = \"{data_centre}\"\n\
+         listen = \"{}\"\nrpc = \"{}\"\nhealth = \"{}\"\nseeds = [{seeds}]\n\
+         [platform]\nurl = \"{url}\"\n[upstream]\nuser = \"proxy\"\npassword = \"proxy\"\n",
+        listeners.clients.local_addr()?,
+        listeners.rpc.local_addr()?,
+        listeners.health.local_addr()?,
+    );
+    for (name, region) in DATA_CENTRES {
+        text.push_str(&format!("[[topology]]\ndata_centre = \"{name}\"\nregion = \"{region}\"\n"));
+    }
+    Ok(text)
+}
+
+/// Waits until every member has a home with its lease, for a bounded time.
+async fn wait_until_ready(health: &[SocketAddr]) {
+    let ready = async {
+        while leases(health).await < DATABASES.len() * DATA_CENTRES.len() {
+            Timer::after(READY_LOOK).await;
+        }
+    };
+    let late = async {
+        Timer::after(READY_BOUND).await;
+        spdlog::warn!("home: some members have no home yet");
+    };
+    ready.or(late).await;
+}
+
+async fn leases(health: &[SocketAddr]) -> usize {
+    let mut count = 0;
+    for address in health {
+        let answer = http_get(&address.to_string(), "/status", READY_LOOK * 10).await;
+        let status = answer.ok().and_then(|body| serde_json::from_slice::<Value>(&body).ok());
+        let databases = status.map(|status| status["databases"].clone());
+        let databases = databases.as_ref().and_then(Value::as_array).into_iter().flatten();
+        let members = databases.filter_map(|database| database["members"].as_array()).flatten();
+        count += members.filter(|member| member["lease"] == true).count();
+    }
+    count
+}
+
+async fn wait_for_end(seconds: Option<u64>, signals: Signals) {
+    let signal = super::serve::ended(signals);
+    match seconds {
+        None => signal.await,
+        Some(seconds) => {
+            let timer = async {
+                Timer::after(Duration::from_secs(seconds)).await;
+            };
+            signal.or(timer).await;
+        }
+    }
+}
--- a/hibiscusladder/src/cli/key.rs
+++ b/hibiscusladder/src/cli/key.rs
@@ -28,20 +28,28 @@
     }
 }
 
-/// Writes the hash of a new key and names the key in the contract; the secret goes to the terminal only.
 async fn issue(args: &KeyIssue) -> Result<(), CliError> {
     let platform = operator::client(&args.platform)?;
-    contract::existing(&platform, &args.workspace).await?;
+    let (key, version) = create(&platform, &args.workspace).await?;
+    output::line(&key.expose())?;
+    operator::accepted(&platform, &format!("{KIND}/{}", key.id()), version, args.no_wait).await
+}
+
+/// Writes the hash of a new key and names the key in the contract of its workspace.
+pub(crate) async fn create(
+    platform: &PlatformClient,
+    workspace: &str,
+) -> Result<(Key, u64), CliError> {
+    contract::existing(platform, workspace).await?;
     let mut random = [0; Key::RANDOM_BYTES];
     getrandom::fill(&mut random).map_err(std::io::Error::other)?;
     let key = Key::from_random(&random);
-    let record = KeyRecord::new(&key, Workspace::new(&args.workspace));
+    let record = KeyRecord::new(&key, Workspace::new(workspace));
     let value = serde_json::to_value(&record).map_err(std::io::Error::other)?;
     let id = key.id().to_string();
-    operator::put(&platform, KIND, &id, None, &value).await?;
-    let version = name_in_contract(&platform, &args.workspace, &id).await?;
-    output::line(&key.expose())?;
-    operator::accepted(&platform, &format!("{KIND}/{id}"), version, args.no_wait).await
+    operator::put(platform, KIND, &id, None, &value).await?;
+    let version = name_in_contract(platform, workspace, &id).await?;
+    Ok((key, version))
 }
 
 /// Names the key in the contract; a change of another operator in between does not contradict it.
--- a/hibiscusladder/tests/support/mod.rs
+++ b/hibiscusladder/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Runs the binary as child processes against emulators on free ports.
 
 #![allow(dead_code, reason = "each test file uses a part of the support")]
+#![allow(clippy::unwrap_used, reason = "a failure here is the failure of the test")]
 
 use std::{
     fs,
@@ -22,18 +23,18 @@
 use serde_json::Value;
 
 /// Longest wait for a state that follows from what a test did.
-pub const PATIENCE: Duration = Duration::from_secs(20);
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
 
 /// Path of the binary under test.
-pub const BINARY: &str = env!("CARGO_BIN_EXE_hibiscusladder");
+pub(crate) const BINARY: &str = env!("CARGO_BIN_EXE_hibiscusladder");
 
 /// Runs a command to its end.
-pub fn command(args: &[&str]) -> Output {
+pub(crate) fn command(args: &[&str]) -> Output {
     Command::new(BINARY).args(args).output().unwrap()
 }
 
 /// Standard output of a command that succeeds.
-pub fn succeeds(args: &[&str]) -> String {
+pub(crate) fn succeeds(args: &[&str]) -> String {
     let output = command(args);
     let error = String::from_utf8_lossy(&output.stderr).into_owned();
     assert!(output.status.success(), "{args:?} failed: {error}");
@@ -41,25 +42,25 @@
 }
 
 /// Standard error of a command that fails, with blanks and box characters folded.
-pub fn fails(args: &[&str]) -> String {
+pub(crate) fn fails(args: &[&str]) -> String {
     let output = command(args);
     assert!(!output.status.success(), "{args:?} succeeded");
     folded(&String::from_utf8_lossy(&output.stderr))
 }
 
 /// Joins wrapped lines of a report.
-pub fn folded(text: &str) -> String {
+pub(crate) fn folded(text: &str) -> String {
     let plain = text.replace(['│', '╰', '─', '▶', '×', '╭', '├', '·'], " ");
     plain.split_whitespace().collect::<Vec<_>>().join(" ")
 }
 
 /// A port that was free a moment ago.
-pub fn free_port() -> u16 {
+pub(crate) fn free_port() -> u16 {
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
 }
 
 /// Waits until `condition` gives a value.
-pub fn eventually<F, T>(what: &str, mut condition: F) -> T
+pub(crate) fn eventually<F, T>(what: &str, mut condition: F) -> T
 where
     F: FnMut() -> Option<T>,
 {
@@ -75,10 +76,10 @@
 
 /// A folder for the files of one test, removed at its end.
 #[derive(Debug)]
-pub struct Folder(PathBuf);
+pub(crate) struct Folder(PathBuf);
 
 impl Folder {
-    pub fn new() -> Self {
+    pub(crate) fn new() -> Self {
         let name = format!("hibiscusladder-test-{}-{}", std::process::id(), free_port());
         let path = std::env::temp_dir().join(name);
         fs::create_dir_all(&path).unwrap();
@@ -86,7 +87,7 @@
     }
 
     /// Writes a file and returns its path.
-    pub fn write(&self, name: &str, text: &str) -> String {
+    pub(crate) fn write(&self, name: &str, text: &str) -> String {
         let path = self.0.join(name);
         fs::write(&path, text).unwrap();
         path.display().to_string()
@@ -95,30 +96,32 @@
 
 impl Drop for Folder {
     fn drop(&mut self) {
-        if thread::panicking() { return; }
+        if thread::panicking() {
+            return;
+        }
         let _ = fs::remove_dir_all(&self.0);
     }
 }
 
 /// A child process that is killed when it is dropped.
 #[derive(Debug)]
-pub struct Process(pub Child);
+pub(crate) struct Process(pub(crate) Child);
 
 impl Process {
-    pub fn start(args: &[&str], log: Stdio) -> Self {
+    pub(crate) fn start(args: &[&str], log: Stdio) -> Self {
         let child = Command::new(BINARY).args(args).stdout(Stdio::null()).stderr(log).spawn();
         Self(child.unwrap())
     }
 
     /// Sends SIGTERM.
-    pub fn terminate(&self) {
+    pub(crate) fn terminate(&self) {
         let pid = i32::try_from(self.0.id()).unwrap();
         let pid = rustix::process::Pid::from_raw(pid).unwrap();
         rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
     }
 
     /// Exit code of a process that ends by itself.
-    pub fn exit_code(&mut self) -> i32 {
+    pub(crate) fn exit_code(&mut self) -> i32 {
         eventually("exit of the process", || self.0.try_wait().unwrap()).code().unwrap_or(-1)
     }
 }
@@ -132,23 +135,23 @@
 
 /// One running instance.
 #[derive(Debug)]
-pub struct Instance {
-    pub process: Process,
-    pub id: String,
-    pub port: u16,
-    pub health: u16,
+pub(crate) struct Instance {
+    pub(crate) process: Process,
+    pub(crate) id: String,
+    pub(crate) port: u16,
+    pub(crate) health: u16,
 }
 
 impl Instance {
     /// Status of the instance, when it answers.
-    pub fn status(&self) -> Option<Value> {
+    pub(crate) fn status(&self) -> Option<Value> {
         let address = format!("127.0.0.1:{}", self.health);
         let body = smol::block_on(http_get(&address, "/status", Duration::from_secs(1))).ok()?;
         serde_json::from_slice(&body).ok()
     }
 
     /// Connects with a key.
-    pub fn connect(&self, key: &str) -> Result<Client, postgres::Error> {
+    pub(crate) fn connect(&self, key: &str) -> Result<Client, postgres::Error> {
         let port = self.port;
         let config =
             format!("host=127.0.0.1 port={port} user=club-andino dbname=padron password={key}");
@@ -158,16 +161,16 @@
 
 /// Platform, one database of three members and instances in two data centres.
 #[derive(Debug)]
-pub struct Installation {
-    pub platform: PlatformHandle,
-    pub group: GroupHandle,
-    pub instances: Vec<Instance>,
-    pub folder: Folder,
+pub(crate) struct Installation {
+    pub(crate) platform: PlatformHandle,
+    pub(crate) group: GroupHandle,
+    pub(crate) instances: Vec<Instance>,
+    pub(crate) folder: Folder,
 }
 
 impl Installation {
     /// Starts everything and waits until every member has a home.
-    pub fn start(data_centres: &[&str]) -> Self {
+    pub(crate) fn start(data_centres: &[&str]) -> Self {
         let platform = Platform::start(PlatformConfig::default()).unwrap();
         let mut cfg = GroupConfig::single("padron", &["padron-1", "padron-2", "padron-3"]);
         for (index, member) in cfg.databases[0].members.iter_mut().enumerate() {
@@ -208,13 +211,13 @@
     }
 
     /// A client of the platform.
-    pub fn client(&self) -> hibiscusladder::prelude::PlatformClient {
+    pub(crate) fn client(&self) -> hibiscusladder::prelude::PlatformClient {
         let address = self.platform.address().to_string();
         hibiscusladder::prelude::PlatformClient::new(&address, Duration::from_secs(2))
     }
 
     /// Starts one more instance.
-    pub fn add(&mut self, data_centre: &str) {
+    pub(crate) fn add(&mut self, data_centre: &str) {
         let id = format!("i{}", self.instances.len() + 1);
         let (port, rpc, health) = (free_port(), free_port(), free_port());
         let settings = format!(
@@ -246,7 +249,7 @@
     }
 
     /// Waits until each member's home, as all instances see it, has its lease.
-    pub fn wait_for_homes(&self) {
+    pub(crate) fn wait_for_homes(&self) {
         eventually("a home with a lease for every member", || {
             let mut leases = 0;
             for instance in &self.instances {
@@ -263,7 +266,7 @@
     }
 
     /// Writes a contract and issues a key.
-    pub fn issue_key(&self) -> String {
+    pub(crate) fn issue_key(&self) -> String {
         let contract = self.contract(200);
         let url = self.platform.url();
         succeeds(&["contract", "put", "--platform", &url, "--file", &contract]);
@@ -272,7 +275,7 @@
     }
 
     /// Writes the file of a contract with this rate.
-    pub fn contract(&self, rate: u32) -> String {
+    pub(crate) fn contract(&self, rate: u32) -> String {
         let text = format!(
             "workspace = \"club-andino\"\ndatabases = [\"padron\"]\nrate = {rate}\nburst = 100\n"
         );
@@ -280,7 +283,7 @@
     }
 
     /// Log of an instance.
-    pub fn log(&self, index: usize) -> String {
+    pub(crate) fn log(&self, index: usize) -> String {
         let id = &self.instances[index].id;
         fs::read_to_string(self.folder.0.join(format!("{id}.toml.log"))).unwrap()
     }
--- a/hibiscusladder/tests/whole_path.rs
+++ b/hibiscusladder/tests/whole_path.rs
@@ -92,10 +92,8 @@
     client.batch_execute("CREATE TABLE pagos (id INTEGER PRIMARY KEY)").unwrap();
     client.execute("INSERT INTO pagos VALUES (1)", &[]).unwrap();
 
-    let faults = hibiscusladder::emulator::database::MemberFaults {
-        frozen: true,
-        ..Default::default()
-    };
+    let faults =
+        hibiscusladder::emulator::database::MemberFaults { frozen: true, ..Default::default() };
     assert!(installation.group.set_faults("padron-1", faults));
     eventually("a write under the next term", || {
         let mut client = installation.instances[1].connect(&key).ok()?;
