--- a/hibiscusladder/tests/support/mod.rs
+++ b/hibiscusladder/tests/support/mod.rs
@@ -20,6 +20,7 @@
     proxy::platform::http_get,
 };
 use postgres::{Client, NoTls};
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 
 /// Longest wait for a state that follows from what a test did.
@@ -115,9 +116,22 @@
 
     /// Sends SIGTERM.
     pub(crate) fn terminate(&self) {
-        let pid = i32::try_from(self.0.id()).unwrap();
-        let pid = rustix::process::Pid::from_raw(pid).unwrap();
-        rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
+        self.signal(Signal::TERM);
+    }
+
+    /// Stops the process until it is resumed.
+    pub(crate) fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a paused process go on.
+    pub(crate) fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(i32::try_from(self.0.id()).unwrap()).unwrap();
+        kill_process(pid, signal).unwrap();
     }
 
     /// Exit code of a process that ends by itself.
@@ -139,6 +153,7 @@
     pub(crate) process: Process,
     pub(crate) id: String,
     pub(crate) port: u16,
+    pub(crate) rpc: u16,
     pub(crate) health: u16,
 }
 
@@ -228,6 +243,7 @@
 listen = "127.0.0.1:{port}"
 rpc = "127.0.0.1:{rpc}"
 health = "127.0.0.1:{health}"
+seeds = [SEEDS]
 [platform]
 url = "{}"
 [[topology]]
@@ -242,10 +258,13 @@
 "#,
             self.platform.url()
         );
+        let seeds: Vec<String> =
+            self.instances.iter().map(|other| format!("\"127.0.0.1:{}\"", other.rpc)).collect();
+        let settings = settings.replace("SEEDS", &seeds.join(", "));
         let path = self.folder.write(&format!("{id}.toml"), &settings);
         let log = fs::File::create(format!("{path}.log")).unwrap();
         let process = Process::start(&["serve", "--config", &path], log.into());
-        self.instances.push(Instance { process, id, port, health });
+        self.instances.push(Instance { process, id, port, rpc, health });
     }
 
     /// Waits until each member's home, as all instances see it, has its lease.
@@ -265,6 +284,15 @@
         });
     }
 
+    /// Index of the instance that is home of the first primary.
+    pub(crate) fn home_of_primary(&self) -> usize {
+        let status = self.instances[0].status().unwrap();
+        let members = status["databases"][0]["members"].as_array().unwrap();
+        let primary = members.iter().find(|member| member["id"] == "padron-1").unwrap();
+        let home = primary["home"].as_str().unwrap();
+        self.instances.iter().position(|instance| instance.id == home).unwrap()
+    }
+
     /// Writes a contract and issues a key.
     pub(crate) fn issue_key(&self) -> String {
         let contract = self.contract(200);
