--- a/crates/proxy/tests/platform.rs
+++ b/crates/proxy/tests/platform.rs
@@ -17,7 +17,7 @@
 }
 
 fn start_with(cfg: PlatformConfig) -> (PlatformHandle, PlatformClient) {
-    let platform = Platform::start(cfg).unwrap();
+    let platform = Platform::start(cfg).expect("a free port");
     let client = PlatformClient::new(&platform.address().to_string(), Duration::from_millis(300));
     (platform, client)
 }
--- a/hibiscusladder/tests/outages.rs
+++ b/hibiscusladder/tests/outages.rs
@@ -45,6 +45,7 @@
     let key = installation.issue_key();
     let mut client = installation.instances[0].connect(&key).unwrap();
     client.batch_execute("CREATE TABLE socios (id INTEGER PRIMARY KEY)").unwrap();
+    installation.wait_for_replicas();
     outage(&installation);
     let down = MemberFaults { down: true, ..MemberFaults::default() };
     assert!(installation.group.set_faults("padron-1", down));
--- a/hibiscusladder/tests/support/mod.rs
+++ b/hibiscusladder/tests/support/mod.rs
@@ -284,6 +284,14 @@
         });
     }
 
+    /// Waits until all members have the same position; a write that only the primary has is lost with it.
+    pub(crate) fn wait_for_replicas(&self) {
+        eventually("equal positions of all members", || {
+            let reports = self.group.reports();
+            reports.iter().all(|report| report.position == reports[0].position).then_some(())
+        });
+    }
+
     /// Index of the instance that is home of the first primary.
     pub(crate) fn home_of_primary(&self) -> usize {
         let status = self.instances[0].status().unwrap();
