--- a/crates/core/src/bucket.rs
+++ b/crates/core/src/bucket.rs
@@ -111,7 +111,8 @@
         }
     }
 
-    const fn refill(&mut self, now: Instant) {
+    /// Adds the tokens that have accrued up to `now`.
+    pub const fn refill(&mut self, now: Instant) {
         self.tokens = self.tokens(now);
         self.skip_to(now);
     }
--- a/crates/core/src/share/state.rs
+++ b/crates/core/src/share/state.rs
@@ -141,6 +141,9 @@
 
     /// Extends the time up to which the gate of `term` is proved to be open to `until`, which is exclusive. Another
     /// term than the share's has no effect.
+    ///
+    /// With a majority of `k` members, `until` is the sending time of the `k`-th newest of the members' polls that
+    /// reported `term`, plus the window of the gate.
     pub fn set_gate(&mut self, term: Term, until: Instant) {
         if self.current_term() == Some(term) {
             self.gate_until = self.gate_until.max(until);
@@ -399,6 +402,7 @@
 
     /// Gives up the filling of the term part since the gate was last proved open.
     fn skip_to(&mut self, now: Instant) {
+        self.term_part.refill(self.settled);
         self.term_part.skip_to(now);
         self.settled = now;
     }
