--- a/crates/core/tests/share_simulation.rs
+++ b/crates/core/tests/share_simulation.rs
@@ -41,8 +41,8 @@
 /// is seen, because nothing of the contract is left over.
 fn surge() -> impl Strategy<Value = Vec<(u64, Op)>> {
     let borrower = (0_usize..5, prop_oneof![Just(0_u32), Just(2)]);
-    let events = prop::collection::vec((0_u64..1_200, event()), 1..4);
-    (borrower, events, 0_u64..600, 500_u64..3_000).prop_map(|(borrower, events, pause, flood)| {
+    let events = prop::collection::vec((0_u64..1_200, event()), 1..3);
+    (borrower, events, 0_u64..200, 500_u64..3_000).prop_map(|(borrower, events, pause, flood)| {
         let (member, level) = borrower;
         let mut ops = vec![(0, Op::DemandAll { level: 0 }), (3_000, Op::Demand { member, level })];
         ops.extend(events);
