fix(emulator): interrupt statements that compute, and do not commit after a crash

A cancellation had no effect on a statement that waited for another one to leave SQLite, and a member that was stopped while it was suspended would have committed an open transaction later. The session is now split into its messages, the extended protocol and the execution of statements. DISCARD ALL gives advisory locks back.

--- a/crates/emulator/src/database/group.rs
+++ b/crates/emulator/src/database/group.rs
@@ -130,6 +130,18 @@
         member.is_some()
     }
 
+    /// Changes some faults of the member `id`; false when there is no such member.
+    pub fn change_faults<F>(&self, id: &str, change: F) -> bool
+    where
+        F: FnOnce(&mut MemberFaults),
+    {
+        let Some(member) = self.member(id) else { return false };
+        let mut faults = member.faults().clone();
+        change(&mut faults);
+        member.set_faults(faults);
+        true
+    }
+
     /// States of all members.
     pub fn reports(&self) -> Vec<MemberReport> {
         self.members.iter().map(|member| member.report()).collect()
--- a/crates/emulator/src/database/member.rs
+++ b/crates/emulator/src/database/member.rs
@@ -138,16 +138,22 @@
     where
         F: Future,
     {
+        let done = async { Ok(future.await) };
+        let interrupted = async { Err(self.interrupted().await) };
+        done.or(interrupted).await
+    }
+
+    /// Waits until the statement is cancelled or the backend is stopped.
+    async fn interrupted(&self) -> SqlError {
         let cancelled = async {
             self.cancelled.recv().await.ok();
-            Err(SqlError::cancelled())
+            SqlError::cancelled()
         };
         let stopped = async {
             self.stopped.recv().await.ok();
-            Err(SqlError::terminated())
+            SqlError::terminated()
         };
-        let done = async { Ok(future.await) };
-        done.or(cancelled.or(stopped)).await
+        cancelled.or(stopped).await
     }
 
     /// Sets what the backend does.
@@ -189,6 +195,11 @@
         }
     }
 
+    /// Gives back all advisory locks of `pid`.
+    pub(crate) fn unlock_all(&mut self, pid: i32) {
+        self.locks.retain(|_, (holder, _)| *holder != pid);
+    }
+
     /// Backend that holds the advisory lock `key`.
     pub(crate) fn lock_holder(&self, key: i64) -> Option<i32> {
         self.locks.get(&key).map(|(pid, _)| *pid)
@@ -217,7 +228,7 @@
 
     fn remove(&mut self, pid: i32) {
         self.backends.remove(&pid);
-        self.locks.retain(|_, (holder, _)| *holder != pid);
+        self.unlock_all(pid);
     }
 }
 
@@ -237,7 +248,7 @@
     pub(crate) address: SocketAddr,
     pub(crate) slots: Arc<Semaphore>,
     pub(crate) writer: Arc<smol::lock::Mutex<Sqlite>>,
-    pub(crate) reader: Arc<Mutex<Sqlite>>,
+    reader: Mutex<Sqlite>,
     running: [Running; 2],
     log: Mutex<GroupLog>,
     faults: Mutex<MemberFaults>,
@@ -268,7 +279,7 @@
             slots: Arc::new(Semaphore::new(cfg.slots)),
             running: [writer.running(), reader.running()],
             writer: Arc::new(smol::lock::Mutex::new(writer)),
-            reader: Arc::new(Mutex::new(reader)),
+            reader: Mutex::new(reader),
             log: Mutex::new(log),
             faults: Mutex::new(faults),
             backends: Mutex::default(),
@@ -356,6 +367,9 @@
 
     fn is_held_up(&self, peer: &str) -> bool {
         let faults = self.faults();
+        if faults.down {
+            return false;
+        }
         faults.frozen || peer.split('/').any(|part| faults.is_isolated_from(part))
     }
 
@@ -381,7 +395,6 @@
         let backend = self.backends().get(pid).cloned();
         if let Some(backend) = backend.filter(|backend| backend.secret == secret) {
             backend.cancel();
-            self.interrupt(pid);
         }
     }
 
@@ -390,12 +403,35 @@
         let backend = self.backends().get(pid).cloned();
         let Some(backend) = backend else { return false };
         backend.stop(Stop::Terminated);
-        self.interrupt(pid);
         true
     }
 
-    fn interrupt(&self, pid: i32) {
-        self.running.iter().for_each(|running| running.interrupt(pid));
+    /// Runs a job that uses SQLite; only a short one may hold up the tasks of the other connections.
+    pub(crate) async fn run_job<T, F>(&self, backend: &Backend, short: bool, job: F) -> T
+    where
+        T: Send + 'static,
+        F: FnOnce() -> T + Send + 'static,
+    {
+        if short {
+            // Handing a job to another thread takes longer than most statements do.
+            return job();
+        }
+        let interrupt = async {
+            backend.interrupted().await;
+            // The job may still wait for its turn, in which case an interrupt has no effect yet.
+            loop {
+                self.running.iter().for_each(|running| running.interrupt(backend.pid));
+                Timer::after(FAULT_CHECK).await;
+            }
+        };
+        smol::unblock(job).or(interrupt).await
+    }
+
+    /// The database for reads with all entries of the log.
+    pub(crate) fn up_to_date_reader(&self) -> Result<MutexGuard<'_, Sqlite>, SqlError> {
+        let mut reader = lock(&self.reader);
+        self.catch_up(&mut reader)?;
+        Ok(reader)
     }
 
     /// Keeps a text that a client has sent.
--- /dev/null
+++ b/crates/emulator/src/database/session/execute.rs
@@ -0,0 +1,253 @@
+//! Runs statements and keeps track of the transaction.
+
+use std::{
+    hash::{BuildHasher, Hasher},
+    sync::{Arc, atomic::Ordering},
+};
+
+use rusqlite::types::Value;
+use smol::Timer;
+
+use super::{Outcome, Session};
+use crate::database::{
+    control::Caller,
+    error::SqlError,
+    infer::Column,
+    log::{Context, Role, Write},
+    sql::{Kind, Statement, Tag},
+    sqlite::{self, Rows},
+    transaction::Writer,
+    value::PgType,
+};
+
+impl Session {
+    pub(super) async fn execute(
+        &mut self,
+        statement: &Arc<Statement>,
+        params: &[Value],
+        types: &[PgType],
+    ) -> Result<Outcome, SqlError> {
+        let failed = self.transaction.as_ref().is_some_and(|transaction| transaction.failed);
+        let ends = matches!(statement.kind, Kind::Commit | Kind::Rollback | Kind::RollbackTo(_));
+        if failed && !ends {
+            return Err(SqlError::transaction_failed());
+        }
+        match &statement.kind {
+            Kind::Begin => self.begin().await,
+            Kind::Commit => self.commit_explicit().await,
+            Kind::Rollback => {
+                self.transaction = None;
+                self.backend.writing.store(false, Ordering::SeqCst);
+                Ok(Outcome::tag("ROLLBACK"))
+            }
+            Kind::Savepoint(name) => self.savepoint(statement, name).await,
+            Kind::RollbackTo(name) => self.rollback_to(statement, name).await,
+            Kind::Release(name) => self.release(statement, name).await,
+            Kind::Set => Ok(Outcome::tag("SET")),
+            Kind::Show(name) => Ok(self.show(name)),
+            Kind::Discard => {
+                self.statements.clear();
+                self.member.backends().unlock_all(self.backend.pid);
+                Ok(Outcome::tag("DISCARD ALL"))
+            }
+            Kind::Deallocate(name) => {
+                self.statements.retain(|known, _| name.as_ref().is_some_and(|name| name != known));
+                Ok(Outcome::tag("DEALLOCATE"))
+            }
+            Kind::Control(call) => {
+                let caller = Caller { pid: self.backend.pid, last_commit: self.last_commit };
+                let rows = call.run(&self.member, caller, params)?;
+                let tag = Tag::Select.text(rows.rows.len(), 0);
+                Ok(Outcome::rows(rows, tag))
+            }
+            Kind::Data { write, tag } => {
+                let rows = self.data(statement, params, types, *write).await?;
+                let returned = rows.rows.len();
+                let changed = if rows.columns.is_empty() { rows.changes } else { returned as u64 };
+                Ok(Outcome::rows(rows, tag.text(returned, changed)))
+            }
+            Kind::Unsupported(what) => {
+                Err(SqlError::new("0A000", format!("{what} is not supported")))
+            }
+        }
+    }
+
+    async fn begin(&mut self) -> Result<Outcome, SqlError> {
+        self.take_slot().await?;
+        if let Some(transaction) = &mut self.transaction {
+            transaction.explicit = true;
+        }
+        Ok(Outcome::tag("BEGIN"))
+    }
+
+    async fn commit_explicit(&mut self) -> Result<Outcome, SqlError> {
+        let Some(transaction) = self.transaction.take() else { return Ok(Outcome::tag("COMMIT")) };
+        if transaction.failed {
+            return Ok(Outcome::tag("ROLLBACK"));
+        }
+        self.commit(transaction).await?;
+        Ok(Outcome::tag("COMMIT"))
+    }
+
+    async fn savepoint(
+        &mut self,
+        statement: &Arc<Statement>,
+        name: &str,
+    ) -> Result<Outcome, SqlError> {
+        if !self.transaction.as_ref().is_some_and(|transaction| transaction.explicit) {
+            let message = "SAVEPOINT can only be used in transaction blocks";
+            return Err(SqlError::new("25P01", message));
+        }
+        // A replica has nothing to return to, because it accepts no writes.
+        if self.member.log().role == Role::Primary {
+            self.data(statement, &[], &[], true).await?;
+        }
+        if let Some(transaction) = &mut self.transaction {
+            transaction.savepoints.push(name.to_owned());
+        }
+        Ok(Outcome::tag("SAVEPOINT"))
+    }
+
+    async fn rollback_to(
+        &mut self,
+        statement: &Arc<Statement>,
+        name: &str,
+    ) -> Result<Outcome, SqlError> {
+        let known = self.transaction.as_mut().is_some_and(|tx| tx.forget_savepoints(name, false));
+        if !known {
+            return Err(missing_savepoint(name));
+        }
+        if let Some(transaction) = &mut self.transaction {
+            transaction.failed = false;
+        }
+        self.data_if_writing(statement).await?;
+        Ok(Outcome::tag("ROLLBACK"))
+    }
+
+    async fn release(
+        &mut self,
+        statement: &Arc<Statement>,
+        name: &str,
+    ) -> Result<Outcome, SqlError> {
+        let known = self.transaction.as_mut().is_some_and(|tx| tx.forget_savepoints(name, true));
+        if !known {
+            return Err(missing_savepoint(name));
+        }
+        self.data_if_writing(statement).await?;
+        Ok(Outcome::tag("RELEASE"))
+    }
+
+    async fn data_if_writing(&mut self, statement: &Arc<Statement>) -> Result<(), SqlError> {
+        if self.transaction.as_ref().is_some_and(|transaction| transaction.writer.is_some()) {
+            self.data(statement, &[], &[], true).await?;
+        }
+        Ok(())
+    }
+
+    fn show(&self, name: &str) -> Outcome {
+        let text = match name {
+            "transaction_read_only" if self.member.log().role != Role::Primary => "on",
+            "transaction_read_only" => "off",
+            "server_version" => "16.0",
+            "transaction_isolation" => "read committed",
+            "server_encoding" | "client_encoding" => "UTF8",
+            "timezone" => "UTC",
+            _ => "",
+        };
+        let columns = vec![Column::new(name, PgType::Text)];
+        let rows = vec![vec![Value::Text(text.to_owned())]];
+        Outcome::rows(Rows { columns, rows, changes: 0 }, "SHOW".to_owned())
+    }
+
+    /// Starts a transaction if there is none and waits for a slot.
+    async fn take_slot(&mut self) -> Result<(), SqlError> {
+        if self.transaction.as_ref().is_some_and(|transaction| transaction.slot.is_some()) {
+            return Ok(());
+        }
+        let slot = self.backend.interruptible(self.member.slots.acquire_arc()).await?;
+        self.transaction.get_or_insert_default().slot = Some(slot);
+        Ok(())
+    }
+
+    /// Runs a statement that reads or writes data.
+    async fn data(
+        &mut self,
+        statement: &Arc<Statement>,
+        params: &[Value],
+        types: &[PgType],
+        write: bool,
+    ) -> Result<Rows, SqlError> {
+        self.take_slot().await?;
+        let time = self.member.settings.statement_time + statement.sleep.unwrap_or_default();
+        if !time.is_zero() {
+            self.backend.interruptible(Timer::after(time)).await?;
+        }
+        self.member.runnable(&self.backend.peer).await;
+        let context = self.context();
+        let has_writer = self.transaction.as_ref().is_some_and(|tx| tx.writer.is_some());
+        if write || has_writer {
+            return self.run_in_writer(statement, params, types, context, write).await;
+        }
+        let member = Arc::clone(&self.member);
+        let (pid, statement) = (self.backend.pid, Arc::clone(statement));
+        let (params, types) = (params.to_vec(), types.to_vec());
+        let short = statement.is_short();
+        let job =
+            move || member.up_to_date_reader()?.run(pid, &statement, &params, &types, context);
+        self.member.run_job(&self.backend, short, job).await
+    }
+
+    async fn run_in_writer(
+        &mut self,
+        statement: &Arc<Statement>,
+        params: &[Value],
+        types: &[PgType],
+        context: Context,
+        write: bool,
+    ) -> Result<Rows, SqlError> {
+        if write && self.member.log().role != Role::Primary {
+            return Err(SqlError::read_only());
+        }
+        let (writer, fresh) = self.take_writer().await?;
+        let member = Arc::clone(&self.member);
+        let (pid, sql) = (self.backend.pid, Arc::clone(statement));
+        let (values, types) = (params.to_vec(), types.to_vec());
+        let short = sql.is_short();
+        let job = move || {
+            let mut writer = writer;
+            let db = &mut *writer.0;
+            let ready = if fresh { member.catch_up(db).and_then(|()| db.begin()) } else { Ok(()) };
+            let result = ready.and_then(|()| db.run(pid, &sql, &values, &types, context));
+            (writer, result)
+        };
+        let (writer, result) = self.member.run_job(&self.backend, short, job).await;
+        let transaction = self.transaction.get_or_insert_default();
+        transaction.writer = Some(writer);
+        if write && result.is_ok() {
+            let sql = Arc::clone(&statement.text);
+            transaction.writes.push(Write { sql, params: params.to_vec(), context });
+        }
+        result
+    }
+
+    /// The writer of the transaction, and whether it has not begun yet.
+    async fn take_writer(&mut self) -> Result<(Writer, bool), SqlError> {
+        if let Some(writer) = self.transaction.as_mut().and_then(|tx| tx.writer.take()) {
+            return Ok((writer, false));
+        }
+        let guard = self.backend.interruptible(self.member.writer.lock_arc()).await?;
+        self.backend.writing.store(true, Ordering::SeqCst);
+        Ok((Writer(guard), true))
+    }
+
+    fn context(&mut self) -> Context {
+        self.statements_run += 1;
+        let mut hasher = self.random.build_hasher();
+        hasher.write_u64(self.statements_run);
+        Context { now: sqlite::now(), seed: hasher.finish() }
+    }
+}
+
+fn missing_savepoint(name: &str) -> SqlError {
+    SqlError::new("3B001", format!("savepoint \"{name}\" does not exist"))
+}
--- /dev/null
+++ b/crates/emulator/src/database/session/mod.rs
@@ -0,0 +1,347 @@
+//! Serves one connection after its start-up.
+
+mod execute;
+mod extended;
+
+use std::{
+    collections::HashMap,
+    hash::RandomState,
+    io,
+    sync::{Arc, atomic::Ordering},
+};
+
+use bytes::BytesMut;
+use hibiscusladder_core::position::Position;
+use pgwire::messages::{
+    PgWireBackendMessage as Message, PgWireFrontendMessage as Request,
+    data::{DataRow, FieldDescription, RowDescription},
+    response::{CommandComplete, EmptyQueryResponse, ReadyForQuery, TransactionStatus},
+};
+use rusqlite::types::Value;
+use smol::future::FutureExt;
+
+use super::{
+    error::SqlError,
+    infer::{Column, Types},
+    member::{Activity, Backend, Member, Stop},
+    sql::{self, Statement},
+    sqlite::Rows,
+    transaction::Transaction,
+    value::{self, Format},
+    wire::Wire,
+};
+
+/// A statement that was parsed; `None` for an empty text.
+#[derive(Debug)]
+struct Prepared {
+    statement: Option<Arc<Statement>>,
+    types: Types,
+}
+
+/// A prepared statement with its parameters.
+#[derive(Debug)]
+struct Portal {
+    prepared: Arc<Prepared>,
+    params: Vec<Value>,
+    formats: Vec<i16>,
+    outcome: Option<Outcome>,
+}
+
+/// Result of a statement, of which a part may have been sent.
+#[derive(Debug)]
+struct Outcome {
+    columns: Vec<Column>,
+    rows: std::vec::IntoIter<Vec<Value>>,
+    tag: String,
+}
+
+impl Outcome {
+    fn tag<S>(tag: S) -> Self
+    where
+        S: Into<String>,
+    {
+        Self { columns: Vec::new(), rows: Vec::new().into_iter(), tag: tag.into() }
+    }
+
+    fn rows(rows: Rows, tag: String) -> Self {
+        Self { columns: rows.columns, rows: rows.rows.into_iter(), tag }
+    }
+}
+
+/// Why a connection ends.
+#[derive(Debug)]
+enum End {
+    Io(io::Error),
+    Fatal(SqlError),
+    Stopped(Stop),
+}
+
+impl From<io::Error> for End {
+    fn from(error: io::Error) -> Self {
+        Self::Io(error)
+    }
+}
+
+/// The server's side of a connection.
+#[derive(Debug)]
+pub(crate) struct Session {
+    member: Arc<Member>,
+    backend: Arc<Backend>,
+    wire: Wire,
+    transaction: Option<Transaction>,
+    statements: HashMap<String, Arc<Prepared>>,
+    portals: HashMap<String, Portal>,
+    last_commit: Option<Position>,
+    skip_to_sync: bool,
+    random: RandomState,
+    statements_run: u64,
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        self.transaction = None;
+        self.member.unregister(self.backend.pid);
+    }
+}
+
+impl Session {
+    /// Takes over a connection whose start-up has succeeded.
+    pub(crate) fn new(member: Arc<Member>, backend: Arc<Backend>, wire: Wire) -> Self {
+        Self {
+            member,
+            backend,
+            wire,
+            transaction: None,
+            statements: HashMap::new(),
+            portals: HashMap::new(),
+            last_commit: None,
+            skip_to_sync: false,
+            random: RandomState::new(),
+            statements_run: 0,
+        }
+    }
+
+    /// Serves the connection until it ends.
+    pub(crate) async fn run(mut self) {
+        match self.serve().await {
+            Ok(()) => {}
+            Err(End::Io(error)) => {
+                spdlog::debug!("emulator: connection {} ended: {error}", self.backend.pid);
+            }
+            Err(End::Fatal(error)) => self.push_last(&error).await,
+            Err(End::Stopped(Stop::Crashed)) => {}
+            Err(End::Stopped(Stop::Terminated)) => self.push_last(&SqlError::terminated()).await,
+        }
+    }
+
+    async fn push_last(&mut self, error: &SqlError) {
+        if self.backend.stop_reason() == Some(Stop::Crashed) {
+            return;
+        }
+        let message = Message::ErrorResponse(error.response());
+        if self.wire.push(&message).is_ok() {
+            // The client may have gone already.
+            self.wire.flush().await.ok();
+        }
+    }
+
+    async fn serve(&mut self) -> Result<(), End> {
+        self.ready().await?;
+        while let Some(request) = self.next().await? {
+            self.backend.set_activity(Activity::Active);
+            self.member.runnable(&self.backend.peer).await;
+            if matches!(request, Request::Terminate(_)) {
+                return Ok(());
+            }
+            self.handle(request).await?;
+            if let Some(reason) = self.backend.stop_reason() {
+                return Err(End::Stopped(reason));
+            }
+        }
+        Ok(())
+    }
+
+    async fn next(&mut self) -> Result<Option<Request>, End> {
+        let stopped = self.backend.stopped.clone();
+        let backend = Arc::clone(&self.backend);
+        let stop = async {
+            // The channel carries nothing; it is closed when the backend is stopped.
+            stopped.recv().await.ok();
+            Err(End::Stopped(backend.stop_reason().unwrap_or(Stop::Crashed)))
+        };
+        let read = async { Ok(self.wire.read().await?) };
+        read.or(stop).await
+    }
+
+    async fn handle(&mut self, request: Request) -> Result<(), End> {
+        if self.skip_to_sync && !matches!(request, Request::Sync(_)) {
+            return Ok(());
+        }
+        let result = match request {
+            Request::Query(query) => return self.simple_query(&query.query).await,
+            Request::Sync(_) => return self.sync().await,
+            Request::Flush(_) => return self.flush().await,
+            Request::Parse(parse) => self.parse(parse).await?,
+            Request::Bind(bind) => self.bind(&bind)?,
+            Request::Describe(describe) => self.describe(&describe)?,
+            Request::Execute(execute) => self.execute_portal(&execute).await?,
+            Request::Close(close) => self.close(&close)?,
+            _ => Err(SqlError::fatal("08P01", "the message is not supported")),
+        };
+        if let Err(error) = result {
+            self.skip_to_sync = true;
+            self.fail(&error)?;
+        }
+        Ok(())
+    }
+
+    async fn simple_query(&mut self, text: &str) -> Result<(), End> {
+        self.begin_message(text);
+        let result = match sql::parse(text) {
+            Ok(statements) if statements.is_empty() => {
+                self.wire.push(&Message::EmptyQueryResponse(EmptyQueryResponse::new()))?;
+                Ok(())
+            }
+            Ok(statements) => self.run_all(statements).await?,
+            Err(error) => Err(error),
+        };
+        if let Err(error) = result {
+            self.fail(&error)?;
+        }
+        self.end_implicit().await.or_else(|error| self.fail(&error))?;
+        self.ready().await
+    }
+
+    async fn run_all(&mut self, statements: Vec<Statement>) -> Result<Result<(), SqlError>, End> {
+        let last = statements.len() - 1;
+        for (index, statement) in statements.into_iter().enumerate() {
+            let mut outcome = match self.execute(&Arc::new(statement), &[], &[]).await {
+                Ok(outcome) => outcome,
+                Err(error) => return Ok(Err(error)),
+            };
+            // A client that sees the tag of the last statement may rely on its commit.
+            if index == last
+                && let Err(error) = self.end_implicit().await
+            {
+                return Ok(Err(error));
+            }
+            if !outcome.columns.is_empty() {
+                self.push_row_description(&outcome.columns, &[])?;
+            }
+            if let Err(error) = self.push_rows(&mut outcome, &[], usize::MAX)? {
+                return Ok(Err(error));
+            }
+            self.wire.push(&Message::CommandComplete(CommandComplete::new(outcome.tag)))?;
+        }
+        Ok(Ok(()))
+    }
+
+    async fn sync(&mut self) -> Result<(), End> {
+        self.skip_to_sync = false;
+        self.end_implicit().await.or_else(|error| self.fail(&error))?;
+        self.ready().await
+    }
+
+    fn push_row_description(&mut self, columns: &[Column], formats: &[i16]) -> Result<(), End> {
+        let field = |(index, column): (usize, &Column)| {
+            FieldDescription::new(
+                column.name.clone(),
+                0,
+                0,
+                column.pg_type.oid(),
+                column.pg_type.size(),
+                -1,
+                format_at(formats, index).code(),
+            )
+        };
+        let fields = columns.iter().enumerate().map(field).collect();
+        Ok(self.wire.push(&Message::RowDescription(RowDescription::new(fields)))?)
+    }
+
+    fn push_rows(
+        &mut self,
+        outcome: &mut Outcome,
+        formats: &[i16],
+        limit: usize,
+    ) -> Result<Result<(), SqlError>, End> {
+        for row in outcome.rows.by_ref().take(limit) {
+            let mut data = BytesMut::new();
+            for (index, (value, column)) in row.iter().zip(&outcome.columns).enumerate() {
+                let format = format_at(formats, index);
+                if let Err(error) = value::encode(value, column.pg_type, format, &mut data) {
+                    return Ok(Err(error));
+                }
+            }
+            let count = i16::try_from(row.len()).unwrap_or(i16::MAX);
+            self.wire.push(&Message::DataRow(DataRow::new(data, count)))?;
+        }
+        Ok(Ok(()))
+    }
+
+    fn begin_message(&mut self, text: &str) {
+        self.member.record(text);
+        // A cancellation that arrived after the last statement had ended has no effect.
+        self.backend.cancelled.try_recv().ok();
+    }
+
+    /// Sends an error and marks the transaction as failed.
+    fn fail(&mut self, error: &SqlError) -> Result<(), End> {
+        if let Some(transaction) = &mut self.transaction {
+            transaction.fail();
+        }
+        if error.fatal {
+            return Err(End::Fatal(error.clone()));
+        }
+        Ok(self.wire.push(&Message::ErrorResponse(error.response()))?)
+    }
+
+    /// Ends a transaction that was not begun explicitly.
+    async fn end_implicit(&mut self) -> Result<(), SqlError> {
+        match self.transaction.take_if(|transaction| !transaction.explicit) {
+            Some(transaction) if !transaction.failed => self.commit(transaction).await,
+            _ => Ok(()),
+        }
+    }
+
+    async fn commit(&mut self, transaction: Transaction) -> Result<(), SqlError> {
+        self.backend.writing.store(false, Ordering::SeqCst);
+        self.member.runnable(&self.backend.peer).await;
+        if self.backend.stop_reason().is_some() {
+            return Err(SqlError::terminated());
+        }
+        if let Some(position) = transaction.commit(&self.member)? {
+            self.last_commit = Some(position);
+        }
+        Ok(())
+    }
+
+    async fn ready(&mut self) -> Result<(), End> {
+        let (status, activity) = match &self.transaction {
+            None => (TransactionStatus::Idle, Activity::Idle),
+            Some(transaction) if transaction.failed => {
+                (TransactionStatus::Error, Activity::IdleInFailedTransaction)
+            }
+            Some(_) => (TransactionStatus::Transaction, Activity::IdleInTransaction),
+        };
+        if self.transaction.is_none() {
+            self.portals.clear();
+        }
+        self.wire.push(&Message::ReadyForQuery(ReadyForQuery::new(status)))?;
+        self.backend.set_activity(activity);
+        self.flush().await
+    }
+
+    async fn flush(&mut self) -> Result<(), End> {
+        self.member.runnable(&self.backend.peer).await;
+        if let Some(reason @ Stop::Crashed) = self.backend.stop_reason() {
+            return Err(End::Stopped(reason));
+        }
+        Ok(self.wire.flush().await?)
+    }
+}
+
+/// Format of the value at `index`: one code is valid for all, none means text.
+fn format_at(codes: &[i16], index: usize) -> Format {
+    let code = if codes.len() == 1 { codes.first() } else { codes.get(index) };
+    Format::from_code(code.copied().unwrap_or(0))
+}
--- a/crates/emulator/src/database/sql.rs
+++ b/crates/emulator/src/database/sql.rs
@@ -24,7 +24,9 @@
     Release(String),
     Set,
     Show(String),
-    Discard(&'static str),
+    Discard,
+    /// Forgets one prepared statement, or all.
+    Deallocate(Option<String>),
     Control(Call),
     /// Reads or writes data.
     Data {
@@ -138,8 +140,8 @@
         ["release", ..] => Kind::Release(last_name()),
         ["set" | "reset", ..] => Kind::Set,
         ["show", ..] => Kind::Show(last_name()),
-        ["discard", ..] => Kind::Discard("DISCARD ALL"),
-        ["deallocate", ..] => Kind::Discard("DEALLOCATE ALL"),
+        ["discard", ..] => Kind::Discard,
+        ["deallocate", ..] => Kind::Deallocate(Some(last_name()).filter(|name| name != "all")),
         [
             "listen" | "notify" | "unlisten" | "copy" | "lock" | "declare" | "fetch" | "prepare"
             | "execute",
--- a/crates/emulator/tests/database.rs
+++ b/crates/emulator/tests/database.rs
@@ -233,16 +233,17 @@
     Ok(())
 }
 
-/// Slots bound the statements that run at a time, and a cancellation frees one.
-#[test]
-fn cancel_frees_a_slot() -> TestResult {
+/// Slots bound the statements that run at a time, and a cancellation frees one, whether it waits or computes.
+#[test_case("SELECT pg_sleep(20)"; "waiting")]
+#[test_case("WITH RECURSIVE r(n) AS (SELECT 1 UNION ALL SELECT n + 1 FROM r) SELECT count(*) FROM r"; "computing")]
+fn cancel_frees_a_slot(statement: &'static str) -> TestResult {
     let group = start()?;
     let mut sleepers = Vec::new();
     let mut tokens = Vec::new();
     for _ in 0..2 {
         let mut client = member(&group, "c1")?;
         tokens.push(client.cancel_token());
-        sleepers.push(thread::spawn(move || code(client.batch_execute("SELECT pg_sleep(20)"))));
+        sleepers.push(thread::spawn(move || code(client.batch_execute(statement))));
     }
     let mut observer = member(&group, "c1")?;
     wait_until("both sleep", || group.report("c1").is_some_and(|report| report.active == 2))?;
