feat(proxy): warm up before becoming home, bound the terms in heartbeats

A new process may use no share for 8 s; it now serves clients but becomes home only after that time when other instances are live. Heartbeats carried the terms of all databases, about 40 KB each at 660 of them; they now carry changed ones and a few others. An instance whose address refuses a heartbeat is suspected at once.

--- a/crates/proxy/src/control/configuration.rs
+++ b/crates/proxy/src/control/configuration.rs
@@ -15,13 +15,19 @@
 use crate::{
     clock::sleep,
     node::Node,
-    platform::{ChangeType, Jitter, PlatformClient, PlatformError, StoreEvent, StoredObject},
+    platform::{
+        ChangeType, Jitter, PlatformClient, PlatformError, StoreEvent, StoredObject, random_up_to,
+    },
     rpc::Rpc,
 };
 
 /// Longest wait of a watch, which bounds the age of its proof.
 pub const WATCH_WAIT: Duration = Duration::from_millis(500);
 
+/// Longest wait of a relay between two calls to a store that does not answer. Two relays in each of four data
+/// centres make about 16 calls a second then.
+const RELAY_RETRY: Duration = Duration::from_secs(1);
+
 /// Wait before the next round when no source answered.
 const ROUND_WAIT: Duration = Duration::from_millis(100);
 
@@ -97,6 +103,7 @@
             }
             Err(error) => {
                 let wait = self.store_jitter.failed();
+                let wait = if self.is_relay() { wait.min(random_up_to(RELAY_RETRY)) } else { wait };
                 self.store_due = self.node.now().plus(wait);
                 self.note_store(Some(&error));
                 false
--- a/crates/proxy/src/control/heartbeat.rs
+++ b/crates/proxy/src/control/heartbeat.rs
@@ -16,7 +16,7 @@
     clock::sleep,
     node::{Node, lock},
     platform::{PlatformClient, Registration, RegistrationState, random_up_to},
-    rpc::Rpc,
+    rpc::{Rpc, RpcError},
 };
 
 /// Time between two heartbeats to the same neighbour.
@@ -128,7 +128,12 @@
     let beat = node.heartbeat(&target.id);
     match rpc.heartbeat(&target.rpc, beat).await {
         Ok(answer) => take_answer(&node, &answer, &confirmations, asked),
-        Err(error) => spdlog::debug!("membership: {error}"),
+        Err(error) => {
+            spdlog::debug!("membership: {error}");
+            if let RpcError::NotSent { .. } = error {
+                node.instance_unreachable(&target.id);
+            }
+        }
     }
 }
 
@@ -173,7 +178,7 @@
     }
 }
 
-fn listed_instance(listed: Registration) -> InstanceInfo {
+pub(super) fn listed_instance(listed: Registration) -> InstanceInfo {
     let mut info = InstanceInfo::new(listed.id.as_str(), listed.data_centre.as_str(), &listed.rpc);
     if listed.state == RegistrationState::Leaving {
         info.state = InstanceState::Leaving;
--- a/crates/proxy/src/control/link.rs
+++ b/crates/proxy/src/control/link.rs
@@ -101,7 +101,8 @@
 }
 
 impl MemberLink {
-    /// Connects to the member at `address` within [`CONTROL_TIMEOUT`].
+    /// Connects to the member at `address` within [`CONTROL_TIMEOUT`]; `application` is the name that the member
+    /// shows for the connection.
     ///
     /// # Errors
     ///
@@ -110,9 +111,10 @@
         address: &str,
         database: &str,
         user: &UpstreamSettings,
+        application: &str,
     ) -> Result<Self, LinkError> {
         let address: Arc<str> = Arc::from(address);
-        let connect = Connection::open(&address, database, user);
+        let connect = Connection::open(&address, database, user, application);
         let late = async {
             sleep(CONTROL_TIMEOUT).await;
             Err(lost(&address, "no answer to the start-up"))
@@ -180,6 +182,7 @@
         address: &Arc<str>,
         database: &str,
         user: &UpstreamSettings,
+        application: &str,
     ) -> Result<Self, LinkError> {
         let io_error = |error: io::Error| lost(address, &error.to_string());
         let stream = TcpStream::connect(&**address).await.map_err(io_error)?;
@@ -189,6 +192,7 @@
         let mut startup = Startup::new();
         startup.parameters.insert("user".to_owned(), user.user.clone());
         startup.parameters.insert("database".to_owned(), database.to_owned());
+        startup.parameters.insert("application_name".to_owned(), application.to_owned());
         connection.write(&startup).await?;
         connection.authenticate(user).await?;
         Ok(connection)
--- a/crates/proxy/src/control/members.rs
+++ b/crates/proxy/src/control/members.rs
@@ -148,12 +148,14 @@
         // Spreads the polls of many instances over the interval.
         sleep(random_up_to(POLL_INTERVAL)).await;
         let mut reported = false;
+        let application = format!("{}/{}", self.node.data_centre(), self.node.id());
         loop {
             let started = BootClock.now();
             let database = self.database.as_str();
             let user = &self.node.settings().upstream;
             self.group.poll_sent(&self.record.id, started);
-            let connecting = MemberLink::connect(&self.record.address, database, user);
+            let address = &self.record.address;
+            let connecting = MemberLink::connect(address, database, user, &application);
             match self.while_missing(connecting).await {
                 Ok(link) => {
                     spdlog::info!("home: control connection to member {} is open", self.record.id);
--- a/crates/proxy/src/control/mod.rs
+++ b/crates/proxy/src/control/mod.rs
@@ -22,6 +22,7 @@
 mod service;
 mod statement;
 pub mod status;
+mod warm_up;
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
@@ -67,11 +68,11 @@
         let p = || platform.clone();
         let c = || Arc::clone(confirmations);
         let handover = Handover { node: n(), rpc: rpc.clone() };
+        node.start_warm_up();
+        let announce = announce(n(), p(), rpc.clone(), c());
         let tasks = vec![
             smol::spawn(health::run(n(), p(), health)),
-            smol::spawn(registration::run(n(), p())),
-            smol::spawn(heartbeat::seed(n(), p())),
-            smol::spawn(heartbeat::run(n(), rpc.clone(), c())),
+            smol::spawn(announce),
             smol::spawn(configuration::run(n(), p(), rpc.clone())),
             smol::spawn(status::run(n(), p(), c())),
             smol::spawn(members::run(n(), Arc::clone(&links), handover)),
@@ -110,6 +111,21 @@
     }
 }
 
+/// Makes the instance known to the platform and to other instances once it may become home.
+async fn announce(
+    node: Arc<Node>,
+    platform: PlatformClient,
+    rpc: Rpc,
+    confirmations: Arc<Confirmations>,
+) {
+    warm_up::run(&node, &platform).await;
+    node.finish_warm_up();
+    let registration = registration::run(Arc::clone(&node), platform.clone());
+    let seed = heartbeat::seed(Arc::clone(&node), platform);
+    let heartbeat = heartbeat::run(node, rpc, confirmations);
+    futures::join!(registration, seed, heartbeat);
+}
+
 /// Runs one promotion task for each database that this instance polls.
 async fn run_promotions(node: Arc<Node>, platform: PlatformClient, links: Arc<Links>) {
     let mut tasks: HashMap<Database, Task<()>> = HashMap::new();
--- /dev/null
+++ b/crates/proxy/src/control/warm_up.rs
@@ -0,0 +1,43 @@
+//! Start of an instance in a running fleet.
+//!
+//! A process that finds contracts at its start uses no part of them for [`SHARE_SETTLE`]. If it became home of a
+//! member at once, the requests at this member would be refused for that time, at every restart. So it serves
+//! clients but is not chosen as home until the time has passed, unless no other instance is live.
+
+use std::sync::Arc;
+
+use hibiscusladder_core::share::SHARE_SETTLE;
+use smol::future::FutureExt;
+
+use super::heartbeat::listed_instance;
+use crate::{
+    clock::sleep,
+    node::Node,
+    platform::{PlatformClient, RegistrationState},
+};
+
+/// Waits until the instance may become home.
+pub(crate) async fn run(node: &Arc<Node>, platform: &PlatformClient) {
+    if !others_are_live(node, platform).await {
+        return;
+    }
+    while node.config_revision() == 0 {
+        node.proof_changed().or(node.drain_started()).await;
+        if node.is_draining() {
+            return;
+        }
+    }
+    spdlog::info!("membership: becoming home of members in {} s", SHARE_SETTLE.as_secs());
+    sleep(SHARE_SETTLE).or(node.drain_started()).await;
+}
+
+/// Whether the platform lists other live instances; not when it does not answer.
+async fn others_are_live(node: &Node, platform: &PlatformClient) -> bool {
+    let Ok(listed) = platform.instances().await else { return false };
+    let others = listed.into_iter().filter(|listed| listed.id != *node.id());
+    let live = others.filter(|listed| listed.state == RegistrationState::Live);
+    let infos: Vec<_> = live.map(listed_instance).collect();
+    let found = !infos.is_empty();
+    node.seed_instances(infos);
+    found
+}
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -27,7 +27,7 @@
     collections::HashMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -36,7 +36,7 @@
 use hibiscusladder_core::{
     clock::{Clock, Instant},
     config::{BatchOutcome, Changes, ConfigView, Standing},
-    membership::{Heartbeat, InstanceInfo, Membership, StateChange},
+    membership::{Heartbeat, InstanceInfo, InstanceState, Membership, StateChange, TermInfo},
     name::{DataCentre, Database, InstanceId, MemberId},
 };
 
@@ -53,6 +53,15 @@
     trace::Tracer,
 };
 
+/// Time for which a changed term is part of every heartbeat; ten heartbeats.
+const TERM_NEWS: Duration = Duration::from_secs(5);
+
+/// Changed terms in one heartbeat.
+const MAX_TERMS: usize = 16;
+
+/// Unchanged terms in one heartbeat, so that an instance that missed the news learns of them later.
+const OLD_TERMS: usize = 4;
+
 /// Shared state of one instance.
 #[derive(Debug)]
 pub struct Node {
@@ -72,6 +81,7 @@
     peers_changed: Event,
     draining: AtomicBool,
     drain_started: Event,
+    told_terms: AtomicUsize,
 }
 
 /// Locks `mutex`; the data stays valid when another thread panicked, since updates replace whole snapshots.
@@ -116,6 +126,7 @@
             peers_changed: Event::new(),
             draining: AtomicBool::new(false),
             drain_started: Event::new(),
+            told_terms: AtomicUsize::new(0),
         })
     }
 
@@ -257,6 +268,27 @@
         self.drain_started.listen()
     }
 
+    /// Starts without being chosen as home.
+    pub fn start_warm_up(&self) {
+        self.update_membership(Membership::leave);
+    }
+
+    /// Lets the instance be chosen as home, unless it is leaving by now.
+    pub fn finish_warm_up(&self) {
+        if self.is_draining() {
+            return;
+        }
+        let now = self.now();
+        self.update_membership(|membership| {
+            let mut me = membership.me().clone();
+            me.state = InstanceState::Live;
+            me.incarnation += 1;
+            let known: Vec<InstanceInfo> = membership.instances().skip(1).cloned().collect();
+            *membership = Membership::new(me);
+            membership.seed(known, now);
+        });
+    }
+
     /// Starts to leave: the instance is no longer chosen as home.
     pub fn start_drain(&self) {
         self.draining.store(true, Ordering::Release);
@@ -352,10 +384,23 @@
         let mut beat = lock(&self.membership).heartbeat(to);
         beat.revision = self.config_revision();
         beat.proof_age = self.proof_age();
-        beat.terms = self.groups().values().map(|group| group.term_info()).collect();
+        beat.terms = self.terms_to_tell();
         beat
     }
 
+    /// Terms that changed lately, and a few others in turn; all of them would be too much for one heartbeat.
+    fn terms_to_tell(&self) -> Vec<TermInfo> {
+        let now = self.now();
+        let groups = self.groups();
+        let is_news = |group: &&Arc<Group>| now.since(group.term_changed()) < TERM_NEWS;
+        let news = groups.values().filter(is_news).take(MAX_TERMS);
+        let start = self.told_terms.fetch_add(OLD_TERMS, Ordering::Relaxed);
+        let skip = start.checked_rem(groups.len()).unwrap_or(0);
+        let old = groups.values().filter(|group| !is_news(group)).cycle().skip(skip);
+        let old = old.take(OLD_TERMS.min(groups.len()));
+        news.chain(old).map(|group| group.term_info()).collect()
+    }
+
     /// Changes the known instances; the view is replaced when it differs.
     fn update_membership<F>(&self, change: F)
     where
--- a/crates/proxy/src/node/group.rs
+++ b/crates/proxy/src/node/group.rs
@@ -4,7 +4,7 @@
 
 use event_listener::{Event, EventListener};
 use hibiscusladder_core::{
-    clock::Instant,
+    clock::{Clock, Instant},
     database::{DatabaseRecord, MemberRecord},
     membership::TermInfo,
     name::{Database, MemberId},
@@ -13,6 +13,7 @@
 };
 
 use super::lock;
+use crate::clock::BootClock;
 
 /// Immutable view of a group.
 #[derive(Debug, Clone)]
@@ -86,6 +87,7 @@
 pub struct Group {
     view: Mutex<Arc<GroupView>>,
     changed: Event,
+    term_changed: Mutex<Instant>,
 }
 
 impl Group {
@@ -100,7 +102,11 @@
             term_members: record.term_members.clone(),
             witness: witness(record),
         };
-        Self { view: Mutex::new(Arc::new(view)), changed: Event::new() }
+        Self {
+            view: Mutex::new(Arc::new(view)),
+            changed: Event::new(),
+            term_changed: Mutex::new(BootClock.now()),
+        }
     }
 
     /// The present view.
@@ -118,6 +124,11 @@
         self.changed.listen()
     }
 
+    /// When the term or its primary changed last.
+    pub fn term_changed(&self) -> Instant {
+        *lock(&self.term_changed)
+    }
+
     /// The newest term, to be passed on.
     pub fn term_info(&self) -> TermInfo {
         let view = self.view();
@@ -176,6 +187,9 @@
         let mut guard = lock(&self.view);
         let mut view = GroupView::clone(&guard);
         change(&mut view);
+        if (view.term, &view.primary) != (guard.term, &guard.primary) {
+            *lock(&self.term_changed) = BootClock.now();
+        }
         *guard = Arc::new(view);
         drop(guard);
         self.changed.notify(usize::MAX);
--- a/crates/proxy/src/trace.rs
+++ b/crates/proxy/src/trace.rs
@@ -140,7 +140,7 @@
         if let Some(inner) = &self.inner
             && let Err(error) = inner.provider.shutdown()
         {
-            spdlog::warn!("trace: the last spans were not sent: {error}");
+            spdlog::warn!("entry: the last spans were not sent: {error}");
         }
     }
 }
--- a/hibiscusladder/tests/outages.rs
+++ b/hibiscusladder/tests/outages.rs
@@ -102,3 +102,29 @@
     assert_eq!(count.get::<_, i64>(0), 1);
     installation.wait_for_homes();
 }
+
+/// A restart that refused requests would do so 240 times a day.
+#[test]
+fn replacing_an_instance_refuses_no_request() {
+    let mut installation = Installation::start(&["stgo-a", "stgo-b"]);
+    let key = installation.issue_key();
+    let mut client = installation.instances[0].connect(&key).unwrap();
+    client.batch_execute("CREATE TABLE socios (id INTEGER PRIMARY KEY)").unwrap();
+    installation.add("stgo-b");
+    let start = Instant::now();
+    let mut replaced = false;
+    let mut written = 0_i64;
+    while start.elapsed() < Duration::from_secs(16) {
+        // The new instance takes members over after 8 s; the one that it replaces leaves 4 s later.
+        if !replaced && start.elapsed() > Duration::from_secs(12) {
+            installation.instances[1].process.terminate();
+            replaced = true;
+        }
+        written += 1;
+        client.batch_execute(&format!("INSERT INTO socios VALUES ({written})")).unwrap();
+        let row = client.query_one("SELECT count(*) FROM socios", &[]).unwrap();
+        assert_eq!(row.get::<_, i64>(0), written);
+        thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(installation.instances[1].process.exit_code(), 0);
+}
