test: run platform, database and instances as separate processes

writes_continue_after_the_primary_is_lost still fails: the core claims the next term before the polls show the new primary.

--- a/hibiscusladder/tests/support/mod.rs
+++ b/hibiscusladder/tests/support/mod.rs
@@ -158,6 +158,45 @@
 }
 
 impl Instance {
+    /// Starts an instance that knows the RPC ports `seeds`.
+    pub(crate) fn start(
+        folder: &Folder,
+        id: &str,
+        data_centre: &str,
+        platform: &str,
+        seeds: &[u16],
+    ) -> Self {
+        let (port, rpc, health) = (free_port(), free_port(), free_port());
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"127.0.0.1:{seed}\"")).collect();
+        let settings = format!(
+            r#"
+[instance]
+id = "{id}"
+data_centre = "{data_centre}"
+listen = "127.0.0.1:{port}"
+rpc = "127.0.0.1:{rpc}"
+health = "127.0.0.1:{health}"
+seeds = [{}]
+[platform]
+url = "{platform}"
+[[topology]]
+data_centre = "stgo-a"
+region = "stgo"
+[[topology]]
+data_centre = "stgo-b"
+region = "stgo"
+[upstream]
+user = "proxy"
+password = "proxy"
+"#,
+            seeds.join(", ")
+        );
+        let path = folder.write(&format!("{id}.toml"), &settings);
+        let log = fs::File::create(format!("{path}.log")).unwrap();
+        let process = Process::start(&["serve", "--config", &path], log.into());
+        Self { process, id: id.to_owned(), port, rpc, health }
+    }
+
     /// Status of the instance, when it answers.
     pub(crate) fn status(&self) -> Option<Value> {
         let address = format!("127.0.0.1:{}", self.health);
@@ -174,6 +213,23 @@
     }
 }
 
+/// Waits until the three members have homes with their leases and all instances know each other.
+pub(crate) fn wait_for_homes(instances: &[Instance]) {
+    eventually("a home with a lease for every member", || {
+        let mut leases = 0;
+        for instance in instances {
+            let status = instance.status()?;
+            if status["instances"].as_array()?.len() < instances.len() {
+                return None;
+            }
+            for member in status["databases"][0]["members"].as_array()? {
+                leases += usize::from(member["lease"] == true);
+            }
+        }
+        (leases == 3).then_some(())
+    });
+}
+
 /// Platform, one database of three members and instances in two data centres.
 #[derive(Debug)]
 pub(crate) struct Installation {
@@ -234,54 +290,15 @@
     /// Starts one more instance.
     pub(crate) fn add(&mut self, data_centre: &str) {
         let id = format!("i{}", self.instances.len() + 1);
-        let (port, rpc, health) = (free_port(), free_port(), free_port());
-        let settings = format!(
-            r#"
-[instance]
-id = "{id}"
-data_centre = "{data_centre}"
-listen = "127.0.0.1:{port}"
-rpc = "127.0.0.1:{rpc}"
-health = "127.0.0.1:{health}"
-seeds = [SEEDS]
-[platform]
-url = "{}"
-[[topology]]
-data_centre = "stgo-a"
-region = "stgo"
-[[topology]]
-data_centre = "stgo-b"
-region = "stgo"
-[upstream]
-user = "proxy"
-password = "proxy"
-"#,
-            self.platform.url()
-        );
-        let seeds: Vec<String> =
-            self.instances.iter().map(|other| format!("\"127.0.0.1:{}\"", other.rpc)).collect();
-        let settings = settings.replace("SEEDS", &seeds.join(", "));
-        let path = self.folder.write(&format!("{id}.toml"), &settings);
-        let log = fs::File::create(format!("{path}.log")).unwrap();
-        let process = Process::start(&["serve", "--config", &path], log.into());
-        self.instances.push(Instance { process, id, port, rpc, health });
+        let seeds: Vec<u16> = self.instances.iter().map(|other| other.rpc).collect();
+        let url = self.platform.url();
+        let instance = Instance::start(&self.folder, &id, data_centre, &url, &seeds);
+        self.instances.push(instance);
     }
 
-    /// Waits until each member's home, as all instances see it, has its lease.
+    /// Waits until every member has a home with its lease.
     pub(crate) fn wait_for_homes(&self) {
-        eventually("a home with a lease for every member", || {
-            let mut leases = 0;
-            for instance in &self.instances {
-                let status = instance.status()?;
-                if status["instances"].as_array()?.len() < self.instances.len() {
-                    return None;
-                }
-                for member in status["databases"][0]["members"].as_array()? {
-                    leases += usize::from(member["lease"] == true);
-                }
-            }
-            (leases == 3).then_some(())
-        });
+        wait_for_homes(&self.instances);
     }
 
     /// Waits until all members have the same position; a write that only the primary has is lost with it.
--- a/hibiscusladder/tests/whole_path.rs
+++ b/hibiscusladder/tests/whole_path.rs
@@ -2,9 +2,12 @@
 
 mod support;
 
-use std::{thread, time::Duration};
+use std::{process::Stdio, thread, time::Duration};
 
-use support::{Installation, eventually, succeeds};
+use support::{
+    Folder, Installation, Instance, Process, command, eventually, free_port, succeeds,
+    wait_for_homes,
+};
 
 /// A read through another instance that missed the write would break the session guarantee.
 #[test]
@@ -104,3 +107,48 @@
     assert!(record["term"].as_u64() >= Some(2), "{record}");
     assert_ne!(record["primary"], "padron-1", "{record}");
 }
+
+/// An installation whose parts only work inside one process would not work anywhere else.
+#[test]
+fn whole_path_runs_as_separate_processes() {
+    let folder = Folder::new();
+    let url = format!("http://127.0.0.1:{}", free_port());
+    let listen = url.trim_start_matches("http://");
+    let platform = folder.write("platform.toml", &format!("listen = \"{listen}\"\n"));
+    let mut database =
+        format!("admin = \"127.0.0.1:{}\"\n[[databases]]\nname = \"padron\"\n", free_port());
+    for (index, data_centre) in ["stgo-a", "stgo-b", "stgo-b"].iter().enumerate() {
+        database.push_str(&format!(
+            "[[databases.members]]\nid = \"padron-{}\"\ndata_centre = \"{data_centre}\"\n\
+             listen = \"127.0.0.1:{}\"\n",
+            index + 1,
+            free_port()
+        ));
+    }
+    let database = folder.write("database.toml", &database);
+    let start = |args: &[&str]| Process::start(args, Stdio::null());
+    let _platform = start(&["emulate", "platform", "--config", &platform]);
+    eventually("the platform", || {
+        command(&["status", "--platform", &url]).status.success().then_some(())
+    });
+    let _database = start(&["emulate", "database", "--config", &database, "--platform", &url]);
+    let instances = ["stgo-a", "stgo-b"].map(|data_centre| {
+        Instance::start(&folder, &format!("i-{data_centre}"), data_centre, &url, &[])
+    });
+    wait_for_homes(&instances);
+    let contract = folder.write(
+        "contract.toml",
+        "workspace = \"club-andino\"\ndatabases = [\"padron\"]\nrate = 200\nburst = 100\n",
+    );
+    succeeds(&["contract", "put", "--platform", &url, "--file", &contract]);
+    let issued = succeeds(&["key", "issue", "--platform", &url, "club-andino"]);
+    let key = issued.lines().next().unwrap();
+    let mut writer = instances[0].connect(key).unwrap();
+    writer.batch_execute("CREATE TABLE socios (id INTEGER PRIMARY KEY)").unwrap();
+    writer.execute("INSERT INTO socios VALUES (7)", &[]).unwrap();
+    let mut reader = instances[1].connect(key).unwrap();
+    let row = reader.query_one("SELECT count(*) FROM socios", &[]).unwrap();
+    assert_eq!(row.get::<_, i64>(0), 1);
+    let status = succeeds(&["status", "--platform", &url]);
+    assert!(status.contains("padron-1") && status.contains("fresh"), "{status}");
+}
