--- a/crates/proxy/src/control/promotion.rs
+++ b/crates/proxy/src/control/promotion.rs
@@ -9,7 +9,7 @@
     position::Term,
     promotion::{
         Promotion, PromotionAction, PromotionEvent, PromotionSettings, Publication, StoreAnswer,
-        TermRecord,
+        TermRecord, Timeline,
     },
 };
 use smol::{
@@ -114,13 +114,30 @@
 
     fn take(&self, promotion: &mut Promotion, event: PromotionEvent) {
         let view = self.group.view();
+        let before = promotion.timeline().map(|timeline| timeline.promoted);
         let actions = promotion.handle(event, &view.witness, BootClock.now());
+        if let Some(timeline) = promotion.timeline()
+            && before != Some(timeline.promoted)
+        {
+            self.report(timeline);
+        }
         for action in actions {
             let driver = self.clone();
             smol::spawn(async move { driver.execute(action).await }).detach();
         }
     }
 
+    /// Reports how long the group had no primary, from the last answer of the old one.
+    fn report(&self, timeline: &Timeline) {
+        let gap = timeline.promoted.since(timeline.silent_since);
+        self.node.metrics().time("promotion.gap", gap);
+        spdlog::info!(
+            "promotion: {} has a new primary, {} ms after the last answer of the old one",
+            self.database,
+            gap.as_millis()
+        );
+    }
+
     async fn execute(self, action: PromotionAction) {
         let event = match action {
             PromotionAction::Claim { term } => {
--- a/hibiscusladder/tests/outages.rs
+++ b/hibiscusladder/tests/outages.rs
@@ -9,7 +9,7 @@
 
 use hibiscusladder::emulator::{database::MemberFaults, platform::PlatformFaults};
 use serde_json::Value;
-use support::{Installation, eventually};
+use support::{Installation, eventually, succeeds};
 
 fn outage(installation: &Installation) {
     installation.platform.set_faults(PlatformFaults { outage: true, ..PlatformFaults::default() });
@@ -38,6 +38,52 @@
     assert_eq!(row.get::<_, i64>(0), written);
 }
 
+/// An instance that cannot tell an outage from being cut off could serve a key that was withdrawn.
+#[test]
+fn instance_without_evidence_of_an_outage_refuses_keys() {
+    let installation = Installation::start(&["stgo-a"]);
+    let key = installation.issue_key();
+    let mut client = installation.instances[0].connect(&key).unwrap();
+    client.batch_execute("SELECT 1").unwrap();
+    outage(&installation);
+    let error = eventually("a refusal", || client.batch_execute("SELECT 1").err());
+    assert_eq!(error.code().map(|code| code.code()), Some("57P03"), "{error:?}");
+    assert!(error.as_db_error().unwrap().message().starts_with("not run"), "{error:?}");
+    installation.platform.set_faults(PlatformFaults::default());
+    eventually("a request after the outage", || {
+        let mut client = installation.instances[0].connect(&key).ok()?;
+        client.batch_execute("SELECT 1").ok()
+    });
+}
+
+/// A member that is taken out of service must not be written to while it is repaired.
+#[test]
+fn leaving_primary_is_replaced_and_gets_no_work() {
+    let installation = Installation::start(&["stgo-a", "stgo-b"]);
+    let key = installation.issue_key();
+    let mut client = installation.instances[0].connect(&key).unwrap();
+    client.batch_execute("CREATE TABLE socios (id INTEGER PRIMARY KEY)").unwrap();
+    installation.wait_for_replicas();
+    let url = installation.platform.url();
+    let report = succeeds(&["upstream", "leave", "--platform", &url, "padron-1"]);
+    assert!(report.contains("in force"), "{report}");
+    eventually("another primary", || {
+        let record = smol::block_on(installation.client().get("databases", "padron"));
+        let primary = record.ok()??.value["primary"].clone();
+        (primary.is_string() && primary != "padron-1").then_some(())
+    });
+    eventually("a write through the next primary", || {
+        let mut client = installation.instances[0].connect(&key).ok()?;
+        client.execute("INSERT INTO socios VALUES (1)", &[]).ok()
+    });
+    let mut client = installation.instances[0].connect(&key).unwrap();
+    for _ in 0..20 {
+        client.query("SELECT 'work' FROM socios", &[]).unwrap();
+    }
+    let recent = installation.group.report("padron-1").unwrap().recent;
+    assert!(!recent.iter().any(|statement| statement.contains("'work'")), "{recent:?}");
+}
+
 /// A store outage that blocked promotions would turn the loss of one member into a loss of all writes.
 #[test]
 fn primary_is_replaced_during_an_outage_of_the_store() {
