feat(proxy): tell the home when a handover holds writes back

Group::writes_held is set while the core's promotion waits for a replica that has the whole log of a leaving primary; the request path has to honour it.

--- a/crates/proxy/src/control/promotion.rs
+++ b/crates/proxy/src/control/promotion.rs
@@ -58,6 +58,15 @@
     driver.run(Promotion::new(settings)).await;
 }
 
+/// Lets writes go on when the task ends during a handover.
+struct ReleaseWrites(Arc<Group>);
+
+impl Drop for ReleaseWrites {
+    fn drop(&mut self) {
+        self.0.hold_writes(false);
+    }
+}
+
 #[derive(Clone)]
 struct Driver {
     node: Arc<Node>,
@@ -72,6 +81,7 @@
 
 impl Driver {
     async fn run(self, mut promotion: Promotion) {
+        let _release = ReleaseWrites(Arc::clone(&self.group));
         let mut known: Option<TermRecord> = None;
         let mut handover_asked: Option<Instant> = None;
         loop {
@@ -121,6 +131,7 @@
         {
             self.report(timeline);
         }
+        self.group.hold_writes(promotion.holds_writes());
         for action in actions {
             let driver = self.clone();
             smol::spawn(async move { driver.execute(action).await }).detach();
--- a/crates/proxy/src/node/group.rs
+++ b/crates/proxy/src/node/group.rs
@@ -1,6 +1,9 @@
 //! What an instance knows about one database group.
 
-use std::sync::{Arc, Mutex};
+use std::sync::{
+    Arc, Mutex,
+    atomic::{AtomicBool, Ordering},
+};
 
 use event_listener::{Event, EventListener};
 use hibiscusladder_core::{
@@ -88,6 +91,7 @@
     view: Mutex<Arc<GroupView>>,
     changed: Event,
     term_changed: Mutex<Instant>,
+    writes_held: AtomicBool,
 }
 
 impl Group {
@@ -106,6 +110,7 @@
             view: Mutex::new(Arc::new(view)),
             changed: Event::new(),
             term_changed: Mutex::new(BootClock.now()),
+            writes_held: AtomicBool::new(false),
         }
     }
 
@@ -124,6 +129,18 @@
         self.changed.listen()
     }
 
+    /// Whether the home of the primary holds new writes back, because the primary is about to be replaced.
+    pub fn writes_held(&self) -> bool {
+        self.writes_held.load(Ordering::Acquire)
+    }
+
+    /// Sets whether the home of the primary holds new writes back.
+    pub fn hold_writes(&self, held: bool) {
+        if self.writes_held.swap(held, Ordering::AcqRel) != held {
+            self.changed.notify(usize::MAX);
+        }
+    }
+
     /// When the term or its primary changed last.
     pub fn term_changed(&self) -> Instant {
         *lock(&self.term_changed)
--- a/hibiscusladder/tests/whole_path.rs
+++ b/hibiscusladder/tests/whole_path.rs
@@ -95,6 +95,7 @@
     client.batch_execute("CREATE TABLE pagos (id INTEGER PRIMARY KEY)").unwrap();
     client.execute("INSERT INTO pagos VALUES (1)", &[]).unwrap();
 
+    installation.wait_for_replicas();
     let faults =
         hibiscusladder::emulator::database::MemberFaults { frozen: true, ..Default::default() };
     assert!(installation.group.set_faults("padron-1", faults));
