--- a/crates/proxy/src/control/promotion.rs
+++ b/crates/proxy/src/control/promotion.rs
@@ -9,7 +9,7 @@
     position::Term,
     promotion::{
         Promotion, PromotionAction, PromotionEvent, PromotionSettings, Publication, StoreAnswer,
-        TermRecord,
+        TermRecord, Timeline,
     },
 };
 use smol::{
@@ -58,6 +58,15 @@
     driver.run(Promotion::new(settings)).await;
 }
 
+/// Lets writes go on when the task ends during a handover.
+struct ReleaseWrites(Arc<Group>);
+
+impl Drop for ReleaseWrites {
+    fn drop(&mut self) {
+        self.0.hold_writes(false);
+    }
+}
+
 #[derive(Clone)]
 struct Driver {
     node: Arc<Node>,
@@ -72,6 +81,7 @@
 
 impl Driver {
     async fn run(self, mut promotion: Promotion) {
+        let _release = ReleaseWrites(Arc::clone(&self.group));
         let mut known: Option<TermRecord> = None;
         let mut handover_asked: Option<Instant> = None;
         loop {
@@ -114,13 +124,31 @@
 
     fn take(&self, promotion: &mut Promotion, event: PromotionEvent) {
         let view = self.group.view();
+        let before = promotion.timeline().map(|timeline| timeline.promoted);
         let actions = promotion.handle(event, &view.witness, BootClock.now());
+        if let Some(timeline) = promotion.timeline()
+            && before != Some(timeline.promoted)
+        {
+            self.report(timeline);
+        }
+        self.group.hold_writes(promotion.holds_writes());
         for action in actions {
             let driver = self.clone();
             smol::spawn(async move { driver.execute(action).await }).detach();
         }
     }
 
+    /// Reports how long the group had no primary, from the last answer of the old one.
+    fn report(&self, timeline: &Timeline) {
+        let gap = timeline.promoted.since(timeline.silent_since);
+        self.node.metrics().time("promotion.gap", gap);
+        spdlog::info!(
+            "promotion: {} has a new primary, {} ms after the last answer of the old one",
+            self.database,
+            gap.as_millis()
+        );
+    }
+
     async fn execute(self, action: PromotionAction) {
         let event = match action {
             PromotionAction::Claim { term } => {
--- a/crates/proxy/src/node/group.rs
+++ b/crates/proxy/src/node/group.rs
@@ -1,10 +1,13 @@
 //! What an instance knows about one database group.
 
-use std::sync::{Arc, Mutex};
+use std::sync::{
+    Arc, Mutex,
+    atomic::{AtomicBool, Ordering},
+};
 
 use event_listener::{Event, EventListener};
 use hibiscusladder_core::{
-    clock::Instant,
+    clock::{Clock, Instant},
     database::{DatabaseRecord, MemberRecord},
     membership::TermInfo,
     name::{Database, MemberId},
@@ -13,6 +16,7 @@
 };
 
 use super::lock;
+use crate::clock::BootClock;
 
 /// Immutable view of a group.
 #[derive(Debug, Clone)]
@@ -86,6 +90,8 @@
 pub struct Group {
     view: Mutex<Arc<GroupView>>,
     changed: Event,
+    term_changed: Mutex<Instant>,
+    writes_held: AtomicBool,
 }
 
 impl Group {
@@ -100,7 +106,12 @@
             term_members: record.term_members.clone(),
             witness: witness(record),
         };
-        Self { view: Mutex::new(Arc::new(view)), changed: Event::new() }
+        Self {
+            view: Mutex::new(Arc::new(view)),
+            changed: Event::new(),
+            term_changed: Mutex::new(BootClock.now()),
+            writes_held: AtomicBool::new(false),
+        }
     }
 
     /// The present view.
@@ -118,6 +129,23 @@
         self.changed.listen()
     }
 
+    /// Whether the home of the primary holds new writes back, because the primary is about to be replaced.
+    pub fn writes_held(&self) -> bool {
+        self.writes_held.load(Ordering::Acquire)
+    }
+
+    /// Sets whether the home of the primary holds new writes back.
+    pub fn hold_writes(&self, held: bool) {
+        if self.writes_held.swap(held, Ordering::AcqRel) != held {
+            self.changed.notify(usize::MAX);
+        }
+    }
+
+    /// When the term or its primary changed last.
+    pub fn term_changed(&self) -> Instant {
+        *lock(&self.term_changed)
+    }
+
     /// The newest term, to be passed on.
     pub fn term_info(&self) -> TermInfo {
         let view = self.view();
@@ -176,6 +204,9 @@
         let mut guard = lock(&self.view);
         let mut view = GroupView::clone(&guard);
         change(&mut view);
+        if (view.term, &view.primary) != (guard.term, &guard.primary) {
+            *lock(&self.term_changed) = BootClock.now();
+        }
         *guard = Arc::new(view);
         drop(guard);
         self.changed.notify(usize::MAX);
