--- /dev/null
+++ b/crates/core/examples/replica_share.rs
@@ -0,0 +1,290 @@
+//! Simulates sessions that read and write through 8 instances, and prints the share of reads that replicas serve
+//! under four policies and four replication lags.
+//!
+//! Run with `cargo run --release -p hibiscusladder-core --example replica_share`.
+
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
+
+use hibiscusladder_core::{
+    clock::Instant,
+    name::{DataCentre, MemberId},
+    position::{Lsn, Position, Term},
+    read_route::{ReadDecision, ReadNeed, ReadRouter, Replica},
+    request::StatementClass,
+    session::Session,
+    witness::{POLL_INTERVAL, PositionProof},
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const SEED: u64 = 1;
+const RUN: Duration = Duration::from_secs(120);
+const INSTANCES: usize = 8;
+const WORKSPACES: usize = 8;
+const SESSIONS: usize = 400;
+/// Mean time between two statements of a session.
+const THINK: Duration = Duration::from_millis(500);
+const WRITE_SHARE: f64 = 0.1;
+/// Share of statements before which the session moves to another instance; every second move loses the token.
+const MOVE_SHARE: f64 = 0.05;
+/// Time between two messages in which instances tell each other the positions of the workspaces.
+const SPREAD_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two questions for the position of a replica that a read waits for.
+const WAIT_STEP: Duration = Duration::from_millis(10);
+const LAGS_MS: [u64; 4] = [0, 50, 500, 5000];
+const DATA_CENTRES: [&str; 3] = ["bern-nord", "solothurn", "lausanne-ost"];
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Policy {
+    /// Every read goes to the primary.
+    Primary,
+    /// Instances tell each other the newest position of every workspace; reads need the one that is known.
+    Spread,
+    /// Every read asks for the primary's position first, in batches.
+    ReadIndex,
+    /// Reads need the session's own position; sessions without one ask once.
+    Token,
+}
+
+const POLICIES: [(Policy, &str); 4] = [
+    (Policy::Primary, "primary for all"),
+    (Policy::Spread, "positions spread between instances"),
+    (Policy::ReadIndex, "batched read index"),
+    (Policy::Token, "session token"),
+];
+
+/// What one run counted.
+#[derive(Debug, Default)]
+struct Counts {
+    reads: u64,
+    on_replicas: u64,
+    /// Reads that did not include a write of their own session.
+    missing: u64,
+    /// Reads that had to ask for the primary's position.
+    questions: u64,
+    waited: Duration,
+}
+
+struct Client {
+    instance: usize,
+    workspace: usize,
+    session: Session,
+    /// Position of the last own write, whether or not the client still has its token.
+    written: u64,
+    waiting: Option<Waiting>,
+}
+
+/// A read that waits for a replica.
+struct Waiting {
+    arrived: Duration,
+    need: ReadNeed,
+    /// Replica that was asked for its position.
+    asked: Option<MemberId>,
+}
+
+struct Run {
+    policy: Policy,
+    lag: Duration,
+    rng: StdRng,
+    /// Commit time and workspace of every write.
+    log: Vec<(Duration, usize)>,
+    routers: Vec<ReadRouter>,
+    polled: Vec<Duration>,
+    clients: Vec<Client>,
+    counts: Counts,
+}
+
+fn main() {
+    println!("{SESSIONS} sessions, {INSTANCES} instances, {} s, seed {SEED}\n", RUN.as_secs());
+    println!(
+        "| policy | lag | reads on replicas | own write missing | questions per read | mean wait |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for (policy, name) in POLICIES {
+        for lag in LAGS_MS {
+            let counts = Run::new(policy, Duration::from_millis(lag)).finish();
+            let reads = counts.reads as f64;
+            let share = 100.0 * counts.on_replicas as f64 / reads;
+            let questions = counts.questions as f64 / reads;
+            let wait = counts.waited.as_secs_f64() * 1000.0 / reads;
+            let missing = counts.missing;
+            println!(
+                "| {name} | {lag} ms | {share:.1}% | {missing} | {questions:.2} | {wait:.1} ms |"
+            );
+        }
+    }
+}
+
+fn member(index: usize) -> MemberId {
+    MemberId::from(["a", "b", "c"][index])
+}
+
+fn position(lsn: u64) -> Position {
+    Position::new(Term(1), Lsn(lsn))
+}
+
+fn router(instance: usize) -> ReadRouter {
+    let region = [DATA_CENTRES[0], DATA_CENTRES[1]].map(DataCentre::from);
+    let mut router = ReadRouter::new(DATA_CENTRES[instance % 3].into());
+    if instance % 3 < 2 {
+        router = router.region(region);
+    }
+    for (index, data_centre) in DATA_CENTRES.iter().enumerate() {
+        router.add(Replica::new(member(index), (*data_centre).into()));
+    }
+    router.set_primary(Some((member(0), Term(1))));
+    router
+}
+
+impl Run {
+    fn new(policy: Policy, lag: Duration) -> Self {
+        let client = |index: usize| Client {
+            instance: index % INSTANCES,
+            workspace: index % WORKSPACES,
+            session: Session::new(),
+            written: 0,
+            waiting: None,
+        };
+        Self {
+            policy,
+            lag,
+            rng: StdRng::seed_from_u64(SEED),
+            log: Vec::new(),
+            routers: (0..INSTANCES).map(router).collect(),
+            polled: vec![Duration::ZERO; INSTANCES],
+            clients: (0..SESSIONS).map(client).collect(),
+            counts: Counts::default(),
+        }
+    }
+
+    fn finish(mut self) -> Counts {
+        let mut queue: BinaryHeap<Reverse<(Duration, usize)>> =
+            (0..SESSIONS).map(|session| Reverse((self.think(), session))).collect();
+        while let Some(Reverse((now, session))) = queue.pop() {
+            if now > RUN {
+                break;
+            }
+            let waits = match self.clients[session].waiting.take() {
+                Some(read) => self.read(session, read, now),
+                None => self.step(session, now),
+            };
+            let pause = if waits { WAIT_STEP } else { self.think() };
+            queue.push(Reverse((now + pause, session)));
+        }
+        self.counts
+    }
+
+    fn think(&mut self) -> Duration {
+        let uniform: f64 = self.rng.random_range(f64::EPSILON..1.0);
+        THINK.mul_f64(-uniform.ln())
+    }
+
+    /// Takes the next statement of a session; returns whether it waits.
+    fn step(&mut self, session: usize, now: Duration) -> bool {
+        let moves = self.rng.random_bool(MOVE_SHARE);
+        let (instance, keeps) = (self.rng.random_range(0..INSTANCES), self.rng.random_bool(0.5));
+        let writes = self.rng.random_bool(WRITE_SHARE);
+        let client = &mut self.clients[session];
+        if moves {
+            client.instance = instance;
+            if !keeps {
+                client.session = Session::new();
+            }
+        }
+        if writes {
+            self.log.push((now, client.workspace));
+            client.written = self.log.len() as u64;
+            client.session.committed(position(client.written));
+            return false;
+        }
+        self.counts.reads += 1;
+        let need = self.need(session, now);
+        self.read(session, Waiting { arrived: now, need, asked: None }, now)
+    }
+
+    /// Routes a read; returns whether it waits.
+    fn read(&mut self, session: usize, read: Waiting, now: Duration) -> bool {
+        let instance = self.clients[session].instance;
+        self.poll(instance, now);
+        let present = Instant::new(now);
+        if let Some(replica) = &read.asked {
+            let reached = position(self.applied(now));
+            self.routers[instance].observe(replica, reached, present);
+        }
+        let arrived = Instant::new(read.arrived);
+        match self.routers[instance].route(read.need, arrived, present) {
+            ReadDecision::Wait { member, .. } => {
+                let asked = Some(member);
+                self.clients[session].waiting = Some(Waiting { asked, ..read });
+                return true;
+            }
+            ReadDecision::Replica { .. } => {
+                self.counts.on_replicas += 1;
+                let seen = self.applied(now);
+                self.counts.missing += u64::from(seen < self.clients[session].written);
+            }
+            ReadDecision::Primary { .. } | ReadDecision::Refuse(_) => {}
+        }
+        self.counts.waited += now - read.arrived;
+        false
+    }
+
+    fn need(&mut self, session: usize, now: Duration) -> ReadNeed {
+        let client = &mut self.clients[session];
+        match self.policy {
+            Policy::Primary => ReadNeed::Primary,
+            Policy::Spread => {
+                let heard = spread_until(client.instance, now);
+                let known = |(at, workspace): &(Duration, usize)| {
+                    *workspace == client.workspace && *at <= heard
+                };
+                let lsn = self.log.iter().rposition(known).map_or(0, |index| index as u64 + 1);
+                ReadNeed::Position(position(lsn))
+            }
+            Policy::ReadIndex => {
+                self.counts.questions += 1;
+                ReadNeed::Position(position(self.log.len() as u64))
+            }
+            Policy::Token => match client.session.need(StatementClass::Read) {
+                ReadNeed::ReadIndex => {
+                    self.counts.questions += 1;
+                    client.session.proved(position(self.log.len() as u64));
+                    client.session.need(StatementClass::Read)
+                }
+                need => need,
+            },
+        }
+    }
+
+    /// Lets the instance take over the answers to its last poll.
+    fn poll(&mut self, instance: usize, now: Duration) {
+        let at = last_tick(instance, now, POLL_INTERVAL);
+        if at <= self.polled[instance] {
+            return;
+        }
+        self.polled[instance] = at;
+        let committed = self.log.partition_point(|(commit, _)| *commit <= at);
+        let applied = position(self.applied(at));
+        let router = &mut self.routers[instance];
+        let sent = Instant::new(at);
+        router.prove(PositionProof { sent, position: position(committed as u64) });
+        for replica in 1..3 {
+            router.observe(&member(replica), applied, sent);
+        }
+    }
+
+    /// Log offset that the replicas have reached.
+    fn applied(&self, now: Duration) -> u64 {
+        self.log.partition_point(|(commit, _)| *commit + self.lag <= now) as u64
+    }
+}
+
+/// Last multiple of `interval` before `now`, with a phase that differs between instances.
+fn last_tick(instance: usize, now: Duration, interval: Duration) -> Duration {
+    let phase = interval * u32::try_from(instance).unwrap_or(0) / 8;
+    let ticks = now.saturating_sub(phase).as_micros() / interval.as_micros();
+    phase + interval * u32::try_from(ticks).unwrap_or(0)
+}
+
+fn spread_until(instance: usize, now: Duration) -> Duration {
+    last_tick(instance, now, SPREAD_INTERVAL)
+}
--- a/crates/core/src/home_lease.rs
+++ b/crates/core/src/home_lease.rs
@@ -3,7 +3,8 @@
 //! The right depends on a session-level advisory lock at the member itself and on polls over the connection that
 //! holds the lock. A poll that was answered proves that the lock was still held after the poll was sent, so the
 //! lease is valid for the window from that time. A successor terminates the connection of an unresponsive holder,
-//! takes the lock and waits for the window, extended by the drift bound, before it uses the lease.
+//! takes the lock and waits for the window, extended by the drift bound; a poll that is sent after the wait and
+//! answered makes the lease valid.
 //!
 //! # Example
 //!
@@ -101,19 +102,13 @@
     Stopping,
 }
 
-/// A period in which this instance may use the lease.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Validity {
-    from: Instant,
-    until: Instant,
-}
-
 /// State machine of the lease of one instance on one member.
 #[derive(Debug, Clone)]
 pub struct HomeLease {
     window: Duration,
     state: State,
-    validity: Option<Validity>,
+    /// End of the last period in which the lease was valid.
+    valid_until: Option<Instant>,
     /// Time at which the announcement of the last holder arrived.
     handed_over: Option<Instant>,
     terminate: bool,
@@ -127,7 +122,7 @@
         Self {
             window,
             state: State::Disconnected,
-            validity: None,
+            valid_until: None,
             handed_over: None,
             terminate: false,
         }
@@ -155,7 +150,7 @@
     pub fn valid(&self, now: Instant) -> bool {
         match self.state {
             State::Held { usable_from, polled } => {
-                now >= usable_from && now.since(polled) < self.window
+                polled >= usable_from && now.since(polled) < self.window
             }
             _ => false,
         }
@@ -166,7 +161,7 @@
         matches!(self.state, State::Held { .. } | State::Stopping)
     }
 
-    /// Time from which the lease may be used, while the lock is held.
+    /// Time from which an answered poll makes the lease valid, while the lock is held.
     pub const fn usable_from(&self) -> Option<Instant> {
         match self.state {
             State::Held { usable_from, .. } => Some(usable_from),
@@ -183,7 +178,7 @@
         if self.state != State::Locking {
             return None;
         }
-        let usable_from = self.usable_after_taking(now);
+        let usable_from = self.usable_after_taking(sent, now);
         self.state = State::Held { usable_from, polled: sent };
         self.handed_over = None;
         self.terminate = false;
@@ -192,16 +187,13 @@
     }
 
     /// A free lock does not prove that its last holder stopped: its connection may have been lost a moment ago.
-    /// A handover within the window or the own unexpired lease does, because an instance that took the lock in
-    /// between has to wait for the window first.
-    fn usable_after_taking(&self, now: Instant) -> Instant {
-        if self.handed_over.is_some_and(|announced| now.since(announced) < self.window) {
-            return now;
-        }
-        match self.validity {
-            Some(validity) if now < validity.until => now.max(validity.from),
-            _ => now.plus(with_drift(self.window)),
-        }
+    /// A handover within the window or the own unexpired lease does. An instance that took the lock in between and
+    /// lost it cannot use it later either, because a lease needs a poll that was answered after the wait.
+    fn usable_after_taking(&self, sent: Instant, now: Instant) -> Instant {
+        let handed_over =
+            self.handed_over.is_some_and(|announced| now.since(announced) < self.window);
+        let own = self.valid_until.is_some_and(|until| now < until);
+        if handed_over || own { sent } else { now.plus(with_drift(self.window)) }
     }
 
     fn busy(&mut self) -> Option<LeaseAction> {
@@ -250,7 +242,7 @@
     }
 
     fn stop(&mut self) -> Option<LeaseAction> {
-        self.validity = None;
+        self.valid_until = None;
         self.terminate = false;
         self.state = if self.holds_lock() { State::Stopping } else { State::Disconnected };
         None
@@ -267,12 +259,11 @@
         (self.state == State::Busy).then(|| self.try_lock()).flatten()
     }
 
-    /// Remembers the period of the lease, once it has been usable at all.
+    /// Remembers how long the lease lasts, once it is valid at all.
     fn note_validity(&mut self) {
         let State::Held { usable_from, polled } = self.state else { return };
-        let until = polled.plus(self.window);
-        if usable_from < until {
-            self.validity = Some(Validity { from: usable_from, until });
+        if polled >= usable_from {
+            self.valid_until = Some(polled.plus(self.window));
         }
     }
 }
--- a/crates/core/src/read_route.rs
+++ b/crates/core/src/read_route.rs
@@ -88,7 +88,8 @@
     Replica {
         /// Member that serves the read.
         member: MemberId,
-        /// Term whose gate has to be open when the answer is released.
+        /// Term whose gate has to be open when the answer is released; of no meaning for a need of
+        /// [age](ReadNeed::Age), which the proof already covers.
         term: Term,
     },
     /// Nowhere yet: ask `member` for its position, [observe](ReadRouter::observe) it and route again, until the time.
--- /dev/null
+++ b/crates/core/tests/reads.rs
@@ -0,0 +1,172 @@
+//! Sessions, their lost writes, and the choice of the member for a read.
+
+#[allow(dead_code, reason = "other tests use the rest")]
+mod support;
+
+use std::time::Duration;
+
+use hibiscusladder_core::{
+    outcome::RefusalKind,
+    position::{Position, Term},
+    read_index::{READ_INDEX_TIMEOUT, ReadIndex, ReadIndexAnswer},
+    read_route::{LEAVING_GRACE, ReadDecision, ReadNeed, ReadRouter, Replica},
+    session::Session,
+    term_history::{Fate, TermHistory},
+    witness::{Gate, PositionProof},
+};
+use support::{at, position};
+use test_case::test_case;
+
+const KEPT: Fate = Fate::Kept;
+
+const fn lost(term_start: Position) -> Fate {
+    Fate::Lost { term_start }
+}
+
+fn history(starts: &[(u64, Position)]) -> TermHistory {
+    let mut history = TermHistory::default();
+    for (term, start) in starts {
+        history.record(Term(*term), *start);
+    }
+    history
+}
+
+/// Guards against lost writes that are taken for kept, also over several promotions and terms that left no trace in
+/// the log.
+#[test_case(&[], position(1, 5), KEPT; "nothing is known")]
+#[test_case(&[(2, position(1, 90))], position(1, 90), KEPT; "at the start of the next term")]
+#[test_case(&[(2, position(1, 90))], position(1, 91), lost(position(1, 90)); "past the start of the next term")]
+#[test_case(&[(2, position(1, 90)), (3, position(2, 200))], position(1, 95), lost(position(1, 90)); "lost two terms ago")]
+#[test_case(&[(2, position(1, 90)), (3, position(1, 95))], position(2, 94), lost(position(1, 90)); "its term was left out")]
+#[test_case(&[(2, position(1, 90)), (3, position(1, 95))], position(1, 93), KEPT; "kept by the term that was continued")]
+#[test_case(&[(4, position(3, 95))], position(1, 10), lost(position(0, 0)); "terms in between are unknown")]
+#[test_case(&[(2, position(2, 90))], position(1, 10), lost(position(0, 0)); "the continued term is unknown")]
+#[test_case(&[(2, position(2, 90)), (2, position(1, 90))], position(1, 10), KEPT; "the continued term is learned later")]
+#[test_case(&[(2, position(1, 90))], position(3, 10), KEPT; "newer than everything known")]
+fn fate_follows_line_of_terms(starts: &[(u64, Position)], written: Position, expected: Fate) {
+    assert_eq!(history(starts).fate(written), expected);
+}
+
+/// Guards against a loss that is not reported, or reported twice.
+#[test]
+fn session_reports_loss_once_also_after_it_moved_on() {
+    let mut session = Session::with_position(position(1, 95));
+    session.committed(position(2, 120));
+    assert_eq!(session.check(&TermHistory::default()), None);
+    let history = history(&[(2, position(1, 90))]);
+    let kind = RefusalKind::WriteLost { lost: position(1, 95), term_start: position(1, 90) };
+    assert_eq!(session.check(&history), Some(kind));
+    assert_eq!(session.check(&history), None);
+    assert_eq!(session.position(), Some(position(2, 120)));
+}
+
+/// Router of an instance in data centre `near`, with primary `a` of term 2 that is at 2:100, and replicas `b` (near)
+/// and `c` (in the region) at the given positions.
+fn router(b: Position, c: Position) -> ReadRouter {
+    let mut router = ReadRouter::new("near".into()).region(["near".into(), "middle".into()]);
+    for (member, data_centre) in [("a", "far"), ("b", "near"), ("c", "middle")] {
+        router.add(Replica::new(member.into(), data_centre.into()));
+    }
+    router.record_term(Term(2), position(1, 90));
+    router.set_primary(Some(("a".into(), Term(2))));
+    router.observe(&"a".into(), position(2, 100), at(0));
+    router.prove(PositionProof { sent: at(0), position: position(2, 100) });
+    router.observe(&"b".into(), b, at(10));
+    router.observe(&"c".into(), c, at(10));
+    router
+}
+
+fn replica(member: &str) -> ReadDecision {
+    ReadDecision::Replica { member: member.into(), term: Term(2) }
+}
+
+fn primary() -> ReadDecision {
+    ReadDecision::Primary { member: "a".into(), term: Term(2) }
+}
+
+/// Guards against reads on replicas that lack the session's writes, and replicas that are passed over.
+#[test_case(position(2, 100), position(2, 100), 50, replica("b"); "nearest replica that has it")]
+#[test_case(position(2, 99), position(2, 100), 50, replica("c"); "replica of the region")]
+#[test_case(position(2, 99), position(2, 99), 60, primary(); "primary when the wait is over")]
+#[test_case(position(1, 120), position(1, 120), 60, primary(); "old term is behind whatever its offset")]
+#[test_case(position(3, 120), position(2, 99), 60, primary(); "log that was left out is not compared")]
+fn route_needs_position(b: Position, c: Position, now: u64, expected: ReadDecision) {
+    let need = ReadNeed::Position(position(2, 100));
+    assert_eq!(router(b, c).route(need, at(10), at(now)), expected);
+}
+
+/// Guards against waiting for replicas that cannot catch up in time.
+#[test]
+fn route_waits_only_for_replica_that_is_close() {
+    let mut router = router(position(2, 99), position(1, 1));
+    let need = ReadNeed::Position(position(2, 100));
+    assert_eq!(router.route(need, at(10), at(20)), primary());
+    router.prove(PositionProof { sent: at(5), position: position(2, 101) });
+    router.observe(&"b".into(), position(2, 100), at(20));
+    let need = ReadNeed::Position(position(2, 101));
+    let wait = ReadDecision::Wait { member: "b".into(), until: at(70) };
+    assert_eq!(router.route(need, at(20), at(30)), wait);
+}
+
+/// Guards against reads that a session's newer term would contradict, and against reads without any primary.
+#[test]
+fn route_refuses_unknown_term() {
+    let mut router = router(position(2, 100), position(2, 100));
+    let refused = ReadDecision::Refuse(RefusalKind::NoMember);
+    assert_eq!(router.route(ReadNeed::Position(position(3, 1)), at(10), at(10)), refused);
+    router.set_primary(Some(("a".into(), Term(3))));
+    assert_eq!(router.route(ReadNeed::Position(position(2, 50)), at(10), at(10)), refused);
+    router.set_primary(None);
+    assert_eq!(router.route(ReadNeed::Primary, at(10), at(10)), refused);
+}
+
+/// Guards against stale reads on data that is older than allowed or whose age is not proved.
+#[test_case(position(2, 100), 60, replica("b"); "age is proved")]
+#[test_case(position(2, 99), 60, primary(); "nothing proves the age")]
+#[test_case(position(2, 100), 500, primary(); "proof is too old")]
+fn route_needs_proved_age(b: Position, now: u64, expected: ReadDecision) {
+    let need = ReadNeed::Age(Duration::from_millis(100));
+    let mut router = router(b, position(2, 1));
+    assert_eq!(router.route(need, at(now), at(now)), expected);
+    router.set_primary(None);
+    router.remove(&"a".into());
+    let proved = matches!(expected, ReadDecision::Replica { .. });
+    let without = router.route(need, at(now), at(now));
+    assert_eq!(without == ReadDecision::Refuse(RefusalKind::StaleReadUnproved), !proved);
+}
+
+/// Guards against new work for leaving or silent upstreams.
+#[test]
+fn route_avoids_leaving_and_silent_members() {
+    let mut router = router(position(2, 100), position(2, 100));
+    let need = ReadNeed::Position(position(2, 100));
+    router.set_leaving(&"b".into(), true, at(20));
+    assert_eq!(router.route(need, at(20), at(20)), replica("c"));
+    assert_eq!(router.route(need, at(1010), at(1010)), primary());
+    router.set_leaving(&"a".into(), true, at(1010));
+    assert_eq!(router.route(need, at(1010), at(1020)), primary());
+    let late = at(1010).plus(LEAVING_GRACE);
+    let refused = ReadDecision::Refuse(RefusalKind::NoMember);
+    assert_eq!(router.route(need, late, late), refused);
+}
+
+/// Guards against readers that share the answer to a question that was sent before they arrived, and against answers
+/// of a replaced primary.
+#[test]
+fn read_index_answers_only_earlier_readers_with_open_gate() {
+    let mut index = ReadIndex::new();
+    index.ask(1);
+    index.ask(2);
+    let first = index.send(at(0)).expect("two readers wait");
+    index.ask(3);
+    let second = index.send(at(1)).expect("one reader waits");
+    let unconfirmed = ReadIndexAnswer::Unconfirmed;
+    assert_eq!(index.answered(second, position(1, 9), Gate::Closed), [(3, unconfirmed)]);
+    let answer = ReadIndexAnswer::Position(position(1, 7));
+    assert_eq!(index.answered(first, position(1, 7), Gate::Open), [(1, answer), (2, answer)]);
+    assert_eq!(index.answered(first, position(1, 7), Gate::Open), []);
+
+    index.ask(4);
+    index.send(at(10)).expect("one reader waits");
+    assert_eq!(index.expire(at(10).plus(READ_INDEX_TIMEOUT)), [(4, unconfirmed)]);
+}
