--- a/crates/core/examples/group/run.rs
+++ b/crates/core/examples/group/run.rs
@@ -357,6 +357,7 @@
 
     pub(super) fn learn_start(&mut self, home: usize, start: Option<(Term, Position)>) {
         if let Some((term, start)) = start {
+            self.homes[home].witness.record_term(term, start);
             self.homes[home].router.record_term(term, start);
         }
     }
--- a/crates/core/src/witness.rs
+++ b/crates/core/src/witness.rs
@@ -65,6 +65,9 @@
 /// Number of the witness's proofs of the primary's position that are kept; 64 cover 16 s of polls.
 const MAX_PROOFS: usize = 64;
 
+/// Unanswered polls of a member whose sending times are kept; older ones only count.
+const MAX_UNANSWERED: usize = 16;
+
 /// Whether acknowledgements under a term may be released.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Gate {
@@ -110,7 +113,7 @@
     answered: Option<Instant>,
     /// Sending times of the polls after the newest one that was answered, oldest first.
     unanswered: Vec<Instant>,
-    /// Polls after the newest answer that failed before they were due.
+    /// Polls after the newest answer that failed before they were due, or are no longer listed.
     failed: u32,
 }
 
@@ -143,6 +146,10 @@
     pub fn poll_sent(&mut self, member: &MemberId, sent: Instant) {
         if let Some(state) = self.states.get_mut(member) {
             state.unanswered.push(sent);
+            if state.unanswered.len() > MAX_UNANSWERED {
+                state.unanswered.remove(0);
+                state.failed = state.failed.saturating_add(1);
+            }
         }
     }
 
@@ -231,7 +238,7 @@
     pub fn missed(&self, member: &MemberId, now: Instant) -> u32 {
         let Some(state) = self.states.get(member) else { return 0 };
         let overdue = state.unanswered.iter().filter(|sent| now.since(**sent) >= POLL_INTERVAL);
-        state.failed + u32::try_from(overdue.count()).unwrap_or(u32::MAX)
+        state.failed.saturating_add(u32::try_from(overdue.count()).unwrap_or(u32::MAX))
     }
 
     /// Proofs of the primary's position, oldest first.
@@ -239,7 +246,12 @@
         &self.proofs
     }
 
-    /// Starts of the terms that the members reported.
+    /// Records the start of a term that another instance or the store told.
+    pub fn record_term(&mut self, term: Term, start: Position) {
+        self.history.record(term, start);
+    }
+
+    /// Starts of the terms that the members reported or that were recorded.
     pub const fn history(&self) -> &TermHistory {
         &self.history
     }
