feat(core): tell whether a log reaches a position across terms

Cause: homes compare the position of a member by order, which a log of a term that was left out also passes. Change: TermHistory::reaches, used by the router for proved ages.

--- a/crates/core/src/read_route.rs
+++ b/crates/core/src/read_route.rs
@@ -249,7 +249,8 @@
     /// Age that the data of `member` certainly does not exceed at `now`; `None` when nothing proves it.
     pub fn proved_age(&self, member: &MemberId, now: Instant) -> Option<Duration> {
         let position = self.members.get(member)?.observed()?.position;
-        let proof = self.proofs.iter().rev().find(|proof| proof.position <= position)?;
+        let included = |proof: &&PositionProof| self.history.reaches(position, proof.position);
+        let proof = self.proofs.iter().rev().find(included)?;
         Some(now.since(proof.sent))
     }
 
--- a/crates/core/src/term_history.rs
+++ b/crates/core/src/term_history.rs
@@ -105,6 +105,15 @@
         present.iter().any(|end| end.term == term)
     }
 
+    /// Whether a log that ends at `end` certainly includes the entry at `needed`.
+    ///
+    /// The order of positions alone does not tell: the log of a term that was left out lacks entries below its end.
+    pub fn reaches(&self, end: Position, needed: Position) -> bool {
+        let same_log = end.term == needed.term;
+        let continued = self.continues(end.term) && self.fate(needed) == Fate::Kept;
+        end >= needed && (same_log || continued)
+    }
+
     /// The last position of every term in the log that ends at `end`, newest first, as far as the starts are known.
     fn chain(&self, end: Position) -> Vec<Position> {
         let mut chain = vec![end];
--- a/crates/core/tests/reads.rs
+++ b/crates/core/tests/reads.rs
@@ -47,6 +47,17 @@
     assert_eq!(history(starts).fate(written), expected);
 }
 
+/// Guards against members whose position is high enough although their log lacks the entry.
+#[test_case(position(2, 90), position(2, 90), true; "same term")]
+#[test_case(position(4, 120), position(2, 90), true; "present log")]
+#[test_case(position(2, 99), position(2, 100), false; "too short")]
+#[test_case(position(3, 120), position(2, 90), false; "log of a term that was left out")]
+#[test_case(position(4, 120), position(3, 100), false; "entry of a term that was left out")]
+fn reaches_follows_line_of_terms(end: Position, needed: Position, expected: bool) {
+    let history = history(&[(2, position(1, 50)), (3, position(2, 70)), (4, position(2, 100))]);
+    assert_eq!(history.reaches(end, needed), expected);
+}
+
 /// Guards against a loss that is not reported, or reported twice.
 #[test]
 fn session_reports_loss_once_also_after_it_moved_on() {
