--- a/crates/core/src/read_route.rs
+++ b/crates/core/src/read_route.rs
@@ -88,7 +88,8 @@
     Replica {
         /// Member that serves the read.
         member: MemberId,
-        /// Term whose gate has to be open when the answer is released.
+        /// Term whose gate has to be open when the answer is released; of no meaning for a need of
+        /// [age](ReadNeed::Age), which the proof already covers.
         term: Term,
     },
     /// Nowhere yet: ask `member` for its position, [observe](ReadRouter::observe) it and route again, until the time.
@@ -248,7 +249,8 @@
     /// Age that the data of `member` certainly does not exceed at `now`; `None` when nothing proves it.
     pub fn proved_age(&self, member: &MemberId, now: Instant) -> Option<Duration> {
         let position = self.members.get(member)?.observed()?.position;
-        let proof = self.proofs.iter().rev().find(|proof| proof.position <= position)?;
+        let included = |proof: &&PositionProof| self.history.reaches(position, proof.position);
+        let proof = self.proofs.iter().rev().find(included)?;
         Some(now.since(proof.sent))
     }
 
