fix(core): keep deleted objects deleted and leaving instances alive

Tests of every rule found three faults. A view that had jumped over a deletion by a complete list took the object back from a source that was behind. A leaving instance was declared dead by its neighbours after 5 s, because its heartbeats did not count. Every instance passed on the whole list of the platform as news, which delayed reports.

A change up to the view's revision is stale; heartbeats of leaving instances count; the list is not passed on, and ring places are computed once.

--- a/crates/core/src/config/view.rs
+++ b/crates/core/src/config/view.rs
@@ -76,9 +76,9 @@
     /// The object cannot be read. It counts as deleted from its version on.
     pub fn apply(&mut self, change: Change) -> Result<Applied, InvalidObject> {
         let objects = self.entries.entry(change.kind).or_default();
-        // An object that a view up to `revision` does not hold was deleted, even when the deletion was dropped.
-        let held = objects.get(&change.name).map_or(self.revision, |held| held.version);
-        if change.version <= held {
+        // The view has every change up to its revision, although a complete list does not name deletions.
+        let held = objects.get(&change.name).map_or(0, |held| held.version);
+        if change.version <= held.max(self.revision) {
             return Ok(Applied::Stale);
         }
         let parsed = change.value.as_ref().map(|value| parse(&change, value)).transpose();
--- a/crates/core/src/membership/members.rs
+++ b/crates/core/src/membership/members.rs
@@ -48,6 +48,8 @@
 #[derive(Debug, Clone)]
 struct Known {
     info: InstanceInfo,
+    /// Place on the ring of its data centre.
+    place: u64,
     /// When it last sent or answered something; reports by others do not count.
     heard: Option<Instant>,
     /// Since when it is a neighbour, so that its silence means something.
@@ -63,6 +65,8 @@
 #[derive(Debug, Clone)]
 pub struct Membership {
     me: InstanceInfo,
+    /// This instance's place on the ring.
+    place: u64,
     others: BTreeMap<InstanceId, Known>,
     suspect_after: Duration,
     dead_after: Duration,
@@ -74,8 +78,9 @@
 
 impl Membership {
     /// Creates the table of `me`, which is the only instance in it.
-    pub const fn new(me: InstanceInfo) -> Self {
+    pub fn new(me: InstanceInfo) -> Self {
         Self {
+            place: ring_place(&me.id),
             me,
             others: BTreeMap::new(),
             suspect_after: SUSPECT_AFTER,
@@ -124,7 +129,10 @@
                     info.incarnation = self.me.incarnation;
                     self.hear_about(&info, now);
                 }
-                None => self.hear_about(&info, now),
+                None => {
+                    self.hear_about(&info, now);
+                    self.keep_to_itself(&id);
+                }
                 Some(known) if info.state != InstanceState::Live => {
                     info.incarnation = known.info.incarnation;
                     self.hear_about(&info, now);
@@ -253,12 +261,14 @@
 
     /// The instances of a data centre that are not dead, in ring order. Suspected ones stay on the ring, so that
     /// they are told and can refute it.
-    fn ring(&self, data_centre: &DataCentre) -> Vec<&InstanceId> {
-        let present = self
-            .instances()
-            .filter(|info| info.data_centre == *data_centre && info.state != InstanceState::Dead);
-        let mut ring: Vec<_> = present.map(|info| &info.id).collect();
-        ring.sort_by_key(|id| (ring_place(id), *id));
+    fn ring(&self, data_centre: &DataCentre) -> Vec<(u64, &InstanceId)> {
+        let me = std::iter::once((self.place, &self.me));
+        let all = me.chain(self.others.values().map(|known| (known.place, &known.info)));
+        let present = all.filter(|(_, info)| {
+            info.data_centre == *data_centre && info.state != InstanceState::Dead
+        });
+        let mut ring: Vec<_> = present.map(|(place, info)| (place, &info.id)).collect();
+        ring.sort_unstable();
         ring
     }
 
@@ -294,24 +304,24 @@
 
     fn local_neighbours(&self) -> Vec<InstanceId> {
         let ring = self.ring(&self.me.data_centre);
-        let others = ring.iter().filter(|id| ***id != self.me.id);
+        let others = ring.iter().filter(|(_, id)| **id != self.me.id);
         if ring.len() <= FULL_MESH {
-            return others.map(|id| (*id).clone()).collect();
+            return others.map(|(_, id)| (*id).clone()).collect();
         }
-        let Some(mine) = ring.iter().position(|id| **id == self.me.id) else { return Vec::new() };
+        let mine = ring.iter().position(|(_, id)| **id == self.me.id);
+        let Some(mine) = mine else { return Vec::new() };
         let size = ring.len();
         let both_ways = |step: usize| [mine + step, mine + size - step % size];
         let places = NEIGHBOUR_STEPS.into_iter().flat_map(both_ways);
-        let chosen = places.map(|place| ring[place % size].clone());
+        let chosen = places.map(|place| ring[place % size].1.clone());
         chosen.filter(|id| *id != self.me.id).collect()
     }
 
     fn remote_neighbours(&self, data_centre: &DataCentre) -> Vec<InstanceId> {
         let ring = self.ring(data_centre);
-        let mine = ring_place(&self.me.id);
-        let next = ring.iter().position(|id| ring_place(id) > mine).unwrap_or(0);
+        let next = ring.iter().position(|(place, _)| *place > self.place).unwrap_or(0);
         let from_next = ring.iter().cycle().skip(next).take(ring.len());
-        from_next.take(REMOTE_NEIGHBOURS).map(|id| (*id).clone()).collect()
+        from_next.take(REMOTE_NEIGHBOURS).map(|(_, id)| (*id).clone()).collect()
     }
 
     /// The report of silence that is due about an instance.
@@ -335,9 +345,13 @@
             return;
         }
         if let Some(known) = self.others.get_mut(&info.id) {
-            let final_state = known.info.state >= InstanceState::Leaving;
-            let refused = final_state && !info.outranks(&known.info);
-            if refused || info.incarnation < known.info.incarnation {
+            let newer = info.outranks(&known.info);
+            let dead = known.info.state == InstanceState::Dead;
+            if info.incarnation < known.info.incarnation || (dead && !newer) {
+                return;
+            }
+            known.heard = known.heard.max(Some(now));
+            if known.info.state == InstanceState::Leaving && !newer {
                 return;
             }
         }
@@ -366,6 +380,13 @@
         }
     }
 
+    /// Others read the platform's list themselves; the reports are left for what it does not tell.
+    fn keep_to_itself(&mut self, id: &InstanceId) {
+        if let Some(known) = self.others.get_mut(id) {
+            known.sends_left = 0;
+        }
+    }
+
     /// A report of life is newer than the silence seen so far.
     fn restart_watch(&mut self, id: &InstanceId, now: Instant) {
         let Some(known) = self.others.get_mut(id) else { return };
@@ -396,6 +417,7 @@
         let old_state = before.map(|before| before.state);
         let known = self.others.entry(info.id.clone()).or_insert_with(|| Known {
             info: info.clone(),
+            place: ring_place(&info.id),
             heard: None,
             watched: None,
             listed: None,
--- /dev/null
+++ b/crates/core/tests/membership.rs
@@ -0,0 +1,210 @@
+//! Heartbeats, states and the choice of homes and relays.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use hibiscusladder_core::{
+    clock::Instant,
+    membership::{Heartbeat, InstanceInfo, InstanceState, Membership, highest, weight},
+    name::InstanceId,
+};
+use test_case::test_case;
+
+fn at(ms: u64) -> Instant {
+    Instant::new(Duration::from_millis(ms))
+}
+
+fn info(index: usize, data_centre: &str) -> InstanceInfo {
+    InstanceInfo::new(&format!("i-{index}"), data_centre, &format!("10.0.0.{index}:7000"))
+}
+
+fn state(members: &Membership, index: usize) -> InstanceState {
+    members.instance(&InstanceId::from(format!("i-{index}"))).expect("it is known").state
+}
+
+/// Instances that exchange heartbeats every 500 ms, without those that are cut off.
+struct Fleet {
+    members: BTreeMap<InstanceId, Membership>,
+    now: u64,
+}
+
+impl Fleet {
+    fn new(places: &[&str]) -> Self {
+        let infos: Vec<_> =
+            places.iter().enumerate().map(|(index, place)| info(index, place)).collect();
+        let members = infos.iter().map(|me| {
+            let mut members = Membership::new(me.clone());
+            members.seed(infos.clone(), at(0));
+            (me.id.clone(), members)
+        });
+        Self { members: members.collect(), now: 0 }
+    }
+
+    /// Lets `ms` pass; two instances reach each other if `reach` says so.
+    fn run<F>(&mut self, ms: u64, reach: F)
+    where
+        F: Fn(&InstanceInfo, &InstanceInfo) -> bool,
+    {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += 500;
+            let now = at(self.now);
+            for id in self.members.keys().cloned().collect::<Vec<_>>() {
+                let sender = self.members.get_mut(&id).expect("it is known");
+                let (me, targets) = (sender.me().clone(), sender.targets());
+                for target in targets.iter().filter(|target| reach(&me, target)) {
+                    let beat =
+                        self.members.get_mut(&id).expect("it is known").heartbeat(&target.id);
+                    let receiver = self.members.get_mut(&target.id).expect("it is known");
+                    receiver.receive(&beat, now);
+                    let answer = receiver.heartbeat(&id);
+                    self.members.get_mut(&id).expect("it is known").receive(&answer, now);
+                }
+                self.members.get_mut(&id).expect("it is known").tick(now);
+            }
+        }
+    }
+
+    fn states(&self, of: usize) -> Vec<InstanceState> {
+        let others =
+            self.members.values().filter(|members| members.me().id.as_str() != format!("i-{of}"));
+        others.map(|members| state(members, of)).collect()
+    }
+}
+
+/// Guards against versions that rank candidates differently. The values come from another
+/// implementation of SipHash-2-4 with a zero key.
+#[test]
+fn weight_is_stable() {
+    assert_eq!(weight(&[], ""), 0xe849_e8bb_6ffe_2567);
+    assert_eq!(weight(&["home", "padron", "padron-1"], "i-1"), 0xcf24_4db5_0202_1c8b);
+    assert_ne!(weight(&["ab", "c"], "i"), weight(&["a", "bc"], "i"));
+}
+
+/// Guards against homes that move although their instance stays, and against an uneven spread.
+#[test]
+fn highest_moves_only_what_it_must() {
+    let names: Vec<String> = (0..8).map(|index| format!("i-{index}")).collect();
+    let home = |member: usize, without: usize| {
+        let left = names.iter().enumerate().filter(|(index, _)| *index != without);
+        let member = format!("m-{member}");
+        highest(&["home", "d", &member], left.map(|(_, name)| name.as_str()), 1)[0]
+    };
+    let mut counts = BTreeMap::new();
+    for member in 0..8_000 {
+        let before = home(member, 99);
+        *counts.entry(before).or_insert(0) += 1;
+        assert!(before == "i-3" || home(member, 3) == before);
+    }
+    assert!(counts.values().all(|count| (850..1_150).contains(count)), "{counts:?}");
+}
+
+/// Guards against a silent instance that stays home, and against one that is declared dead too early.
+#[test_case(1_400, InstanceState::Live)]
+#[test_case(1_600, InstanceState::Suspected)]
+#[test_case(5_100, InstanceState::Dead)]
+fn tick_ages_silent_neighbours(silence: u64, expected: InstanceState) {
+    let mut members = Membership::new(info(0, "a"));
+    members.receive(&Heartbeat::new(info(1, "a")), at(0));
+    members.tick(at(0));
+    members.receive(&Heartbeat::new(info(1, "a")), at(1_000));
+    let changes = members.tick(at(1_000 + silence));
+    assert_eq!(state(&members, 1), expected);
+    assert_eq!(changes.len(), usize::from(expected != InstanceState::Live));
+    let home = members.home(&"d".into(), &"m-2".into(), &"a".into(), &[]);
+    let both = ["i-0", "i-1"];
+    let chosen = highest(&["home", "d", "m-2"], both, 1)[0];
+    assert_eq!(home, Some(if expected == InstanceState::Live { chosen } else { "i-0" }.into()));
+}
+
+/// Guards against a member without home when its data centre has no live instance.
+#[test]
+fn home_falls_back_to_the_nearest() {
+    let mut members = Membership::new(info(0, "c"));
+    members.seed([info(1, "a"), info(2, "b")], at(0));
+    let home = |members: &Membership| {
+        members.home(&"d".into(), &"m".into(), &"a".into(), &["b".into(), "c".into()])
+    };
+    assert_eq!(home(&members), Some("i-1".into()));
+    members.seed([InstanceInfo { state: InstanceState::Leaving, ..info(1, "a") }], at(0));
+    assert_eq!(home(&members), Some("i-2".into()));
+    members.unreachable(&"i-2".into(), at(0));
+    assert_eq!(home(&members), Some("i-0".into()));
+    members.leave();
+    assert_eq!(home(&members), None);
+}
+
+/// Guards against old reports that bring back an instance that left or died.
+#[test]
+fn receive_keeps_final_states() {
+    let mut members = Membership::new(info(0, "a"));
+    let leaving = InstanceInfo { state: InstanceState::Leaving, incarnation: 1, ..info(1, "a") };
+    members.receive(&Heartbeat::new(leaving), at(0));
+    members.receive(&Heartbeat::new(info(1, "a")), at(100));
+    members.seed([info(1, "a")], at(100));
+    let about = Heartbeat { recent: vec![info(1, "a")], ..Heartbeat::new(info(2, "a")) };
+    members.receive(&about, at(100));
+    assert_eq!(state(&members, 1), InstanceState::Leaving);
+}
+
+/// Guards against a suspicion by one instance that cannot reach another which the rest hear.
+#[test]
+fn suspicion_of_one_is_not_believed() {
+    let mut fleet = Fleet::new(&["a"; 4]);
+    let cut = |from: &InstanceInfo, to: &InstanceInfo| {
+        let pair = [from.id.as_str(), to.id.as_str()];
+        !(pair.contains(&"i-0") && pair.contains(&"i-1"))
+    };
+    fleet.run(4_000, cut);
+    assert_eq!(state(&fleet.members["i-0"], 1), InstanceState::Suspected);
+    for other in ["i-2", "i-3"] {
+        assert_eq!(state(&fleet.members[other], 1), InstanceState::Live);
+    }
+}
+
+/// Guards against two sides of a partition that never find each other again, also long after all were dead.
+#[test_case(3_000; "suspected")]
+#[test_case(10_000; "dead")]
+fn partition_heals(length: u64) {
+    let mut fleet = Fleet::new(&["a", "a", "a", "b", "b", "c", "c", "c"]);
+    fleet.run(2_000, |_, _| true);
+    fleet.run(length, |from, to| {
+        (from.data_centre.as_str() == "c") == (to.data_centre.as_str() == "c")
+    });
+    let expected = if length > 5_000 { InstanceState::Dead } else { InstanceState::Suspected };
+    assert_eq!(state(&fleet.members["i-0"], 5), expected);
+    fleet.run(5_000, |_, _| true);
+    for index in 0..8 {
+        assert_eq!(fleet.states(index), [InstanceState::Live; 7], "i-{index}");
+    }
+}
+
+/// Guards against work that grows with the fleet, and against deaths and departures that do not reach everyone.
+#[test]
+fn large_fleet_learns_changes() {
+    let places: Vec<&str> = (0..160).map(|index| ["a", "b", "c", "d"][index % 4]).collect();
+    let mut fleet = Fleet::new(&places);
+    fleet.run(1_000, |_, _| true);
+    let targets = fleet.members.values_mut().map(|members| members.targets().len()).max();
+    assert!(targets <= Some(8 + 3 * 2), "{targets:?}");
+    fleet.members.get_mut("i-9").expect("it is known").leave();
+    fleet.run(9_000, |from, to| from.id.as_str() != "i-5" && to.id.as_str() != "i-5");
+    let knows = |states: Vec<InstanceState>, expected| {
+        states.iter().filter(|state| **state == expected).count()
+    };
+    // The instance that is cut off learns nothing.
+    assert_eq!(knows(fleet.states(9), InstanceState::Leaving), 158);
+    assert_eq!(knows(fleet.states(5), InstanceState::Dead), 159);
+    let wrong =
+        fleet.members["i-0"].instances().filter(|info| info.state != InstanceState::Live).count();
+    assert_eq!(wrong, 2);
+}
+
+/// Guards against data centres in which nobody, or everybody, watches the store.
+#[test]
+fn relays_are_two_for_each_data_centre() {
+    let fleet = Fleet::new(&["a", "a", "a", "a", "b"]);
+    let relays = |name: &str, of: &str| fleet.members[name].relays(&of.into());
+    assert_eq!(relays("i-0", "a").len(), 2);
+    assert_eq!(relays("i-0", "a"), relays("i-4", "a"));
+    assert_eq!(relays("i-0", "b"), ["i-4".into()]);
+}
--- /dev/null
+++ b/crates/core/tests/queue.rs
@@ -0,0 +1,149 @@
+//! Fair queueing for scarce slots.
+
+use std::time::Duration;
+
+use hibiscusladder_core::{
+    clock::Instant,
+    name::Workspace,
+    queue::{FairQueue, RejectReason, Ticket},
+};
+use test_case::test_case;
+
+fn at(ms: u64) -> Instant {
+    Instant::new(Duration::from_millis(ms))
+}
+
+const FAR: Instant = Instant::new(Duration::from_secs(1_000_000));
+
+/// Serves one slot for `ms` while every workspace always has a request waiting, and returns the slot time of each.
+fn serve(flows: &[(&str, u32, u64)], ms: u64) -> Vec<u64> {
+    let mut queue = FairQueue::new(1).max_wait(Duration::from_secs(100_000));
+    let mut used = vec![0; flows.len()];
+    let push = |queue: &mut FairQueue<usize>, index: usize, now| {
+        let (name, weight, _) = flows[index];
+        queue.push(&Workspace::new(name), weight, index, FAR, now).expect("the bound is far");
+    };
+    for index in 0..flows.len() {
+        push(&mut queue, index, at(0));
+        push(&mut queue, index, at(0));
+    }
+    let mut now = 0;
+    while now < ms {
+        let started = queue.pop(at(now)).expect("requests wait");
+        push(&mut queue, started.item, at(now));
+        now += flows[started.item].2;
+        used[started.item] += flows[started.item].2;
+        queue.finish(started.ticket, at(now));
+    }
+    used
+}
+
+/// Guards against shares by request count, where long statements take most of the slot, and against ignored weights.
+#[test_case(&[("short", 1, 5), ("long", 1, 200)], &[0.5, 0.5]; "long statements")]
+#[test_case(&[("one", 1, 20), ("three", 3, 20)], &[0.25, 0.75]; "weights")]
+#[test_case(&[("a", 1, 5), ("b", 2, 90), ("c", 1, 30)], &[0.25, 0.5, 0.25]; "both")]
+fn pop_divides_slot_time(flows: &[(&str, u32, u64)], shares: &[f64]) {
+    let used = serve(flows, 60_000);
+    let total: u64 = used.iter().sum();
+    for (used, share) in used.iter().zip(shares) {
+        let got = *used as f64 / total as f64;
+        assert!((got - share).abs() < 0.01, "{got} in place of {share}");
+    }
+}
+
+/// Guards against a workspace that saves up time while it is idle and then holds the slot alone.
+#[test]
+fn pop_gives_no_credit_for_idle_time() {
+    let mut queue = FairQueue::new(1).max_wait(Duration::from_secs(1_000));
+    let (busy, idle) = (Workspace::new("busy"), Workspace::new("idle"));
+    let mut now = 0;
+    queue.push(&idle, 1, "idle", FAR, at(now)).expect("within the bound");
+    for _ in 0..200 {
+        queue.push(&busy, 1, "busy", FAR, at(now)).expect("within the bound");
+        let started = queue.pop(at(now)).expect("within the bound");
+        now += 20;
+        queue.finish(started.ticket, at(now));
+    }
+    for _ in 0..20 {
+        queue.push(&idle, 1, "idle", FAR, at(now)).expect("within the bound");
+        queue.push(&busy, 1, "busy", FAR, at(now)).expect("within the bound");
+    }
+    let mut served = Vec::new();
+    for _ in 0..10 {
+        let started = queue.pop(at(now)).expect("within the bound");
+        now += 20;
+        queue.finish(started.ticket, at(now));
+        served.push(started.item);
+    }
+    let idle_served = served.iter().filter(|item| **item == "idle").count();
+    assert!((4..=6).contains(&idle_served), "{served:?}");
+}
+
+/// Guards against a second slot for a workspace whose statement already runs far longer than usual.
+#[test]
+fn pop_charges_running_statements() {
+    let mut queue = FairQueue::new(2);
+    let (long, other) = (Workspace::new("long"), Workspace::new("other"));
+    queue.push(&long, 1, "long", FAR, at(0)).expect("within the bound");
+    queue.pop(at(0)).expect("within the bound");
+    queue.push(&other, 1, "other", FAR, at(0)).expect("within the bound");
+    let short = queue.pop(at(0)).expect("within the bound");
+    queue.push(&long, 1, "long again", FAR, at(100)).expect("within the bound");
+    queue.push(&other, 1, "other again", FAR, at(100)).expect("within the bound");
+    queue.finish(short.ticket, at(100));
+    queue.push(&other, 1, "other once more", FAR, at(900)).expect("within the bound");
+    assert_eq!(queue.pop(at(900)).expect("within the bound").item, "other again");
+}
+
+/// Guards against requests that wait although they cannot be served in time.
+#[test]
+fn push_rejects_early() {
+    let mut queue = FairQueue::new(1).max_wait(Duration::from_millis(100));
+    let w = Workspace::new("w");
+    queue.push(&w, 1, 0, FAR, at(0)).expect("within the bound");
+    let started = queue.pop(at(0)).expect("within the bound");
+    // The estimate is 5 ms at first.
+    queue.push(&w, 1, 1, FAR, at(0)).expect("within the bound");
+    let near = queue.push(&w, 1, 98, at(4), at(0)).expect_err("past the bound");
+    assert_eq!(near.reason, RejectReason::DeadlineTooNear);
+    let queued = (2..100).take_while(|item| queue.push(&w, 1, *item, FAR, at(0)).is_ok()).count();
+    assert_eq!(queued, 20);
+    let rejected = queue.push(&w, 1, 99, FAR, at(0)).expect_err("past the bound");
+    assert_eq!((rejected.item, rejected.reason), (99, RejectReason::QueueFull));
+    assert_eq!(rejected.retry_after, Duration::from_millis(5));
+    // A workspace without a backlog is not held up by one that floods.
+    queue.push(&Workspace::new("v"), 1, 97, at(50), at(0)).expect("within the bound");
+    queue.finish(started.ticket, at(5));
+    assert_eq!(queue.pop(at(5)).expect("within the bound").item, 97);
+}
+
+/// Guards against a request that is run after its caller was told that it was not.
+#[test]
+fn take_expired_removes_for_good() {
+    let mut queue = FairQueue::new(1).max_wait(Duration::from_millis(200));
+    let w = Workspace::new("w");
+    queue.push(&w, 1, "near", at(50), at(0)).expect("within the bound");
+    queue.push(&w, 1, "bounded", FAR, at(0)).expect("within the bound");
+    assert_eq!(queue.next_expiry(), Some(at(50)));
+    assert_eq!(queue.take_expired(at(50)), ["near"]);
+    assert!(queue.pop(at(200)).is_none());
+    assert_eq!(queue.take_expired(at(200)), ["bounded"]);
+    assert!(queue.is_empty());
+}
+
+/// Guards against a slot that is freed twice or more slots in use than there are.
+#[test]
+fn finish_frees_one_slot_once() {
+    let mut queue = FairQueue::new(2);
+    for item in 0..5 {
+        queue.push(&Workspace::new("w"), 1, item, FAR, at(0)).expect("within the bound");
+    }
+    let tickets: Vec<Ticket> =
+        (0..2).map(|_| queue.pop(at(0)).expect("within the bound").ticket).collect();
+    assert!(queue.pop(at(0)).is_none());
+    queue.finish(tickets[0], at(1));
+    queue.finish(tickets[0], at(1));
+    assert!(queue.pop(at(1)).is_some());
+    assert!(queue.pop(at(1)).is_none());
+    assert_eq!(queue.in_service(), 2);
+}
