--- a/crates/core/examples/limits.rs
+++ b/crates/core/examples/limits.rs
@@ -66,7 +66,11 @@
 
 /// Workspaces with an even number use one database, the others three.
 fn databases(workspace: usize) -> Vec<usize> {
-    if workspace % 2 == 0 { vec![workspace / 2 % DATABASES] } else { (0..DATABASES).collect() }
+    if workspace.is_multiple_of(2) {
+        vec![workspace / 2 % DATABASES]
+    } else {
+        (0..DATABASES).collect()
+    }
 }
 
 /// One way to admit requests.
@@ -152,6 +156,9 @@
     Lend { request: LoanRequest, loan: Loan, asked: u64 },
 }
 
+/// Two instances, the sender first.
+type Pair = (usize, usize);
+
 /// The shares of all workspaces at the homes of all members.
 struct Shares {
     /// By workspace, database and data centre.
@@ -160,9 +167,9 @@
     across_databases: bool,
     waiting: Vec<(u64, Request)>,
     /// Last message by pair of homes; the next one is sent 100 ms later at the earliest.
-    last_sent: BTreeMap<(usize, usize), u64>,
+    last_sent: BTreeMap<Pair, u64>,
     /// Requests for loans by pair of homes.
-    outbox: BTreeMap<(usize, usize), Vec<(usize, usize, LoanRequest)>>,
+    outbox: BTreeMap<Pair, Vec<(usize, usize, LoanRequest)>>,
     in_flight: Vec<(u64, usize, Message)>,
     messages: u64,
     added_ms: u64,
