--- a/crates/emulator/src/database/member.rs
+++ b/crates/emulator/src/database/member.rs
@@ -248,8 +248,11 @@
     pub(crate) address: SocketAddr,
     pub(crate) slots: Arc<Semaphore>,
     pub(crate) writer: Arc<smol::lock::Mutex<Sqlite>>,
+    /// Database for short reads.
     reader: Mutex<Sqlite>,
-    running: [Running; 2],
+    /// Database for reads that may take long, so that short ones need not wait for them.
+    long_reader: Mutex<Sqlite>,
+    running: [Running; 3],
     log: Mutex<GroupLog>,
     faults: Mutex<MemberFaults>,
     backends: Mutex<Backends>,
@@ -269,6 +272,7 @@
     ) -> rusqlite::Result<Self> {
         let writer = Sqlite::open()?;
         let reader = Sqlite::open()?;
+        let long_reader = Sqlite::open()?;
         let faults = MemberFaults {
             lag_ms: cfg
                 .lag_ms
@@ -277,9 +281,10 @@
         };
         Ok(Self {
             slots: Arc::new(Semaphore::new(cfg.slots)),
-            running: [writer.running(), reader.running()],
+            running: [writer.running(), reader.running(), long_reader.running()],
             writer: Arc::new(smol::lock::Mutex::new(writer)),
             reader: Mutex::new(reader),
+            long_reader: Mutex::new(long_reader),
             log: Mutex::new(log),
             faults: Mutex::new(faults),
             backends: Mutex::default(),
@@ -427,11 +432,30 @@
         smol::unblock(job).or(interrupt).await
     }
 
-    /// The database for reads with all entries of the log.
-    pub(crate) fn up_to_date_reader(&self) -> Result<MutexGuard<'_, Sqlite>, SqlError> {
-        let mut reader = lock(&self.reader);
-        self.catch_up(&mut reader)?;
-        Ok(reader)
+    /// Runs a job on a database for reads that has all entries of the log.
+    pub(crate) async fn run_read<T, F>(
+        self: &Arc<Self>,
+        backend: &Backend,
+        short: bool,
+        job: F,
+    ) -> Result<T, SqlError>
+    where
+        T: Send + 'static,
+        F: FnOnce(&Sqlite) -> Result<T, SqlError> + Send + 'static,
+    {
+        if short && let Ok(mut reader) = self.reader.try_lock() {
+            self.catch_up(&mut reader)?;
+            return job(&reader);
+        }
+        // Waiting for the lock on this thread would hold up the connections on it, and the cancellation of the
+        // statement that has the lock.
+        let member = Arc::clone(self);
+        let job = move || {
+            let mut reader = lock(if short { &member.reader } else { &member.long_reader });
+            member.catch_up(&mut reader)?;
+            job(&reader)
+        };
+        self.run_job(backend, false, job).await
     }
 
     /// Keeps a text that a client has sent.
--- a/crates/emulator/src/database/session/execute.rs
+++ b/crates/emulator/src/database/session/execute.rs
@@ -15,7 +15,7 @@
     infer::Column,
     log::{Context, Role, Write},
     sql::{Kind, Statement, Tag},
-    sqlite::{self, Rows},
+    sqlite::{self, Rows, Sqlite},
     transaction::Writer,
     value::PgType,
 };
@@ -188,13 +188,11 @@
         if write || has_writer {
             return self.run_in_writer(statement, params, types, context, write).await;
         }
-        let member = Arc::clone(&self.member);
         let (pid, statement) = (self.backend.pid, Arc::clone(statement));
         let (params, types) = (params.to_vec(), types.to_vec());
         let short = statement.is_short();
-        let job =
-            move || member.up_to_date_reader()?.run(pid, &statement, &params, &types, context);
-        self.member.run_job(&self.backend, short, job).await
+        let job = move |db: &Sqlite| db.run(pid, &statement, &params, &types, context);
+        self.member.run_read(&self.backend, short, job).await
     }
 
     async fn run_in_writer(
--- a/crates/emulator/src/database/session/extended.rs
+++ b/crates/emulator/src/database/session/extended.rs
@@ -19,6 +19,7 @@
     error::SqlError,
     infer::{Column, Types},
     sql::{self, Kind, Statement},
+    sqlite::Sqlite,
     value::{self, PgType},
 };
 
@@ -83,10 +84,9 @@
             }
             return types;
         }
-        let member = Arc::clone(&self.member);
         let short = statement.is_short();
-        let job = move || member.up_to_date_reader()?.describe(&statement, &oids);
-        self.member.run_job(&self.backend, short, job).await
+        let job = move |db: &Sqlite| db.describe(&statement, &oids);
+        self.member.run_read(&self.backend, short, job).await
     }
 
     pub(super) fn bind(&mut self, bind: &Bind) -> Result<Result<(), SqlError>, End> {
