feat(load): add the load and experiment tool as a library

Cause: the four measures need load with sessions that roam, faults on a timetable, and a check that acknowledged writes exist exactly once.

--- /dev/null
+++ b/crates/load/src/run.rs
@@ -0,0 +1,182 @@
+//! Carries out a run: prepares the tables, offers load, applies faults, and checks the outcome.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use futures::future::join_all;
+use hyper::Method;
+use smol::Timer;
+
+use crate::{
+    client::{Client, Login},
+    config::{LoadConfig, WorkspaceLoad},
+    entitlement::Entitlement,
+    error::{ClientError, LoadError},
+    fault, http,
+    ledger::{self, LedgerCheck},
+    measure::Measures,
+    operation::Outcome,
+    report::Report,
+    session::{CATALOGUE_TABLE, LEDGER_TABLE, Session, SessionLog, Shared},
+};
+
+/// Times that the preparation and the final check of a database are tried.
+const ADMIN_TRIES: u32 = 40;
+
+/// Pause between those tries.
+const ADMIN_PAUSE: Duration = Duration::from_millis(250);
+
+/// Runs the load that `cfg` describes and returns what was found.
+///
+/// # Errors
+///
+/// A workspace cannot reach any target, before load or for the final check.
+pub async fn run(cfg: &LoadConfig) -> Result<Report, LoadError> {
+    prepare(cfg).await?;
+    let before = reads_by_role(cfg).await;
+    let start = Instant::now();
+    let timetable = smol::spawn(fault::run_timetable(cfg.faults.clone(), start));
+    let logs = offer(cfg, start).await;
+    let faults = timetable.await;
+    let after = reads_by_role(cfg).await;
+    let (records, writes) = merge(logs);
+    Ok(Report {
+        measures: Measures::compute(cfg, &records),
+        replica_share: before.zip(after).map(|(before, after)| after.replica_share_since(before)),
+        ledger: check_ledger(cfg, &writes).await?,
+        faults: Report::describe_faults(&faults),
+        records,
+    })
+}
+
+async fn offer(cfg: &LoadConfig, start: Instant) -> Vec<SessionLog> {
+    let shared = Arc::new(Shared { run: cfg.run.clone(), start, end: cfg.length() });
+    let mut tasks = Vec::new();
+    for (workspace, load) in cfg.workspaces.iter().enumerate() {
+        let entitlement = Entitlement::new(load.contract_rate, load.contract_burst);
+        let entitlement = Arc::new(Mutex::new(entitlement));
+        for index in 0..load.sessions {
+            let shared = Arc::clone(&shared);
+            let session =
+                Session::new(shared, load.clone(), workspace, index, Arc::clone(&entitlement));
+            tasks.push(smol::spawn(session.run()));
+        }
+    }
+    join_all(tasks).await
+}
+
+fn merge(logs: Vec<SessionLog>) -> (Vec<crate::operation::Record>, HashMap<String, Outcome>) {
+    let mut records = Vec::new();
+    let mut writes = HashMap::new();
+    for log in logs {
+        records.extend(log.records);
+        writes.extend(log.writes);
+    }
+    (records, writes)
+}
+
+async fn prepare(cfg: &LoadConfig) -> Result<(), LoadError> {
+    for load in &cfg.workspaces {
+        let statements = [
+            format!("CREATE TABLE IF NOT EXISTS {LEDGER_TABLE} (id TEXT, session TEXT, n BIGINT)"),
+            format!(
+                "CREATE INDEX IF NOT EXISTS {LEDGER_TABLE}_session ON {LEDGER_TABLE} (session, n)"
+            ),
+            format!("CREATE TABLE IF NOT EXISTS {CATALOGUE_TABLE} (id BIGINT)"),
+        ];
+        for sql in statements {
+            insist(cfg, load, &sql).await?;
+        }
+    }
+    Ok(())
+}
+
+async fn check_ledger(
+    cfg: &LoadConfig,
+    writes: &HashMap<String, Outcome>,
+) -> Result<LedgerCheck, LoadError> {
+    let mut ids = Vec::new();
+    for load in &cfg.workspaces {
+        let sql = format!("SELECT id FROM {LEDGER_TABLE} WHERE session LIKE '{}-%'", load.name);
+        let rows = insist(cfg, load, &sql).await?;
+        ids.extend(rows.into_iter().filter_map(|row| row.into_iter().next().flatten()));
+    }
+    Ok(ledger::compare(writes, &ids))
+}
+
+/// Runs `sql` on any target, with retries, since a workspace may be past its rate or a target may be down.
+async fn insist(
+    cfg: &LoadConfig,
+    load: &WorkspaceLoad,
+    sql: &str,
+) -> Result<crate::client::Rows, LoadError> {
+    let timeout = Duration::from_millis(cfg.run.timeout_ms);
+    let mut attempt = 0;
+    loop {
+        let target = &cfg.run.targets[attempt as usize % cfg.run.targets.len()];
+        let error = match run_once(load, target, sql, timeout).await {
+            Ok(rows) => return Ok(rows),
+            Err(error) => error,
+        };
+        attempt += 1;
+        if attempt >= ADMIN_TRIES {
+            return Err(LoadError::Unreachable {
+                target: target.clone(),
+                workspace: load.name.clone(),
+                source: error,
+            });
+        }
+        Timer::after(ADMIN_PAUSE).await;
+    }
+}
+
+async fn run_once(
+    load: &WorkspaceLoad,
+    target: &str,
+    sql: &str,
+    timeout: Duration,
+) -> Result<crate::client::Rows, ClientError> {
+    let login = Login {
+        target,
+        workspace: &load.name,
+        database: &load.database,
+        key: &load.key,
+        position: None,
+    };
+    let mut client = Client::connect(login, timeout).await?;
+    let rows = client.query(sql).await?;
+    client.close().await;
+    Ok(rows)
+}
+
+/// Reads that the members of the emulated databases have run so far.
+#[derive(Debug, Clone, Copy, Default)]
+struct ReadsByRole {
+    primary: u64,
+    replica: u64,
+}
+
+impl ReadsByRole {
+    fn replica_share_since(self, before: Self) -> f64 {
+        let replica = self.replica.saturating_sub(before.replica);
+        let all = replica + self.primary.saturating_sub(before.primary);
+        if all == 0 { 0.0 } else { replica as f64 / all as f64 }
+    }
+}
+
+async fn reads_by_role(cfg: &LoadConfig) -> Option<ReadsByRole> {
+    if cfg.run.database_admin.is_empty() {
+        return None;
+    }
+    let mut sum = ReadsByRole::default();
+    for address in &cfg.run.database_admin {
+        let text = http::call(address, Method::GET, "/admin/reads", "").await.ok()?;
+        let reads: serde_json::Value = serde_json::from_str(&text).ok()?;
+        sum.primary += reads["primary"].as_u64()?;
+        sum.replica += reads["replica"].as_u64()?;
+    }
+    Some(sum)
+}
