--- /dev/null
+++ b/crates/proxy/src/node/lease.rs
@@ -0,0 +1,91 @@
+//! Lease of a home on its member.
+
+use std::sync::Mutex;
+
+use event_listener::{Event, EventListener};
+use hibiscusladder_core::{
+    clock::Instant,
+    home_lease::{HomeLease, LEASE_WINDOW, LeaseAction, LeaseEvent},
+};
+
+use super::lock;
+
+/// The lease on one member, shared by the request path and the control connection.
+#[derive(Debug)]
+pub struct Lease {
+    state: Mutex<State>,
+    changed: Event,
+    handover: Event,
+}
+
+#[derive(Debug)]
+struct State {
+    lease: HomeLease,
+    epoch: u64,
+    announced: Option<Instant>,
+}
+
+impl Default for Lease {
+    fn default() -> Self {
+        let state = State { lease: HomeLease::new(LEASE_WINDOW), epoch: 0, announced: None };
+        Self { state: Mutex::new(state), changed: Event::new(), handover: Event::new() }
+    }
+}
+
+impl Lease {
+    /// Whether the home may act on the member at `now`.
+    pub fn usable(&self, now: Instant) -> bool {
+        lock(&self.state).lease.valid(now)
+    }
+
+    /// Time from which the lease may be used, while the lock is held.
+    pub fn usable_from(&self) -> Option<Instant> {
+        lock(&self.state).lease.usable_from()
+    }
+
+    /// Whether the lock is held, possibly before the lease may be used or after it expired.
+    pub fn holds_lock(&self) -> bool {
+        lock(&self.state).lease.holds_lock()
+    }
+
+    /// Number of times the lock was acquired; state that belongs to a lease is void in another epoch.
+    pub fn epoch(&self) -> u64 {
+        lock(&self.state).epoch
+    }
+
+    /// Completes at the next event on the control connection.
+    pub fn changed(&self) -> EventListener {
+        self.changed.listen()
+    }
+
+    /// Records at `now` that the former home announced a handover.
+    pub fn announce_handover(&self, now: Instant) {
+        lock(&self.state).announced = Some(now);
+        self.handover.notify(usize::MAX);
+    }
+
+    /// Time of an announced handover that the control connection has not acted on.
+    pub fn take_handover(&self) -> Option<Instant> {
+        lock(&self.state).announced.take()
+    }
+
+    /// Completes at the next announcement of a handover.
+    pub fn handover_announced(&self) -> EventListener {
+        self.handover.listen()
+    }
+
+    /// Takes an event on the control connection and returns what has to be done there.
+    pub fn handle(&self, event: LeaseEvent, now: Instant) -> Option<LeaseAction> {
+        let action = {
+            let mut state = lock(&self.state);
+            let held = state.lease.holds_lock();
+            let action = state.lease.handle(event, now);
+            if !held && state.lease.holds_lock() {
+                state.epoch += 1;
+            }
+            action
+        };
+        self.changed.notify(usize::MAX);
+        action
+    }
+}
--- a/hibiscusladder/src/main.rs
+++ b/hibiscusladder/src/main.rs
@@ -1,2 +1,9 @@
-//! Placeholder
-fn main() {}
+//! The `hibiscusladder` command.
+
+mod cli;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::main()
+}
