feat: add the load command and count reads by role in the emulator

Cause: the measures could not be taken from the command line, and nothing told which member had served a read. Conclusion: the share of reads on replicas can be measured from outside.

--- a/crates/emulator/src/database/admin.rs
+++ b/crates/emulator/src/database/admin.rs
@@ -82,6 +82,10 @@
     pub active: usize,
     /// Texts of statements and start-ups received since the start.
     pub statements: u64,
+    /// Statements that read data outside a transaction that writes, while the member was primary.
+    pub reads_as_primary: u64,
+    /// The same, while it was a replica.
+    pub reads_as_replica: u64,
     /// The last of these texts with their parameters.
     pub recent: Vec<String>,
     /// Faults that are set.
--- a/crates/emulator/src/database/member.rs
+++ b/crates/emulator/src/database/member.rs
@@ -21,7 +21,7 @@
     admin::{MemberFaults, MemberReport},
     config::{GroupConfig, MemberConfig},
     error::SqlError,
-    log::{GroupLog, Write},
+    log::{GroupLog, Role, Write},
     sqlite::{Running, Sqlite},
     value::as_text,
 };
@@ -236,6 +236,8 @@
 #[derive(Debug, Default)]
 struct Seen {
     count: u64,
+    reads_as_primary: u64,
+    reads_as_replica: u64,
     texts: VecDeque<String>,
 }
 
@@ -444,6 +446,15 @@
         }
     }
 
+    /// Counts a statement that reads data outside a transaction that writes.
+    pub(crate) fn record_read(&self) {
+        let is_primary = self.log().role == Role::Primary;
+        let mut seen = lock(&self.seen);
+        let reads =
+            if is_primary { &mut seen.reads_as_primary } else { &mut seen.reads_as_replica };
+        *reads += 1;
+    }
+
     /// Keeps parameters that a client has sent.
     pub(crate) fn record_params(&self, params: &[Value]) {
         if !params.is_empty() {
@@ -484,7 +495,7 @@
     pub(crate) fn commit(&self, db: &mut Sqlite, writes: Vec<Write>) -> Result<Position, SqlError> {
         let mut log = self.log();
         let current = log.generation() == db.generation() && log.len() == db.applied();
-        if log.role != super::log::Role::Primary || !current {
+        if log.role != Role::Primary || !current {
             return Err(SqlError::read_only());
         }
         db.commit()?;
@@ -507,6 +518,8 @@
             connections: backends.backends.len(),
             active: backends.activity().filter(|(_, state)| *state == "active").count(),
             statements: seen.count,
+            reads_as_primary: seen.reads_as_primary,
+            reads_as_replica: seen.reads_as_replica,
             recent: seen.texts.iter().cloned().collect(),
             faults: self.faults().clone(),
         }
--- a/crates/emulator/src/database/session/execute.rs
+++ b/crates/emulator/src/database/session/execute.rs
@@ -188,6 +188,7 @@
         if write || has_writer {
             return self.run_in_writer(statement, params, types, context, write).await;
         }
+        self.member.record_read();
         let member = Arc::clone(&self.member);
         let (pid, statement) = (self.backend.pid, Arc::clone(statement));
         let (params, types) = (params.to_vec(), types.to_vec());
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -8,6 +8,7 @@
 
 use futures::future::join_all;
 use hyper::Method;
+use serde::Deserialize;
 use smol::Timer;
 
 use crate::{
@@ -159,6 +160,19 @@
     replica: u64,
 }
 
+/// The part of an emulator's report on its members that counts reads.
+#[derive(Debug, Deserialize)]
+struct MemberList {
+    items: Vec<MemberReads>,
+}
+
+/// Reads of one member.
+#[derive(Debug, Deserialize)]
+struct MemberReads {
+    reads_as_primary: u64,
+    reads_as_replica: u64,
+}
+
 impl ReadsByRole {
     fn replica_share_since(self, before: Self) -> f64 {
         let replica = self.replica.saturating_sub(before.replica);
@@ -173,10 +187,12 @@
     }
     let mut sum = ReadsByRole::default();
     for address in &cfg.run.database_admin {
-        let text = http::call(address, Method::GET, "/admin/reads", "").await.ok()?;
-        let reads: serde_json::Value = serde_json::from_str(&text).ok()?;
-        sum.primary += reads["primary"].as_u64()?;
-        sum.replica += reads["replica"].as_u64()?;
+        let text = http::call(address, Method::GET, "/admin/members", "").await.ok()?;
+        let list: MemberList = serde_json::from_str(&text).ok()?;
+        for member in list.items {
+            sum.primary += member.reads_as_primary;
+            sum.replica += member.reads_as_replica;
+        }
     }
     Some(sum)
 }
--- a/hibiscusladder/src/cli/args.rs
+++ b/hibiscusladder/src/cli/args.rs
@@ -22,6 +22,22 @@
     Key(Key),
     Upstream(Upstream),
     Status(Status),
+    Load(Load),
+}
+
+/// Offer load to instances on loopback and report the measures.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "load")]
+pub(crate) struct Load {
+    /// description of the run
+    #[argh(option)]
+    pub(crate) config: PathBuf,
+    /// file for the result as JSON
+    #[argh(option)]
+    pub(crate) json: Option<PathBuf>,
+    /// file for a plot of the answered requests, as SVG
+    #[argh(option)]
+    pub(crate) plot: Option<PathBuf>,
 }
 
 /// Run an instance until SIGTERM or SIGINT.
--- a/hibiscusladder/src/cli/error.rs
+++ b/hibiscusladder/src/cli/error.rs
@@ -3,6 +3,7 @@
 use std::{io, path::PathBuf};
 
 use hibiscusladder_core::contract::ContractFaults;
+use hibiscusladder_load::error::LoadError;
 use hibiscusladder_proxy::{platform::PlatformError, serve::ServeError, settings::SettingsFaults};
 use miette::Diagnostic;
 use thiserror::Error;
@@ -81,6 +82,10 @@
         #[help]
         remedy: String,
     },
+    /// The load could not be described, offered or reported.
+    #[error("{0}")]
+    #[diagnostic(code(hibiscusladder::load))]
+    Load(#[from] LoadError),
     /// The change was accepted, but some instances did not confirm it.
     #[error(
         "version {version} was accepted, but is not confirmed by: {}", instances.join(", ")
--- a/hibiscusladder/src/cli/mod.rs
+++ b/hibiscusladder/src/cli/mod.rs
@@ -9,6 +9,7 @@
 mod error;
 mod in_force;
 mod key;
+mod load;
 mod log;
 mod operator;
 mod output;
@@ -63,5 +64,6 @@
         Command::Key(args) => smol::block_on(key::run(&args)),
         Command::Upstream(args) => smol::block_on(upstream::run(&args)),
         Command::Status(args) => smol::block_on(status::run(&args)),
+        Command::Load(args) => load::run(&args),
     }
 }
