feat(proxy): make the policies exchangeable for their baselines

Change: a section [policy] selects primary-only reads, a first-in-first-out queue, and an equal split of the limits without loans. Conclusion: one binary can run every policy; the defaults are unchanged.

--- a/crates/proxy/src/home/admission.rs
+++ b/crates/proxy/src/home/admission.rs
@@ -14,7 +14,7 @@
 };
 use smol::{Timer, future::FutureExt};
 
-use crate::{clock::BootClock, node::lock};
+use crate::{clock::BootClock, node::lock, settings::QueuePolicy};
 
 type Waiter = oneshot::Sender<Slot>;
 
@@ -23,6 +23,7 @@
 pub struct Admission {
     queue: Arc<Mutex<FairQueue<Waiter>>>,
     clock: BootClock,
+    order: QueuePolicy,
 }
 
 /// A slot that is held; dropping it frees the slot and charges the workspace the time since it was given.
@@ -36,7 +37,14 @@
     /// Creates the admission to `slots` slots; a request waits at most `max_wait`.
     pub fn new(slots: u32, max_wait: Duration, clock: BootClock) -> Self {
         let queue = FairQueue::new(slots).max_wait(max_wait);
-        Self { queue: Arc::new(Mutex::new(queue)), clock }
+        Self { queue: Arc::new(Mutex::new(queue)), clock, order: QueuePolicy::default() }
+    }
+
+    /// Sets the order in which waiting requests get a slot.
+    #[must_use]
+    pub const fn order(mut self, order: QueuePolicy) -> Self {
+        self.order = order;
+        self
     }
 
     /// Waits for a slot until `deadline`.
@@ -51,8 +59,13 @@
         deadline: Instant,
     ) -> Result<Slot, Refusal> {
         let (sender, receiver) = oneshot::channel();
+        let (flow, weight) = match self.order {
+            QueuePolicy::Fair => (workspace.clone(), weight),
+            // Within one flow the order is first in, first out.
+            QueuePolicy::Fifo => (Workspace::new("all"), 1),
+        };
         let now = self.clock.now();
-        let pushed = lock(&self.queue).push(workspace, weight, sender, deadline, now);
+        let pushed = lock(&self.queue).push(&flow, weight, sender, deadline, now);
         if let Err(rejected) = pushed {
             return Err(Refusal::not_run(RefusalKind::QueueFull).retry_after(rejected.retry_after));
         }
--- a/crates/proxy/src/home/member.rs
+++ b/crates/proxy/src/home/member.rs
@@ -58,7 +58,8 @@
         let database = group.view().database.clone();
         let size = record.connections.saturating_sub(RESERVED_CONNECTIONS).max(1);
         let pool = Pool::new(&record.address, database.as_str(), &settings.upstream, size);
-        let admission = Admission::new(record.slots, settings.times.queue_wait, node.clock());
+        let admission = Admission::new(record.slots, settings.times.queue_wait, node.clock())
+            .order(settings.policy.queue);
         let member = Self {
             index: SharedIndex::new(MemberQuestion::new(pool.clone())),
             shares: Shares::new(node, group, contracts, &record.id),
--- a/crates/proxy/src/home/mod.rs
+++ b/crates/proxy/src/home/mod.rs
@@ -41,6 +41,7 @@
 use crate::{
     node::{Node, lock},
     rpc::Rpc,
+    settings::LimitPolicy,
 };
 
 /// Chunks that wait for a slow reader of an answer; more make the upstream wait.
@@ -64,7 +65,9 @@
 
     /// Starts to ask other homes for loans when a workspace needs more than its part.
     pub fn start_loans(self: &Arc<Self>, rpc: &Rpc) {
-        smol::spawn(loans::run(Arc::downgrade(self), rpc.clone())).detach();
+        if self.node.settings().policy.limits == LimitPolicy::Loans {
+            smol::spawn(loans::run(Arc::downgrade(self), rpc.clone())).detach();
+        }
     }
 
     /// Starts a request. With `keep`, the transaction that it opens stays open for further batches.
--- a/crates/proxy/src/route/database.rs
+++ b/crates/proxy/src/route/database.rs
@@ -16,6 +16,7 @@
     home::Homes,
     node::{Group, GroupView, Node, lock},
     rpc::Rpc,
+    settings::ReadPolicy,
 };
 
 /// Routing state of one database.
@@ -81,7 +82,8 @@
         excluded: &[MemberId],
     ) -> Option<MemberId> {
         let view = self.group.view();
-        if request.class.needs_primary() {
+        let primary_only = node.settings().policy.reads == ReadPolicy::Primary;
+        if primary_only || request.class.needs_primary() {
             return view.primary.clone();
         }
         let polled = view.witness.reports().next().is_some();
--- a/crates/proxy/src/settings/mod.rs
+++ b/crates/proxy/src/settings/mod.rs
@@ -14,6 +14,7 @@
 
 mod duration;
 mod fault;
+mod policy;
 mod reader;
 
 use std::{net::SocketAddr, path::Path, path::PathBuf, time::Duration};
@@ -24,6 +25,7 @@
 pub use self::{
     duration::{ParseDurationError, duration_text, parse_duration},
     fault::{SettingsFault, SettingsFaults},
+    policy::{LimitPolicy, Policy, QueuePolicy, ReadPolicy},
 };
 
 /// Settings of one instance.
@@ -39,6 +41,8 @@
     pub limits: Limits,
     /// Time bounds.
     pub times: Times,
+    /// Policies, which differ from the default only in measurements.
+    pub policy: Policy,
     /// Certificate for client connections; absent when they are not encrypted.
     pub tls: Option<TlsSettings>,
     /// URL to which traces are sent as OTLP over HTTP.
--- a/crates/proxy/src/settings/reader.rs
+++ b/crates/proxy/src/settings/reader.rs
@@ -11,14 +11,15 @@
 };
 
 use super::{
-    InstanceSettings, Limits, LogLevel, Place, PlatformSettings, Settings, SettingsFault,
-    SettingsFaults, Times, TlsSettings, UpstreamSettings, duration_text, parse_duration,
+    InstanceSettings, LimitPolicy, Limits, LogLevel, Place, PlatformSettings, Policy, QueuePolicy,
+    ReadPolicy, Settings, SettingsFault, SettingsFaults, Times, TlsSettings, UpstreamSettings,
+    duration_text, parse_duration,
 };
 
 /// Sections of a settings file.
-const SECTIONS: [&str; 10] = [
-    "instance", "platform", "topology", "limits", "times", "tls", "trace", "metrics", "upstream",
-    "log",
+const SECTIONS: [&str; 11] = [
+    "instance", "platform", "topology", "limits", "times", "policy", "tls", "trace", "metrics",
+    "upstream", "log",
 ];
 
 /// Largest proof age that the wait after a change of shares (8 s) allows, less the 2 s of outage evidence.
@@ -83,6 +84,7 @@
         let platform = self.platform(root);
         let limits = self.limits(root);
         let times = self.times(root);
+        let policy = self.policy(root);
         let tls = self.tls(root);
         let otlp = self.trace(root);
         let statsd = self.metrics(root);
@@ -94,6 +96,7 @@
             topology,
             limits,
             times,
+            policy,
             tls,
             otlp,
             statsd,
@@ -212,6 +215,44 @@
         times
     }
 
+    fn policy(&mut self, root: &DeTable<'_>) -> Policy {
+        let Some(mut section) = self.section(root, "policy") else {
+            return Policy::default();
+        };
+        let reads = [("replicas", ReadPolicy::Replicas), ("primary", ReadPolicy::Primary)];
+        let queue = [("fair", QueuePolicy::Fair), ("fifo", QueuePolicy::Fifo)];
+        let limits = [("loans", LimitPolicy::Loans), ("equal_split", LimitPolicy::EqualSplit)];
+        let policy = Policy {
+            reads: self.choice(&mut section, "reads", reads),
+            queue: self.choice(&mut section, "queue", queue),
+            limits: self.choice(&mut section, "limits", limits),
+        };
+        self.finish(&section);
+        policy
+    }
+
+    /// One of two named values; the first one when the key is absent.
+    fn choice<T>(
+        &mut self,
+        section: &mut Section<'_, '_>,
+        key: &'static str,
+        choices: [(&str, T); 2],
+    ) -> T
+    where
+        T: Copy,
+    {
+        let default = choices[0].1;
+        let Some(value) = section.get(key) else { return default };
+        let text = value.get_ref().as_str();
+        let chosen = choices.iter().find(|(name, _)| text == Some(*name));
+        if chosen.is_none() {
+            let names = choices.map(|(name, _)| format!("\"{name}\"")).join(" or ");
+            let message = format!("`{key}` has an unknown value");
+            self.fault(value.span(), &message, &format!("use {names}"));
+        }
+        chosen.map_or(default, |(_, choice)| *choice)
+    }
+
     fn tls(&mut self, root: &DeTable<'_>) -> Option<TlsSettings> {
         let mut section = self.section(root, "tls")?;
         let cert = self.required_text(&mut section, "cert");
