--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -1,11 +1,26 @@
 //! The types that most users of this crate need.
 
 pub use crate::{
+    at_most_once::{SendState, StatementDigest},
+    bucket::TokenBucket,
     clock::{Clock, Instant, ManualClock},
+    config::{Change, Changes, ConfigView, DoubtPolicy, Freshness, Kind, Standing},
     contract::{Contract, Route, RouteRule},
     database::{DatabaseRecord, MemberRecord, UpstreamRecord, UpstreamState},
+    home_lease::{HomeLease, LeaseAction, LeaseEvent},
+    key::{Key, KeyRecord},
+    membership::{Heartbeat, InstanceInfo, InstanceState, Membership},
     name::{DataCentre, Database, InstanceId, KeyId, MemberId, Workspace},
     outcome::{Execution, Refusal, RefusalKind},
     position::{Lsn, Position, Term},
+    promotion::{Promotion, PromotionAction, PromotionEvent, PromotionSettings},
+    queue::FairQueue,
+    read_index::{ReadIndex, ReadIndexAnswer},
+    read_route::{ReadDecision, ReadNeed, ReadRouter, Replica},
     request::{RequestHead, StatementClass},
+    retry::{Backoff, RetryBudget, SlowStart},
+    session::Session,
+    share::{Division, Divisions, Loan, LoanRequest, Share},
+    term_history::{Fate, TermHistory},
+    witness::{Gate, MemberReport, MemberRole, Witness},
 };
--- /dev/null
+++ b/crates/proxy/src/node/group.rs
@@ -0,0 +1,188 @@
+//! What an instance knows about one database group.
+
+use std::sync::{Arc, Mutex};
+
+use event_listener::{Event, EventListener};
+use hibiscusladder_core::{
+    clock::Instant,
+    database::{DatabaseRecord, MemberRecord},
+    membership::TermInfo,
+    name::{Database, MemberId},
+    position::{Position, Term},
+    witness::{MemberReport, WITNESS_WINDOW, Witness},
+};
+
+use super::lock;
+
+/// Immutable view of a group.
+#[derive(Debug, Clone)]
+pub struct GroupView {
+    /// Name of the database.
+    pub database: Database,
+    /// Members in the order in which ties are broken.
+    pub members: Vec<MemberRecord>,
+    /// Newest known term.
+    pub term: Term,
+    /// Primary of the term, when it is known.
+    pub primary: Option<MemberId>,
+    /// Position at which the term began.
+    pub term_start: Option<Position>,
+    /// Members that divide the term part of every share.
+    pub term_members: Vec<MemberId>,
+    /// Polls and reports of the members; empty when this instance does not poll the group.
+    pub witness: Witness,
+}
+
+impl GroupView {
+    /// The record of `member`.
+    pub fn member(&self, member: &MemberId) -> Option<&MemberRecord> {
+        self.members.iter().find(|record| record.id == *member)
+    }
+
+    /// The record of the primary.
+    pub fn primary_member(&self) -> Option<&MemberRecord> {
+        self.member(self.primary.as_ref()?)
+    }
+
+    /// Last report of `member`; absent when this instance does not poll the group.
+    pub fn report(&self, member: &MemberId) -> Option<&MemberReport> {
+        self.witness.report(member)
+    }
+
+    /// Takes over a term; terms never decrease, and what is known about a term does not change.
+    fn merge_term(
+        &mut self,
+        term: Term,
+        primary: Option<&MemberId>,
+        start: Option<Position>,
+        members: &[MemberId],
+    ) {
+        if term < self.term {
+            return;
+        }
+        if term > self.term {
+            self.term = term;
+            self.primary = None;
+            self.term_start = None;
+            self.term_members.clear();
+        }
+        if self.primary.is_none() {
+            self.primary = primary.cloned();
+        }
+        self.term_start = self.term_start.or(start);
+        if self.term_members.is_empty() {
+            self.term_members = members.to_vec();
+        }
+    }
+
+    /// Whether an answer under `term` may be released at `now`.
+    pub fn gate_open(&self, term: Term, now: Instant) -> bool {
+        self.witness.gate(term, now).is_open()
+    }
+}
+
+/// One database group, shared by the request path and the polls.
+#[derive(Debug)]
+pub struct Group {
+    view: Mutex<Arc<GroupView>>,
+    changed: Event,
+}
+
+impl Group {
+    /// Creates the group of `record`, with no reports.
+    pub fn new(record: &DatabaseRecord) -> Self {
+        let view = GroupView {
+            database: record.name.clone(),
+            members: record.members.clone(),
+            term: record.term,
+            primary: record.primary.clone(),
+            term_start: record.term_start,
+            term_members: record.term_members.clone(),
+            witness: witness(record),
+        };
+        Self { view: Mutex::new(Arc::new(view)), changed: Event::new() }
+    }
+
+    /// The present view.
+    pub fn view(&self) -> Arc<GroupView> {
+        Arc::clone(&lock(&self.view))
+    }
+
+    /// Whether an answer under `term` may be released at `now`.
+    pub fn gate_open(&self, term: Term, now: Instant) -> bool {
+        lock(&self.view).gate_open(term, now)
+    }
+
+    /// Completes at the next report or change of term.
+    pub fn changed(&self) -> EventListener {
+        self.changed.listen()
+    }
+
+    /// The newest term, to be passed on.
+    pub fn term_info(&self) -> TermInfo {
+        let view = self.view();
+        TermInfo {
+            database: view.database.clone(),
+            term: view.term,
+            primary: view.primary.clone(),
+            term_start: view.term_start,
+        }
+    }
+
+    /// Takes members and a newer term from the store's record.
+    pub fn apply_record(&self, record: &DatabaseRecord) {
+        self.update(|view| {
+            view.members.clone_from(&record.members);
+            if !record.members.iter().map(|member| &member.id).eq(view.witness.members()) {
+                view.witness = witness(record);
+            }
+            let (primary, start) = (record.primary.as_ref(), record.term_start);
+            view.merge_term(record.term, primary, start, &record.term_members);
+        });
+    }
+
+    /// Takes a newer term that another instance passed on.
+    pub fn apply_term(&self, info: &TermInfo) {
+        self.update(|view| {
+            view.merge_term(info.term, info.primary.as_ref(), info.term_start, &[]);
+        });
+    }
+
+    /// Takes the answer of a member to a poll.
+    pub fn apply_report(&self, report: MemberReport) {
+        self.update(|view| {
+            if report.is_primary() {
+                let start = Some(report.term_start);
+                view.merge_term(report.term, Some(&report.member), start, &report.term_members);
+            }
+            view.witness.record(report);
+        });
+    }
+
+    /// Notes that a poll was sent to `member`.
+    pub fn poll_sent(&self, member: &MemberId, sent: Instant) {
+        self.update(|view| view.witness.poll_sent(member, sent));
+    }
+
+    /// Notes that the poll sent to `member` at `sent` failed at once.
+    pub fn poll_failed(&self, member: &MemberId, sent: Instant) {
+        self.update(|view| view.witness.poll_failed(member, sent));
+    }
+
+    fn update<F>(&self, change: F)
+    where
+        F: FnOnce(&mut GroupView),
+    {
+        let mut guard = lock(&self.view);
+        let mut view = GroupView::clone(&guard);
+        change(&mut view);
+        *guard = Arc::new(view);
+        drop(guard);
+        self.changed.notify(usize::MAX);
+    }
+}
+
+fn witness(record: &DatabaseRecord) -> Witness {
+    let members = record.members.iter().map(|member| member.id.clone()).collect();
+    Witness::new(members, WITNESS_WINDOW)
+}
