feat(testkit): add a fault-injecting relay, a history checker and child processes

Tests of the proxy need faults between its parts, a check of what clients were told, and instances that can be suspended.

--- /dev/null
+++ b/crates/testkit/src/fault_proxy/relay.rs
@@ -0,0 +1,200 @@
+//! Relays the bytes of one connection.
+
+use std::{
+    io,
+    net::Shutdown,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use futures::{AsyncReadExt, AsyncWriteExt};
+use smol::{
+    Executor, Timer, channel,
+    future::{self, FutureExt},
+    net::{TcpListener, TcpStream},
+};
+
+use super::{Answers, Shared};
+
+/// Bytes that one read takes at most.
+const READ_BYTES: usize = 16 * 1024;
+/// Reads that wait for their delay; more are left in the buffers of the operating system.
+const WAITING_READS: usize = 256;
+/// Time between two looks at whether a fault has ended.
+const FAULT_CHECK: Duration = Duration::from_millis(2);
+
+/// Which way bytes go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Direction {
+    Request,
+    Answer,
+}
+
+/// One connection through the relay.
+#[derive(Debug)]
+pub(super) struct Connection {
+    silent: AtomicBool,
+    close: channel::Sender<()>,
+    closed: channel::Receiver<()>,
+}
+
+impl Connection {
+    pub(super) fn new() -> Self {
+        let (close, closed) = channel::bounded(1);
+        Self { silent: AtomicBool::new(false), close, closed }
+    }
+
+    pub(super) fn silence(&self) {
+        self.silent.store(true, Ordering::SeqCst);
+    }
+
+    pub(super) fn close(&self) {
+        self.close.close();
+    }
+
+    pub(super) fn is_closed(&self) -> bool {
+        self.close.is_closed()
+    }
+}
+
+/// Accepts connections for ever.
+pub(super) async fn accept(
+    listener: TcpListener,
+    shared: Arc<Shared>,
+    executor: Arc<Executor<'static>>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((client, _)) => executor.spawn(serve(client, Arc::clone(&shared))).detach(),
+            Err(error) => {
+                spdlog::warn!("fault proxy: a connection was not accepted: {error}");
+                Timer::after(FAULT_CHECK).await;
+            }
+        }
+    }
+}
+
+async fn serve(client: TcpStream, shared: Arc<Shared>) {
+    let Some(connection) = shared.register() else { return };
+    let closed = async {
+        // The channel carries nothing; it is closed together with the connection.
+        connection.closed.recv().await.ok();
+        Ok(())
+    };
+    let result = relay(client, &shared, &connection).or(closed).await;
+    connection.close();
+    if let Err(error) = result {
+        spdlog::debug!("fault proxy: a connection ended: {error}");
+    }
+}
+
+async fn relay(client: TcpStream, shared: &Shared, connection: &Connection) -> io::Result<()> {
+    while shared.state().faults.freeze {
+        Timer::after(FAULT_CHECK).await;
+    }
+    let target = TcpStream::connect(shared.target).await?;
+    client.set_nodelay(true)?;
+    target.set_nodelay(true)?;
+    let requests = Pump {
+        from: client.clone(),
+        to: target.clone(),
+        direction: Direction::Request,
+        shared,
+        connection,
+    };
+    let answers =
+        Pump { from: target, to: client, direction: Direction::Answer, shared, connection };
+    future::try_zip(requests.run(), answers.run()).await?;
+    Ok(())
+}
+
+/// Bytes with the time at which they may go on.
+struct Chunk {
+    due: Instant,
+    bytes: Vec<u8>,
+}
+
+/// Relays the bytes of one direction.
+struct Pump<'a> {
+    from: TcpStream,
+    to: TcpStream,
+    direction: Direction,
+    shared: &'a Shared,
+    connection: &'a Connection,
+}
+
+impl Pump<'_> {
+    async fn run(self) -> io::Result<()> {
+        let (tx, rx) = channel::bounded(WAITING_READS);
+        future::try_zip(self.read(tx), self.write(rx)).await?;
+        Ok(())
+    }
+
+    async fn read(&self, tx: channel::Sender<Chunk>) -> io::Result<()> {
+        let mut from = self.from.clone();
+        let mut buf = vec![0; READ_BYTES];
+        loop {
+            let len = from.read(&mut buf).await?;
+            if len == 0 {
+                return Ok(());
+            }
+            let due = Instant::now() + self.shared.state().faults.delay;
+            if tx.send(Chunk { due, bytes: buf[..len].to_vec() }).await.is_err() {
+                return Ok(());
+            }
+        }
+    }
+
+    async fn write(&self, rx: channel::Receiver<Chunk>) -> io::Result<()> {
+        let mut to = self.to.clone();
+        while let Ok(chunk) = rx.recv().await {
+            Timer::at(chunk.due).await;
+            self.wait_while_frozen().await;
+            if self.is_lost()? {
+                continue;
+            }
+            let rate = self.shared.state().faults.bytes_per_second;
+            if let Some(rate) = rate {
+                let seconds = chunk.bytes.len() as f64 / f64::from(rate.max(1));
+                Timer::after(Duration::from_secs_f64(seconds)).await;
+            }
+            to.write_all(&chunk.bytes).await?;
+        }
+        // A silent connection does not even tell that the other side has closed it.
+        if !self.is_silent() {
+            to.shutdown(Shutdown::Write)?;
+        }
+        Ok(())
+    }
+
+    async fn wait_while_frozen(&self) {
+        while self.shared.state().faults.freeze {
+            Timer::after(FAULT_CHECK).await;
+        }
+    }
+
+    fn is_silent(&self) -> bool {
+        self.connection.silent.load(Ordering::SeqCst) || self.shared.state().faults.silence
+    }
+
+    /// Whether the bytes are lost; an error closes the connection.
+    fn is_lost(&self) -> io::Result<bool> {
+        if self.is_silent() {
+            return Ok(true);
+        }
+        let faults = &mut self.shared.state().faults;
+        match faults.answers {
+            _ if self.direction == Direction::Request => Ok(false),
+            Answers::Pass | Answers::CutNext(0) => Ok(false),
+            Answers::Swallow => Ok(true),
+            Answers::CutNext(count) => {
+                faults.answers =
+                    if count == 1 { Answers::Pass } else { Answers::CutNext(count - 1) };
+                Err(io::Error::other("an answer was lost, as a fault setting asks for"))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/history/admission.rs
@@ -0,0 +1,141 @@
+//! The rule about rates: in no interval does a workspace get more than its rate and burst.
+//!
+//! When a request was admitted is only known to lie between its sending and its answer. A request counts in an
+//! interval that contains both, so each violation found is certain.
+
+use std::{collections::HashMap, time::Duration};
+
+use hibiscusladder_core::name::Workspace;
+
+use super::{
+    facts::Allowance,
+    operation::Operation,
+    violation::{Rule, Violation},
+};
+
+/// Requests by which rounding may exceed the allowance.
+const ROUNDING: f64 = 1e-6;
+
+/// Checks each workspace that has an allowance.
+pub(super) fn check(
+    operations: &[Operation],
+    allowances: &HashMap<Workspace, Allowance>,
+) -> Vec<Violation> {
+    let violations = allowances.iter().filter_map(|(workspace, allowance)| {
+        let spans = operations
+            .iter()
+            .filter(|operation| operation.workspace == *workspace && operation.is_admitted())
+            .filter_map(|operation| {
+                Some(Span { sent: operation.sent, answered: operation.answered? })
+            });
+        let excess = worst_interval(spans.collect(), *allowance)?;
+        let evidence = format!(
+            "workspace {workspace} got {} requests between {:?} and {:?}, where {:.1} are allowed",
+            excess.count, excess.from, excess.to, excess.allowed
+        );
+        Some(Violation::new(Rule::RateAndBurst, evidence))
+    });
+    violations.collect()
+}
+
+/// Time in which a request was admitted.
+struct Span {
+    sent: Duration,
+    answered: Duration,
+}
+
+/// An interval in which too many requests were admitted.
+struct Excess {
+    from: Duration,
+    to: Duration,
+    count: usize,
+    allowed: f64,
+}
+
+/// The interval that exceeds the allowance most, if any.
+fn worst_interval(mut spans: Vec<Span>, allowance: Allowance) -> Option<Excess> {
+    spans.sort_by_key(|span| span.answered);
+    let ends: Vec<Duration> = spans.iter().map(|span| span.answered).collect();
+    let used: Vec<f64> = ends.iter().map(|end| -allowance.rate * end.as_secs_f64()).collect();
+    let mut tree = MaxTree::new(&used);
+    let mut order: Vec<usize> = (0..spans.len()).collect();
+    order.sort_by_key(|index| std::cmp::Reverse(spans[*index].sent));
+    let mut worst: Option<(f64, Duration, Duration)> = None;
+    for index in order {
+        let from = spans[index].sent;
+        // The request counts in every interval that begins no later than `from` and ends with its answer or later.
+        tree.add_from(index);
+        let first_end = ends.partition_point(|end| *end < from);
+        let Some((value, at)) = tree.max_from(first_end) else { continue };
+        let excess = value + allowance.rate * from.as_secs_f64() - allowance.burst;
+        if excess > ROUNDING && worst.is_none_or(|(largest, ..)| excess > largest) {
+            worst = Some((excess, from, ends[at]));
+        }
+    }
+    let (_, from, to) = worst?;
+    let count = spans.iter().filter(|span| span.sent >= from && span.answered <= to).count();
+    let allowed = allowance.burst + allowance.rate * to.saturating_sub(from).as_secs_f64();
+    Some(Excess { from, to, count, allowed })
+}
+
+/// A segment tree over values: adds 1 to all from an index on, finds the largest from an index on.
+struct MaxTree {
+    len: usize,
+    /// Largest value of each node without what was added to its ancestors, and the index of that value.
+    largest: Vec<(f64, usize)>,
+    added: Vec<f64>,
+}
+
+impl MaxTree {
+    fn new(values: &[f64]) -> Self {
+        let len = values.len().next_power_of_two();
+        let mut largest = vec![(f64::NEG_INFINITY, 0); 2 * len];
+        for (index, value) in values.iter().enumerate() {
+            largest[len + index] = (*value, index);
+        }
+        let mut tree = Self { len, largest, added: vec![0.0; 2 * len] };
+        (1..len).rev().for_each(|node| tree.update(node));
+        tree
+    }
+
+    fn update(&mut self, node: usize) {
+        let (left, right) = (self.largest[2 * node], self.largest[2 * node + 1]);
+        let larger = if left.0 >= right.0 { left } else { right };
+        self.largest[node] = (larger.0 + self.added[node], larger.1);
+    }
+
+    fn add_to_node(&mut self, node: usize) {
+        self.largest[node].0 += 1.0;
+        self.added[node] += 1.0;
+    }
+
+    /// Adds 1 to the values from `index` on.
+    fn add_from(&mut self, index: usize) {
+        let mut node = self.len + index;
+        self.add_to_node(node);
+        while node > 1 {
+            if node.is_multiple_of(2) {
+                self.add_to_node(node + 1);
+            }
+            node /= 2;
+            self.update(node);
+        }
+    }
+
+    /// The largest value from `index` on, and its index; `None` when there is none.
+    fn max_from(&self, index: usize) -> Option<(f64, usize)> {
+        if index >= self.len {
+            return None;
+        }
+        let mut node = self.len + index;
+        let mut best = self.largest[node];
+        while node > 1 {
+            if node.is_multiple_of(2) && self.largest[node + 1].0 > best.0 {
+                best = self.largest[node + 1];
+            }
+            node /= 2;
+            best.0 += self.added[node];
+        }
+        best.0.is_finite().then_some(best)
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/history/check.rs
@@ -0,0 +1,155 @@
+//! The rules, except for the one about rates.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use hibiscusladder_core::position::Position;
+
+use super::{
+    admission,
+    facts::Facts,
+    operation::{Kind, Operation, Outcome},
+    violation::{Rule, Violation},
+};
+
+/// Checks all rules; the operations are in the order in which they were sent.
+pub(super) fn check(operations: &[Operation], facts: &Facts) -> Vec<Violation> {
+    let mut violations = read_your_writes(operations);
+    violations.extend(contents(operations, facts));
+    violations.extend(replaced_terms(operations, facts));
+    violations.extend(admission::check(operations, &facts.allowances));
+    violations.extend(crossed_answers(operations));
+    violations
+}
+
+/// Writes of one session.
+#[derive(Default)]
+struct Session<'a> {
+    acknowledged: Vec<&'a Operation>,
+    losses: Vec<Loss>,
+}
+
+/// A loss that a session was told about.
+struct Loss {
+    answered: Duration,
+    term_start: Position,
+}
+
+impl Loss {
+    /// Whether `write` is one of those that were lost.
+    fn covers(&self, write: &Operation) -> bool {
+        write.position.is_some_and(|position| {
+            position.term < self.term_start.term && position.lsn > self.term_start.lsn
+        })
+    }
+}
+
+fn sessions(operations: &[Operation]) -> HashMap<&Arc<str>, Session<'_>> {
+    let mut sessions: HashMap<&Arc<str>, Session<'_>> = HashMap::new();
+    for operation in operations {
+        let session = sessions.entry(&operation.session).or_default();
+        match (operation.outcome, operation.answered) {
+            (Outcome::Done, Some(_)) if operation.written().is_some() => {
+                session.acknowledged.push(operation);
+            }
+            (Outcome::WriteLost { term_start }, Some(answered)) => {
+                session.losses.push(Loss { answered, term_start });
+            }
+            _ => {}
+        }
+    }
+    sessions
+}
+
+fn read_your_writes(operations: &[Operation]) -> Vec<Violation> {
+    let sessions = sessions(operations);
+    let mut violations = Vec::new();
+    for read in operations.iter().filter(|operation| operation.outcome == Outcome::Done) {
+        let Kind::Read { values, stale: false } = &read.kind else { continue };
+        let Some(session) = sessions.get(&read.session) else { continue };
+        let expected = session.acknowledged.iter().filter(|write| {
+            let told =
+                session.losses.iter().any(|loss| loss.answered <= read.sent && loss.covers(write));
+            write.key == read.key && write.answered.is_some_and(|at| at <= read.sent) && !told
+        });
+        for value in expected.filter_map(|write| write.written()) {
+            if !values.contains(value) {
+                let evidence = format!(
+                    "session {} did not see its write {value} to {} in a read sent at {:?}",
+                    read.session, read.key, read.sent
+                );
+                violations.push(Violation::new(Rule::ReadYourWrites, evidence));
+            }
+        }
+    }
+    violations
+}
+
+fn contents(operations: &[Operation], facts: &Facts) -> Vec<Violation> {
+    let Some(contents) = &facts.contents else { return Vec::new() };
+    let mut counts: HashMap<(&Arc<str>, &Arc<str>), usize> = HashMap::new();
+    for (key, values) in contents {
+        values.iter().for_each(|value| *counts.entry((key, value)).or_default() += 1);
+    }
+    let sessions = sessions(operations);
+    let mut violations = Vec::new();
+    for write in operations {
+        let Some(value) = write.written() else { continue };
+        let count = counts.get(&(&write.key, value)).copied().unwrap_or(0);
+        let told = sessions
+            .get(&write.session)
+            .is_some_and(|session| session.losses.iter().any(|loss| loss.covers(write)));
+        let rule = match write.outcome {
+            _ if count > 1 => Rule::NoDoubledWrite,
+            Outcome::Done if count == 0 && !told => Rule::NoLostWrite,
+            Outcome::NotRun | Outcome::WriteLost { .. } if count > 0 => Rule::NotRunIsTrue,
+            _ => continue,
+        };
+        let evidence = format!(
+            "write {value} to {} of session {} was answered with {:?} and is there {count} times",
+            write.key, write.session, write.outcome
+        );
+        violations.push(Violation::new(rule, evidence));
+    }
+    violations
+}
+
+fn replaced_terms(operations: &[Operation], facts: &Facts) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for write in operations.iter().filter(|operation| operation.outcome == Outcome::Done) {
+        let (Some(_), Some(position), Some(answered)) =
+            (write.written(), write.position, write.answered)
+        else {
+            continue;
+        };
+        // An answer may have been on its way when the term began; one that was sent later may not.
+        let replaced = facts.term_changes.iter().find(|change| {
+            let late = write.sent >= change.began || answered > change.began + facts.transit;
+            position.term < change.term && late
+        });
+        if let Some(change) = replaced {
+            let evidence = format!(
+                "write at {position} of session {} was sent at {:?} and acknowledged at {answered:?}, \
+                 but term {} began at {:?}",
+                write.session, write.sent, change.term, change.began
+            );
+            violations.push(Violation::new(Rule::NoReplacedTerm, evidence));
+        }
+    }
+    violations
+}
+
+fn crossed_answers(operations: &[Operation]) -> Vec<Violation> {
+    let crossed = operations.iter().filter(|operation| {
+        operation.outcome == Outcome::Done
+            && operation.mark.is_some()
+            && operation.mark != operation.answer_mark
+    });
+    let violation = |operation: &Operation| {
+        let evidence = format!(
+            "session {} sent a request marked {:?} at {:?} and got an answer marked {:?}",
+            operation.session, operation.mark, operation.sent, operation.answer_mark
+        );
+        Violation::new(Rule::NoCrossedAnswer, evidence)
+    };
+    crossed.map(violation).collect()
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder
+//! Tools for tests of the proxy: a relay with faults, a checker of client histories and child processes.
+//!
+//! # Example
+//!
+//! ```
+//! use std::net::TcpListener;
+//!
+//! use hibiscusladder_testkit::fault_proxy::FaultProxy;
+//!
+//! let target = TcpListener::bind("127.0.0.1:0")?;
+//! let proxy = FaultProxy::start(target.local_addr()?)?;
+//! proxy.change(|faults| faults.freeze = true);
+//! assert!(proxy.faults().freeze);
+//! # Ok::<(), std::io::Error>(())
+//! ```
+
+pub mod fault_proxy;
+pub mod history;
+pub mod process;
