fix(emulator): refuse to demote the primary of a term by group_follow

A late or doubled group_follow could turn the primary of a term into a replica of the same term, and a repeated one ended open transactions. A replica also copied entries of a term that it had not been told to follow, which left its own term behind its log.

--- a/crates/emulator/src/database/control.rs
+++ b/crates/emulator/src/database/control.rs
@@ -240,6 +240,9 @@
     if source.id() == member.id() {
         return Err(SqlError::new("22023", "a member cannot follow itself"));
     }
+    if member.log().follows(source.id(), term) {
+        return Ok(());
+    }
     member.log().follow(source.id().clone(), term)?;
     // Transactions that were open under the earlier term could never commit.
     member.backends().stop_writers();
--- a/crates/emulator/src/database/log.rs
+++ b/crates/emulator/src/database/log.rs
@@ -183,12 +183,21 @@
         Ok(())
     }
 
+    /// Whether the member is a replica of `source` in `term`.
+    pub(crate) fn follows(&self, source: &MemberId, term: Term) -> bool {
+        self.role == Role::Replica && self.source.as_ref() == Some(source) && self.term == term
+    }
+
     /// Makes the member a replica of `source`, which is primary of `term`.
     pub(crate) fn follow(&mut self, source: MemberId, term: Term) -> Result<(), SqlError> {
         if term < self.term {
             let message = format!("cannot follow term {term}: the member is at term {}", self.term);
             return Err(SqlError::new("55000", message));
         }
+        if term == self.term && self.role == Role::Primary {
+            let message = format!("cannot follow: the member is the primary of term {term}");
+            return Err(SqlError::new("55000", message));
+        }
         if term > self.term {
             self.term = term;
             self.claimant = None;
--- a/crates/emulator/src/database/replication.rs
+++ b/crates/emulator/src/database/replication.rs
@@ -50,7 +50,7 @@
         let mut log = source.log();
         // The replica tells a source that has been replaced.
         log.raise_term(term, claimant.as_deref().unwrap_or(""));
-        if log.role != Role::Primary {
+        if log.role != Role::Primary || log.term != term {
             return;
         }
         let at_last = own_len.checked_sub(1).and_then(|index| log.entries().get(index));
--- a/crates/emulator/tests/database.rs
+++ b/crates/emulator/tests/database.rs
@@ -195,6 +195,9 @@
     let follow =
         format!("SELECT group_follow('{}', 2)", group.address("c2").ok_or("c2 is missing")?);
     member(&group, "c3")?.batch_execute(&follow)?;
+    let follow_replica =
+        format!("SELECT group_follow('{}', 2)", group.address("c3").ok_or("c3 is missing")?);
+    assert_eq!(code(new.batch_execute(&follow_replica)).as_deref(), Some("55000"));
 
     // The isolated primary does not know yet.
     old.batch_execute("INSERT INTO t VALUES (3)")?;
