--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,4 +1,5 @@
-//! Tools for tests of the proxy: a relay with faults, a checker of client histories and child processes.
+//! Tools for tests of the proxy: a relay with faults, a checker of client histories, child processes and scripted
+//! scenarios of the coordination parts.
 //!
 //! # Example
 //!
@@ -17,3 +18,4 @@
 pub mod fault_proxy;
 pub mod history;
 pub mod process;
+pub mod scenario;
