--- a/crates/emulator/src/database/member.rs
+++ b/crates/emulator/src/database/member.rs
@@ -21,7 +21,7 @@
     admin::{MemberFaults, MemberReport},
     config::{GroupConfig, MemberConfig},
     error::SqlError,
-    log::{GroupLog, Write},
+    log::{GroupLog, Role, Write},
     sqlite::{Running, Sqlite},
     value::as_text,
 };
@@ -236,6 +236,8 @@
 #[derive(Debug, Default)]
 struct Seen {
     count: u64,
+    reads_as_primary: u64,
+    reads_as_replica: u64,
     texts: VecDeque<String>,
 }
 
@@ -248,8 +250,11 @@
     pub(crate) address: SocketAddr,
     pub(crate) slots: Arc<Semaphore>,
     pub(crate) writer: Arc<smol::lock::Mutex<Sqlite>>,
+    /// Database for short reads.
     reader: Mutex<Sqlite>,
-    running: [Running; 2],
+    /// Database for reads that may take long, so that short ones need not wait for them.
+    long_reader: Mutex<Sqlite>,
+    running: [Running; 3],
     log: Mutex<GroupLog>,
     faults: Mutex<MemberFaults>,
     backends: Mutex<Backends>,
@@ -269,6 +274,7 @@
     ) -> rusqlite::Result<Self> {
         let writer = Sqlite::open()?;
         let reader = Sqlite::open()?;
+        let long_reader = Sqlite::open()?;
         let faults = MemberFaults {
             lag_ms: cfg
                 .lag_ms
@@ -277,9 +283,10 @@
         };
         Ok(Self {
             slots: Arc::new(Semaphore::new(cfg.slots)),
-            running: [writer.running(), reader.running()],
+            running: [writer.running(), reader.running(), long_reader.running()],
             writer: Arc::new(smol::lock::Mutex::new(writer)),
             reader: Mutex::new(reader),
+            long_reader: Mutex::new(long_reader),
             log: Mutex::new(log),
             faults: Mutex::new(faults),
             backends: Mutex::default(),
@@ -427,11 +434,30 @@
         smol::unblock(job).or(interrupt).await
     }
 
-    /// The database for reads with all entries of the log.
-    pub(crate) fn up_to_date_reader(&self) -> Result<MutexGuard<'_, Sqlite>, SqlError> {
-        let mut reader = lock(&self.reader);
-        self.catch_up(&mut reader)?;
-        Ok(reader)
+    /// Runs a job on a database for reads that has all entries of the log.
+    pub(crate) async fn run_read<T, F>(
+        self: &Arc<Self>,
+        backend: &Backend,
+        short: bool,
+        job: F,
+    ) -> Result<T, SqlError>
+    where
+        T: Send + 'static,
+        F: FnOnce(&Sqlite) -> Result<T, SqlError> + Send + 'static,
+    {
+        if short && let Ok(mut reader) = self.reader.try_lock() {
+            self.catch_up(&mut reader)?;
+            return job(&reader);
+        }
+        // Waiting for the lock on this thread would hold up the connections on it, and the cancellation of the
+        // statement that has the lock.
+        let member = Arc::clone(self);
+        let job = move || {
+            let mut reader = lock(if short { &member.reader } else { &member.long_reader });
+            member.catch_up(&mut reader)?;
+            job(&reader)
+        };
+        self.run_job(backend, false, job).await
     }
 
     /// Keeps a text that a client has sent.
@@ -444,6 +470,15 @@
         }
     }
 
+    /// Counts a statement that reads data outside a transaction that writes.
+    pub(crate) fn record_read(&self) {
+        let is_primary = self.log().role == Role::Primary;
+        let mut seen = lock(&self.seen);
+        let reads =
+            if is_primary { &mut seen.reads_as_primary } else { &mut seen.reads_as_replica };
+        *reads += 1;
+    }
+
     /// Keeps parameters that a client has sent.
     pub(crate) fn record_params(&self, params: &[Value]) {
         if !params.is_empty() {
@@ -484,7 +519,7 @@
     pub(crate) fn commit(&self, db: &mut Sqlite, writes: Vec<Write>) -> Result<Position, SqlError> {
         let mut log = self.log();
         let current = log.generation() == db.generation() && log.len() == db.applied();
-        if log.role != super::log::Role::Primary || !current {
+        if log.role != Role::Primary || !current {
             return Err(SqlError::read_only());
         }
         db.commit()?;
@@ -507,6 +542,8 @@
             connections: backends.backends.len(),
             active: backends.activity().filter(|(_, state)| *state == "active").count(),
             statements: seen.count,
+            reads_as_primary: seen.reads_as_primary,
+            reads_as_replica: seen.reads_as_replica,
             recent: seen.texts.iter().cloned().collect(),
             faults: self.faults().clone(),
         }
--- a/crates/proxy/src/home/member.rs
+++ b/crates/proxy/src/home/member.rs
@@ -67,7 +67,8 @@
         let database = group.view().database.clone();
         let size = record.connections.saturating_sub(RESERVED_CONNECTIONS).max(1);
         let pool = Pool::new(&record.address, database.as_str(), &settings.upstream, size);
-        let admission = Admission::new(record.slots, settings.times.queue_wait, node.clock());
+        let admission = Admission::new(record.slots, settings.times.queue_wait, node.clock())
+            .order(settings.policy.queue);
         let member = Self {
             index: SharedIndex::new(MemberQuestion::new(pool.clone())),
             shares: Shares::new(node, group, contracts, &record.id),
@@ -146,6 +147,18 @@
         }
     }
 
+    /// Waits while new writes are held back because the primary is about to be replaced.
+    ///
+    /// # Errors
+    ///
+    /// Returns "not run" when they are still held back at `until`.
+    pub(super) async fn wait_writes(&self, until: Instant) -> Result<(), Refusal> {
+        if gate::wait_for(&self.node, &self.group, until, || !self.group.writes_held()).await {
+            return Ok(());
+        }
+        Err(self.no_member("it is being replaced as primary"))
+    }
+
     /// The term in which the member is primary.
     pub(super) fn primary_term(&self) -> Option<Term> {
         let view = self.group.view();
--- a/crates/proxy/src/home/transaction.rs
+++ b/crates/proxy/src/home/transaction.rs
@@ -261,6 +261,9 @@
         span.attribute("workspace", head.workspace.as_str());
         let now = member.node.now();
         member.wait_lease(deadline.min(now.plus(LEASE_WAIT))).await?;
+        if head.class.needs_primary() {
+            member.wait_writes(deadline).await?;
+        }
         self.check_role(envelope)?;
         let contract = member.node.config().contract(&head.workspace).map(Arc::clone);
         let contract = contract.ok_or_else(|| Refusal::not_run(RefusalKind::KeyRejected))?;
--- a/crates/proxy/src/home/upkeep.rs
+++ b/crates/proxy/src/home/upkeep.rs
@@ -13,7 +13,7 @@
 use smol::Timer;
 
 use super::{Homes, Member};
-use crate::rpc::Rpc;
+use crate::{rpc::Rpc, settings::LimitPolicy};
 
 /// A request with the home that makes it.
 struct Pending {
@@ -29,6 +29,9 @@
         for member in homes.own_members() {
             member.keep_ready();
         }
+        if homes.node.settings().policy.limits != LimitPolicy::Loans {
+            continue;
+        }
         for (home, pending) in collect(&homes) {
             smol::spawn(ask(Arc::clone(&homes), rpc.clone(), home, pending)).detach();
         }
