test(core): check the age of stale reads in the simulation

Cause: the proof of age was covered by single decisions only. Change: sessions make stale reads; a read that lacks a write acknowledged before its largest age is a violation.

--- a/crates/core/examples/group/home.rs
+++ b/crates/core/examples/group/home.rs
@@ -38,8 +38,15 @@
 
 #[derive(Debug, Clone)]
 pub(crate) enum Reply {
-    Write { write: u64, position: Position },
-    Read { log: Vec<Option<u64>> },
+    Write {
+        write: u64,
+        position: Position,
+    },
+    Read {
+        log: Vec<Option<u64>>,
+        /// True time at which a stale read was routed to a replica.
+        stale: Option<Duration>,
+    },
 }
 
 #[derive(Debug)]
--- a/crates/core/examples/group/run.rs
+++ b/crates/core/examples/group/run.rs
@@ -43,6 +43,8 @@
     TwoPrimaries { at: Duration, term: Term },
     /// A session did not see its own write and was not told that it was lost.
     MissingWrite { at: Duration, write: Position, token: bool },
+    /// A stale read lacked a write that was acknowledged longer ago than the data may be old.
+    TooOld { at: Duration, write: Position, acknowledged: Duration },
     /// No write was acknowledged in the second half of the calm period.
     NoRecovery,
 }
@@ -61,6 +63,7 @@
     pub(crate) abandoned: Vec<(Term, AbandonReason)>,
     pub(crate) reads: usize,
     pub(crate) reads_on_replicas: usize,
+    pub(crate) stale_reads: usize,
     pub(crate) unknown_outcomes: usize,
     pub(crate) losses_reported: usize,
 }
@@ -88,7 +91,7 @@
     Promote(Term),
     Follow { primary: usize, term: Term },
     Write { session: usize, step: u64, write: u64 },
-    Read { session: usize, step: u64, term: Term },
+    Read { session: usize, step: u64, term: Term, stale: Option<Duration> },
 }
 
 /// A message that arrives at a home.
@@ -145,6 +148,8 @@
     pub(super) next_write: u64,
     /// The member that was promoted in each term, with its log at that time.
     pub(super) primaries: BTreeMap<Term, (usize, Vec<Entry>)>,
+    /// Every acknowledged write with the true time of the acknowledgement.
+    pub(super) acknowledged: Vec<(Duration, Position, u64)>,
     pub(super) outcome: Outcome,
 }
 
@@ -181,6 +186,7 @@
             store_start: None,
             next_write: 0,
             primaries: BTreeMap::from([(Term(1), (0, Vec::new()))]),
+            acknowledged: Vec::new(),
             outcome: Outcome::default(),
         }
     }
@@ -449,9 +455,9 @@
                 let until = Instant::default();
                 Message::Held(Held { session, step, term: position.term, until, reply })
             }
-            Request::Read { session, step, term } => {
+            Request::Read { session, step, term, stale } => {
                 let log = self.members[member].log.iter().map(|entry| entry.write).collect();
-                let (until, reply) = (Instant::default(), Reply::Read { log });
+                let (until, reply) = (Instant::default(), Reply::Read { log, stale });
                 Message::Held(Held { session, step, term, until, reply })
             }
         };
--- a/crates/core/examples/group/sessions.rs
+++ b/crates/core/examples/group/sessions.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use hibiscusladder_core::{
+    clock::with_drift,
     name::MemberId,
     outcome::RefusalKind,
     position::{Position, Term},
@@ -24,6 +25,11 @@
 /// Time between two tries of a statement that waits for a replica or a primary.
 const WAIT_STEP: Duration = Duration::from_millis(10);
 
+/// Every step of this number is a stale read, unless it writes.
+const STALE_STEP: u64 = 7;
+/// Largest age of the data of a stale read.
+const MAX_AGE: Duration = Duration::from_millis(400);
+
 /// A client and what it was told.
 #[derive(Debug)]
 pub(super) struct Client {
@@ -129,7 +135,10 @@
         }
         let entry = client.entry;
         let (now, arrived) = (self.clock(entry), self.homes[entry].clock(client.arrived));
-        let mut need = client.session.need(StatementClass::Read);
+        let stale = step.is_multiple_of(STALE_STEP);
+        let class = StatementClass::StaleRead { max_age: MAX_AGE };
+        let class = if stale { class } else { StatementClass::Read };
+        let mut need = client.session.need(class);
         if !self.settings.use_positions {
             need = ReadNeed::Position(Position::default());
         }
@@ -141,10 +150,13 @@
         match self.homes[entry].router.route(need, arrived, now) {
             ReadDecision::Replica { member, term } => {
                 self.outcome.reads_on_replicas += 1;
-                self.run_read(entry, &member, session, step, term);
+                let stale = stale.then_some(self.now);
+                let request = Request::Read { session, step, term, stale };
+                self.run_read(entry, &member, request);
             }
             ReadDecision::Primary { member, term } => {
-                self.run_read(entry, &member, session, step, term);
+                let request = Request::Read { session, step, term, stale: None };
+                self.run_read(entry, &member, request);
             }
             ReadDecision::Wait { member, .. } => {
                 self.send_to_member(entry, member_index(&member), Request::Position);
@@ -154,9 +166,8 @@
         }
     }
 
-    fn run_read(&mut self, entry: usize, member: &MemberId, session: usize, step: u64, term: Term) {
+    fn run_read(&mut self, entry: usize, member: &MemberId, request: Request) {
         self.outcome.reads += 1;
-        let request = Request::Read { session, step, term };
         self.send_to_home(entry, member_index(member), Message::Run(request));
     }
 
@@ -197,7 +208,7 @@
         for held in std::mem::take(&mut self.homes[home].held) {
             let gated = match held.reply {
                 Reply::Write { .. } => true,
-                Reply::Read { .. } => self.settings.gate_reads,
+                Reply::Read { stale, .. } => self.settings.gate_reads && stale.is_none(),
             };
             let open = self.homes[home].witness.gate(held.term, now).is_open();
             if open || !gated {
@@ -220,7 +231,11 @@
                     self.acknowledge(home, held.session, write, position);
                 }
             }
-            Reply::Read { log } if current => self.check_read(held.session, held.term, &log),
+            Reply::Read { log, stale: Some(routed) } if current => self.check_age(routed, &log),
+            // The primary includes the session's writes also in a stale read.
+            Reply::Read { log, stale: None } if current => {
+                self.check_read(held.session, held.term, &log);
+            }
             Reply::Read { .. } => {}
         }
         self.end_step(held.session, held.step);
@@ -229,6 +244,7 @@
     /// Notes the write at the entry, which learns the start of the term with the answer.
     fn acknowledge(&mut self, home: usize, session: usize, write: u64, position: Position) {
         self.outcome.acknowledged.push(self.now);
+        self.acknowledged.push((self.now, position, write));
         let start = self.homes[home].router.history().latest();
         self.learn_start(self.clients[session].entry, start);
         let client = &mut self.clients[session];
@@ -266,4 +282,25 @@
             }
         }
     }
+
+    /// Checks that a stale read has all writes that were acknowledged before its largest age, except those that the
+    /// present primary does not have either.
+    fn check_age(&mut self, routed: Duration, log: &[Option<u64>]) {
+        self.outcome.stale_reads += 1;
+        // The entry's clock may be slow by the drift bound.
+        let oldest = routed.saturating_sub(with_drift(MAX_AGE));
+        let Some((_, (primary, _))) = self.primaries.last_key_value() else { return };
+        let present = &self.members[*primary].log;
+        let until = self.acknowledged.partition_point(|(at, ..)| *at < oldest);
+        let missing = self.acknowledged[..until].iter().rev().find(|(_, position, write)| {
+            let index = usize::try_from(position.lsn.0).expect("a short log") - 1;
+            let kept = present.get(index).is_some_and(|entry| entry.write == Some(*write));
+            kept && log.get(index) != Some(&Some(*write))
+        });
+        if let Some((acknowledged, position, _)) = missing {
+            let (at, write) = (self.now, *position);
+            let violation = Violation::TooOld { at, write, acknowledged: *acknowledged };
+            self.outcome.violations.push(violation);
+        }
+    }
 }
--- a/crates/core/examples/group/settings.rs
+++ b/crates/core/examples/group/settings.rs
@@ -43,7 +43,7 @@
     pub(crate) gate_reads: bool,
     /// Answers to questions for the primary's position count only while the gate is open.
     pub(crate) gate_read_index: bool,
-    /// Reads take the position of the session into account.
+    /// Reads take the position of the session, or the age of the data, into account.
     pub(crate) use_positions: bool,
     /// Sessions check their position against the starts of the terms.
     pub(crate) check_losses: bool,
--- a/crates/core/tests/simulation.rs
+++ b/crates/core/tests/simulation.rs
@@ -22,7 +22,7 @@
 }
 
 /// Guards against acknowledgements under a replaced term, two primaries of a term, own writes that a session does
-/// not see, and groups that stay without primary after the faults ended.
+/// not see, stale reads on data that is too old, and groups that stay without primary after the faults ended.
 #[test_case(false; "start names the continued term")]
 #[test_case(true; "start names the new term")]
 fn random_faults_break_no_rule(start_has_new_term: bool) {
@@ -43,6 +43,10 @@
     matches!(violation, Violation::TwoPrimaries { .. })
 }
 
+fn too_old(violation: &Violation) -> bool {
+    matches!(violation, Violation::TooOld { .. })
+}
+
 fn missing_with_token(violation: &Violation) -> bool {
     matches!(violation, Violation::MissingWrite { token: true, .. })
 }
@@ -59,6 +63,7 @@
 #[test_case(|settings| settings.check_losses = false, missing_with_token, 0; "lost write goes unnoticed without check")]
 #[test_case(|settings| settings.gate_reads = false, missing_with_token, 60; "old member answers read without gate")]
 #[test_case(|settings| settings.gate_read_index = false, missing_without_token, 10; "old primary answers read index without gate")]
+#[test_case(|settings| settings.use_positions = false, too_old, 0; "replica serves old data without proof of age")]
 fn rule_breaks_when_mechanism_is_off(
     change: fn(&mut Settings),
     expected: fn(&Violation) -> bool,
@@ -69,6 +74,7 @@
         change(&mut settings);
         run(&settings).violations.iter().any(expected)
     });
+
     assert!(found.is_some(), "the rule held in {SEARCHED} runs without its mechanism");
 }
 
