feat(proxy): end the backends of closed connections

Cause: a write with a request id whose connection went silent could not be repeated. The member never learned that the connection was closed, kept the row of the request id locked and ran out of connections (53300 after 30 s). Change: connections that are closed instead of returned are ended by pg_terminate_backend through a new connection.

--- a/crates/proxy/src/home/execute.rs
+++ b/crates/proxy/src/home/execute.rs
@@ -431,6 +431,8 @@
             Ok(BackendState::Active) => Ok(()),
             Ok(BackendState::Inactive) => {
                 spdlog::warn!("home: the answer of {} was lost on its way", self.member.id);
+                // The idle connections may have gone silent together with this one.
+                self.member.pool.clear();
                 Err(self.lost(&UpstreamError::Closed))
             }
             Err(error) => Err(self.lost(&error)),
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -3,23 +3,26 @@
 use std::{
     ops::{Deref, DerefMut},
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
 
 use smol::{
-    future,
+    Timer, future,
     lock::{Semaphore, SemaphoreGuardArc},
 };
 use thiserror::Error;
 
 use super::{Connection, UpstreamError, connection::bounded};
-use crate::settings::UpstreamSettings;
+use crate::{node::lock, settings::UpstreamSettings};
 
 /// Longest time for the reset of a session; a connection that takes longer is closed.
 const RESET_BOUND: Duration = Duration::from_secs(1);
+/// Number of tries to end backends, and the pause between them.
+const REAP_TRIES: usize = 5;
+const REAP_PAUSE: Duration = Duration::from_millis(200);
 
 /// No connection could be had. The statement was certainly not sent.
 #[derive(Debug, Error)]
@@ -51,6 +54,10 @@
     open: AtomicUsize,
     /// Whether a task opens connections.
     warming: AtomicBool,
+    /// Process ids of backends whose connections were closed.
+    doomed: Mutex<Vec<i32>>,
+    /// Whether a task ends backends.
+    reaping: AtomicBool,
 }
 
 /// A connection that counts as open until it is dropped.
@@ -63,7 +70,54 @@
 impl Drop for Counted {
     fn drop(&mut self) {
         self.shared.open.fetch_sub(1, Ordering::AcqRel);
+        // On a path that went silent, the member does not learn that the connection was closed: its backend would
+        // keep its locks and its place among the connections.
+        let process = self.connection.cancel_key().process();
+        lock(&self.shared.doomed).push(process);
+        if !self.shared.reaping.swap(true, Ordering::AcqRel) {
+            smol::spawn(reap(Arc::clone(&self.shared))).detach();
+        }
+    }
+}
+
+/// Ends the backends of connections that were closed here, through a new connection.
+async fn reap(shared: Arc<Shared>) {
+    loop {
+        reap_some(&shared).await;
+        shared.reaping.store(false, Ordering::Release);
+        let more = !lock(&shared.doomed).is_empty();
+        if !more || shared.reaping.swap(true, Ordering::AcqRel) {
+            return;
+        }
+    }
+}
+
+async fn reap_some(shared: &Shared) {
+    let mut doomed = Vec::new();
+    for _ in 0..REAP_TRIES {
+        doomed.append(&mut lock(&shared.doomed));
+        match terminate(shared, doomed).await {
+            Ok(()) => return,
+            Err(left) => doomed = left,
+        }
+        Timer::after(REAP_PAUSE).await;
+    }
+    // A member that cannot be reached ends its backends when it restarts or its own keepalive fails.
+    spdlog::warn!("home: {} closed connections may be left at {}", doomed.len(), shared.address);
+}
+
+/// Ends backends; returns those that may be left.
+async fn terminate(shared: &Shared, mut doomed: Vec<i32>) -> Result<(), Vec<i32>> {
+    let opened = Connection::open(&shared.address, &shared.database, &shared.credentials).await;
+    let Ok(mut connection) = opened else { return Err(doomed) };
+    while let Some(process) = doomed.last() {
+        let sql = format!("SELECT pg_terminate_backend({process})");
+        if bounded(RESET_BOUND, connection.query(&sql)).await.is_err() {
+            return Err(doomed);
+        }
+        doomed.pop();
     }
+    Ok(())
 }
 
 impl Deref for Counted {
@@ -113,6 +167,8 @@
             generation: AtomicU64::new(0),
             open: AtomicUsize::new(0),
             warming: AtomicBool::new(false),
+            doomed: Mutex::default(),
+            reaping: AtomicBool::new(false),
         };
         Self { shared: Arc::new(shared) }
     }
@@ -181,12 +237,12 @@
     /// Closes all idle connections; those in use are closed when they are released.
     pub fn clear(&self) {
         self.shared.generation.fetch_add(1, Ordering::AcqRel);
-        self.shared.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
+        lock(&self.shared.idle).clear();
     }
 
     /// Number of idle connections.
     pub fn idle_count(&self) -> usize {
-        self.shared.idle.lock().unwrap_or_else(PoisonError::into_inner).len()
+        lock(&self.shared.idle).len()
     }
 
     async fn counted(&self) -> Result<Counted, UpstreamError> {
@@ -204,11 +260,11 @@
     }
 
     fn pop_idle(&self) -> Option<Idle> {
-        self.shared.idle.lock().unwrap_or_else(PoisonError::into_inner).pop()
+        lock(&self.shared.idle).pop()
     }
 
     fn push_idle(&self, idle: Idle) {
-        let mut kept = self.shared.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut kept = lock(&self.shared.idle);
         if idle.generation == self.shared.generation.load(Ordering::Acquire) {
             kept.push(idle);
         }
--- /dev/null
+++ b/crates/proxy/tests/faults.rs
@@ -0,0 +1,155 @@
+//! Connections that go silent, callers without a key, and configuration in doubt.
+
+#![allow(clippy::unwrap_used, reason = "a test fails when a step does")]
+
+mod support;
+
+use std::{
+    net::TcpListener,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use hibiscusladder_core::{
+    contract::{Route, RouteRule},
+    name::Database,
+};
+use hibiscusladder_proxy::rpc::{Rpc, RpcError};
+use postgres::{Client, NoTls, SimpleQueryMessage};
+use support::{Cluster, Options};
+
+fn value(client: &mut Client, sql: &str) -> String {
+    let messages = client.simple_query(sql).unwrap();
+    let row = messages.iter().find_map(|message| match message {
+        SimpleQueryMessage::Row(row) => row.get(0),
+        _ => None,
+    });
+    row.unwrap_or_default().to_owned()
+}
+
+fn state(error: &postgres::Error) -> String {
+    error.code().map_or_else(|| format!("{error:?}"), |code| code.code().to_owned())
+}
+
+fn silent(statement_us: u64) -> Cluster {
+    let times = "silence_bound = \"400ms\"";
+    let cluster =
+        Cluster::with(Options { relays: true, times, statement_us, ..Options::default() });
+    let mut client = cluster.client(0);
+    client.batch_execute("CREATE TABLE clubs (id integer PRIMARY KEY)").unwrap();
+    cluster
+}
+
+/// Guards against reads that hang on connections which went silent while new ones work.
+#[test]
+fn silent_connections_read() {
+    let cluster = silent(0);
+    let mut client = cluster.client(1);
+    assert_eq!(value(&mut client, "SELECT count(*) FROM clubs"), "0");
+    for relay in &cluster.relays {
+        relay.silence_open();
+    }
+    let started = Instant::now();
+    assert_eq!(value(&mut client, "SELECT count(*) FROM clubs"), "0");
+    assert!(started.elapsed() < Duration::from_secs(4), "{:?}", started.elapsed());
+}
+
+/// Guards against "not run", an endless wait or a second execution when the answer to a write is lost on its way.
+#[test]
+fn silent_connection_write() {
+    let cluster = silent(700_000);
+    let mut client = cluster.client(0);
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            thread::sleep(Duration::from_millis(300));
+            cluster.relays[0].silence_open();
+        });
+        let error = client.batch_execute("INSERT INTO clubs VALUES (1)").unwrap_err();
+        assert_eq!(state(&error), "08007", "{error:?}");
+    });
+    assert_eq!(cluster.received("INSERT INTO clubs"), 1);
+}
+
+/// Guards against a write with a request id that is lost or run twice when its connection goes silent.
+#[test]
+fn silent_connection_request_id() {
+    let cluster = silent(200_000);
+    let mut client = cluster.client(0);
+    for id in 0..3 {
+        let relay = &cluster.relays[0];
+        thread::scope(|scope| {
+            scope.spawn(|| {
+                thread::sleep(Duration::from_millis(150 + 250 * id));
+                relay.silence_open();
+            });
+            client.batch_execute(&format!("SET hibiscus.request_id = 's{id}'")).unwrap();
+            client.batch_execute(&format!("INSERT INTO clubs VALUES ({id})")).unwrap();
+        });
+    }
+    assert_eq!(value(&mut client, "SELECT count(*) FROM clubs"), "3");
+}
+
+/// Guards against calls that wait for an instance whose connection went silent.
+#[test]
+fn silent_instance() {
+    // It accepts connections into its backlog and says nothing.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address: Arc<str> = listener.local_addr().unwrap().to_string().into();
+    let rpc = Rpc::start().unwrap();
+    let started = Instant::now();
+    let error = smol::block_on(rpc.read_index(&address, &Database::new("padron"))).unwrap_err();
+    assert!(matches!(error, RpcError::MaybeSent { .. }), "{error:?}");
+    assert!(started.elapsed() < Duration::from_secs(3));
+    drop(listener);
+    thread::sleep(Duration::from_millis(2_500));
+    let error = smol::block_on(rpc.status(&address)).unwrap_err();
+    assert!(matches!(error, RpcError::NotSent { .. }), "{error:?}");
+}
+
+fn open_route() -> Vec<Route> {
+    let rule = RouteRule::OpenRead { max_age_ms: 5_000 };
+    vec![Route { tables: vec!["horarios".into()], rule }]
+}
+
+/// Guards against callers without a key that reach more than the open routes.
+#[test]
+fn open_routes_without_key() {
+    let cluster = Cluster::with(Options { routes: open_route(), ..Options::default() });
+    let mut keyed = cluster.client(0);
+    keyed
+        .batch_execute("CREATE TABLE horarios (hora text); CREATE TABLE socios (id integer)")
+        .unwrap();
+    keyed.batch_execute("INSERT INTO horarios VALUES ('18:00')").unwrap();
+    thread::sleep(Duration::from_millis(500));
+    let mut open = cluster.config(1).password("").connect(NoTls).unwrap();
+    assert_eq!(value(&mut open, "SELECT hora FROM horarios"), "18:00");
+    for sql in [
+        "SELECT * FROM socios",
+        "SELECT * FROM horarios, socios",
+        "INSERT INTO horarios VALUES ('0')",
+        "SELECT 1",
+        "BEGIN",
+    ] {
+        let error = open.batch_execute(sql).unwrap_err();
+        assert_eq!(state(&error), "28000", "{sql}");
+    }
+    assert!(cluster.config(0).password("hlk_a_0").connect(NoTls).is_err());
+}
+
+/// Guards against requests with a key that are served on a configuration which may be outdated.
+#[test]
+fn configuration_in_doubt() {
+    let times = "max_config_age = \"1s\"";
+    let cluster = Cluster::with(Options { times, routes: open_route(), ..Options::default() });
+    let mut client = cluster.client(0);
+    client.batch_execute("CREATE TABLE horarios (hora text)").unwrap();
+    client.batch_execute("INSERT INTO horarios VALUES ('18:00')").unwrap();
+    cluster.withhold_proofs();
+    thread::sleep(Duration::from_millis(1_500));
+    let error = client.batch_execute("INSERT INTO horarios VALUES ('late')").unwrap_err();
+    assert_eq!(state(&error), "57P03");
+    assert!(error.as_db_error().unwrap().message().starts_with("not run"));
+    assert_eq!(cluster.received("late"), 0);
+    assert_eq!(value(&mut client, "SELECT hora FROM horarios"), "18:00");
+}
--- a/crates/proxy/tests/malformed.rs
+++ b/crates/proxy/tests/malformed.rs
@@ -135,6 +135,27 @@
     assert!(contains(&answer, "42"), "{answer:?}");
 }
 
+/// Guards against a client that waits for the answer to `Flush` for ever, or that gets `ReadyForQuery` for it.
+#[test]
+fn flush_after_describe() {
+    let cluster = Cluster::with(Options { instances: 1, ..Options::default() });
+    let prepare = [typed(b'P', b"s\0SELECT 41 + 1\0\0\0"), typed(b'D', b"Ss\0"), typed(b'H', b"")];
+    let mut stream = connect(&cluster);
+    stream.write_all(&[login(&cluster), prepare.concat()].concat()).unwrap();
+    let mut answer = Vec::new();
+    while !contains(&answer, "T\0\0\0") {
+        let mut part = [0; 1024];
+        let count = stream.read(&mut part).unwrap();
+        assert!(count > 0, "{answer:?}");
+        answer.extend_from_slice(&part[..count]);
+    }
+    let ready = |bytes: &[u8]| bytes.windows(6).filter(|part| part == b"Z\0\0\0\x05I").count();
+    assert_eq!(ready(&answer), 1, "only the login ends with ReadyForQuery: {answer:?}");
+    let run = [typed(b'B', b"\0s\0\0\0\0\0\0\0"), typed(b'E', b"\0\0\0\0\0"), typed(b'S', b"")];
+    let rest = exchange(stream, &run.concat());
+    assert!(contains(&rest, "42") && ready(&rest) == 1, "{rest:?}");
+}
+
 fn contains(bytes: &[u8], text: &str) -> bool {
     bytes.windows(text.len()).any(|part| part == text.as_bytes())
 }
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -29,7 +29,7 @@
 };
 use hibiscusladder_emulator::database::{Group, GroupConfig, GroupHandle};
 use hibiscusladder_proxy::{
-    caller::{self, Entry},
+    caller::{self, Entry, Tls},
     home::Homes,
     metrics::Metrics,
     node::Node,
@@ -38,6 +38,7 @@
     settings::Settings,
     upstream::Connection,
 };
+use hibiscusladder_testkit::fault_proxy::FaultProxy;
 use postgres::{Client, Config, NoTls};
 use smol::net::TcpListener;
 
@@ -60,6 +61,9 @@
     pub(crate) routes: Vec<Route>,
     pub(crate) statement_us: u64,
     pub(crate) lag_ms: u64,
+    /// Puts a relay in front of each member for the connections of the homes.
+    pub(crate) relays: bool,
+    pub(crate) tls: Option<Tls>,
 }
 
 impl Default for Options {
@@ -73,6 +77,8 @@
             routes: Vec::new(),
             statement_us: 0,
             lag_ms: 5,
+            relays: false,
+            tls: None,
         }
     }
 }
@@ -91,9 +97,11 @@
     pub(crate) group: GroupHandle,
     pub(crate) instances: Vec<Instance>,
     pub(crate) key: Key,
+    pub(crate) relays: Vec<FaultProxy>,
     version: u64,
     contract: Contract,
     paused: Arc<AtomicBool>,
+    doubt: Arc<AtomicBool>,
     stop: Arc<AtomicBool>,
 }
 
@@ -141,7 +149,12 @@
             routes: options.routes.clone(),
         };
         // A contract counts as new only for instances that saw a configuration before, so this one comes first.
-        let record = serde_json::to_string(&database_record(&group)).unwrap();
+        let relay = |(_, address)| FaultProxy::start(address).unwrap();
+        let relays: Vec<_> = match options.relays {
+            true => group.addresses().into_iter().map(relay).collect(),
+            false => Vec::new(),
+        };
+        let record = serde_json::to_string(&database_record(&group, &relays)).unwrap();
         let first = Change::put(Kind::Database, DATABASE, 1, &record);
         let instances = (0..options.instances).map(|n| start_instance(n, &options, &first));
         let instances = instances.collect();
@@ -149,9 +162,11 @@
             group,
             instances,
             key,
+            relays,
             version: 1,
             contract,
             paused: Arc::default(),
+            doubt: Arc::default(),
             stop: Arc::default(),
         };
         cluster.configure();
@@ -200,7 +215,7 @@
             }
         }
         let nodes: Vec<_> = self.instances.iter().map(|i| Arc::clone(&i.node)).collect();
-        let stop = Arc::clone(&self.stop);
+        let (stop, doubt) = (Arc::clone(&self.stop), Arc::clone(&self.doubt));
         thread::spawn(move || {
             while !stop.load(Ordering::Acquire) {
                 for from in &nodes {
@@ -208,13 +223,20 @@
                         to.receive_heartbeat(&from.heartbeat(to.id()));
                     }
                     from.tick_membership();
-                    from.hear_proof(from.config_revision(), Duration::ZERO, from.now());
+                    if !doubt.load(Ordering::Acquire) {
+                        from.hear_proof(from.config_revision(), Duration::ZERO, from.now());
+                    }
                 }
                 thread::sleep(POLL_INTERVAL);
             }
         });
     }
 
+    /// Withholds proofs that the configuration is the newest.
+    pub(crate) fn withhold_proofs(&self) {
+        self.doubt.store(true, Ordering::Release);
+    }
+
     /// Stops the polls, so that leases and gates expire.
     pub(crate) fn pause_polls(&self, paused: bool) {
         self.paused.store(paused, Ordering::Release);
@@ -306,11 +328,11 @@
     }
 }
 
-fn database_record(group: &GroupHandle) -> DatabaseRecord {
-    let members = group.addresses().into_iter().map(|(id, address)| MemberRecord {
+fn database_record(group: &GroupHandle, relays: &[FaultProxy]) -> DatabaseRecord {
+    let members = (0..).zip(group.addresses()).map(|(index, (id, address))| MemberRecord {
         id,
         data_centre: "stgo-a".into(),
-        address: address.to_string(),
+        address: relays.get(index).map_or(address, FaultProxy::address).to_string(),
         slots: 2,
         connections: 16,
     });
@@ -351,7 +373,7 @@
     let homes = Homes::new(Arc::clone(&node));
     let rpc = Rpc::start().unwrap();
     let router = Router::new(Arc::clone(&node), Arc::clone(&homes), rpc);
-    let entry = Entry::new(router, None);
+    let entry = Entry::new(router, options.tls.clone());
     let services = Services {
         homes: Arc::clone(&homes),
         control: Arc::new(TestControl { node: Arc::clone(&node) }),
