--- a/crates/emulator/tests/database.rs
+++ b/crates/emulator/tests/database.rs
@@ -416,3 +416,71 @@
     assert!(!faults.frozen);
     Ok(())
 }
+
+/// A transaction that was open when its primary was replaced must not commit.
+#[test]
+fn fenced_primary_does_not_commit_open_transaction() -> TestResult {
+    let group = start()?;
+    let mut writer = member(&group, "c1")?;
+    writer.batch_execute("CREATE TABLE t (k INT)")?;
+    writer.batch_execute("BEGIN; INSERT INTO t VALUES (1)")?;
+    member(&group, "c1")?.batch_execute("SELECT group_raise_term(2, 'i1')")?;
+    assert_eq!(code(writer.batch_execute("COMMIT")).as_deref(), Some("25006"));
+    assert_eq!(cell(&mut writer, "SELECT count(*) FROM t", "count")?, "0");
+    assert_eq!(
+        group.report("c1").map(|report| report.position.to_string()).as_deref(),
+        Some("1:1")
+    );
+    Ok(())
+}
+
+/// An open transaction holds its slot while it is idle, or overload of a member could not be brought about.
+#[test]
+fn open_transaction_holds_a_slot() -> TestResult {
+    let mut cfg = GroupConfig::single("clubes", &["c1"]);
+    cfg.databases[0].members[0].slots = 1;
+    let group = Group::start(cfg)?;
+    let mut holder = member(&group, "c1")?;
+    let mut control = member(&group, "c1")?;
+    let mut other = member(&group, "c1")?;
+    holder.batch_execute("BEGIN")?;
+    let waiting = thread::spawn(move || other.batch_execute("SELECT 1"));
+    wait_until("the other statement has arrived", || {
+        group.report("c1").is_some_and(|report| report.active == 1)
+    })?;
+    assert_eq!(cell(&mut control, "SELECT * FROM group_status()", "role")?, "primary");
+    thread::sleep(Duration::from_millis(100));
+    assert!(!waiting.is_finished(), "a statement ran although the only slot was taken");
+    holder.batch_execute("COMMIT")?;
+    waiting.join().map_err(|_| "the waiting client panicked")??;
+    Ok(())
+}
+
+/// A client that fetches a result in parts must get each row once.
+#[test]
+fn portal_returns_rows_in_parts() -> TestResult {
+    let group = start()?;
+    let mut client = member(&group, "c1")?;
+    client.batch_execute("CREATE TABLE t (k INT); INSERT INTO t VALUES (1), (2), (3)")?;
+    let mut transaction = client.transaction()?;
+    let portal = transaction.bind("SELECT k FROM t ORDER BY k", &[])?;
+    let mut fetch = |count| -> Result<Vec<i32>, postgres::Error> {
+        let rows = transaction.query_portal(&portal, count)?;
+        Ok(rows.iter().map(|row| row.get(0)).collect())
+    };
+    assert_eq!(fetch(2)?, [1, 2]);
+    assert_eq!(fetch(2)?, [3]);
+    Ok(())
+}
+
+/// Settings of a process of its own come from a file; a misspelt key must not be ignored.
+#[test]
+fn settings_are_read_and_checked() -> TestResult {
+    let text = "statement_us = 500\n[[databases]]\nname = \"padron\"\n\
+                [[databases.members]]\nid = \"p1\"\nslots = 5\nconnections = 55\n";
+    let cfg: GroupConfig = toml::from_str(text)?;
+    assert_eq!((cfg.setup_ms, cfg.statement_us, cfg.databases[0].members[0].slots), (12, 500, 5));
+    let misspelt = text.replace("slots", "slot");
+    assert!(toml::from_str::<GroupConfig>(&misspelt).is_err());
+    Ok(())
+}
