--- a/crates/proxy/src/home/transaction.rs
+++ b/crates/proxy/src/home/transaction.rs
@@ -8,6 +8,7 @@
     outcome::{Refusal, RefusalKind},
     position::Term,
     request::StatementClass,
+    term_history::Fate,
 };
 use hibiscusladder_proto::{
     reply::{ReplyEnd, TransactionStatus},
@@ -260,6 +261,9 @@
         span.attribute("workspace", head.workspace.as_str());
         let now = member.node.now();
         member.wait_lease(deadline.min(now.plus(LEASE_WAIT))).await?;
+        if head.class.needs_primary() {
+            member.wait_writes(deadline).await?;
+        }
         self.check_role(envelope)?;
         let contract = member.node.config().contract(&head.workspace).map(Arc::clone);
         let contract = contract.ok_or_else(|| Refusal::not_run(RefusalKind::KeyRejected))?;
@@ -286,6 +290,12 @@
         if head.position.is_some_and(|position| position.term > known) {
             return Err(member.no_member("its home does not know the term of the session yet"));
         }
+        // The entry may not have heard of the last promotion.
+        if let Some(lost) = head.position
+            && let Fate::Lost { term_start } = member.fate(lost)
+        {
+            return Err(Refusal::not_run(RefusalKind::WriteLost { lost, term_start }));
+        }
         Ok(())
     }
 
--- a/crates/proxy/src/home/loans.rs
+++ b/crates/proxy/src/home/upkeep.rs
@@ -1,4 +1,4 @@
-//! Exchange of loans between homes.
+//! Regular work of the homes: connections that are kept ready, and loans between homes.
 
 use std::{
     collections::HashMap,
@@ -13,7 +13,7 @@
 use smol::Timer;
 
 use super::{Homes, Member};
-use crate::rpc::Rpc;
+use crate::{rpc::Rpc, settings::LimitPolicy};
 
 /// A request with the home that makes it.
 struct Pending {
@@ -21,11 +21,17 @@
     addressed: AddressedRequest,
 }
 
-/// Asks other homes for loans for as long as `homes` are used.
+/// Works for as long as `homes` are used.
 pub(super) async fn run(homes: Weak<Homes>, rpc: Rpc) {
     loop {
         Timer::after(LOAN_INTERVAL).await;
         let Some(homes) = homes.upgrade() else { return };
+        for member in homes.own_members() {
+            member.keep_ready();
+        }
+        if homes.node.settings().policy.limits != LimitPolicy::Loans {
+            continue;
+        }
         for (home, pending) in collect(&homes) {
             smol::spawn(ask(Arc::clone(&homes), rpc.clone(), home, pending)).detach();
         }
