feat(testkit): hand out ports that nothing else takes meanwhile

A test that binds port 0, closes it and passes the number to a process leaves time in which another listener or an outgoing connection gets it: in 1 of 2 runs of all tests of the binary, an instance of outages.rs ended because its health port was in use. The test support of the binary does not use them yet.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -17,5 +17,6 @@
 
 pub mod fault_proxy;
 pub mod history;
+pub mod ports;
 pub mod process;
 pub mod scenario;
