fix(proxy): announce the first complete configuration

Cause: when the store is written during the first list, the list has the new object at an older revision.

A test failed before the change.

--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -298,15 +298,16 @@
 
     /// Applies the answer to a request for the changes since `since` that was sent at `asked`.
     pub fn apply_changes(&self, changes: Changes, since: u64, asked: Instant) -> BatchOutcome {
-        let outcome = {
+        let (outcome, replaced) = {
             let mut config = lock(&self.config);
+            let before = config.snapshot();
             let outcome = config.apply(changes, since, asked);
             if touches_databases(&outcome) {
                 self.update_groups(&config.snapshot());
             }
-            outcome
+            (outcome, !Arc::ptr_eq(&before, &config.snapshot()))
         };
-        if !outcome.updated.is_empty() {
+        if replaced {
             self.config_changed.notify(usize::MAX);
         }
         self.proof_changed.notify(usize::MAX);
--- a/crates/proxy/src/node/config.rs
+++ b/crates/proxy/src/node/config.rs
@@ -59,7 +59,10 @@
 
     pub(super) fn apply(&mut self, changes: Changes, since: u64, asked: Instant) -> BatchOutcome {
         let outcome = self.view.apply_all(changes, since, asked);
-        if !outcome.updated.is_empty() {
+        // The objects of a first list can belong to a later revision than the list as a whole. Readers have to see
+        // that the view became complete, although no object changes any more.
+        let completed = self.snapshot.revision() == 0 && self.view.revision() > 0;
+        if !outcome.updated.is_empty() || completed {
             self.snapshot = Arc::new(self.view.clone());
             let versions =
                 outcome.updated.iter().map(|(kind, name)| self.view.version(*kind, name));
--- /dev/null
+++ b/crates/proxy/tests/node.rs
@@ -0,0 +1,120 @@
+//! Shared state of an instance.
+
+use std::{sync::Arc, time::Duration};
+
+use futures::FutureExt;
+use hibiscusladder_core::{
+    config::{Change, Changes, Kind, Standing},
+    membership::{Heartbeat, InstanceInfo, InstanceState, TermInfo},
+    position::Term,
+};
+use hibiscusladder_proxy::{metrics::Metrics, node::Node, settings::Settings};
+
+const SETTINGS: &str = r#"
+topology = [{ data_centre = "a", region = "r" }, { data_centre = "b", region = "r" }]
+[instance]
+id = "i1"
+data_centre = "a"
+listen = "127.0.0.1:1"
+rpc = "127.0.0.1:2"
+health = "127.0.0.1:3"
+[platform]
+url = "http://127.0.0.1:4"
+[upstream]
+user = "u"
+password = "p"
+"#;
+
+const DATABASE: &str = r#"{"name":"d","term":1,"primary":"m1","members":[
+    {"id":"m1","data_centre":"a","address":"127.0.0.1:5","slots":1,"connections":4},
+    {"id":"m2","data_centre":"b","address":"127.0.0.1:6","slots":1,"connections":4}]}"#;
+
+fn node() -> Arc<Node> {
+    let settings = Settings::parse("test", SETTINGS).expect("valid settings");
+    Node::new(settings, Metrics::disabled())
+}
+
+fn changes(revision: u64, items: Vec<Change>) -> Changes {
+    Changes { revision, proof_age: Some(Duration::ZERO), complete: true, items }
+}
+
+fn with_database(node: &Node) {
+    let database = Change::put(Kind::Database, "d", 1, DATABASE);
+    node.apply_changes(changes(1, vec![database]), 0, node.now());
+}
+
+fn beat(id: &str, data_centre: &str) -> Heartbeat {
+    Heartbeat::new(InstanceInfo::new(id, data_centre, "127.0.0.1:9"))
+}
+
+/// A store that is written during the first list gives objects that are newer than the list. A reader that waits
+/// for the first complete configuration must still be woken when the revision arrives without another object.
+#[test]
+fn first_revision_without_changed_objects_is_announced() {
+    let node = node();
+    let database = Change::put(Kind::Database, "d", 1, DATABASE);
+    node.apply_changes(changes(0, vec![database.clone()]), 0, node.now());
+    assert_eq!(node.config().revision(), 0);
+    let changed = node.config_changed();
+    let mut incremental = changes(1, vec![database]);
+    incremental.complete = false;
+    node.apply_changes(incremental, 0, node.now());
+    assert!(changed.now_or_never().is_some());
+    assert_eq!(node.config().revision(), 1);
+}
+
+/// A copy without any proof may be of any age, so it must not serve requests with a key.
+#[test]
+fn configuration_without_proof_is_in_doubt() {
+    let node = node();
+    let mut changes = changes(1, Vec::new());
+    changes.proof_age = None;
+    node.apply_changes(changes, 0, node.now());
+    assert_eq!(node.config_standing(), Standing::Doubt);
+    assert!(!node.config_usable());
+}
+
+/// A term that goes back would send writes to a primary that has been replaced.
+#[test]
+fn group_term_never_decreases() {
+    let node = node();
+    with_database(&node);
+    let mut newer = beat("i2", "b");
+    newer.terms = vec![TermInfo {
+        database: "d".into(),
+        term: Term(3),
+        primary: Some("m2".into()),
+        term_start: None,
+    }];
+    node.receive_heartbeat(&newer);
+    with_database(&node);
+    let view = node.group(&"d".into()).expect("the group").view();
+    assert_eq!((view.term, view.primary.as_ref()), (Term(3), Some(&"m2".into())));
+}
+
+/// A leaving instance that stays home would be chosen for requests that it no longer serves.
+#[test]
+fn leaving_instance_is_not_home() {
+    let node = node();
+    with_database(&node);
+    assert!(node.is_home(&"d".into(), &"m1".into()));
+    node.receive_heartbeat(&beat("i2", "b"));
+    assert!(node.is_home(&"d".into(), &"m1".into()));
+    assert!(!node.is_home(&"d".into(), &"m2".into()));
+    node.start_drain();
+    let home = node.home_of(&"d".into(), &"m1".into()).expect("a home");
+    assert_eq!(home.id.as_str(), "i2");
+}
+
+/// An instance that becomes home before its shares are settled refuses the requests of its members.
+#[test]
+fn warming_instance_is_not_home_until_it_finishes() {
+    let node = node();
+    with_database(&node);
+    node.start_warm_up();
+    assert!(!node.is_home(&"d".into(), &"m1".into()));
+    node.finish_warm_up();
+    assert!(node.is_home(&"d".into(), &"m1".into()));
+    let own = node.peers().get(node.id()).cloned().expect("the own entry");
+    assert_eq!(own.state, InstanceState::Live);
+}
