fix(proxy): answer a broken query at once, and track which statements were prepared

A simple query with an invalid text was answered only after a Sync, which such a client never sends. In a transaction, statements whose Parse was skipped after an error counted as known to the server connection.

--- a/crates/proxy/src/caller/batch.rs
+++ b/crates/proxy/src/caller/batch.rs
@@ -16,6 +16,8 @@
     Flushed(Vec<Frame>),
     /// Messages that break the protocol, up to the next `Sync`.
     Broken(&'static str),
+    /// A message that breaks the protocol and that no `Sync` follows.
+    BrokenAlone(&'static str),
     /// The client says good-bye.
     Terminate,
 }
@@ -49,6 +51,9 @@
     /// Takes a message; returns a batch when it ends one.
     pub(super) fn push(&mut self, frame: Frame) -> Result<Option<Batch>, FrameError> {
         let Some(message) = ClientMessage::parse(&frame) else {
+            if frame.kind() == b'Q' && self.is_idle() {
+                return Ok(Some(Batch::BrokenAlone("the text of the query is not valid")));
+            }
             return Ok(self.broken("a message is not valid"));
         };
         match message {
@@ -64,7 +69,14 @@
             ClientMessage::Query { .. } => {
                 return Ok(self.broken("a query came before the end of an extended batch"));
             }
-            ClientMessage::Other => return Ok(self.broken("a message has no place here")),
+            // A client may not know yet that its COPY was refused.
+            ClientMessage::Copy => return Ok(None),
+            ClientMessage::FunctionCall if self.frames.is_empty() => {
+                return Ok(Some(Batch::BrokenAlone("function calls are not supported")));
+            }
+            ClientMessage::FunctionCall | ClientMessage::Other => {
+                return Ok(self.broken("a message has no place here"));
+            }
             ClientMessage::Flush if self.frames.is_empty() => return Ok(None),
             ClientMessage::Flush => return Ok(Some(Batch::Flushed(self.take()))),
             _ => {}
--- a/crates/proxy/src/caller/message.rs
+++ b/crates/proxy/src/caller/message.rs
@@ -27,7 +27,10 @@
     Flush,
     Sync,
     Terminate,
-    /// A message that has no place here, such as one of COPY.
+    /// A message of COPY.
+    Copy,
+    FunctionCall,
+    /// A message that has no place here.
     Other,
 }
 
@@ -61,6 +64,8 @@
             b'H' => Self::Flush,
             b'S' => Self::Sync,
             b'X' => Self::Terminate,
+            b'd' | b'c' | b'f' => Self::Copy,
+            b'F' => Self::FunctionCall,
             _ => Self::Other,
         };
         Some(message)
--- a/crates/proxy/src/caller/session.rs
+++ b/crates/proxy/src/caller/session.rs
@@ -88,6 +88,13 @@
     prepared: HashSet<String>,
 }
 
+/// An answer that was passed on.
+struct Answered {
+    end: ReplyEnd,
+    /// Number of `Parse` messages that succeeded; those after an error are skipped.
+    parsed: usize,
+}
+
 /// What comes next from a client.
 enum Input {
     Batch(Batch),
@@ -283,6 +290,10 @@
                 let refusal = Refusal::not_run(RefusalKind::Protocol).detail(reason);
                 self.error(&refusal).await
             }
+            Batch::BrokenAlone(reason) => {
+                let refusal = Refusal::not_run(RefusalKind::Protocol).detail(reason);
+                self.ready(Err(refusal)).await
+            }
             Batch::Terminate => Err(Gone),
         }
     }
@@ -404,10 +415,11 @@
             }
         };
         let chunks = dispatched.call.chunks;
-        let end = self.relay(Some(dispatched.first), &chunks, &plan).await?;
+        let answered = self.relay(Some(dispatched.first), &chunks, &plan).await?;
+        let Answered { end, parsed } = answered;
         self.running.end();
         if end.status != TransactionStatus::Idle {
-            let prepared = plan.prepared.into_iter().collect();
+            let prepared = plan.prepared.into_iter().take(parsed).collect();
             let exchanges = dispatched.call.exchanges;
             let status = end.status;
             self.transaction = Some(Open { exchanges, request, status, prepared });
@@ -444,11 +456,11 @@
         }
         let request = &open.request;
         self.running.begin(&request.database, &request.progress, request.cancel_token);
-        let end = self.relay(None, &receiver, &plan).await?;
+        let Answered { end, parsed } = self.relay(None, &receiver, &plan).await?;
         self.running.end();
         if end.status != TransactionStatus::Idle {
             open.status = end.status;
-            open.prepared.extend(plan.prepared);
+            open.prepared.extend(plan.prepared.into_iter().take(parsed));
             self.transaction = Some(open);
         }
         self.note_end(end).await
@@ -505,7 +517,7 @@
         first: Option<Chunk>,
         chunks: &Receiver<Chunk>,
         plan: &Plan,
-    ) -> Result<ReplyEnd, Gone> {
+    ) -> Result<Answered, Gone> {
         let mut filter = Filter::new(plan);
         let mut next = first;
         loop {
@@ -518,7 +530,7 @@
                     let data = filter.pass(data);
                     self.write(&data).await?;
                 }
-                Chunk::End(end) => return Ok(end),
+                Chunk::End(end) => return Ok(Answered { end, parsed: filter.seen }),
             }
         }
     }
@@ -589,21 +601,21 @@
     }
 }
 
-/// Removes the answers to `Parse` messages that the entry added.
+/// Counts the answers to `Parse` messages, and removes those to messages that the entry added.
 struct Filter<'a> {
-    added: &'a HashSet<usize>,
+    plan: &'a Plan,
     framer: Framer,
     seen: usize,
 }
 
 impl<'a> Filter<'a> {
     fn new(plan: &'a Plan) -> Self {
-        Self { added: &plan.added, framer: Framer::new(usize::MAX), seen: 0 }
+        Self { plan, framer: Framer::new(usize::MAX), seen: 0 }
     }
 
     /// Part of the answer that the client is given.
     fn pass(&mut self, data: Bytes) -> Bytes {
-        if self.added.is_empty() {
+        if self.plan.prepared.is_empty() {
             return data;
         }
         self.framer.push(&data);
@@ -611,7 +623,7 @@
         while let Ok(Some(frame)) = self.framer.pop() {
             if frame.kind() == b'1' {
                 self.seen += 1;
-                if self.added.contains(&(self.seen - 1)) {
+                if self.plan.added.contains(&(self.seen - 1)) {
                     continue;
                 }
             }
--- a/crates/proxy/tests/malformed.rs
+++ b/crates/proxy/tests/malformed.rs
@@ -129,7 +129,9 @@
 fn broken_message_then_sync() {
     let cluster = Cluster::with(Options { instances: 1, ..Options::default() });
     let broken = [typed(b'B', b"\0"), typed(b'E', b"\0"), typed(b'S', b"")].concat();
-    let query = typed(b'Q', b"SELECT 41 + 1\0");
+    // No Sync follows a simple query, also when its text is not valid.
+    let invalid = typed(b'Q', b"SELECT '\xff'\0");
+    let query = [invalid, typed(b'Q', b"SELECT 41 + 1\0")].concat();
     let answer = exchange(connect(&cluster), &[login(&cluster), broken, query].concat());
     assert!(contains(&answer, "08P01"), "{answer:?}");
     assert!(contains(&answer, "42"), "{answer:?}");
