fix(proxy): keep the claim of another instance for the same term

Cause: a claim was written over any record of the same term without primary, so two instances could both take themselves for the claimant, raise different members and abandon the attempt. Change: only the own claim, of the same process, counts as stored.

--- a/crates/proxy/src/control/mod.rs
+++ b/crates/proxy/src/control/mod.rs
@@ -34,7 +34,7 @@
     configuration::WATCH_WAIT,
     heartbeat::{Confirmations, HEARTBEAT_INTERVAL},
     members::Links,
-    promotion::claimant,
+    promotion::{claimant, may_claim, may_publish},
     service::ControlHandler,
     statement::lock_key,
 };
--- a/crates/proxy/src/control/promotion.rs
+++ b/crates/proxy/src/control/promotion.rs
@@ -154,8 +154,9 @@
             PromotionAction::Claim { term } => {
                 spdlog::info!("promotion: claiming term {term} of {}", self.database);
                 let claimant = self.claimant.clone();
+                let allowed = |record: &DatabaseRecord| may_claim(record, term, &self.claimant);
                 let answer = self
-                    .update(term, move |record| {
+                    .update(allowed, move |record| {
                         record.term = term;
                         record.primary = None;
                         record.claimant = Some(claimant);
@@ -245,8 +246,9 @@
     async fn publish(&self, publication: Publication) -> PromotionEvent {
         let term = publication.term;
         let claimant = self.claimant.clone();
+        let allowed = |record: &DatabaseRecord| may_publish(record, term);
         let answer = self
-            .update(term, move |record| {
+            .update(allowed, move |record| {
                 record.term = publication.term;
                 record.primary = Some(publication.primary);
                 record.claimant = Some(claimant);
@@ -260,17 +262,17 @@
         PromotionEvent::Published { term, answer }
     }
 
-    /// Changes the record while it holds a lower term, or `term` without primary from this claimant.
-    async fn update<F>(&self, term: Term, change: F) -> StoreAnswer
+    /// Changes the record if it is `allowed`, on condition that it does not change in between.
+    async fn update<A, F>(&self, allowed: A, change: F) -> StoreAnswer
     where
+        A: FnOnce(&DatabaseRecord) -> bool,
         F: FnOnce(&mut DatabaseRecord),
     {
         let (version, mut record) = match self.read().await {
             Ok(Some(found)) => found,
             Ok(None) | Err(_) => return StoreAnswer::Unavailable,
         };
-        let own_claim = record.term == term && record.primary.is_none();
-        if record.term >= term && !own_claim {
+        if !allowed(&record) {
             return StoreAnswer::Conflict(term_record(&record));
         }
         change(&mut record);
@@ -301,6 +303,17 @@
     }
 }
 
+/// Whether `claimant` may write its claim of `term` over the record; the claim of another instance stays.
+pub fn may_claim(record: &DatabaseRecord, term: Term, claimant: &InstanceId) -> bool {
+    let own = record.claimant.as_ref() == Some(claimant);
+    record.term < term || (record.term == term && record.primary.is_none() && own)
+}
+
+/// Whether the primary of `term` may be written over the record, whoever claimed the term.
+pub fn may_publish(record: &DatabaseRecord, term: Term) -> bool {
+    record.term < term || (record.term == term && record.primary.is_none())
+}
+
 fn term_record(record: &DatabaseRecord) -> TermRecord {
     TermRecord {
         term: record.term,
