--- a/crates/proxy/src/caller/mod.rs
+++ b/crates/proxy/src/caller/mod.rs
@@ -7,6 +7,7 @@
 mod authorise;
 mod batch;
 mod cancel;
+mod filter;
 pub mod frame;
 mod local;
 mod message;
@@ -14,6 +15,7 @@
 mod session;
 mod startup;
 mod tls;
+mod welcome;
 
 use std::{
     io,
--- a/crates/proxy/src/caller/session.rs
+++ b/crates/proxy/src/caller/session.rs
@@ -1,24 +1,16 @@
 //! One client connection after its start-up message.
 
-use std::{
-    collections::{BTreeMap, HashSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use futures::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use hibiscusladder_core::{
-    key::Key,
-    name::{Database, Workspace},
     outcome::{Refusal, RefusalKind},
-    position::Position,
     read_route::ReadNeed,
     request::StatementClass,
     session::Session as Positions,
 };
 use hibiscusladder_proto::reply::{ReplyEnd, TransactionStatus};
-use pgwire::messages::startup::{BackendKeyData, NegotiateProtocolVersion, SecretKey};
 use smol::{
     Timer,
     channel::{self, Receiver, Sender},
@@ -27,13 +19,13 @@
 
 use super::{
     Entry, answer,
-    authorise::{Authorised, ClientKey, Identity},
+    authorise::{Authorised, Identity},
     batch::{Batch, Collector},
     cancel::Running,
-    frame::{Fields, Frame, FrameError, FrameReader, Framer},
+    filter::Filter,
+    frame::{Frame, FrameError, FrameReader},
     local::LocalSettings,
     plan::{self, Plan, Statements},
-    startup::Greeting,
 };
 use crate::{
     classify::{Effect, Flow},
@@ -43,20 +35,6 @@
     trace::Hop,
 };
 
-/// Parameters that a client is told at the start.
-const PARAMETERS: [(&str, &str); 8] = [
-    ("server_version", "16.0"),
-    ("server_encoding", "UTF8"),
-    ("client_encoding", "UTF8"),
-    ("DateStyle", "ISO, MDY"),
-    ("TimeZone", "UTC"),
-    ("integer_datetimes", "on"),
-    ("standard_conforming_strings", "on"),
-    ("hibiscus.request_id", ""),
-];
-/// Size at which collected messages are written to the client, in bytes.
-const WRITE_BYTES: usize = 64 * 1024;
-
 /// Idle time after which a client is told that the instance leaves.
 ///
 /// A client that gets the message together with the end of its answer may take it for the answer.
@@ -65,23 +43,23 @@
 const LINGER: Duration = Duration::from_millis(500);
 
 /// The client is gone.
-struct Gone;
+pub(super) struct Gone;
 
 /// A session of a client.
 pub(super) struct Session<'a, S> {
-    entry: &'a Arc<Entry>,
-    reader: FrameReader<S>,
-    collector: Collector,
-    identity: Identity,
-    settings: LocalSettings,
-    statements: Statements,
-    transaction: Option<Open>,
-    process: u32,
-    running: Arc<Running>,
+    pub(super) entry: &'a Arc<Entry>,
+    pub(super) reader: FrameReader<S>,
+    pub(super) collector: Collector,
+    pub(super) identity: Identity,
+    pub(super) settings: LocalSettings,
+    pub(super) statements: Statements,
+    pub(super) transaction: Option<Open>,
+    pub(super) process: u32,
+    pub(super) running: Arc<Running>,
 }
 
 /// A transaction that is open at a home.
-struct Open {
+pub(super) struct Open {
     exchanges: Sender<Exchange>,
     request: Request,
     status: TransactionStatus,
@@ -107,104 +85,6 @@
 where
     S: AsyncRead + AsyncWrite + Unpin,
 {
-    /// Authenticates the client and tells it that the session is ready.
-    pub(super) async fn start(greeting: Greeting<S>, entry: &'a Arc<Entry>) -> Option<Self> {
-        let Greeting { mut reader, parameters, minor } = greeting;
-        match Self::authenticate(&mut reader, &parameters, minor, entry).await {
-            Ok(identity) => Self::welcome(reader, &parameters, identity, entry).await,
-            Err(Some(refusal)) => {
-                entry.node().metrics().count("entry.rejected");
-                let mut buf = BytesMut::new();
-                answer::put_fatal(&mut buf, &refusal);
-                let _ = reader.stream().write_all(&buf).await;
-                None
-            }
-            Err(None) => None,
-        }
-    }
-
-    /// Asks for the key and checks it; the error is absent when the client is gone.
-    async fn authenticate(
-        reader: &mut FrameReader<S>,
-        parameters: &BTreeMap<String, String>,
-        minor: u16,
-        entry: &Entry,
-    ) -> Result<Identity, Option<Refusal>> {
-        let node = entry.node();
-        if node.is_draining() {
-            return Err(Some(Refusal::not_run(RefusalKind::Leaving)));
-        }
-        let bound =
-            usize::try_from(node.settings().limits.client_connections).unwrap_or(usize::MAX);
-        if entry.clients() > bound {
-            return Err(Some(
-                Refusal::not_run(RefusalKind::QueueFull).detail("too many client connections"),
-            ));
-        }
-        let (workspace, database) = names(parameters)?;
-        let mut buf = BytesMut::new();
-        if minor > 0 {
-            answer::put(&mut buf, &NegotiateProtocolVersion::new(0, Vec::new()));
-        }
-        answer::put_password_request(&mut buf);
-        reader.stream().write_all(&buf).await.map_err(|_| None)?;
-        let invalid = || Refusal::not_run(RefusalKind::Protocol).detail("a password was expected");
-        let frame = reader.next().await.map_err(|_| Some(invalid()))?.ok_or(None)?;
-        let password = Fields::new(frame.body()).text().filter(|_| frame.kind() == b'p');
-        let password = password.ok_or_else(|| Some(invalid()))?;
-        let key = match password {
-            "" => None,
-            text => {
-                let key: Result<Key, _> = text.parse();
-                // The error says nothing about the text, which may be a mistyped secret.
-                let key = key.map_err(|_| Some(Refusal::not_run(RefusalKind::KeyRejected)))?;
-                Some(ClientKey::new(key))
-            }
-        };
-        let identity = Identity { workspace, database, key };
-        identity.authorise(node).map_err(Some)?;
-        Ok(identity)
-    }
-
-    async fn welcome(
-        mut reader: FrameReader<S>,
-        parameters: &BTreeMap<String, String>,
-        identity: Identity,
-        entry: &'a Arc<Entry>,
-    ) -> Option<Self> {
-        let position = parameters.get("hibiscus.position");
-        let position: Option<Position> = position.and_then(|text| text.parse().ok());
-        let (process, running) = entry.sessions.register()?;
-        let mut buf = BytesMut::new();
-        answer::put_authenticated(&mut buf);
-        for (name, value) in PARAMETERS {
-            answer::put_parameter(&mut buf, name, value);
-        }
-        if let Some(position) = position {
-            answer::put_position(&mut buf, position);
-        }
-        let secret = SecretKey::I32(running.secret().cast_signed());
-        answer::put(&mut buf, &BackendKeyData::new(process.cast_signed(), secret));
-        answer::put_ready(&mut buf, TransactionStatus::Idle);
-        let bound =
-            usize::try_from(entry.node().settings().limits.batch_bytes).unwrap_or(usize::MAX);
-        reader.set_bound(bound);
-        let session = position.map_or_else(Positions::new, Positions::with_position);
-        let mut session = Self {
-            entry,
-            reader,
-            collector: Collector::new(bound),
-            identity,
-            settings: LocalSettings { session, request_id: None },
-            statements: Statements::default(),
-            transaction: None,
-            process,
-            running,
-        };
-        session.write(&buf).await.ok()?;
-        Some(session)
-    }
-
     /// Serves the client until it leaves.
     pub(super) async fn run(mut self) {
         loop {
@@ -530,7 +410,7 @@
                     let data = filter.pass(data);
                     self.write(&data).await?;
                 }
-                Chunk::End(end) => return Ok(Answered { end, parsed: filter.seen }),
+                Chunk::End(end) => return Ok(Answered { end, parsed: filter.parsed() }),
             }
         }
     }
@@ -588,7 +468,7 @@
         metrics.count_tagged("entry.refusals", "sqlstate", refusal.sqlstate());
     }
 
-    async fn write(&mut self, bytes: &[u8]) -> Result<(), Gone> {
+    pub(super) async fn write(&mut self, bytes: &[u8]) -> Result<(), Gone> {
         let stream = self.reader.stream();
         stream.write_all(bytes).await.map_err(|_| Gone)?;
         stream.flush().await.map_err(|_| Gone)
@@ -601,38 +481,6 @@
     }
 }
 
-/// Counts the answers to `Parse` messages, and removes those to messages that the entry added.
-struct Filter<'a> {
-    plan: &'a Plan,
-    framer: Framer,
-    seen: usize,
-}
-
-impl<'a> Filter<'a> {
-    fn new(plan: &'a Plan) -> Self {
-        Self { plan, framer: Framer::new(usize::MAX), seen: 0 }
-    }
-
-    /// Part of the answer that the client is given.
-    fn pass(&mut self, data: Bytes) -> Bytes {
-        if self.plan.prepared.is_empty() {
-            return data;
-        }
-        self.framer.push(&data);
-        let mut kept = BytesMut::with_capacity(data.len().min(WRITE_BYTES));
-        while let Ok(Some(frame)) = self.framer.pop() {
-            if frame.kind() == b'1' {
-                self.seen += 1;
-                if self.plan.added.contains(&(self.seen - 1)) {
-                    continue;
-                }
-            }
-            kept.extend_from_slice(frame.raw());
-        }
-        kept.freeze()
-    }
-}
-
 /// Completes when the instance has been leaving for a while.
 async fn drained<T>(node: &Node) -> Option<T> {
     let drain = node.drain_started();
@@ -657,24 +505,6 @@
     Ok(contract.classify(&plan.tables, writes))
 }
 
-/// Workspace and database that a client names.
-fn names(parameters: &BTreeMap<String, String>) -> Result<(Workspace, Database), Option<Refusal>> {
-    let invalid =
-        |detail: &str| Some(Refusal::not_run(RefusalKind::Protocol).detail(detail.to_owned()));
-    let user = parameters.get("user").filter(|user| !user.is_empty());
-    let user = user.ok_or_else(|| invalid("the start-up message names no user"))?;
-    let database = parameters.get("database").filter(|name| !name.is_empty()).unwrap_or(user);
-    if let Some(encoding) = parameters.get("client_encoding") {
-        let encoding = encoding.trim_matches('\'').to_ascii_uppercase();
-        if !matches!(encoding.as_str(), "UTF8" | "UTF-8" | "UNICODE" | "AUTO") {
-            return Err(Some(
-                Refusal::not_run(RefusalKind::Unsupported).detail("encodings other than UTF8"),
-            ));
-        }
-    }
-    Ok((Workspace::new(user), Database::new(database)))
-}
-
 /// End of an answer whose rest was lost.
 const fn lost() -> ReplyEnd {
     ReplyEnd::refused(Refusal::unknown(RefusalKind::ConnectionLost))
