fix: wait 500 ms for a token, and take test ports outside the ephemeral range

Cause: a small workspace's burst of 10 is divided over three members, and a loan request leaves at most every 100 ms, so the wait of 100 ms often ended before a loan or the next own token arrived. Tests failed in 2 of 10 runs because a port from the ephemeral range was taken again before the instance bound it. Conclusion: the wait has to cover one refill of a small part (1/3 of 10 per second, 300 ms); 500 ms covers it with a margin.

--- a/crates/proxy/src/settings/mod.rs
+++ b/crates/proxy/src/settings/mod.rs
@@ -135,7 +135,7 @@
         Self {
             max_config_age: Duration::from_secs(5),
             queue_wait: Duration::from_secs(2),
-            admit_wait: Duration::from_millis(100),
+            admit_wait: Duration::from_millis(500),
             replica_wait: Duration::from_millis(50),
             idle_in_transaction: Duration::from_secs(5),
             silence_bound: Duration::from_secs(3),
--- a/crates/proxy/tests/settings.rs
+++ b/crates/proxy/tests/settings.rs
@@ -44,7 +44,7 @@
     let settings = Settings::parse("proxy.toml", VALID).unwrap();
     assert_eq!(settings.platform.address, "127.0.0.1:7300");
     assert_eq!(settings.times.queue_wait, Duration::from_millis(750));
-    assert_eq!(settings.times.admit_wait, Duration::from_millis(100));
+    assert_eq!(settings.times.admit_wait, Duration::from_millis(500));
     assert_eq!(settings.log, LogLevel::Warn);
     assert_eq!(settings.instance.seeds.len(), 1);
     assert_eq!(settings.region(&"stgo-a".into()), Some("stgo"));
--- a/hibiscusladder/examples/measure/fleet.rs
+++ b/hibiscusladder/examples/measure/fleet.rs
@@ -3,7 +3,6 @@
 use std::{
     error::Error,
     fs,
-    net::TcpListener,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     thread,
@@ -24,6 +23,8 @@
     proxy::platform::http_get,
 };
 
+use hibiscusladder_testkit::ports::free_port;
+
 use crate::deployment::{Deployment, WorkspaceSize};
 
 /// Longest wait until every member has a home.
@@ -254,7 +255,3 @@
         example.parent().and_then(Path::parent).ok_or("the example is not in a target folder")?;
     Ok(profile.join("hibiscusladder"))
 }
-
-fn free_port() -> std::io::Result<u16> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.port())
-}
