--- a/hibiscusladder/tests/support/mod.rs
+++ b/hibiscusladder/tests/support/mod.rs
@@ -5,7 +5,6 @@
 
 use std::{
     fs,
-    net::TcpListener,
     path::PathBuf,
     process::{Child, Command, Output, Stdio},
     thread,
@@ -55,9 +54,9 @@
     plain.split_whitespace().collect::<Vec<_>>().join(" ")
 }
 
-/// A port that was free a moment ago.
+/// A port that no listener uses and that the system does not hand out.
 pub(crate) fn free_port() -> u16 {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+    hibiscusladder_testkit::ports::free_port().unwrap()
 }
 
 /// Waits until `condition` gives a value.
