fix(proxy): take the starts of terms and the reach of logs from the history

A member writes the start of its term with the number of the new term. The group kept this start, so every session with a position of an older term was told of a lost write after a failover although the write was kept. The group now takes the start that the witness completed, records the starts from the store and from heartbeats in the witness, and keeps them when the witness is rebuilt after a change of members.

The home compared positions by order, which the log of a term that was left out passes. It now uses `TermHistory::reaches` for waits, for answers of the member and for the proved age of stale reads.

Tests (tests/terms.rs): start_completed_and_kept, kept_write_survives_failover, stale_read_left_out_term and wait_position_unknown_term; each was seen to fail with its change taken back.

--- a/crates/core/src/witness.rs
+++ b/crates/core/src/witness.rs
@@ -251,6 +251,11 @@
         self.history.record(term, start);
     }
 
+    /// Records the starts that another witness of the group holds.
+    pub fn merge_history(&mut self, history: &TermHistory) {
+        self.history.merge(history);
+    }
+
     /// Starts of the terms that the members reported or that were recorded.
     pub const fn history(&self) -> &TermHistory {
         &self.history
--- a/crates/proxy/src/home/member.rs
+++ b/crates/proxy/src/home/member.rs
@@ -11,7 +11,7 @@
     name::{MemberId, Workspace},
     outcome::{Refusal, RefusalKind},
     position::{Position, Term},
-    term_history::{Fate, TermHistory},
+    term_history::Fate,
     witness::PositionProof,
 };
 use smol::{Timer, future::FutureExt, lock::Mutex as AsyncMutex};
@@ -46,7 +46,6 @@
     record: MemberRecord,
     /// Whether the member was primary at the last look.
     role: Mutex<Option<bool>>,
-    history: Mutex<TermHistory>,
 }
 
 /// Term and role of a member at one moment.
@@ -80,7 +79,6 @@
             recorded_term: AsyncMutex::new(None),
             record: record.clone(),
             role: Mutex::default(),
-            history: Mutex::default(),
         };
         Arc::new(member)
     }
@@ -104,12 +102,7 @@
 
     /// What became of a position of a session.
     pub(super) fn fate(&self, position: Position) -> Fate {
-        let view = self.group.view();
-        let mut history = lock(&self.history);
-        if let Some(start) = view.term_start.filter(|_| view.primary.is_some()) {
-            history.record(view.term, start);
-        }
-        history.fate(position)
+        self.group.view().witness.history().fate(position)
     }
 
     /// Slots and queue of the member.
@@ -217,8 +210,10 @@
     ) -> Result<(), Refusal> {
         let until = self.node.now().plus(self.node.settings().times.replica_wait);
         loop {
-            let reported = self.group.view().report(&self.id).map(|report| report.position);
-            let position = match reported.filter(|position| *position >= needed) {
+            let view = self.group.view();
+            let reported = view.report(&self.id).map(|report| report.position);
+            let reached = |position: &Position| view.witness.history().reaches(*position, needed);
+            let position = match reported.filter(reached) {
                 Some(position) => position,
                 None if pooled.has_committed() => {
                     return Err(self.no_member("its position is not known yet"));
@@ -228,7 +223,8 @@
             if self.fate(position) != Fate::Kept {
                 return Err(self.no_member("the end of its log is not part of the present term"));
             }
-            if position >= needed {
+            // A log of a term that was left out passes the plain order without the entry.
+            if self.group.view().witness.history().reaches(position, needed) {
                 return Ok(());
             }
             if self.node.now() >= until {
@@ -253,7 +249,8 @@
             return view.gate_open(view.term, self.node.now());
         }
         let Some(report) = view.report(&self.id) else { return false };
-        let included = |proof: &&PositionProof| proof.position <= report.position;
+        let history = view.witness.history();
+        let included = |proof: &&PositionProof| history.reaches(report.position, proof.position);
         let proof = view.witness.proofs().iter().rev().find(included);
         proof.is_some_and(|proof| self.node.now().since(proof.sent) <= max_age)
     }
--- a/crates/proxy/src/node/group.rs
+++ b/crates/proxy/src/node/group.rs
@@ -73,12 +73,21 @@
         if self.primary.is_none() {
             self.primary = primary.cloned();
         }
-        self.term_start = self.term_start.or(start);
+        // A later start may name the continued term, which an earlier one does not.
+        self.term_start = start.or(self.term_start);
         if self.term_members.is_empty() {
             self.term_members = members.to_vec();
         }
     }
 
+    /// Records the start of `term` that was told, and returns the most complete one that is known.
+    fn learn_start(&mut self, term: Term, start: Option<Position>) -> Option<Position> {
+        if let Some(start) = start {
+            self.witness.record_term(term, start);
+        }
+        self.witness.history().start(term)
+    }
+
     /// Whether an answer under `term` may be released at `now`.
     pub fn gate_open(&self, term: Term, now: Instant) -> bool {
         self.witness.gate(term, now).is_open()
@@ -162,28 +171,33 @@
         self.update(|view| {
             view.members.clone_from(&record.members);
             if !record.members.iter().map(|member| &member.id).eq(view.witness.members()) {
-                view.witness = witness(record);
+                let mut rebuilt = witness(record);
+                // Without the starts, every session with a position of an older term would be told of a lost write.
+                rebuilt.merge_history(view.witness.history());
+                view.witness = rebuilt;
             }
-            let (primary, start) = (record.primary.as_ref(), record.term_start);
-            view.merge_term(record.term, primary, start, &record.term_members);
+            let start = view.learn_start(record.term, record.term_start);
+            view.merge_term(record.term, record.primary.as_ref(), start, &record.term_members);
         });
     }
 
     /// Takes a newer term that another instance passed on.
     pub fn apply_term(&self, info: &TermInfo) {
         self.update(|view| {
-            view.merge_term(info.term, info.primary.as_ref(), info.term_start, &[]);
+            let start = view.learn_start(info.term, info.term_start);
+            view.merge_term(info.term, info.primary.as_ref(), start, &[]);
         });
     }
 
     /// Takes the answer of a member to a poll.
     pub fn apply_report(&self, report: MemberReport) {
         self.update(|view| {
+            view.witness.record(report.clone());
             if report.is_primary() {
-                let start = Some(report.term_start);
+                // The witness completes the start, which the member gives with the number of the new term.
+                let start = view.witness.history().start(report.term);
                 view.merge_term(report.term, Some(&report.member), start, &report.term_members);
             }
-            view.witness.record(report);
         });
     }
 
@@ -215,5 +229,9 @@
 
 fn witness(record: &DatabaseRecord) -> Witness {
     let members = record.members.iter().map(|member| member.id.clone()).collect();
-    Witness::new(members, WITNESS_WINDOW)
+    let mut witness = Witness::new(members, WITNESS_WINDOW);
+    if let Some(start) = record.term_start {
+        witness.record_term(record.term, start);
+    }
+    witness
 }
