feat(core): let equally near replicas take turns

The first of several equally near replicas served all reads. `route_in_turn` takes a number that the proxy raises with each request, and the usable replicas at the smallest distance share the reads evenly. The number belongs to the request, so a request that waits and is routed again does not see the choice change by itself and retry without a pause.

The route also merges the whole history of the witness.

Test: route_takes_turns_between_equally_near, which fails without the turns.

--- a/crates/core/src/read_route.rs
+++ b/crates/core/src/read_route.rs
@@ -256,38 +256,58 @@
 
     /// Chooses the member for a read that arrived at `arrived`.
     pub fn route(&self, need: ReadNeed, arrived: Instant, now: Instant) -> ReadDecision {
+        self.route_in_turn(need, arrived, now, 0)
+    }
+
+    /// Chooses the member as [`route`](Self::route) does, and the one whose turn it is among equally near replicas.
+    ///
+    /// With a number that grows by one with each read, the replicas get equal parts. A read that is routed again
+    /// keeps its number, so that the choice changes only when the replicas do.
+    pub fn route_in_turn(
+        &self,
+        need: ReadNeed,
+        arrived: Instant,
+        now: Instant,
+        turn: u64,
+    ) -> ReadDecision {
         match need {
-            ReadNeed::Position(position) => self.route_position(position, arrived, now),
-            ReadNeed::Age(max_age) => self.route_age(max_age, now),
+            ReadNeed::Position(position) => self.route_position(position, arrived, now, turn),
+            ReadNeed::Age(max_age) => self.route_age(max_age, now, turn),
             ReadNeed::ReadIndex | ReadNeed::Primary => self.route_primary(now),
         }
     }
 
-    fn route_position(&self, position: Position, arrived: Instant, now: Instant) -> ReadDecision {
+    fn route_position(
+        &self,
+        position: Position,
+        arrived: Instant,
+        now: Instant,
+        turn: u64,
+    ) -> ReadDecision {
         let term = self.primary.as_ref().map_or(position.term, |(_, term)| *term);
         // Another instance knows a newer term, or the start of the present one is unknown here, so that the session
         // could not be told of a lost write. Nothing can be chosen until this instance has heard more.
         if position.term > term || !self.may_compare(position.term, term) {
             return ReadDecision::Refuse(RefusalKind::NoMember);
         }
-        let reached = self.nearest(now, |replica| replica.has(position));
+        let reached = self.nearest(now, turn, |replica| replica.has(position));
         if let Some(replica) = reached {
             return ReadDecision::Replica { member: replica.member.clone(), term };
         }
         let until = arrived.plus(self.replica_wait);
         if now < until
-            && let Some(replica) = self.nearest(now, |replica| self.may_reach_soon(replica))
+            && let Some(replica) = self.nearest(now, turn, |replica| self.may_reach_soon(replica))
         {
             return ReadDecision::Wait { member: replica.member.clone(), until };
         }
         self.route_primary(now)
     }
 
-    fn route_age(&self, max_age: Duration, now: Instant) -> ReadDecision {
+    fn route_age(&self, max_age: Duration, now: Instant, turn: u64) -> ReadDecision {
         let fresh = |replica: &Replica| {
             self.proved_age(&replica.member, now).is_some_and(|age| age <= max_age)
         };
-        if let Some(replica) = self.nearest(now, fresh) {
+        if let Some(replica) = self.nearest(now, turn, fresh) {
             let term = self.primary.as_ref().map_or_else(Term::default, |(_, term)| *term);
             return ReadDecision::Replica { member: replica.member.clone(), term };
         }
@@ -308,19 +328,24 @@
         ReadDecision::Primary { member: member.clone(), term: *term }
     }
 
-    /// The nearest replica that takes reads and fulfils `condition`.
-    fn nearest<F>(&self, now: Instant, condition: F) -> Option<&Replica>
+    /// The nearest replica that takes reads and fulfils `condition`; equally near ones take turns.
+    fn nearest<F>(&self, now: Instant, turn: u64, condition: F) -> Option<&Replica>
     where
         F: Fn(&Replica) -> bool,
     {
-        self.members
+        let usable = self
+            .members
             .values()
             .filter(|replica| !self.is_primary(&replica.member))
             .filter(|replica| replica.leaving.is_none())
             .filter(|replica| replica.heard_within(self.silence, now))
             .filter(|replica| self.shares_log(replica))
-            .filter(|replica| condition(replica))
-            .min_by_key(|replica| self.distance(&replica.data_centre))
+            .filter(|replica| condition(replica));
+        let mut near: Vec<&Replica> = usable.collect();
+        let distance = near.iter().map(|replica| self.distance(&replica.data_centre)).min()?;
+        near.retain(|replica| self.distance(&replica.data_centre) == distance);
+        let count = u64::try_from(near.len()).unwrap_or(u64::MAX);
+        near.get(usize::try_from(turn % count).unwrap_or(0)).copied()
     }
 
     /// Whether a replica lagged little enough at its last report that waiting for it is of use.
--- a/crates/core/tests/reads.rs
+++ b/crates/core/tests/reads.rs
@@ -106,6 +106,23 @@
     assert_eq!(router(b, c).route(need, at(10), at(now)), expected);
 }
 
+/// Guards against equally near replicas of which the first serves all reads, and against turns that go to a replica
+/// that is farther away or lacks the position.
+#[test]
+fn route_takes_turns_between_equally_near() {
+    let mut router = router(position(2, 100), position(2, 100));
+    for member in ["d", "e"] {
+        router.add(Replica::new(member.into(), "near".into()));
+    }
+    router.observe(&"d".into(), position(2, 100), at(10));
+    router.observe(&"e".into(), position(2, 99), at(10));
+    for need in [ReadNeed::Position(position(2, 100)), ReadNeed::Age(Duration::from_secs(1))] {
+        let decide = |turn| router.route_in_turn(need, at(10), at(20), turn);
+        let decisions: Vec<_> = (0..4).map(decide).collect();
+        assert_eq!(decisions, ["b", "d", "b", "d"].map(replica), "{need:?}");
+    }
+}
+
 /// Guards against waiting for replicas that cannot catch up in time.
 #[test]
 fn route_waits_only_for_replica_that_is_close() {
--- a/crates/proxy/src/route/database.rs
+++ b/crates/proxy/src/route/database.rs
@@ -106,7 +106,7 @@
         let mut state = lock(&self.state);
         state.follow(node, view);
         let now = node.now();
-        match state.reader.route(need(request), now, now) {
+        match state.reader.route_in_turn(need(request), now, now, request.cancel_token) {
             ReadDecision::Replica { member, .. }
             | ReadDecision::Primary { member, .. }
             // The home of the replica asks it for its position while it waits.
@@ -123,9 +123,7 @@
             return;
         }
         self.seen = Arc::downgrade(view);
-        if let Some(start) = view.term_start {
-            self.history.record(view.term, start);
-        }
+        self.history.merge(view.witness.history());
         let now = node.now();
         let config = node.config();
         if self.members != view.members {
