fix(proxy): bind requests to the term under which they were checked

The home looked up the term after the position of the member was compared, so a change of term in between let the gate of the new term release the answer. The term and role are now taken before the comparison. When they changed before the statement is sent, the request is refused as not run, and the entry sends it again. Further batches of an open transaction use the term in which it began; after a change of term the transaction is rolled back.

A write that was in the queue when a handover began ran all the same. It is now refused as not run before it is sent, and waits when it comes again.

--- a/crates/proxy/src/home/transaction.rs
+++ b/crates/proxy/src/home/transaction.rs
@@ -6,7 +6,7 @@
 use hibiscusladder_core::{
     clock::Instant,
     outcome::{Refusal, RefusalKind},
-    position::Term,
+    position::{Position, Term},
     request::StatementClass,
     term_history::Fate,
 };
@@ -49,7 +49,8 @@
 struct Open {
     pooled: Pooled,
     slot: Slot,
-    on_primary: bool,
+    /// Term and role under which the transaction began.
+    standing: Standing,
 }
 
 /// End of a batch, and the transaction when it stays open.
@@ -158,6 +159,8 @@
         if registered.take_cancelled() {
             return Err(cancelled());
         }
+        // Position and role hold for this term only, so the gate of a later one confirms nothing about them.
+        let standing = member.standing();
         let pooled = self.connect(envelope, deadline).await?;
         registered.connected(pooled.connection.cancel_key());
         let mut span = self.member.node.tracer().span(Hop::Upstream, &head.trace_parent);
@@ -165,9 +168,15 @@
         if !member.lease_usable() {
             return Err(member.no_member("the lease of its home has expired"));
         }
-        let standing = member.standing();
+        if member.standing() != standing {
+            return Err(member.no_member("the term changed before the statement was sent"));
+        }
+        // A write that waited for its slot came past the first check before writes were held back.
+        if head.class.needs_primary() && member.group.writes_held() {
+            return Err(member.no_member("it is being replaced as primary"));
+        }
         self.check_standing(envelope, standing)?;
-        let term = gate_term(standing, head.class);
+        let term = gate_term(standing, head.class, head.position);
         let mut execution = Execution::new(member, pooled, head.class, term, deadline);
         let finished = match request_key(envelope, &frames) {
             None => execution.run(data, &frames, outlet).await,
@@ -181,7 +190,7 @@
         }
         let finished = finished?;
         drop(span);
-        Ok(self.settle(finished, slot, standing.is_primary, self.keep))
+        Ok(self.settle(finished, slot, standing, self.keep))
     }
 
     async fn exchange(
@@ -193,9 +202,8 @@
     ) -> Result<Ended, Refusal> {
         let member = &self.member;
         let head = &envelope.head;
-        let on_primary = transaction.on_primary;
-        let standing = member.standing();
-        let refusal = split(data).err().or_else(|| self.lapsed(on_primary, standing));
+        let standing = transaction.standing;
+        let refusal = split(data).err().or_else(|| self.lapsed(standing));
         if let Some(refusal) = refusal {
             roll_back(transaction);
             return Err(refusal);
@@ -204,22 +212,23 @@
         let Open { pooled, slot, .. } = transaction;
         let deadline = member.node.now().plus(head.remaining);
         let span = self.member.node.tracer().span(Hop::Upstream, &head.trace_parent);
-        let term = gate_term(standing, head.class);
+        let term = gate_term(standing, head.class, head.position);
         let mut execution = Execution::new(member, pooled, head.class, term, deadline);
+        let on_primary = standing.is_primary;
         let finished = execution.continue_open(data, &frames, on_primary, outlet).await?;
         drop(span);
-        Ok(self.settle(finished, slot, on_primary, true))
+        Ok(self.settle(finished, slot, standing, true))
     }
 
     /// Returns the connection when the transaction has ended.
-    fn settle(&self, finished: Finished, slot: Slot, on_primary: bool, keep: bool) -> Ended {
+    fn settle(&self, finished: Finished, slot: Slot, standing: Standing, keep: bool) -> Ended {
         let Finished { mut end, pooled } = finished;
         if end.status == TransactionStatus::Idle {
             drop(slot);
             smol::spawn(pooled.release()).detach();
             return (end, None);
         }
-        let open = Open { pooled, slot, on_primary };
+        let open = Open { pooled, slot, standing };
         if keep {
             return (end, Some(open));
         }
@@ -233,12 +242,17 @@
     }
 
     /// Why a transaction that is open cannot go on.
-    fn lapsed(&self, on_primary: bool, standing: Standing) -> Option<Refusal> {
+    fn lapsed(&self, begun: Standing) -> Option<Refusal> {
         // The lease is not needed to go on: a home that leaves completes the transactions that it holds.
-        if on_primary && !standing.is_primary {
+        let standing = self.member.standing();
+        if begun.is_primary && !standing.is_primary {
             let reason = "it is no longer the primary; the transaction was rolled back";
             return Some(self.member.no_member(reason));
         }
+        if begun != standing {
+            let reason = "the term has changed; the transaction was rolled back";
+            return Some(self.member.no_member(reason));
+        }
         None
     }
 
@@ -370,9 +384,13 @@
 }
 
 /// Term whose gate has to be open when an answer of the class is released.
-const fn gate_term(standing: Standing, class: StatementClass) -> Option<Term> {
-    match class {
-        StatementClass::StaleRead { .. } => None,
+const fn gate_term(
+    standing: Standing,
+    class: StatementClass,
+    position: Option<Position>,
+) -> Option<Term> {
+    match (class, position) {
+        (StatementClass::StaleRead { .. }, None) => None,
         _ => Some(standing.term),
     }
 }
