fix(proxy): report lost writes before a client gets the position of a new term

An entry that did not know where a new term began gave the client the new position at once. With this position, no other entry could tell the client that an older write was lost. The entry now asks the home that answered for the start of the term (at most 1 s), records it and checks the session first. The statement itself has run, so the loss is reported as "outcome unknown" with the position of its commit in the message.

--- a/crates/proxy/src/caller/session.rs
+++ b/crates/proxy/src/caller/session.rs
@@ -10,7 +10,7 @@
 use futures::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use hibiscusladder_core::{
     key::Key,
-    name::{Database, Workspace},
+    name::{Database, MemberId, Workspace},
     outcome::{Refusal, RefusalKind},
     position::Position,
     read_route::ReadNeed,
@@ -406,13 +406,14 @@
         let chunks = dispatched.call.chunks;
         let end = self.relay(Some(dispatched.first), &chunks, &plan).await?;
         self.running.end();
+        let member = request.progress.member();
         if end.status != TransactionStatus::Idle {
             let prepared = plan.prepared.into_iter().collect();
             let exchanges = dispatched.call.exchanges;
             let status = end.status;
             self.transaction = Some(Open { exchanges, request, status, prepared });
         }
-        self.note_end(end).await
+        self.note_end(end, member.as_ref()).await
     }
 
     /// Runs a batch in the open transaction.
@@ -451,7 +452,7 @@
             open.prepared.extend(plan.prepared);
             self.transaction = Some(open);
         }
-        self.note_end(end).await
+        self.note_end(end, Some(&member)).await
     }
 
     /// Describes a batch to the router.
@@ -523,15 +524,41 @@
         }
     }
 
-    /// Takes the end of an answer over.
-    async fn note_end(&mut self, end: ReplyEnd) -> Result<Result<(), Refusal>, Gone> {
+    /// Takes the end of an answer of `member` over.
+    async fn note_end(
+        &mut self,
+        end: ReplyEnd,
+        member: Option<&MemberId>,
+    ) -> Result<Result<(), Refusal>, Gone> {
+        let mut lost = None;
         if let Some(position) = end.position {
-            self.settings.session.committed(position);
+            lost = self.committed(position, member).await;
             let mut buf = BytesMut::new();
             answer::put_position(&mut buf, position);
             self.write(&buf).await?;
         }
-        Ok(end.refusal.map_or(Ok(()), Err))
+        Ok(end.refusal.or(lost).map_or(Ok(()), Err))
+    }
+
+    /// Notes the position of a commit, and reports a write of an older term that was lost.
+    ///
+    /// The client gets the new position only after the check: on another connection, it would hide the loss.
+    async fn committed(
+        &mut self,
+        position: Position,
+        member: Option<&MemberId>,
+    ) -> Option<Refusal> {
+        let session = &mut self.settings.session;
+        let newer = session.position().is_some_and(|known| known.term < position.term);
+        session.committed(position);
+        if !newer {
+            return None;
+        }
+        let router = &self.entry.router;
+        let history = router.history_with(&self.identity.database, position.term, member).await;
+        let kind = session.check(&history)?;
+        let detail = format!("the statement itself was committed at {position}");
+        Some(Refusal::unknown(kind).detail(detail))
     }
 
     /// Ends the answer to a batch.
--- a/crates/proxy/src/route/mod.rs
+++ b/crates/proxy/src/route/mod.rs
@@ -16,7 +16,7 @@
 use hibiscusladder_core::{
     name::{Database, InstanceId, MemberId},
     outcome::{Execution, Refusal, RefusalKind},
-    position::{Position, Term},
+    position::{Lsn, Position, Term},
     request::StatementClass,
     retry::RetryBudget,
     session::Session,
@@ -43,6 +43,9 @@
 /// Shortest and longest pause before a request goes to the same home again.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
 
+/// Longest wait for the start of a term under which a write of a session was answered.
+const TERM_START_WAIT: Duration = Duration::from_secs(1);
+
 /// Routes the requests of the clients of one instance.
 #[derive(Debug)]
 pub struct Router {
@@ -95,6 +98,45 @@
         self.database(database).map(|route| route.history(&self.node)).unwrap_or_default()
     }
 
+    /// Starts of the terms with that of `term`; the home of `member` is asked while it is not known here.
+    ///
+    /// When the home does not tell it in time, the term is taken to have continued none, so that positions of older
+    /// terms count as lost.
+    pub async fn history_with(
+        &self,
+        database: &Database,
+        term: Term,
+        member: Option<&MemberId>,
+    ) -> TermHistory {
+        let until = self.node.now().plus(TERM_START_WAIT);
+        loop {
+            let mut history = self.history(database);
+            if history.start(term).is_some_and(|start| start.term < term) {
+                return history;
+            }
+            let left = until.since(self.node.now());
+            if left.is_zero() {
+                history.record(term, Position::new(term, Lsn(u64::MAX)));
+                return history;
+            }
+            let timer = async {
+                Timer::after(left).await;
+            };
+            self.ask_terms(database, member).or(timer).await;
+            Timer::after(left.min(RETRY_PAUSE.0)).await;
+        }
+    }
+
+    /// Asks the home of `member` for the terms that it knows.
+    async fn ask_terms(&self, database: &Database, member: Option<&MemberId>) {
+        let home = member.and_then(|member| self.node.home_of(database, member));
+        let Some(home) = home.filter(|home| home.id != *self.node.id()) else { return };
+        let beat = self.node.heartbeat(&home.id);
+        if let Ok(answer) = self.rpc.heartbeat(&home.rpc, beat).await {
+            self.node.receive_heartbeat(&answer);
+        }
+    }
+
     /// A position that the primary of `database` had after this call.
     pub async fn read_index(&self, database: &Database) -> Option<Position> {
         self.database(database)?.index().position().await
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -9,7 +9,7 @@
     net::{SocketAddr, TcpListener as StdListener},
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
     time::{Duration, Instant as WallInstant},
@@ -102,6 +102,7 @@
     contract: Contract,
     paused: Arc<AtomicBool>,
     doubt: Arc<AtomicBool>,
+    isolated: Arc<AtomicUsize>,
     stop: Arc<AtomicBool>,
 }
 
@@ -167,6 +168,7 @@
             contract,
             paused: Arc::default(),
             doubt: Arc::default(),
+            isolated: Arc::new(AtomicUsize::new(usize::MAX)),
             stop: Arc::default(),
         };
         cluster.configure();
@@ -205,10 +207,14 @@
 
     /// Polls every member for every instance and holds the leases of the homes.
     fn start_polls(&self) {
-        for instance in &self.instances {
+        for (number, instance) in self.instances.iter().enumerate() {
             for (member, address) in self.group.addresses() {
                 let node = Arc::clone(&instance.node);
                 let (stop, paused) = (Arc::clone(&self.stop), Arc::clone(&self.paused));
+                let isolated = Arc::clone(&self.isolated);
+                let paused = move || {
+                    paused.load(Ordering::Acquire) || isolated.load(Ordering::Acquire) == number
+                };
                 thread::spawn(move || {
                     smol::block_on(poll(&node, &member, address, &stop, &paused));
                 });
@@ -216,11 +222,18 @@
         }
         let nodes: Vec<_> = self.instances.iter().map(|i| Arc::clone(&i.node)).collect();
         let (stop, doubt) = (Arc::clone(&self.stop), Arc::clone(&self.doubt));
+        let isolated = Arc::clone(&self.isolated);
         thread::spawn(move || {
             while !stop.load(Ordering::Acquire) {
+                let cut_off = isolated.load(Ordering::Acquire);
+                let cut_off = nodes.get(cut_off).map(|node| node.id().clone());
                 for from in &nodes {
                     for to in nodes.iter().filter(|to| to.id() != from.id()) {
-                        to.receive_heartbeat(&from.heartbeat(to.id()));
+                        let mut beat = from.heartbeat(to.id());
+                        if cut_off.as_ref() == Some(to.id()) {
+                            beat.terms.clear();
+                        }
+                        to.receive_heartbeat(&beat);
                     }
                     from.tick_membership();
                     if !doubt.load(Ordering::Acquire) {
@@ -242,6 +255,11 @@
         self.paused.store(paused, Ordering::Release);
     }
 
+    /// Keeps polls and news of terms from the instance `number`; its calls to other instances go on.
+    pub(crate) fn isolate(&self, number: usize) {
+        self.isolated.store(number, Ordering::Release);
+    }
+
     fn wait_ready(&self) {
         let start = WallInstant::now();
         let ready = || {
@@ -307,6 +325,16 @@
         }
     }
 
+    /// Raises and promotes the member `id` alone, without the wait that the protocol demands.
+    pub(crate) fn promote_at_once(&self, id: &str, term: u64) {
+        let (_, address) = self.group.addresses().into_iter().find(|m| m.0.as_str() == id).unwrap();
+        let mut config = Config::new();
+        config.host("127.0.0.1").port(address.port()).user("proxy").password("proxy");
+        let mut client = config.dbname(DATABASE).connect(NoTls).unwrap();
+        client.simple_query(&format!("SELECT group_raise_term({term}, 'test')")).unwrap();
+        client.simple_query(&format!("SELECT group_promote({term}, '{id}')")).unwrap();
+    }
+
     /// Number of statements with `text` that the members received.
     pub(crate) fn received(&self, text: &str) -> usize {
         let reports = self.group.reports();
@@ -391,23 +419,24 @@
     Instance { node, homes, entry, address, rpc: rpc_address }
 }
 
-async fn poll(
+async fn poll<F>(
     node: &Arc<Node>,
     member: &MemberId,
     address: SocketAddr,
     stop: &AtomicBool,
-    paused: &AtomicBool,
-) {
+    paused: &F,
+) where
+    F: Fn() -> bool,
+{
     let database = Database::new(DATABASE);
     let mut connection = None;
     while !stop.load(Ordering::Acquire) {
         let lease = node.lease_or_new(member);
-        if !paused.load(Ordering::Acquire) && node.is_home(&database, member) && !lease.holds_lock()
-        {
+        if !paused() && node.is_home(&database, member) && !lease.holds_lock() {
             lease.handle(LeaseEvent::Connected, node.now());
             lease.handle(LeaseEvent::LockTaken { sent: node.now() }, node.now());
         }
-        if !paused.load(Ordering::Acquire) {
+        if !paused() {
             let sent = node.now();
             let asked = poll_once(&mut connection, node, address, sent);
             let timeout = async {
