feat(proxy): let near replicas take turns at entries that do not poll

An entry that is home of no member of the group knows no positions and sent all reads with a position to the first near replica. Such an entry now gives equally near replicas turns, as the core's router does; the home still checks the position.

Test: replicas_take_turns_without_reports; of 10 reads, p2 and p3 got 0 and 10 before, and 5 and 5 after.

--- a/crates/proxy/src/route/database.rs
+++ b/crates/proxy/src/route/database.rs
@@ -157,21 +157,26 @@
 }
 
 /// Chooses the nearest replica, when this instance does not poll the group; the home checks the position.
+///
+/// Equally near replicas take turns, as in the core's router.
 fn choose_near(node: &Node, view: &GroupView, request: &Request) -> Option<MemberId> {
     if need(request) == ReadNeed::Primary {
         return None;
     }
     let config = node.config();
     let near = region(node);
-    view.members
-        .iter()
-        .filter(|record| view.primary.as_ref() != Some(&record.id))
-        .filter(|record| config.upstream(&record.id) == UpstreamState::Live)
-        .min_by_key(|record| {
-            let data_centre = &record.data_centre;
-            (data_centre != node.data_centre(), !near.contains(data_centre))
-        })
-        .map(|record| record.id.clone())
+    let distance = |record: &MemberRecord| {
+        let data_centre = &record.data_centre;
+        (data_centre != node.data_centre(), !near.contains(data_centre))
+    };
+    let replicas = view.members.iter().filter(|record| view.primary.as_ref() != Some(&record.id));
+    let mut usable: Vec<&MemberRecord> =
+        replicas.filter(|record| config.upstream(&record.id) == UpstreamState::Live).collect();
+    let nearest = usable.iter().map(|record| distance(record)).min()?;
+    usable.retain(|record| distance(record) == nearest);
+    let count = u64::try_from(usable.len()).unwrap_or(u64::MAX);
+    let turn = usize::try_from(request.cancel_token % count).unwrap_or(0);
+    usable.get(turn).map(|record| record.id.clone())
 }
 
 /// Data centres of the instance's region.
--- a/crates/proxy/tests/terms.rs
+++ b/crates/proxy/tests/terms.rs
@@ -99,6 +99,38 @@
     assert_eq!(value(&mut client, "SELECT count(*) FROM clubs"), Ok("0".to_owned()));
 }
 
+/// Guards against an entry that does not poll the group and sends all reads to one of two equally near replicas.
+#[test]
+fn replicas_take_turns_without_reports() {
+    let cluster = Cluster::start();
+    let (mut client, _) = create(&cluster, 0);
+    cluster.isolate(0);
+    thread::sleep(Duration::from_millis(700));
+    // Another order of the members replaces the witness, and no report arrives any more.
+    let entry = group(&cluster, 0);
+    let view = entry.view();
+    let record = DatabaseRecord {
+        name: Database::new(DATABASE),
+        primary: view.primary.clone(),
+        term: view.term,
+        claimant: None,
+        term_start: view.term_start,
+        term_members: view.term_members.clone(),
+        members: view.members.iter().rev().cloned().collect(),
+    };
+    entry.apply_record(&record);
+    for _ in 0..10 {
+        value(&mut client, "SELECT count(*) FROM clubs").unwrap();
+    }
+    assert!(entry.view().witness.reports().next().is_none(), "the entry has reports");
+    let reports = cluster.group.reports();
+    let reads = |id: &str| {
+        let report = reports.iter().find(|report| report.id.as_str() == id).unwrap();
+        report.recent.iter().filter(|text| text.contains("count(*)")).count()
+    };
+    assert_eq!((reads("p2"), reads("p3")), (5, 5));
+}
+
 /// Guards against a start without the continued term that wins over the complete one, and against starts that are
 /// forgotten when the members change.
 #[test]
