feat: add an example that measures the slopes for the capacity page

The size to come cannot be started on one machine, so its cost has to be worked out from slopes. The example measures an instance's memory and processor time against idle clients, statements, other instances, polled databases and objects of the configuration. The emulators and instances that `measure` starts move to a module that both examples share; the members of a database may now be in chosen data centres.

--- /dev/null
+++ b/hibiscusladder/examples/capacity/wire.rs
@@ -0,0 +1,70 @@
+//! The few PostgreSQL messages of an idle client, without a library that keeps more memory for each connection.
+
+use std::{
+    io::{self, Read, Write},
+    net::TcpStream,
+    time::Duration,
+};
+
+const PROTOCOL_3: u32 = 196_608;
+
+/// Longest wait for an answer.
+const ANSWER_BOUND: Duration = Duration::from_secs(10);
+
+/// A client connection.
+#[derive(Debug)]
+pub(crate) struct Client(TcpStream);
+
+impl Client {
+    /// Connects to `port` and completes the start-up.
+    pub(crate) fn connect(port: u16, user: &str, database: &str, key: &str) -> io::Result<Self> {
+        let stream = TcpStream::connect(("127.0.0.1", port))?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(ANSWER_BOUND))?;
+        let mut client = Self(stream);
+        let mut body = PROTOCOL_3.to_be_bytes().to_vec();
+        for text in ["user", user, "database", database, ""] {
+            body.extend_from_slice(text.as_bytes());
+            body.push(0);
+        }
+        client.send(None, &body)?;
+        client.send(Some(b'p'), &[key.as_bytes(), &[0]].concat())?;
+        client.until_ready()?;
+        Ok(client)
+    }
+
+    /// Runs a statement.
+    pub(crate) fn query(&mut self, statement: &str) -> io::Result<()> {
+        self.send(Some(b'Q'), &[statement.as_bytes(), &[0]].concat())?;
+        self.until_ready()
+    }
+
+    fn send(&mut self, kind: Option<u8>, body: &[u8]) -> io::Result<()> {
+        let mut message: Vec<u8> = kind.into_iter().collect();
+        let length = u32::try_from(body.len() + 4).map_err(io::Error::other)?;
+        message.extend_from_slice(&length.to_be_bytes());
+        message.extend_from_slice(body);
+        self.0.write_all(&message)
+    }
+
+    /// Reads messages up to the one that the server is ready; the first error becomes the result.
+    fn until_ready(&mut self) -> io::Result<()> {
+        let mut failure = None;
+        loop {
+            let mut head = [0; 5];
+            if let Err(error) = self.0.read_exact(&mut head) {
+                return Err(failure.unwrap_or(error));
+            }
+            let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]);
+            let mut body = vec![0; usize::try_from(length).map_err(io::Error::other)? - 4];
+            self.0.read_exact(&mut body)?;
+            match head[0] {
+                b'Z' => return failure.map_or(Ok(()), Err),
+                b'E' => {
+                    failure = Some(io::Error::other(String::from_utf8_lossy(&body).into_owned()))
+                }
+                _ => {}
+            }
+        }
+    }
+}
--- a/hibiscusladder/examples/measure/condition.rs
+++ b/hibiscusladder/examples/measure/condition.rs
@@ -4,7 +4,7 @@
 
 use hibiscusladder::load::config::{FaultConfig, LoadConfig, Mix, RunConfig, WorkspaceLoad};
 
-use crate::{deployment::Deployment, fleet::Fleet};
+use crate::support::{deployment::Deployment, fleet::Fleet};
 
 /// Times its rate that a flooding workspace offers.
 const FLOOD_FACTOR: f64 = 10.0;
--- a/hibiscusladder/examples/measure/main.rs
+++ b/hibiscusladder/examples/measure/main.rs
@@ -4,14 +4,17 @@
 //! A second argument names one condition (`calm`, `flood` or `failover`); a third one repeats each run.
 
 mod condition;
-mod deployment;
-mod fleet;
+#[path = "../support/mod.rs"]
+mod support;
 
 use std::{error::Error, fs};
 
 use hibiscusladder::load::{report::Report, run};
 
-use self::{condition::Condition, deployment::Deployment, fleet::Fleet};
+use self::{
+    condition::Condition,
+    support::{deployment::Deployment, fleet::Fleet},
+};
 
 /// Policies under which a condition is measured, as a section of the settings.
 const POLICIES: [(&str, &str); 2] = [
--- a/hibiscusladder/examples/measure/deployment.rs
+++ b/hibiscusladder/examples/support/deployment.rs
@@ -18,9 +18,12 @@
     pub(crate) statement_us: u64,
     /// Lag of replicas in milliseconds.
     pub(crate) lag_ms: u64,
-    /// Data centres; each has one member of every database.
+    /// Data centres.
     #[serde(rename = "data_centre")]
     pub(crate) data_centres: Vec<Place>,
+    /// Data centres of the members of every database; empty for one member in each data centre.
+    #[serde(default)]
+    pub(crate) member_centres: Vec<String>,
     /// Names of the databases.
     pub(crate) databases: Vec<String>,
     /// Workspaces.
@@ -28,6 +31,16 @@
     pub(crate) workspaces: Vec<WorkspaceSize>,
 }
 
+impl Deployment {
+    /// Data centres of the members of a database, in the order of the members.
+    pub(crate) fn member_centres(&self) -> Vec<&str> {
+        if self.member_centres.is_empty() {
+            return self.data_centres.iter().map(|place| place.name.as_str()).collect();
+        }
+        self.member_centres.iter().map(String::as_str).collect()
+    }
+}
+
 /// A data centre and its instances.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/hibiscusladder/examples/measure/fleet.rs
+++ b/hibiscusladder/examples/support/fleet.rs
@@ -3,7 +3,7 @@
 use std::{
     error::Error,
     fs,
-    net::TcpListener,
+    net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     thread,
@@ -24,7 +24,7 @@
     proxy::platform::http_get,
 };
 
-use crate::deployment::{Deployment, WorkspaceSize};
+use super::deployment::{Deployment, WorkspaceSize};
 
 /// Longest wait until every member has a home.
 const READY_BOUND: Duration = Duration::from_secs(30);
@@ -42,14 +42,26 @@
     group: GroupHandle,
 }
 
+/// An instance as a child process, with its ports on loopback.
 #[derive(Debug)]
-struct Running {
+pub(crate) struct Running {
     child: Child,
-    listen: u16,
-    rpc: u16,
+    /// Data centre.
+    pub(crate) data_centre: String,
+    /// Port for clients.
+    pub(crate) listen: u16,
+    /// Port for other instances.
+    pub(crate) rpc: u16,
     health: u16,
 }
 
+impl Running {
+    /// Process id.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+}
+
 impl Fleet {
     /// Starts a deployment and waits until it serves.
     pub(crate) fn start(deployment: &Deployment, policy: &str) -> Result<Self, Box<dyn Error>> {
@@ -84,6 +96,21 @@
         self.instances.iter().map(|instance| format!("127.0.0.1:{}", instance.listen)).collect()
     }
 
+    /// Instances in the order of the data centres.
+    pub(crate) fn instances(&self) -> &[Running] {
+        &self.instances
+    }
+
+    /// Address of the platform.
+    pub(crate) fn platform(&self) -> String {
+        self.platform.address().to_string()
+    }
+
+    /// Address of the member `id`.
+    pub(crate) fn member(&self, id: &str) -> Option<SocketAddr> {
+        self.group.address(id)
+    }
+
     /// Admin address of the emulated databases.
     pub(crate) fn database_admin(&self) -> String {
         self.group.admin().to_string()
@@ -101,13 +128,13 @@
 
     fn record(&self, deployment: &Deployment, database: &str) -> DatabaseRecord {
         let members: Vec<MemberRecord> = (1..)
-            .zip(&deployment.data_centres)
-            .filter_map(|(index, place)| {
+            .zip(deployment.member_centres())
+            .filter_map(|(index, data_centre)| {
                 let id = format!("{database}-{index}");
                 Some(MemberRecord {
                     address: self.group.address(&id)?.to_string(),
                     id: id.into(),
-                    data_centre: DataCentre::new(&place.name),
+                    data_centre: DataCentre::new(data_centre),
                     slots: u32::try_from(deployment.slots).ok()?,
                     connections: u32::try_from(deployment.connections).ok()?,
                 })
@@ -160,12 +187,13 @@
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()?;
-        self.instances.push(Running { child, listen, rpc, health });
+        let data_centre = data_centre.to_owned();
+        self.instances.push(Running { child, data_centre, listen, rpc, health });
         Ok(())
     }
 
     fn wait_until_ready(&self, deployment: &Deployment) -> Result<(), Box<dyn Error>> {
-        let wanted = deployment.databases.len() * deployment.data_centres.len();
+        let wanted = deployment.databases.len() * deployment.member_centres().len();
         let start = Instant::now();
         while self.leases() < wanted {
             if start.elapsed() > READY_BOUND {
@@ -219,16 +247,17 @@
 }
 
 fn group_config(deployment: &Deployment) -> GroupConfig {
+    let centres = deployment.member_centres();
     let member = |database: &str, index: usize| {
         let mut member = MemberConfig::new(&format!("{database}-{}", index + 1));
-        member.data_centre = Some(DataCentre::new(&deployment.data_centres[index].name));
+        member.data_centre = Some(DataCentre::new(centres[index]));
         member.slots = deployment.slots;
         member.connections = deployment.connections;
         member
     };
     let database = |name: &String| DatabaseConfig {
         name: name.as_str().into(),
-        members: (0..deployment.data_centres.len()).map(|index| member(name, index)).collect(),
+        members: (0..centres.len()).map(|index| member(name, index)).collect(),
         primary: None,
     };
     GroupConfig {
--- /dev/null
+++ b/hibiscusladder/examples/support/mod.rs
@@ -0,0 +1,6 @@
+//! Deployments of emulators and instances on one machine, shared by the examples.
+
+#![allow(dead_code, reason = "each example uses a part of the support")]
+
+pub(crate) mod deployment;
+pub(crate) mod fleet;
