--- a/hibiscusladder/tests/support/mod.rs
+++ b/hibiscusladder/tests/support/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code, reason = "each test file uses a part of the support")]
 #![allow(clippy::unwrap_used, reason = "a failure here is the failure of the test")]
 
+pub(crate) mod clients;
+
 use std::{
     fs,
     path::PathBuf,
