--- a/hibiscusladder/tests/faults.rs
+++ b/hibiscusladder/tests/faults.rs
@@ -5,7 +5,7 @@
 use std::{thread, time::Duration};
 
 use hibiscusladder::emulator::database::MemberFaults;
-use hibiscusladder_testkit::history::Facts;
+use hibiscusladder_testkit::{fault_proxy::FaultProxy, history::Facts};
 use support::{
     Installation,
     clients::{Recorder, wait_for_other_primary},
@@ -15,6 +15,9 @@
 /// Longest time for a change of primary (the stated target).
 const PROMOTION: Duration = Duration::from_secs(12);
 
+/// Longest time of a request while connections are silent (the stated target for changes to be in effect).
+const BOUND: Duration = Duration::from_secs(8);
+
 const SESSIONS: [&str; 4] = ["s0", "s1", "s2", "s3"];
 
 /// Guards against writes that an isolated primary acknowledges through its own home after its replacement, and
@@ -73,3 +76,40 @@
     });
     recorder.check(&installation, facts, &SESSIONS);
 }
+
+/// Guards against requests that hang on silent connections from a home to the members while new connections work, and
+/// against writes that are lost or run twice when their answer is swallowed (I8, I9, I10).
+#[test]
+fn silent_connections_to_members_hold_no_request() {
+    let installation = Installation::start_behind_relays(&["stgo-a", "stgo-a", "stgo-b"]);
+    let key = installation.issue_key();
+    let mut client = installation.instances[0].connect(&key).unwrap();
+    client.batch_execute("CREATE TABLE notas (k TEXT, v TEXT)").unwrap();
+    installation.wait_for_replicas();
+
+    let recorder = Recorder::new();
+    thread::scope(|scope| {
+        for (index, session) in SESSIONS.into_iter().enumerate() {
+            let (recorder, key) = (&recorder, &key);
+            let port = installation.instances[index % 3].port;
+            if index == 0 {
+                scope.spawn(move || recorder.run_repeating(session, port, key));
+            } else {
+                scope.spawn(move || recorder.run(session, port, key));
+            }
+        }
+        let all_write_since = |since| {
+            eventually("writes of all clients", || {
+                let all = SESSIONS.iter().all(|session| recorder.acknowledged(session, since) > 3);
+                all.then_some(())
+            });
+        };
+        all_write_since(Duration::ZERO);
+        installation.relays.iter().for_each(FaultProxy::silence_open);
+        all_write_since(recorder.now());
+        recorder.stop();
+    });
+    recorder.check(&installation, Facts::default(), &SESSIONS);
+    let longest = recorder.longest();
+    assert!(longest.0 < BOUND, "a request took too long: {longest:?}");
+}
--- a/hibiscusladder/tests/support/clients.rs
+++ b/hibiscusladder/tests/support/clients.rs
@@ -65,13 +65,14 @@
         done.count()
     }
 
-    /// Longest time that an operation took.
-    pub(crate) fn longest(&self) -> Duration {
+    /// Longest time that an operation took, and the operation.
+    pub(crate) fn longest(&self) -> (Duration, Option<Operation>) {
         let operations = self.history.operations();
-        let times = operations.iter().filter_map(|operation| {
-            operation.answered.map(|answered| answered.saturating_sub(operation.sent))
+        let times = operations.into_iter().map(|operation| {
+            let answered = operation.answered.unwrap_or_default();
+            (answered.saturating_sub(operation.sent), Some(operation))
         });
-        times.max().unwrap_or_default()
+        times.max_by_key(|(time, _)| *time).unwrap_or_default()
     }
 
     /// Writes and reads through the port in turns until the recorder stops; reconnects with its position.
@@ -86,6 +87,24 @@
         }
     }
 
+    /// Writes until the recorder stops, and repeats each write under its request id until it is acknowledged.
+    pub(crate) fn run_repeating(&self, session: &str, port: u16, key: &str) {
+        let mut number = 0;
+        while !self.stop.load(Ordering::Acquire) {
+            number += 1;
+            let value = format!("{session}-{number}");
+            let write = Operation::write(session, "club-andino", session, &value, self.now());
+            let statement = format!(
+                "/* hibiscus.request_id='{value}' */ INSERT INTO notas VALUES ('{session}', '{value}')"
+            );
+            eventually("the outcome of a write with a request id", || {
+                connect(port, key).ok()?.batch_execute(&statement).ok()
+            });
+            self.history.record(write.answered(self.now(), Outcome::Done));
+            thread::sleep(PAUSE);
+        }
+    }
+
     fn rounds(
         &self,
         session: &str,
--- a/hibiscusladder/tests/support/mod.rs
+++ b/hibiscusladder/tests/support/mod.rs
@@ -20,6 +20,7 @@
     },
     proxy::platform::http_get,
 };
+use hibiscusladder_testkit::fault_proxy::FaultProxy;
 use postgres::{Client, NoTls};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
@@ -238,19 +239,36 @@
     pub(crate) group: GroupHandle,
     pub(crate) instances: Vec<Instance>,
     pub(crate) folder: Folder,
+    /// Relays between the homes and the members, in the order of the members; empty when there are none.
+    pub(crate) relays: Vec<FaultProxy>,
 }
 
 impl Installation {
     /// Starts everything and waits until every member has a home.
     pub(crate) fn start(data_centres: &[&str]) -> Self {
+        Self::start_with(data_centres, false)
+    }
+
+    /// The same with a relay in front of each member.
+    pub(crate) fn start_behind_relays(data_centres: &[&str]) -> Self {
+        Self::start_with(data_centres, true)
+    }
+
+    fn start_with(data_centres: &[&str], behind_relays: bool) -> Self {
         let platform = Platform::start(PlatformConfig::default()).unwrap();
         let mut cfg = GroupConfig::single("padron", &["padron-1", "padron-2", "padron-3"]);
         for (index, member) in cfg.databases[0].members.iter_mut().enumerate() {
             member.data_centre = Some(["stgo-a", "stgo-b"][index % 2].into());
         }
         let group = Group::start(cfg.clone()).unwrap();
-        let mut installation =
-            Self { platform, group, instances: Vec::new(), folder: Folder::new() };
+        let mut relays = Vec::new();
+        if behind_relays {
+            let addresses = group.addresses();
+            relays
+                .extend(addresses.iter().map(|(_, address)| FaultProxy::start(*address).unwrap()));
+        }
+        let (instances, folder) = (Vec::new(), Folder::new());
+        let mut installation = Self { platform, group, instances, folder, relays };
         installation.register();
         for data_centre in data_centres {
             installation.add(data_centre);
@@ -267,6 +285,7 @@
             .enumerate()
             .map(|(index, (id, address))| {
                 let data_centre = ["stgo-a", "stgo-b"][index % 2];
+                let address = self.relays.get(index).map_or(*address, FaultProxy::address);
                 serde_json::json!({
                     "id": id, "data_centre": data_centre,
                     "address": address.to_string(), "slots": 2, "connections": 16,
