feat(proxy): name the instance on connections of the pool

Connections of the pool sent application_name hibiscusladder, so a member could not tell instances apart and a test could isolate control connections only. They now send <data centre>/<instance>, as the control connections do.

Without the change, a statement of an isolated instance is answered in the new test; with it, no answer arrives within the 1 s that the test waits.

--- a/crates/proxy/src/control/members.rs
+++ b/crates/proxy/src/control/members.rs
@@ -148,7 +148,7 @@
         // Spreads the polls of many instances over the interval.
         sleep(random_up_to(POLL_INTERVAL)).await;
         let mut reported = false;
-        let application = format!("{}/{}", self.node.data_centre(), self.node.id());
+        let application = self.node.application();
         loop {
             let started = BootClock.now();
             let database = self.database.as_str();
--- a/crates/proxy/src/home/member.rs
+++ b/crates/proxy/src/home/member.rs
@@ -66,7 +66,9 @@
         let settings = node.settings();
         let database = group.view().database.clone();
         let size = record.connections.saturating_sub(RESERVED_CONNECTIONS).max(1);
-        let pool = Pool::new(&record.address, database.as_str(), &settings.upstream, size);
+        let application = node.application();
+        let pool =
+            Pool::new(&record.address, database.as_str(), &settings.upstream, &application, size);
         let admission = Admission::new(record.slots, settings.times.queue_wait, node.clock())
             .order(settings.policy.queue);
         let member = Self {
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -258,6 +258,11 @@
         self.home_of(database, member).is_some_and(|home| home.id == *self.id())
     }
 
+    /// Name of the instance at the members, `<data centre>/<instance>`.
+    pub fn application(&self) -> String {
+        format!("{}/{}", self.data_centre(), self.id())
+    }
+
     /// Whether the instance is leaving: it takes no new sessions and asks clients to reconnect.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -133,14 +133,17 @@
         address: &str,
         database: &str,
         credentials: &UpstreamSettings,
+        application: &str,
     ) -> Result<Self, UpstreamError> {
-        bounded(CONNECT_BOUND, Self::establish(address, database, credentials)).await
+        let establish = Self::establish(address, database, credentials, application);
+        bounded(CONNECT_BOUND, establish).await
     }
 
     async fn establish(
         address: &str,
         database: &str,
         credentials: &UpstreamSettings,
+        application: &str,
     ) -> Result<Self, UpstreamError> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
@@ -148,7 +151,7 @@
         let reader = FrameReader::new(reader, MAX_MESSAGE_BYTES);
         let cancel = CancelKey { address: address.to_owned(), process: 0, secret: 0 };
         let mut connection = Self { reader, writer, cancel };
-        connection.send(&startup(database, &credentials.user)).await?;
+        connection.send(&startup(database, &credentials.user, application)).await?;
         connection.finish_startup(&credentials.password).await?;
         Ok(connection)
     }
@@ -297,11 +300,10 @@
     UpstreamError::Answered { sqlstate, message }
 }
 
-fn startup(database: &str, user: &str) -> BytesMut {
+fn startup(database: &str, user: &str, application: &str) -> BytesMut {
     let mut message = Startup::default();
     (message.protocol_number_major, message.protocol_number_minor) = PROTOCOL;
-    for (key, value) in
-        [("user", user), ("database", database), ("application_name", "hibiscusladder")]
+    for (key, value) in [("user", user), ("database", database), ("application_name", application)]
     {
         message.parameters.insert(key.to_owned(), value.to_owned());
     }
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -46,6 +46,7 @@
     address: String,
     database: String,
     credentials: UpstreamSettings,
+    application: String,
     permits: Arc<Semaphore>,
     idle: Mutex<Vec<Idle>>,
     /// Raised by [`Pool::clear`]; connections of an older generation are not kept.
@@ -60,6 +61,12 @@
     reaping: AtomicBool,
 }
 
+impl Shared {
+    async fn connect(&self) -> Result<Connection, UpstreamError> {
+        Connection::open(&self.address, &self.database, &self.credentials, &self.application).await
+    }
+}
+
 /// A connection that counts as open until it is dropped.
 #[derive(Debug)]
 pub(crate) struct Counted {
@@ -108,7 +115,7 @@
 
 /// Ends backends; returns those that may be left.
 async fn terminate(shared: &Shared, mut doomed: Vec<i32>) -> Result<(), Vec<i32>> {
-    let opened = Connection::open(&shared.address, &shared.database, &shared.credentials).await;
+    let opened = shared.connect().await;
     let Ok(mut connection) = opened else { return Err(doomed) };
     while let Some(process) = doomed.last() {
         let sql = format!("SELECT pg_terminate_backend({process})");
@@ -155,13 +162,20 @@
 }
 
 impl Pool {
-    /// Creates a pool of at most `size` connections.
-    pub fn new(address: &str, database: &str, credentials: &UpstreamSettings, size: u32) -> Self {
+    /// Creates a pool of at most `size` connections; `application` is the name that the member sees.
+    pub fn new(
+        address: &str,
+        database: &str,
+        credentials: &UpstreamSettings,
+        application: &str,
+        size: u32,
+    ) -> Self {
         let size = usize::try_from(size.max(1)).unwrap_or(1);
         let shared = Shared {
             address: address.to_owned(),
             database: database.to_owned(),
             credentials: credentials.clone(),
+            application: application.to_owned(),
             permits: Arc::new(Semaphore::new(size)),
             idle: Mutex::default(),
             generation: AtomicU64::new(0),
@@ -208,8 +222,7 @@
     ///
     /// Returns an error when the member cannot be reached or rejects the connection.
     pub async fn open(&self) -> Result<Connection, UpstreamError> {
-        let shared = &self.shared;
-        Connection::open(&shared.address, &shared.database, &shared.credentials).await
+        self.shared.connect().await
     }
 
     /// Opens connections in the background until `count` are open, so that requests do not wait for the set-up.
--- a/crates/proxy/tests/handover.rs
+++ b/crates/proxy/tests/handover.rs
@@ -5,11 +5,13 @@
 mod support;
 
 use std::{
+    sync::mpsc,
     thread,
     time::{Duration, Instant},
 };
 
 use hibiscusladder_core::{home_lease::LeaseEvent, name::MemberId};
+use hibiscusladder_emulator::database::MemberFaults;
 use support::{Cluster, Options};
 
 /// Time until the term part of a first home is usable (2 s and drift) and its buckets are full (1 s).
@@ -49,3 +51,21 @@
     assert!(taken[0].tokens > RATE * 0.9, "{} tokens", taken[0].tokens);
     assert_eq!(taken[0].lent_for, Duration::ZERO, "the term part must be usable");
 }
+
+/// Guards against pool connections that a fault between one instance and a member does not reach, because the
+/// member does not know the instance.
+#[test]
+fn isolated_instance_cannot_run_statements() {
+    let times = "silence_bound = \"500ms\"";
+    let cluster = Cluster::with(Options { members: vec!["p1"], times, ..Options::default() });
+    let number = cluster.home_of("p1");
+    let mut client = cluster.client(number);
+    client.simple_query("SELECT 1").unwrap();
+    let name = cluster.instances[number].node.id().as_str().to_owned();
+    let faults = MemberFaults { isolated_from: vec![name], ..MemberFaults::default() };
+    cluster.group.set_faults("p1", faults);
+    let (answered, answer) = mpsc::channel();
+    thread::spawn(move || answered.send(client.simple_query("SELECT 2").is_ok()));
+    assert_ne!(answer.recv_timeout(Duration::from_secs(1)), Ok(true));
+    cluster.group.set_faults("p1", MemberFaults::default());
+}
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -436,7 +436,8 @@
 ) -> Option<MemberReport> {
     if connection.is_none() {
         let credentials = &node.settings().upstream;
-        *connection = Connection::open(&address.to_string(), DATABASE, credentials).await.ok();
+        *connection =
+            Connection::open(&address.to_string(), DATABASE, credentials, "test").await.ok();
     }
     let result = connection.as_mut()?.query("SELECT * FROM group_status()").await.ok()?;
     let value = |column| result.value(column);
