--- a/crates/proxy/src/control/members.rs
+++ b/crates/proxy/src/control/members.rs
@@ -148,7 +148,7 @@
         // Spreads the polls of many instances over the interval.
         sleep(random_up_to(POLL_INTERVAL)).await;
         let mut reported = false;
-        let application = format!("{}/{}", self.node.data_centre(), self.node.id());
+        let application = self.node.application();
         loop {
             let started = BootClock.now();
             let database = self.database.as_str();
@@ -272,9 +272,10 @@
 
     async fn release(&self, link: &MemberLink) -> Result<(), LinkError> {
         let held = self.lease.holds_lock();
+        let buckets = if held { self.handover.end_shares(&self.record.id) } else { Vec::new() };
         self.lease.handle(LeaseEvent::Stop, BootClock.now());
         if held {
-            self.handover.announce(&self.database, &self.record.id).await;
+            self.handover.announce(&self.database, &self.record.id, buckets).await;
         }
         let action = self.lease.handle(LeaseEvent::Release, BootClock.now());
         self.run_action(link, action).await?;
