fix(proxy): end the backend of a lost control connection that held the lock

Cause: when every open connection to the members went silent, the home opened a new control connection within 1.5 s, but its old backend kept the advisory lock; the home waited 5 s for a holder that was itself, then for the lease window. Ruled out: idle pooled connections tried in turn; clearing the pool at the first silence left the write at 13.1 s, and was taken back. Change: the home remembers the backend of a lost connection that held the lock and ends it first on the new connection, if it still holds the lock. The recorder of the process tests tells a report of earlier losses that comes with a commit ("outcome unknown") from a refusal that says "not run"; it keeps both facts in the history, so the check is as strict as before.

--- a/crates/proxy/src/control/link.rs
+++ b/crates/proxy/src/control/link.rs
@@ -98,6 +98,7 @@
     address: Arc<str>,
     statements: Sender<Statement>,
     stream: TcpStream,
+    process: Option<i32>,
 }
 
 impl MemberLink {
@@ -120,10 +121,11 @@
             Err(lost(&address, "no answer to the start-up"))
         };
         let connection = connect.or(late).await?;
+        let process = connection.process;
         let stream = connection.stream.clone();
         let (statements, requests) = bounded(PENDING);
         smol::spawn(connection.run(requests)).detach();
-        Ok(Self { address, statements, stream })
+        Ok(Self { address, statements, stream, process })
     }
 
     /// Runs `sql` and waits at most [`CONTROL_TIMEOUT`] for its answer.
@@ -150,6 +152,11 @@
         answer.or(late).await
     }
 
+    /// Process id of the backend, when the member told it.
+    pub const fn process(&self) -> Option<i32> {
+        self.process
+    }
+
     /// Whether the connection ended.
     pub fn is_closed(&self) -> bool {
         self.statements.is_closed()
@@ -175,6 +182,7 @@
     address: Arc<str>,
     stream: TcpStream,
     decoder: Decoder,
+    process: Option<i32>,
 }
 
 impl Connection {
@@ -188,7 +196,7 @@
         let stream = TcpStream::connect(&**address).await.map_err(io_error)?;
         stream.set_nodelay(true).map_err(io_error)?;
         let decoder = Decoder::new(Arc::clone(address));
-        let mut connection = Self { address: Arc::clone(address), stream, decoder };
+        let mut connection = Self { address: Arc::clone(address), stream, decoder, process: None };
         let mut startup = Startup::new();
         startup.parameters.insert("user".to_owned(), user.user.clone());
         startup.parameters.insert("database".to_owned(), database.to_owned());
@@ -206,8 +214,8 @@
                 }
                 PgWireBackendMessage::Authentication(Authentication::Ok)
                 | PgWireBackendMessage::ParameterStatus(_)
-                | PgWireBackendMessage::BackendKeyData(_)
                 | PgWireBackendMessage::NoticeResponse(_) => {}
+                PgWireBackendMessage::BackendKeyData(data) => self.process = Some(data.pid),
                 PgWireBackendMessage::ReadyForQuery(_) => return Ok(()),
                 PgWireBackendMessage::ErrorResponse(error) => {
                     return Err(server_error(&self.address, &error.fields));
--- a/crates/proxy/src/control/members.rs
+++ b/crates/proxy/src/control/members.rs
@@ -148,6 +148,7 @@
         // Spreads the polls of many instances over the interval.
         sleep(random_up_to(POLL_INTERVAL)).await;
         let mut reported = false;
+        let mut lost_holder = None;
         let application = self.node.application();
         loop {
             let started = BootClock.now();
@@ -161,8 +162,9 @@
                     spdlog::info!("home: control connection to member {} is open", self.record.id);
                     reported = false;
                     self.links.set(&self.record.id, link.clone());
-                    let error = self.serve(&link).await;
+                    let error = self.resume(&link, lost_holder).await;
                     self.links.remove(&self.record.id);
+                    lost_holder = if self.lease.holds_lock() { link.process() } else { None };
                     self.lease.handle(LeaseEvent::ConnectionLost, BootClock.now());
                     spdlog::warn!("home: member {}: {error}", self.record.id);
                 }
@@ -193,6 +195,24 @@
         connecting.or(missing).await
     }
 
+    /// Ends the backend of a lost connection that held the lock, then serves on the new connection.
+    ///
+    /// The member does not learn that a connection went silent, so that backend would keep the lock.
+    async fn resume(&self, link: &MemberLink, lost_holder: Option<i32>) -> LinkError {
+        if let Some(lost) = lost_holder {
+            match statement::lock_holder(link, self.key).await {
+                Ok(holder) if holder == Some(lost) => {
+                    if let Err(error) = statement::terminate(link, lost).await {
+                        return error;
+                    }
+                }
+                Ok(_) => {}
+                Err(error) => return error,
+            }
+        }
+        self.serve(link).await
+    }
+
     async fn serve(&self, link: &MemberLink) -> LinkError {
         let mut homing = Homing::No;
         loop {
--- a/hibiscusladder/tests/support/clients.rs
+++ b/hibiscusladder/tests/support/clients.rs
@@ -15,6 +15,9 @@
 /// Pause of a client between two rounds of a write and a read; keeps four clients below the rate of the contract.
 const PAUSE: Duration = Duration::from_millis(80);
 
+/// SQLSTATE of the report that writes of the session were lost at a promotion.
+const LOSS_STATE: &str = "HL001";
+
 /// Clients of one workspace and the record of what they were told.
 #[derive(Debug)]
 pub(crate) struct Recorder {
@@ -30,6 +33,13 @@
     outcome: Outcome,
 }
 
+impl Failure {
+    /// Whether a statement that may have run was answered with the loss of earlier writes.
+    fn reports_earlier_loss(&self) -> bool {
+        self.state == LOSS_STATE && self.outcome == Outcome::Unknown
+    }
+}
+
 impl From<postgres::Error> for Failure {
     fn from(error: postgres::Error) -> Self {
         let state = error.code().map(|code| code.code().to_owned()).unwrap_or_default();
@@ -140,6 +150,13 @@
         let answered = self.now();
         let shown = show_position(client);
         *position = shown.or(*position);
+        let result = result.map_err(Failure::from);
+        if result.as_ref().is_err_and(Failure::reports_earlier_loss) {
+            // The report is about earlier writes; this one has run, as far as the client can tell.
+            let report = Operation::read(session, "club-andino", session, write.sent);
+            let lost = Outcome::WriteLost { term_start: Position::default() };
+            self.history.record(report.answered(answered, lost));
+        }
         let mut write = write.answered(answered, outcome(result));
         if let (Outcome::Done, Some(shown)) = (write.outcome, shown) {
             write = write.at(shown);
@@ -172,7 +189,7 @@
             Err(error) => {
                 let shown = show_position(client);
                 *position = shown.or(*position);
-                read.answered(answered, outcome(Err(error)))
+                read.answered(answered, outcome(Err(error.into())))
             }
         };
         self.history.record(read);
@@ -215,10 +232,9 @@
     Client::connect(&config, NoTls)
 }
 
-fn outcome(result: Result<(), postgres::Error>) -> Outcome {
-    let Err(error) = result else { return Outcome::Done };
-    let failure = Failure::from(error);
-    if failure.state == "HL001" {
+fn outcome(result: Result<(), Failure>) -> Outcome {
+    let Err(failure) = result else { return Outcome::Done };
+    if failure.state == LOSS_STATE && failure.outcome == Outcome::NotRun {
         return Outcome::WriteLost { term_start: Position::default() };
     }
     failure.outcome
