fix(load): measure the write gap in each database, and goodput against the contract

Cause: the gap was taken over all databases, so a failover of one of three showed as 323 ms; a workspace past its rate was counted as refused inside it, since the proxy may answer any of its requests. Change: the longest gap of any one database; refusals count as wrongful only as far as the workspace got less than its contract covers. Conclusion: earlier tables of these two columns are not comparable.

--- a/crates/load/src/measure.rs
+++ b/crates/load/src/measure.rs
@@ -1,6 +1,6 @@
 //! The four measures: replica share, write gap, worst-served workspace, wrongful refusals.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -29,7 +29,9 @@
     pub entitled_done: u64,
     /// All requests that were answered rightly.
     pub done: u64,
-    /// Covered requests that were refused for a rate or a full queue.
+    /// Covered requests that were refused for a rate or a full queue, less the uncovered ones that were answered.
+    ///
+    /// Of a workspace past its rate, the proxy may answer any requests as long as their number is right.
     pub wrongly_refused: u64,
     /// Requests refused as "not run" for another reason.
     pub refused_not_run: u64,
@@ -41,7 +43,7 @@
     pub p50_ms: f64,
     /// 99th percentile of the latency of answered requests in milliseconds.
     pub p99_ms: f64,
-    /// Answered share of the covered requests.
+    /// Requests answered rightly over the covered requests, at most 1.
     pub goodput: f64,
 }
 
@@ -56,7 +58,7 @@
     pub worst_goodput: f64,
     /// Covered requests refused for a rate or a queue, over all covered requests.
     pub wrongful_refusals: f64,
-    /// Longest time without an acknowledged write in milliseconds.
+    /// Longest time without an acknowledged write in one database, in milliseconds.
     pub write_gap_ms: f64,
     /// When the longest gap began, in milliseconds after the start of load.
     pub write_gap_from_ms: f64,
@@ -76,7 +78,7 @@
         let worst = workspaces.iter().min_by(|a, b| a.goodput.total_cmp(&b.goodput));
         let entitled: u64 = workspaces.iter().map(|workspace| workspace.entitled).sum();
         let refused: u64 = workspaces.iter().map(|workspace| workspace.wrongly_refused).sum();
-        let (gap_from, gap) = write_gap(records, cfg.length());
+        let (gap_from, gap) = longest_write_gap(cfg, records);
         Self {
             worst_served: worst.map_or_else(String::new, |workspace| workspace.workspace.clone()),
             worst_goodput: worst.map_or(0.0, |workspace| workspace.goodput),
@@ -95,22 +97,22 @@
         |test: &dyn Fn(&Record) -> bool| own.iter().filter(|record| test(record)).count() as u64;
     let entitled = count(&|record| record.entitled);
     let entitled_done = count(&|record| record.entitled && record.outcome == Outcome::Done);
+    let done = count(&|record| record.outcome == Outcome::Done);
+    let refused = count(&|record| record.entitled && record.outcome == Outcome::RefusedForRate);
     let latencies = latency_histogram(&own);
     WorkspaceMeasure {
         workspace: name.to_owned(),
         offered: own.len() as u64,
         entitled,
         entitled_done,
-        done: count(&|record| record.outcome == Outcome::Done),
-        wrongly_refused: count(&|record| {
-            record.entitled && record.outcome == Outcome::RefusedForRate
-        }),
+        done,
+        wrongly_refused: refused.saturating_sub(done - entitled_done),
         refused_not_run: count(&|record| record.outcome == Outcome::RefusedNotRun),
         unknown: count(&|record| record.outcome == Outcome::Unknown),
         stale: count(&|record| record.outcome == Outcome::Stale),
         p50_ms: quantile_ms(latencies.as_ref(), 0.5),
         p99_ms: quantile_ms(latencies.as_ref(), 0.99),
-        goodput: ratio(entitled_done, entitled),
+        goodput: ratio(done.min(entitled), entitled),
     }
 }
 
@@ -127,6 +129,18 @@
     histogram.map_or(0.0, |histogram| micros_to_ms(histogram.value_at_quantile(quantile)))
 }
 
+/// Start and length of the longest time without an acknowledged write in one database.
+fn longest_write_gap(cfg: &LoadConfig, records: &[Record]) -> (Duration, Duration) {
+    let databases: BTreeSet<&str> =
+        cfg.workspaces.iter().map(|load| load.database.as_str()).collect();
+    let gaps = databases.into_iter().map(|database| {
+        let of_database = |record: &&Record| cfg.workspaces[record.workspace].database == database;
+        let own: Vec<Record> = records.iter().filter(of_database).copied().collect();
+        write_gap(&own, cfg.length())
+    });
+    gaps.max_by_key(|gap| gap.1).unwrap_or_default()
+}
+
 /// Start and length of the longest time without an acknowledged write.
 fn write_gap(records: &[Record], end: Duration) -> (Duration, Duration) {
     let mut acked: Vec<_> = records
