fix(proxy): tell all changed terms in turn

Cause: a heartbeat carries 16 terms that changed lately, and took the first 16 of the same order each time; after the loss of a data centre up to 149 of 165 would have waited for the store. Change: each heartbeat begins where the one before ended. Figures: of 100 terms that changed at once, 7 heartbeats told 16 before and 100 after (heartbeats_tell_all_changed_terms_in_turn, failed first). Conclusion: 165 changes are told in 11 heartbeats to an instance's neighbours.

--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -399,11 +399,10 @@
         let now = self.now();
         let groups = self.groups();
         let is_news = |group: &&Arc<Group>| now.since(group.term_changed()) < TERM_NEWS;
-        let news = groups.values().filter(is_news).take(MAX_TERMS);
-        let start = self.told_terms.fetch_add(OLD_TERMS, Ordering::Relaxed);
-        let skip = start.checked_rem(groups.len()).unwrap_or(0);
-        let old = groups.values().filter(|group| !is_news(group)).cycle().skip(skip);
-        let old = old.take(OLD_TERMS.min(groups.len()));
+        let (news, old): (Vec<_>, Vec<_>) = groups.values().partition(is_news);
+        let turn = self.told_terms.fetch_add(1, Ordering::Relaxed);
+        let news = in_turn(&news, turn, MAX_TERMS);
+        let old = in_turn(&old, turn, OLD_TERMS);
         news.chain(old).map(|group| group.term_info()).collect()
     }
 
@@ -437,3 +436,9 @@
         lease
     }
 }
+
+/// At most `count` of `items`, beginning where the turn before ended.
+fn in_turn<T>(items: &[T], turn: usize, count: usize) -> impl Iterator<Item = &T> {
+    let skip = turn.wrapping_mul(count).checked_rem(items.len()).unwrap_or(0);
+    items.iter().cycle().skip(skip).take(count.min(items.len()))
+}
--- a/crates/proxy/tests/node.rs
+++ b/crates/proxy/tests/node.rs
@@ -1,6 +1,6 @@
 //! Shared state of an instance.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use futures::FutureExt;
 use hibiscusladder_core::{
@@ -118,3 +118,21 @@
     let own = node.peers().get(node.id()).cloned().expect("the own entry");
     assert_eq!(own.state, InstanceState::Live);
 }
+
+/// Guards against news of terms that wait behind the first ones: a lost data centre changes hundreds of terms at
+/// once, and a heartbeat carries 16 of them.
+#[test]
+fn heartbeats_tell_all_changed_terms_in_turn() {
+    const DATABASES: usize = 100;
+    let node = node();
+    let database = |index: usize| {
+        let record = DATABASE.replace("\"d\"", &format!("\"d{index}\""));
+        Change::put(Kind::Database, format!("d{index}").as_str(), 1, record.as_str())
+    };
+    node.apply_changes(changes(1, (0..DATABASES).map(database).collect()), 0, node.now());
+    let told: HashSet<_> = (0..DATABASES.div_ceil(16))
+        .flat_map(|_| node.heartbeat(&"i2".into()).terms)
+        .map(|term| term.database)
+        .collect();
+    assert_eq!(told.len(), DATABASES);
+}
