fix(proxy): let waiting requests notice that a home serves again

Cause: while a home is replaced, all its requests fail and are retried; they use up the retry budget (20% of 10 s), and later tries wait until the window has passed. An instance that leaves refused requests that waited for a home. Ruled out: the handover itself; the successor had its lease 0.4 s after the announcement. Change: a request may go to the same home again when another one was served since it failed, and one probe each 100 ms needs no budget. A leaving instance lets its requests wait. New process tests: all instances replaced in turn under load, a key withdrawn under load, the primary's home killed under load. Conclusion: retries stay bounded to 10 probes a second for each instance plus one for each request after evidence.

--- a/crates/proxy/src/route/mod.rs
+++ b/crates/proxy/src/route/mod.rs
@@ -5,6 +5,7 @@
 
 mod database;
 mod read_index;
+mod recovery;
 mod request;
 
 use std::{
@@ -14,6 +15,7 @@
 };
 
 use hibiscusladder_core::{
+    clock::Instant,
     name::{Database, InstanceId, MemberId},
     outcome::{Execution, Refusal, RefusalKind},
     position::{Lsn, Position, Term},
@@ -28,7 +30,7 @@
     future::{self, FutureExt},
 };
 
-use self::database::DatabaseRoute;
+use self::{database::DatabaseRoute, recovery::Recovery};
 pub use self::{
     read_index::{Question, SharedIndex},
     request::{Dispatched, Progress, Request},
@@ -54,6 +56,7 @@
     rpc: Rpc,
     databases: Mutex<HashMap<Database, Arc<DatabaseRoute>>>,
     retries: Mutex<RetryBudget>,
+    recovery: Mutex<Recovery>,
 }
 
 /// Where a request was sent.
@@ -69,7 +72,14 @@
     /// Creates the router of `node` and starts the upkeep of its homes.
     pub fn new(node: Arc<Node>, homes: Arc<Homes>, rpc: Rpc) -> Arc<Self> {
         homes.start_upkeep(&rpc);
-        Arc::new(Self { node, homes, rpc, databases: Mutex::default(), retries: Mutex::default() })
+        Arc::new(Self {
+            node,
+            homes,
+            rpc,
+            databases: Mutex::default(),
+            retries: Mutex::default(),
+            recovery: Mutex::default(),
+        })
     }
 
     /// State of the instance.
@@ -154,16 +164,21 @@
         let mut refusal =
             Refusal::not_run(RefusalKind::NoMember).detail("no primary of the database is known");
         let mut pause = RETRY_PAUSE.0;
+        let mut failed_at = self.node.now();
         loop {
             let target = self.choose(request, &excluded);
             let again = target.is_some() && target == last;
-            let allowed = !again || lock(&self.retries).try_retry(self.node.now());
-            if let Some(target) = target.filter(|_| allowed) {
+            let allowed = |target: &Target| !again || self.may_try_again(&target.member, failed_at);
+            if let Some(target) = target.filter(allowed) {
                 match self.attempt(request, &target).await {
-                    Ok(dispatched) => return Ok(dispatched),
+                    Ok(dispatched) => {
+                        lock(&self.recovery).note_served(&target.member, self.node.now());
+                        return Ok(dispatched);
+                    }
                     Err(failed) if !may_retry(request, &failed) => return Err(failed),
                     Err(failed) => refusal = failed,
                 }
+                failed_at = self.node.now();
                 if !request.class.needs_primary() && !self.is_primary(request, &target.member) {
                     excluded.push(target.member.clone());
                     last = None;
@@ -179,6 +194,14 @@
         }
     }
 
+    /// Whether a request that failed at `failed_at` may go to the same home again.
+    fn may_try_again(&self, member: &MemberId, failed_at: Instant) -> bool {
+        let now = self.node.now();
+        lock(&self.recovery).served_since(member, failed_at)
+            || lock(&self.retries).try_retry(now)
+            || lock(&self.recovery).try_probe(now)
+    }
+
     /// Cancels the statement of a request that was dispatched.
     pub async fn cancel(&self, database: &Database, member: &MemberId, token: u64) {
         match self.node.home_of(database, member) {
@@ -235,7 +258,7 @@
         *pause = (*pause * 2).min(RETRY_PAUSE.1);
         loop {
             let now = self.node.now();
-            if request.deadline <= until || self.node.is_draining() {
+            if request.deadline <= until {
                 return false;
             }
             let instances = self.node.peers_changed();
--- a/hibiscusladder/tests/faults.rs
+++ b/hibiscusladder/tests/faults.rs
@@ -2,14 +2,14 @@
 
 mod support;
 
-use std::{thread, time::Duration};
+use std::{sync::Mutex, thread, time::Duration};
 
 use hibiscusladder::emulator::database::MemberFaults;
 use hibiscusladder_testkit::{fault_proxy::FaultProxy, history::Facts};
 use support::{
     Installation,
     clients::{Recorder, wait_for_other_primary},
-    eventually,
+    eventually, succeeds,
 };
 
 /// Longest time for a change of primary (the stated target).
@@ -113,3 +113,124 @@
     let longest = recorder.longest();
     assert!(longest.0 < BOUND, "a request took too long: {longest:?}");
 }
+
+/// Guards against a planned replacement that cuts requests: all instances are replaced one by one under load (I12).
+#[test]
+fn rolling_replacement_cuts_no_request() {
+    let mut installation = Installation::start(&["stgo-a", "stgo-b"]);
+    let key = installation.issue_key();
+    let mut client = installation.instances[0].connect(&key).unwrap();
+    client.batch_execute("CREATE TABLE notas (k TEXT, v TEXT)").unwrap();
+    installation.wait_for_replicas();
+    let ports = Mutex::new(vec![installation.instances[0].port, installation.instances[1].port]);
+    let recorder = Recorder::new();
+    thread::scope(|scope| {
+        for session in SESSIONS {
+            let (recorder, key, ports) = (&recorder, &key, &ports);
+            scope.spawn(move || recorder.run_roaming(session, ports, key));
+        }
+        // The successors start together, since each waits before it becomes home; the others then leave in turn.
+        for data_centre in ["stgo-a", "stgo-b"] {
+            installation.add(data_centre);
+        }
+        let successors = [installation.instances[2].port, installation.instances[3].port];
+        eventually("a successor that is home of a member", || {
+            let homes = installation.instances[2..].iter().filter(|successor| {
+                let status = successor.status().unwrap_or_default();
+                status["instances"].as_array().is_some_and(|instances| {
+                    instances.iter().filter(|instance| instance["state"] == "live").count() == 4
+                })
+            });
+            (homes.count() == 2).then_some(())
+        });
+        for (old, successor) in successors.into_iter().enumerate() {
+            ports.lock().unwrap()[old] = successor;
+            installation.instances[old].process.terminate();
+            assert_eq!(installation.instances[old].process.exit_code(), 0);
+        }
+        let replaced = recorder.now();
+        eventually("writes of all clients through the successors", || {
+            let all = SESSIONS.iter().all(|session| recorder.acknowledged(session, replaced) > 3);
+            all.then_some(())
+        });
+        recorder.stop();
+    });
+    let longest = recorder.longest();
+    assert!(longest.0 < BOUND, "a request took too long: {longest:?}");
+    assert!(recorder.unknown().is_empty(), "cut: {:#?}", recorder.unknown());
+    recorder.check(&installation, Facts::default(), &SESSIONS);
+}
+
+/// Guards against a withdrawn key that goes on working for connected clients under load (I6).
+#[test]
+fn key_withdrawn_under_load_stops_within_its_bound() {
+    let installation = Installation::start(&["stgo-a", "stgo-b"]);
+    let key = installation.issue_key();
+    let other = installation.issue_other_key();
+    let mut client = installation.instances[0].connect(&key).unwrap();
+    client.batch_execute("CREATE TABLE notas (k TEXT, v TEXT)").unwrap();
+    installation.wait_for_replicas();
+    let recorder = Recorder::new();
+    thread::scope(|scope| {
+        for (index, session) in SESSIONS.into_iter().enumerate() {
+            let key = if index < 2 { &key } else { &other };
+            let (recorder, port) = (&recorder, installation.instances[index % 2].port);
+            scope.spawn(move || recorder.run(session, port, key));
+        }
+        eventually("writes with both keys", || {
+            let all =
+                SESSIONS.iter().all(|session| recorder.acknowledged(session, Duration::ZERO) > 3);
+            all.then_some(())
+        });
+        let id = key.split('_').nth(1).unwrap();
+        let url = installation.platform.url();
+        let withdrawn = recorder.now();
+        succeeds(&["key", "withdraw", "--platform", &url, id]);
+        let in_force = recorder.now();
+        assert!(in_force - withdrawn < BOUND, "in force after {:?}", in_force - withdrawn);
+        eventually("writes with the other key", || {
+            let all = SESSIONS[2..].iter().all(|s| recorder.acknowledged(s, in_force) > 5);
+            all.then_some(())
+        });
+        for session in &SESSIONS[..2] {
+            let last = recorder.last_acknowledged(session);
+            assert!(last < in_force, "{session} was served {:?} too late", last - in_force);
+        }
+        recorder.stop();
+    });
+    recorder.check(&installation, Facts::default(), &SESSIONS);
+}
+
+/// Guards against writes that are lost or doubled when an instance dies in the middle of requests (I1, I9, I10).
+#[test]
+fn killed_instance_loses_and_doubles_nothing() {
+    let installation = Installation::start(&["stgo-a", "stgo-a", "stgo-b"]);
+    let key = installation.issue_key();
+    let mut client = installation.instances[0].connect(&key).unwrap();
+    client.batch_execute("CREATE TABLE notas (k TEXT, v TEXT)").unwrap();
+    installation.wait_for_replicas();
+    let home = installation.home_of_primary();
+    let ports: Vec<u16> = installation.instances.iter().map(|instance| instance.port).collect();
+    let ports = Mutex::new(ports);
+    let recorder = Recorder::new();
+    thread::scope(|scope| {
+        for session in SESSIONS {
+            let (recorder, key, ports) = (&recorder, &key, &ports);
+            scope.spawn(move || recorder.run_roaming(session, ports, key));
+        }
+        eventually("writes before the kill", || {
+            let all =
+                SESSIONS.iter().all(|session| recorder.acknowledged(session, Duration::ZERO) > 3);
+            all.then_some(())
+        });
+        installation.instances[home].process.kill();
+        let killed = recorder.now();
+        eventually("writes of all clients after the kill", || {
+            let all = SESSIONS.iter().all(|session| recorder.acknowledged(session, killed) > 3);
+            all.then_some(())
+        });
+        assert!(recorder.now() - killed < PROMOTION, "writes only after {:?}", recorder.now());
+        recorder.stop();
+    });
+    recorder.check(&installation, Facts::default(), &SESSIONS);
+}
--- a/hibiscusladder/tests/support/clients.rs
+++ b/hibiscusladder/tests/support/clients.rs
@@ -1,7 +1,10 @@
 //! Concurrent clients whose operations are recorded for the history checker.
 
 use std::{
-    sync::atomic::{AtomicBool, Ordering},
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -87,9 +90,20 @@
 
     /// Writes and reads through the port in turns until the recorder stops; reconnects with its position.
     pub(crate) fn run(&self, session: &str, port: u16, key: &str) {
+        self.run_roaming(session, &Mutex::new(vec![port]), key);
+    }
+
+    /// Like [`Recorder::run`] through any of the ports, which may change meanwhile.
+    pub(crate) fn run_roaming(&self, session: &str, ports: &Mutex<Vec<u16>>, key: &str) {
         let mut position = None;
         let mut number = 0;
+        let mut connections = 0;
         while !self.stop.load(Ordering::Acquire) {
+            let port = {
+                let ports = ports.lock().unwrap();
+                ports[connections % ports.len()]
+            };
+            connections += 1;
             if let Ok(mut client) = connect(port, key) {
                 let _ = self.rounds(session, &mut client, &mut position, &mut number);
             }
@@ -97,6 +111,20 @@
         }
     }
 
+    /// Operations of all sessions whose outcome stayed unknown.
+    pub(crate) fn unknown(&self) -> Vec<Operation> {
+        let operations = self.history.operations().into_iter();
+        operations.filter(|operation| operation.outcome == Outcome::Unknown).collect()
+    }
+
+    /// Time at which the last write of `session` that was acknowledged was sent.
+    pub(crate) fn last_acknowledged(&self, session: &str) -> Duration {
+        let operations = self.history.operations().into_iter();
+        let own = operations.filter(|operation| operation.session.as_ref() == session);
+        let done = own.filter(|operation| operation.outcome == Outcome::Done);
+        done.map(|operation| operation.sent).max().unwrap_or_default()
+    }
+
     /// Writes until the recorder stops, and repeats each write under its request id until it is acknowledged.
     pub(crate) fn run_repeating(&self, session: &str, port: u16, key: &str) {
         let mut number = 0;
@@ -127,7 +155,10 @@
         }
         while !self.stop.load(Ordering::Acquire) && !client.is_closed() {
             *number += 1;
-            self.write(session, client, position, *number);
+            // A client that cannot be told its position was told that its connection ends.
+            if !self.write(session, client, position, *number) {
+                break;
+            }
             self.read(session, client, position, *number);
             thread::sleep(PAUSE);
         }
@@ -140,7 +171,7 @@
         client: &mut Client,
         position: &mut Option<Position>,
         number: usize,
-    ) {
+    ) -> bool {
         let value = format!("{session}-{number}");
         let write = Operation::write(session, "club-andino", session, &value, self.now());
         let statement = format!(
@@ -162,6 +193,7 @@
             write = write.at(shown);
         }
         self.history.record(write);
+        shown.is_some()
     }
 
     fn read(
--- a/hibiscusladder/tests/support/mod.rs
+++ b/hibiscusladder/tests/support/mod.rs
@@ -121,6 +121,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Ends the process at once.
+    pub(crate) fn kill(&self) {
+        self.signal(Signal::KILL);
+    }
+
     /// Stops the process until it is resumed.
     pub(crate) fn pause(&self) {
         self.signal(Signal::STOP);
@@ -347,6 +352,13 @@
         issued.lines().next().unwrap().to_owned()
     }
 
+    /// Issues another key of the workspace.
+    pub(crate) fn issue_other_key(&self) -> String {
+        let url = self.platform.url();
+        let issued = succeeds(&["key", "issue", "--platform", &url, "club-andino"]);
+        issued.lines().next().unwrap().to_owned()
+    }
+
     /// Writes the file of a contract with this rate.
     pub(crate) fn contract(&self, rate: u32) -> String {
         let text = format!(
