refactor: share the set-up and the write check of the process tests

Cause: five tests repeated the creation of their table, and eight places the check that every session wrote more than three times. Change: `Installation::create_notes` and `Recorder::all_wrote`; the bounds and assertions are the same. Conclusion: no behaviour changed.

--- a/hibiscusladder/tests/faults.rs
+++ b/hibiscusladder/tests/faults.rs
@@ -27,9 +27,7 @@
     let installation = Installation::start(&["stgo-a", "stgo-a", "stgo-b"]);
     let key = installation.issue_key();
     let home = installation.home_of_primary();
-    let mut client = installation.instances[home].connect(&key).unwrap();
-    client.batch_execute("CREATE TABLE notas (k TEXT, v TEXT)").unwrap();
-    installation.wait_for_replicas();
+    installation.create_notes(home, &key);
 
     let others = installation.instances.iter().enumerate().filter(|(index, _)| *index != home);
     let mut isolated_from: Vec<String> = others.map(|(_, other)| other.id.clone()).collect();
@@ -45,9 +43,7 @@
             scope.spawn(move || recorder.run(session, port, key));
         }
         eventually("writes before the isolation", || {
-            let all =
-                SESSIONS.iter().all(|session| recorder.acknowledged(session, Duration::ZERO) > 3);
-            all.then_some(())
+            recorder.all_wrote(&SESSIONS, Duration::ZERO).then_some(())
         });
         let isolated = recorder.now();
         installation
@@ -59,8 +55,7 @@
         assert!(began - isolated < PROMOTION, "promotion after {:?}", began - isolated);
         // The old primary stays isolated while the clients of its home write under the next term.
         eventually("writes of all clients under the next term", || {
-            let all = SESSIONS.iter().all(|session| recorder.acknowledged(session, began) > 3);
-            all.then_some(())
+            recorder.all_wrote(&SESSIONS, began).then_some(())
         });
         installation.group.set_faults("padron-1", MemberFaults::default());
         eventually("the old primary as a replica of the next term", || {
@@ -69,8 +64,7 @@
         });
         let healed = recorder.now();
         eventually("writes of all clients after the healing", || {
-            let all = SESSIONS.iter().all(|session| recorder.acknowledged(session, healed) > 3);
-            all.then_some(())
+            recorder.all_wrote(&SESSIONS, healed).then_some(())
         });
         recorder.stop();
     });
@@ -83,9 +77,7 @@
 fn silent_connections_to_members_hold_no_request() {
     let installation = Installation::start_behind_relays(&["stgo-a", "stgo-a", "stgo-b"]);
     let key = installation.issue_key();
-    let mut client = installation.instances[0].connect(&key).unwrap();
-    client.batch_execute("CREATE TABLE notas (k TEXT, v TEXT)").unwrap();
-    installation.wait_for_replicas();
+    installation.create_notes(0, &key);
 
     let recorder = Recorder::new();
     thread::scope(|scope| {
@@ -100,8 +92,7 @@
         }
         let all_write_since = |since| {
             eventually("writes of all clients", || {
-                let all = SESSIONS.iter().all(|session| recorder.acknowledged(session, since) > 3);
-                all.then_some(())
+                recorder.all_wrote(&SESSIONS, since).then_some(())
             });
         };
         all_write_since(Duration::ZERO);
@@ -119,9 +110,7 @@
 fn rolling_replacement_cuts_no_request() {
     let mut installation = Installation::start(&["stgo-a", "stgo-b"]);
     let key = installation.issue_key();
-    let mut client = installation.instances[0].connect(&key).unwrap();
-    client.batch_execute("CREATE TABLE notas (k TEXT, v TEXT)").unwrap();
-    installation.wait_for_replicas();
+    installation.create_notes(0, &key);
     let ports = Mutex::new(vec![installation.instances[0].port, installation.instances[1].port]);
     let recorder = Recorder::new();
     thread::scope(|scope| {
@@ -150,8 +139,7 @@
         }
         let replaced = recorder.now();
         eventually("writes of all clients through the successors", || {
-            let all = SESSIONS.iter().all(|session| recorder.acknowledged(session, replaced) > 3);
-            all.then_some(())
+            recorder.all_wrote(&SESSIONS, replaced).then_some(())
         });
         recorder.stop();
     });
@@ -167,9 +155,7 @@
     let installation = Installation::start(&["stgo-a", "stgo-b"]);
     let key = installation.issue_key();
     let other = installation.issue_other_key();
-    let mut client = installation.instances[0].connect(&key).unwrap();
-    client.batch_execute("CREATE TABLE notas (k TEXT, v TEXT)").unwrap();
-    installation.wait_for_replicas();
+    installation.create_notes(0, &key);
     let recorder = Recorder::new();
     thread::scope(|scope| {
         for (index, session) in SESSIONS.into_iter().enumerate() {
@@ -178,9 +164,7 @@
             scope.spawn(move || recorder.run(session, port, key));
         }
         eventually("writes with both keys", || {
-            let all =
-                SESSIONS.iter().all(|session| recorder.acknowledged(session, Duration::ZERO) > 3);
-            all.then_some(())
+            recorder.all_wrote(&SESSIONS, Duration::ZERO).then_some(())
         });
         let id = key.split('_').nth(1).unwrap();
         let url = installation.platform.url();
@@ -206,9 +190,7 @@
 fn killed_instance_loses_and_doubles_nothing() {
     let installation = Installation::start(&["stgo-a", "stgo-a", "stgo-b"]);
     let key = installation.issue_key();
-    let mut client = installation.instances[0].connect(&key).unwrap();
-    client.batch_execute("CREATE TABLE notas (k TEXT, v TEXT)").unwrap();
-    installation.wait_for_replicas();
+    installation.create_notes(0, &key);
     let home = installation.home_of_primary();
     let ports: Vec<u16> = installation.instances.iter().map(|instance| instance.port).collect();
     let ports = Mutex::new(ports);
@@ -219,15 +201,12 @@
             scope.spawn(move || recorder.run_roaming(session, ports, key));
         }
         eventually("writes before the kill", || {
-            let all =
-                SESSIONS.iter().all(|session| recorder.acknowledged(session, Duration::ZERO) > 3);
-            all.then_some(())
+            recorder.all_wrote(&SESSIONS, Duration::ZERO).then_some(())
         });
         installation.instances[home].process.kill();
         let killed = recorder.now();
         eventually("writes of all clients after the kill", || {
-            let all = SESSIONS.iter().all(|session| recorder.acknowledged(session, killed) > 3);
-            all.then_some(())
+            recorder.all_wrote(&SESSIONS, killed).then_some(())
         });
         assert!(recorder.now() - killed < PROMOTION, "writes only after {:?}", recorder.now());
         recorder.stop();
--- a/hibiscusladder/tests/support/clients.rs
+++ b/hibiscusladder/tests/support/clients.rs
@@ -78,6 +78,11 @@
         done.count()
     }
 
+    /// Whether every session has more than three acknowledged writes that were sent after `since`.
+    pub(crate) fn all_wrote(&self, sessions: &[&str], since: Duration) -> bool {
+        sessions.iter().all(|session| self.acknowledged(session, since) > 3)
+    }
+
     /// Longest time that an operation took, and the operation.
     pub(crate) fn longest(&self) -> (Duration, Option<Operation>) {
         let operations = self.history.operations();
--- a/hibiscusladder/tests/support/mod.rs
+++ b/hibiscusladder/tests/support/mod.rs
@@ -334,6 +334,13 @@
         });
     }
 
+    /// Creates the table of the recorded clients through an instance and waits until all members have it.
+    pub(crate) fn create_notes(&self, instance: usize, key: &str) {
+        let mut client = self.instances[instance].connect(key).unwrap();
+        client.batch_execute("CREATE TABLE notas (k TEXT, v TEXT)").unwrap();
+        self.wait_for_replicas();
+    }
+
     /// Index of the instance that is home of the first primary.
     pub(crate) fn home_of_primary(&self) -> usize {
         let status = self.instances[0].status().unwrap();
