--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,5 +34,6 @@
 pub mod retry;
 pub mod session;
 pub mod share;
+pub mod sync_group;
 pub mod term_history;
 pub mod witness;
--- a/crates/core/src/name.rs
+++ b/crates/core/src/name.rs
@@ -88,6 +88,10 @@
     /// Names a database, which is served by one group of members.
     Database
 }
+name! {
+    /// Names a group of members that hold one log.
+    Group
+}
 name! {
     /// Names a member of a database group: one upstream server.
     MemberId
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -10,7 +10,7 @@
     home_lease::{HomeLease, LeaseAction, LeaseEvent},
     key::{Key, KeyRecord},
     membership::{Heartbeat, InstanceInfo, InstanceState, Membership},
-    name::{DataCentre, Database, InstanceId, KeyId, MemberId, Workspace},
+    name::{DataCentre, Database, Group, InstanceId, KeyId, MemberId, Workspace},
     outcome::{Execution, Refusal, RefusalKind},
     position::{Lsn, Position, Term},
     promotion::{Promotion, PromotionAction, PromotionEvent, PromotionSettings},
@@ -20,7 +20,8 @@
     request::{RequestHead, StatementClass},
     retry::{Backoff, RetryBudget, SlowStart},
     session::Session,
-    share::{Division, Divisions, Loan, LoanRequest, Share},
+    share::{Allotment, Division, Divisions, Loan, LoanRequest, Share},
+    sync_group::{Failover, FailoverAction, GroupView, MemberStatus, Role, Trigger},
     term_history::{Fate, TermHistory},
     witness::{Gate, MemberReport, MemberRole, Witness},
 };
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -48,12 +48,14 @@
 //! assert_eq!(admitted, 10);
 //! ```
 
+mod allotment;
 mod demand;
 mod division;
 mod loan;
 mod state;
 
 pub use self::{
+    allotment::{Allotment, GRANT_TIME, GrantPlan},
     division::{Division, Divisions, Limits, Part, SHARE_SETTLE},
     loan::{HandOver, LOAN_INTERVAL, LOAN_TIME, Loan, LoanRequest},
     state::Share,
--- a/crates/core/src/share/demand.rs
+++ b/crates/core/src/share/demand.rs
@@ -13,21 +13,27 @@
 pub(super) struct Demand {
     rate: f64,
     updated: Instant,
+    memory: Duration,
 }
 
 impl Demand {
     pub(super) const fn new(now: Instant) -> Self {
-        Self { rate: 0.0, updated: now }
+        Self::with_memory(MEMORY, now)
+    }
+
+    /// Creates an estimate that counts arrivals over `memory`.
+    pub(super) const fn with_memory(memory: Duration, now: Instant) -> Self {
+        Self { rate: 0.0, updated: now, memory }
     }
 
     pub(super) fn record(&mut self, n: f64, now: Instant) {
-        self.rate = self.rate(now) + n / MEMORY.as_secs_f64();
+        self.rate = self.rate(now) + n / self.memory.as_secs_f64();
         self.updated = self.updated.max(now);
     }
 
     /// Requests per second.
     pub(super) fn rate(&self, now: Instant) -> f64 {
-        let age = now.since(self.updated).as_secs_f64() / MEMORY.as_secs_f64();
+        let age = now.since(self.updated).as_secs_f64() / self.memory.as_secs_f64();
         self.rate * (-age).exp()
     }
 }
--- /dev/null
+++ b/crates/gateway/src/control.rs
@@ -0,0 +1,371 @@
+//! Replacement of primaries: who suspects, who acts, and the execution of the steps.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
+
+use hibiscusladder_core::{
+    clock::Instant,
+    membership,
+    name::{Group, MemberId},
+    position::Term,
+    sync_group::{FailoverAction, Role, SILENCE, Trigger},
+};
+use hibiscusladder_io::clock::sleep;
+use serde_json::json;
+
+use crate::{
+    adapter::{Order, Platform, Promoter},
+    duty,
+    events::{self, Event},
+    metrics::Counter,
+    monitor,
+    node::{GroupState, Node},
+    peers::Suspect,
+};
+
+/// Time between two looks at all groups.
+const STEP_INTERVAL: Duration = Duration::from_millis(100);
+/// Head start of each candidate before the next one acts.
+const CANDIDATE_PAUSE: Duration = Duration::from_millis(700);
+/// Writes in a row without an answer, and the time that they have to span, after which a primary counts as stalled.
+const STALLED: (u32, Duration) = (3, Duration::from_millis(1000));
+/// Time after which a term that members hold without a primary counts as orphaned.
+const ORPHANED: Duration = Duration::from_secs(5);
+/// Time between two orders to a replaced primary.
+const DEMOTE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What one group's control remembers between two looks.
+#[derive(Debug, Default)]
+struct Memory {
+    suspected: Option<(Trigger, Instant)>,
+    fenced_since: Option<Instant>,
+    demoted: BTreeMap<MemberId, Instant>,
+    /// Orders that have not been answered.
+    busy: Rc<std::cell::RefCell<BTreeSet<MemberId>>>,
+}
+
+/// Looks at all groups for as long as the process runs.
+pub async fn run<P>(node: Rc<Node<P>>)
+where
+    P: Platform,
+{
+    let mut memories: BTreeMap<Group, Memory> = BTreeMap::new();
+    loop {
+        sleep(STEP_INTERVAL).await;
+        if node.stopping().is_some() {
+            return;
+        }
+        for state in node.groups() {
+            let memory = memories.entry(state.name.clone()).or_default();
+            look(&node, &state, memory);
+        }
+    }
+}
+
+fn look<P>(node: &Rc<Node<P>>, state: &Rc<GroupState>, memory: &mut Memory)
+where
+    P: Platform,
+{
+    let now = node.now();
+    note_fence(state, memory, now);
+    let running = state.failover.borrow().is_running();
+    if !running {
+        consider(node, state, memory, now);
+        demote_replaced(node, state, memory, now);
+    }
+    let leaving = leaving(node, &state.name);
+    let actions = {
+        let view = state.view.borrow();
+        state.failover.borrow_mut().step(&view, &leaving, now)
+    };
+    for action in actions {
+        execute(node, state, memory, action);
+    }
+}
+
+fn note_fence(state: &GroupState, memory: &mut Memory, now: Instant) {
+    let fenced = state.view.borrow().leader().is_some_and(|leader| leader.fenced);
+    memory.fenced_since = if fenced { memory.fenced_since.or(Some(now)) } else { None };
+}
+
+fn leaving<P>(node: &Node<P>, group: &Group) -> Vec<MemberId>
+where
+    P: Platform,
+{
+    let roster = node.roster.borrow();
+    let leaving = roster.in_group(group).filter(|(_, member)| !member.is_staying());
+    leaving.map(|(id, _)| id.clone()).collect()
+}
+
+/// Starts a replacement when there is a reason and it is this instance's turn.
+fn consider<P>(node: &Rc<Node<P>>, state: &Rc<GroupState>, memory: &mut Memory, now: Instant)
+where
+    P: Platform,
+{
+    let Some(trigger) = trigger(node, state, memory, now) else {
+        memory.suspected = None;
+        return;
+    };
+    let since = match memory.suspected {
+        Some((known, since)) if known == trigger => since,
+        _ => {
+            memory.suspected = Some((trigger, now));
+            now
+        }
+    };
+    let turn = CANDIDATE_PAUSE * rank(node, state, now);
+    if now.since(since) < turn || !agreed(node, state, trigger, now) {
+        return;
+    }
+    let started = state.failover.borrow_mut().start(trigger, &state.view.borrow(), now);
+    if started {
+        events::note(
+            Event::FailoverStarted,
+            json!({
+                "group": state.name.as_str(), "trigger": trigger.as_str(),
+                "term": state.view.borrow().leader_term().0,
+                "suspected_ms": now.since(since).as_millis() as u64,
+            }),
+        );
+    }
+}
+
+fn trigger<P>(node: &Node<P>, state: &GroupState, memory: &Memory, now: Instant) -> Option<Trigger>
+where
+    P: Platform,
+{
+    let view = state.view.borrow();
+    if memory.fenced_since.is_some() {
+        let orphaned = memory.fenced_since.is_some_and(|since| now.since(since) >= ORPHANED);
+        return orphaned.then_some(Trigger::Orphaned);
+    }
+    let Some(leader) = view.leader() else {
+        let answered = view.members().any(|member| view.status(member).is_some());
+        return answered.then_some(Trigger::Silent);
+    };
+    if node.member(&leader.member).is_some_and(|member| !member.is_staying()) {
+        let successor = view.members().any(|member| {
+            *member != leader.member && node.member(member).is_some_and(|known| known.is_staying())
+        });
+        return successor.then_some(Trigger::Leaving);
+    }
+    if view.silent_for(&leader.member, now) >= SILENCE {
+        return Some(Trigger::Silent);
+    }
+    let (count, span) = STALLED;
+    let stalled = state.stalled.get();
+    stalled
+        .is_some_and(|(writes, since)| writes >= count && now.since(since) >= span)
+        .then_some(Trigger::Stalled)
+}
+
+/// The instance's place among the live ones for this group; the last holder of the duty comes first, because it need
+/// not wait until its claim has ended.
+fn rank<P>(node: &Node<P>, state: &GroupState, now: Instant) -> u32
+where
+    P: Platform,
+{
+    let live = node.peers.borrow().live(now);
+    let own = node.instance();
+    let duties = node.duties.borrow();
+    let holder = duties.holder(&state.name);
+    if holder == Some(own) {
+        return 0;
+    }
+    let holder_lives = holder.is_some_and(|holder| live.contains(holder));
+    let candidates = live.iter().filter(|name| Some(*name) != holder).chain([own]);
+    let names: Vec<&str> = candidates.map(|name| name.as_str()).collect();
+    let count = names.len();
+    let ranked = membership::highest(&[state.name.as_str()], names, count);
+    let place = ranked.iter().position(|name| *name == own.as_str()).unwrap_or(0);
+    u32::try_from(place).unwrap_or(u32::MAX).saturating_add(u32::from(holder_lives))
+}
+
+/// Whether enough instances have the same trouble; one that is cut off alone must not replace a primary.
+fn agreed<P>(node: &Node<P>, state: &GroupState, trigger: Trigger, now: Instant) -> bool
+where
+    P: Platform,
+{
+    if matches!(trigger, Trigger::Leaving | Trigger::Orphaned) {
+        return true;
+    }
+    let term = state.view.borrow().leader_term().0;
+    let peers = node.peers.borrow();
+    let live = 1 + peers.live(now).len();
+    let suspecting = 1 + peers.suspecting(&state.name, term, now);
+    2 * suspecting >= live
+}
+
+/// Primaries that this instance cannot use, to be told to the others.
+pub fn suspects<P>(node: &Node<P>, now: Instant) -> Vec<Suspect>
+where
+    P: Platform,
+{
+    let suspected = |state: &Rc<GroupState>| {
+        let trigger = trigger(node, state, &Memory::default(), now)?;
+        matches!(trigger, Trigger::Silent | Trigger::Stalled).then(|| Suspect {
+            group: state.name.as_str().into(),
+            term: state.view.borrow().leader_term().0,
+        })
+    };
+    node.groups().iter().filter_map(suspected).collect()
+}
+
+/// Tells primaries of lower terms that they are replaced, which they may not notice for as long as they are cut off
+/// from the new one.
+fn demote_replaced<P>(node: &Rc<Node<P>>, state: &Rc<GroupState>, memory: &mut Memory, now: Instant)
+where
+    P: Platform,
+{
+    let view = state.view.borrow();
+    let Some(leader) = view.leader() else { return };
+    let replaced = view.members().filter(|member| {
+        let status = view.status(member);
+        status.is_some_and(|status| status.role == Role::Primary && status.term < leader.term)
+    });
+    for member in replaced {
+        let due = memory.demoted.get(member).is_none_or(|last| now.since(*last) >= DEMOTE_INTERVAL);
+        if due {
+            memory.demoted.insert(member.clone(), now);
+            send(node, state, memory, member.clone(), SimpleOrder::Demote(leader.term));
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum SimpleOrder {
+    Hold(Term),
+    Resume,
+    Demote(Term),
+}
+
+impl SimpleOrder {
+    const fn order(self) -> Order<'static> {
+        match self {
+            Self::Hold(term) => Order::Hold(term),
+            Self::Resume => Order::Resume,
+            Self::Demote(term) => Order::Demote(term),
+        }
+    }
+
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Hold(_) => "hold",
+            Self::Resume => "resume",
+            Self::Demote(_) => "demote",
+        }
+    }
+}
+
+fn execute<P>(
+    node: &Rc<Node<P>>,
+    state: &Rc<GroupState>,
+    memory: &mut Memory,
+    action: FailoverAction,
+) where
+    P: Platform,
+{
+    match action {
+        FailoverAction::Claim => {
+            let (node, state) = (node.clone(), state.clone());
+            node.clone().spawn(async move { claim(&node, &state).await });
+        }
+        FailoverAction::Hold { member, term } => {
+            send(node, state, memory, member, SimpleOrder::Hold(term));
+        }
+        FailoverAction::Resume { member } => send(node, state, memory, member, SimpleOrder::Resume),
+        FailoverAction::Promote { member, .. } => {
+            let (node, state) = (node.clone(), state.clone());
+            node.clone().spawn(async move { promote(&node, &state, &member).await });
+        }
+        FailoverAction::Ended { replaced } => {
+            state.stalled.set(None);
+            memory.suspected = None;
+            let label = if replaced { "replaced" } else { "abandoned" };
+            node.metrics.count(Counter::Failovers, label);
+            events::note(
+                Event::FailoverEnded,
+                json!({
+                    "group": state.name.as_str(), "outcome": label,
+                    "term": state.view.borrow().leader_term().0,
+                }),
+            );
+            state.notify();
+        }
+    }
+}
+
+/// Sends an order unless an earlier one to the member is still unanswered.
+fn send<P>(
+    node: &Rc<Node<P>>,
+    state: &Rc<GroupState>,
+    memory: &Memory,
+    member: MemberId,
+    order: SimpleOrder,
+) where
+    P: Platform,
+{
+    if !memory.busy.borrow_mut().insert(member.clone()) {
+        return;
+    }
+    let (node, state, busy) = (node.clone(), state.clone(), memory.busy.clone());
+    node.clone().spawn(async move {
+        let answered = monitor::order(&node, &state, &member, order.order()).await;
+        busy.borrow_mut().remove(&member);
+        let outcome = match answered {
+            Ok(status) => format!("received {}, holds {}", status.received, status.held),
+            Err(error) => format!("no answer ({error:?})"),
+        };
+        events::note(
+            Event::FailoverStep,
+            json!({
+                "group": state.name.as_str(), "step": order.as_str(),
+                "member": member.as_str(), "outcome": outcome,
+            }),
+        );
+    });
+}
+
+async fn claim<P>(node: &Node<P>, state: &GroupState)
+where
+    P: Platform,
+{
+    let generation = duty::claim(node, &state.name).await;
+    events::note(
+        Event::FailoverStep,
+        json!({ "group": state.name.as_str(), "step": "claim", "generation": generation }),
+    );
+    state.failover.borrow_mut().claimed(generation, node.now());
+}
+
+/// Promotes `member` under a claim that is fresh enough to act on.
+async fn promote<P>(node: &Node<P>, state: &GroupState, member: &MemberId)
+where
+    P: Platform,
+{
+    let held = node.duties.borrow().held(&state.name, node.now());
+    let generation = match held {
+        Some(generation) => Some(generation),
+        None => duty::claim(node, &state.name).await,
+    };
+    let Some(generation) = generation else { return };
+    // The process may have been suspended since the claim.
+    if node.duties.borrow().held(&state.name, node.now()).is_none() {
+        return;
+    }
+    let promoted = node.promoter.promote(&state.name, member, node.instance(), generation).await;
+    let outcome = match &promoted {
+        Ok(()) => "accepted".to_owned(),
+        Err(error) => error.to_string(),
+    };
+    events::note(
+        Event::FailoverStep,
+        json!({
+            "group": state.name.as_str(), "step": "promote", "member": member.as_str(),
+            "generation": generation, "outcome": outcome,
+        }),
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/duty.rs
@@ -0,0 +1,136 @@
+//! Claims of the duty to replace a group's primary.
+//!
+//! A claim is an object in the store that is replaced only if it has not changed, so its generation number is unique.
+//! A holder acts only for [`HOLD_TIME`] after its claim; others wait longer than that before they claim.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use hibiscusladder_core::{
+    clock::Instant,
+    name::{Group, InstanceId},
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    adapter::{Collection, Content, Listing, Object, Platform, Store, StoreError},
+    metrics::Counter,
+    node::Node,
+};
+
+/// Time after its claim for which a holder may act.
+pub const HOLD_TIME: Duration = Duration::from_millis(1500);
+/// Time without a change of the claim after which another instance may claim. It covers the time that a holder may
+/// act, an order that is on its way, and the drift of clocks.
+const TAKE_OVER_TIME: Duration = Duration::from_millis(3500);
+
+/// A claim as it stands in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The holder.
+    pub holder: InstanceId,
+    /// Grows with each claim.
+    pub generation: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Known {
+    claim: Claim,
+    revision: u64,
+    seen: Instant,
+    /// When this process sent the request that made the claim.
+    own_since: Option<Instant>,
+}
+
+/// Claims as far as this instance knows them.
+#[derive(Debug, Default)]
+pub struct Duties {
+    claims: BTreeMap<Box<str>, Known>,
+}
+
+impl Duties {
+    /// Records an object of the store.
+    pub fn note(&mut self, object: &Object, now: Instant) {
+        let Content::Own(text) = &object.content else { return };
+        let Ok(claim) = serde_json::from_str::<Claim>(text) else { return };
+        if self.claims.get(&object.name).is_some_and(|known| known.revision >= object.revision) {
+            return;
+        }
+        let known = Known { claim, revision: object.revision, seen: now, own_since: None };
+        self.claims.insert(object.name.clone(), known);
+    }
+
+    /// The instance that claimed the duty for `group` last.
+    pub fn holder(&self, group: &Group) -> Option<&InstanceId> {
+        self.claims.get(group.as_str()).map(|known| &known.claim.holder)
+    }
+
+    /// Generation number of the own claim, while it allows to act.
+    pub fn held(&self, group: &Group, now: Instant) -> Option<u64> {
+        let known = self.claims.get(group.as_str())?;
+        let since = known.own_since?;
+        (now.since(since) < HOLD_TIME).then_some(known.claim.generation)
+    }
+}
+
+/// Claims the duty for `group`, and returns the generation number; `None` when another instance may be acting or the
+/// store does not answer.
+pub async fn claim<P>(node: &Node<P>, group: &Group) -> Option<u64>
+where
+    P: Platform,
+{
+    let asked = node.now();
+    let known = node.duties.borrow().claims.get(group.as_str()).cloned();
+    if let Some(known) = &known {
+        let other = known.claim.holder != *node.instance();
+        if other && asked.since(known.seen) < TAKE_OVER_TIME {
+            return None;
+        }
+    }
+    let generation = known.as_ref().map_or(1, |known| known.claim.generation + 1);
+    let claim = Claim { holder: node.instance().clone(), generation };
+    let text = serde_json::to_string(&claim).ok()?;
+    let name = group.as_str();
+    let written = match &known {
+        Some(known) => node.store.replace(Collection::Duties, name, known.revision, &text).await,
+        None => node.store.create(Collection::Duties, name, &text).await,
+    };
+    match written {
+        Ok(revision) => {
+            node.metrics.count(Counter::StoreCalls, "claimed");
+            let known = Known { claim, revision, seen: node.now(), own_since: Some(asked) };
+            node.duties.borrow_mut().claims.insert(name.into(), known);
+            Some(generation)
+        }
+        Err(error) => {
+            node.metrics.count(Counter::StoreCalls, "claim_failed");
+            settle_lost_answer(node, group, &claim, asked, &error).await
+        }
+    }
+}
+
+/// Reads the claims again; the request may have taken effect although its answer was lost.
+async fn settle_lost_answer<P>(
+    node: &Node<P>,
+    group: &Group,
+    claim: &Claim,
+    asked: Instant,
+    error: &StoreError,
+) -> Option<u64>
+where
+    P: Platform,
+{
+    let Listing { objects, .. } = node.store.list(Collection::Duties).await.ok()?;
+    let mut duties = node.duties.borrow_mut();
+    for object in &objects {
+        duties.note(object, node.now());
+    }
+    if !matches!(error, StoreError::NoAnswer { .. }) {
+        return None;
+    }
+    let known = duties.claims.get_mut(group.as_str())?;
+    if known.claim != *claim {
+        return None;
+    }
+    known.own_since = Some(asked);
+    Some(claim.generation)
+}
--- /dev/null
+++ b/crates/gateway/src/node.rs
@@ -0,0 +1,334 @@
+//! State of one instance, shared by its tasks, which all run on one thread.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::Duration,
+};
+
+use event_listener::Event as Notify;
+use hibiscusladder_core::{
+    clock::{Clock, Instant},
+    name::{Group, InstanceId, MemberId, Workspace},
+    sync_group::{Failover, GroupView},
+};
+use hibiscusladder_io::clock::{BootClock, within};
+use serde_json::json;
+use smol::LocalExecutor;
+
+use crate::{
+    adapter::{Platform, Target},
+    admission::Admission,
+    directory::Directory,
+    duty::Duties,
+    events::{self, Event},
+    metrics::Metrics,
+    peers::Peers,
+    pool::Pool,
+    roster::{Member, Roster},
+    settings::Settings,
+};
+
+/// Connections to a member for each instance, at least; one more than the polls need.
+const MIN_CONNECTIONS: usize = 2;
+
+/// State of one group.
+#[derive(Debug)]
+pub struct GroupState {
+    /// Name of the group.
+    pub name: Group,
+    /// What the members answered.
+    pub view: RefCell<GroupView>,
+    /// The replacement of the primary.
+    pub failover: RefCell<Failover>,
+    /// Writes in a row that got no answer, and since when.
+    pub stalled: Cell<Option<(u32, Instant)>>,
+    /// Leader that was last logged.
+    pub announced: RefCell<Option<(MemberId, u64, bool)>>,
+    changed: Notify,
+}
+
+impl GroupState {
+    fn new(name: Group) -> Rc<Self> {
+        Rc::new(Self {
+            name,
+            view: RefCell::default(),
+            failover: RefCell::default(),
+            stalled: Cell::new(None),
+            announced: RefCell::default(),
+            changed: Notify::new(),
+        })
+    }
+
+    /// Wakes those that wait for a change.
+    pub fn notify(&self) {
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Waits for a change, at most for `limit`.
+    pub async fn changed(&self, limit: Duration) {
+        within(limit, self.changed.listen()).await;
+    }
+
+    /// Records whether a write at the primary was answered.
+    pub fn note_write(&self, answered: bool, now: Instant) {
+        let stalled = self.stalled.get();
+        self.stalled.set(match stalled {
+            _ if answered => None,
+            Some((count, since)) => Some((count + 1, since)),
+            None => Some((1, now)),
+        });
+    }
+}
+
+/// One instance.
+pub struct Node<P>
+where
+    P: Platform,
+{
+    /// Settings of the instance.
+    pub settings: Settings,
+    /// The clock.
+    pub clock: BootClock,
+    /// The store.
+    pub store: P::Store,
+    /// Promotions.
+    pub promoter: P::Promoter,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Members as the store lists them.
+    pub roster: RefCell<Roster>,
+    /// Allotments of the workspaces.
+    pub admission: RefCell<Admission>,
+    /// Other instances.
+    pub peers: RefCell<Peers>,
+    /// Claims of duties.
+    pub duties: RefCell<Duties>,
+    directory: RefCell<Option<Rc<Directory>>>,
+    groups: RefCell<BTreeMap<Group, Rc<GroupState>>>,
+    pools: RefCell<BTreeMap<MemberId, Rc<Pool<P>>>>,
+    executor: Rc<LocalExecutor<'static>>,
+    stopping: Cell<Option<Instant>>,
+    stop: Notify,
+    sessions: Cell<usize>,
+    session_ended: Notify,
+}
+
+impl<P> Node<P>
+where
+    P: Platform,
+{
+    /// Creates an instance that knows nothing yet.
+    pub fn new(
+        settings: Settings,
+        store: P::Store,
+        promoter: P::Promoter,
+        executor: Rc<LocalExecutor<'static>>,
+    ) -> Rc<Self> {
+        let now = BootClock.now();
+        Rc::new(Self {
+            peers: RefCell::new(Peers::new(settings.instance.clone(), now)),
+            settings,
+            clock: BootClock,
+            store,
+            promoter,
+            metrics: Metrics::default(),
+            roster: RefCell::default(),
+            admission: RefCell::default(),
+            duties: RefCell::default(),
+            directory: RefCell::default(),
+            groups: RefCell::default(),
+            pools: RefCell::default(),
+            executor,
+            stopping: Cell::new(None),
+            stop: Notify::new(),
+            sessions: Cell::new(0),
+            session_ended: Notify::new(),
+        })
+    }
+
+    /// The present time.
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Runs `future` as a task of its own.
+    pub fn spawn<F>(&self, future: F)
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        self.executor.spawn(future).detach();
+    }
+
+    /// The configuration in force.
+    pub fn directory(&self) -> Option<Rc<Directory>> {
+        self.directory.borrow().clone()
+    }
+
+    /// Version of the configuration in force; 0 before the first.
+    pub fn version(&self) -> u64 {
+        self.directory.borrow().as_ref().map_or(0, |directory| directory.version)
+    }
+
+    /// Puts a configuration in force unless the one in force is as new.
+    pub fn apply_directory(&self, directory: Rc<Directory>, source: &'static str) {
+        if directory.version <= self.version() {
+            return;
+        }
+        events::note(
+            Event::ConfigurationApplied,
+            json!({
+                "version": directory.version, "replaces": self.version(), "source": source,
+                "routes": directory.routes.len(), "workspaces": directory.workspaces.len(),
+            }),
+        );
+        let mut groups = self.groups.borrow_mut();
+        for name in directory.groups.keys() {
+            groups.entry(name.clone()).or_insert_with(|| GroupState::new(name.clone()));
+        }
+        drop(groups);
+        *self.directory.borrow_mut() = Some(directory);
+        self.update_limits();
+        self.update_groups();
+    }
+
+    /// State of a group.
+    pub fn group(&self, name: &Group) -> Option<Rc<GroupState>> {
+        self.groups.borrow().get(name).cloned()
+    }
+
+    /// All groups.
+    pub fn groups(&self) -> Vec<Rc<GroupState>> {
+        self.groups.borrow().values().cloned().collect()
+    }
+
+    /// A member, unless it is gone.
+    pub fn member(&self, id: &MemberId) -> Option<Member> {
+        self.roster.borrow().get(id).cloned()
+    }
+
+    /// Connections to a member.
+    pub fn pool(&self, id: &MemberId) -> Option<Rc<Pool<P>>> {
+        if let Some(pool) = self.pools.borrow().get(id) {
+            return Some(pool.clone());
+        }
+        let member = self.member(id)?;
+        let record = member.record;
+        let target =
+            Target { member: id.clone(), group: record.group.clone(), address: record.address };
+        let distance = self.settings.distance(&record.data_centre);
+        let limit = self.connection_limit(&record.group);
+        let pool = Pool::new(target, record.data_centre, distance, limit);
+        self.pools.borrow_mut().insert(id.clone(), pool.clone());
+        Some(pool)
+    }
+
+    /// Closes the connections to a member that is gone or is another process.
+    pub fn drop_pool(&self, id: &MemberId) {
+        if let Some(pool) = self.pools.borrow_mut().remove(id) {
+            pool.close();
+        }
+    }
+
+    /// Brings the views of the groups in line with the roster.
+    pub fn update_groups(&self) {
+        let roster = self.roster.borrow();
+        for group in self.groups.borrow().values() {
+            let members = roster.in_group(&group.name);
+            let members = members.map(|(id, member)| (id.clone(), member.record.role));
+            group.view.borrow_mut().set_members(members);
+            group.notify();
+        }
+    }
+
+    /// Brings allotments and connection limits in line with the configuration and the number of instances.
+    pub fn update_limits(&self) {
+        let Some(directory) = self.directory() else { return };
+        let instances = self.peers.borrow().instances();
+        self.admission.borrow_mut().configure(&directory.workspaces, instances, self.now());
+        for pool in self.pools.borrow().values() {
+            pool.set_limit(self.connection_limit(&pool.target.group));
+        }
+    }
+
+    fn connection_limit(&self, group: &Group) -> usize {
+        let directory = self.directory();
+        let limits = directory.as_ref().and_then(|directory| directory.groups.get(group));
+        let total = limits.map_or(MIN_CONNECTIONS, |limits| limits.max_connections);
+        (total / self.peers.borrow().instances()).max(MIN_CONNECTIONS)
+    }
+
+    /// A workspace for connections that serve no caller.
+    pub fn any_workspace(&self) -> Option<Workspace> {
+        self.directory()?.workspaces.keys().next().cloned()
+    }
+
+    /// Name of the instance.
+    pub const fn instance(&self) -> &InstanceId {
+        &self.settings.instance
+    }
+
+    /// Begins to stop.
+    pub fn begin_stop(&self) {
+        self.stopping.set(Some(self.now()));
+        self.stop.notify(usize::MAX);
+    }
+
+    /// Since when the instance is stopping.
+    pub const fn stopping(&self) -> Option<Instant> {
+        self.stopping.get()
+    }
+
+    /// Waits until the instance is stopping.
+    pub async fn stopped(&self) {
+        while self.stopping.get().is_none() {
+            let stop = self.stop.listen();
+            if self.stopping.get().is_none() {
+                stop.await;
+            }
+        }
+    }
+
+    /// Counts a session for as long as the returned guard lives.
+    pub fn session_started(self: &Rc<Self>) -> SessionGuard<P> {
+        self.sessions.set(self.sessions.get() + 1);
+        SessionGuard { node: self.clone() }
+    }
+
+    /// Number of open sessions.
+    pub const fn sessions(&self) -> usize {
+        self.sessions.get()
+    }
+
+    /// Waits until no session is open, at most for `limit`.
+    pub async fn sessions_ended(&self, limit: Duration) {
+        let ended = async {
+            while self.sessions.get() > 0 {
+                let ended = self.session_ended.listen();
+                if self.sessions.get() > 0 {
+                    ended.await;
+                }
+            }
+        };
+        within(limit, ended).await;
+    }
+}
+
+/// Counts a session until it is dropped.
+pub struct SessionGuard<P>
+where
+    P: Platform,
+{
+    node: Rc<Node<P>>,
+}
+
+impl<P> Drop for SessionGuard<P>
+where
+    P: Platform,
+{
+    fn drop(&mut self) {
+        self.node.sessions.set(self.node.sessions.get() - 1);
+        self.node.session_ended.notify(usize::MAX);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/operation.rs
@@ -0,0 +1,320 @@
+//! One caller's requests, in order: what each means in the present state of the session.
+
+use std::{collections::BTreeMap, rc::Rc};
+
+use hibiscusladder_core::{
+    clock::Instant,
+    name::{Database, Workspace},
+};
+use serde_json::json;
+
+use crate::{
+    adapter::Platform,
+    admission,
+    directory::Route,
+    events::{self, Event},
+    metrics::{Counter, Stage},
+    model::{Access, Answer, Code, Failure, Query, Statement, TransactionState},
+    node::Node,
+    pool::Values,
+    reads::{self, Floor, Payload, Request},
+    transaction::Transaction,
+    writes,
+};
+
+/// State of a session between two requests.
+pub struct Session<P>
+where
+    P: Platform,
+{
+    node: Rc<Node<P>>,
+    database: Database,
+    key: Box<str>,
+    values: Rc<Values>,
+    prepared: BTreeMap<Box<str>, (Access, Box<str>)>,
+    floor: Option<Floor>,
+    transaction: Option<Transaction<P>>,
+    state: TransactionState,
+}
+
+impl<P> Session<P>
+where
+    P: Platform,
+{
+    /// Creates the session of a caller that showed `key`.
+    pub fn new(node: Rc<Node<P>>, database: Database, key: Box<str>) -> Self {
+        Self {
+            node,
+            database,
+            key,
+            values: Rc::default(),
+            prepared: BTreeMap::new(),
+            floor: None,
+            transaction: None,
+            state: TransactionState::Idle,
+        }
+    }
+
+    /// State after the last answer.
+    pub const fn state(&self) -> TransactionState {
+        self.state
+    }
+
+    /// Route and workspace of the caller under the configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// The database has no route, or the key is not known.
+    pub fn authorise(&self) -> Result<(Rc<Route>, Workspace), Failure> {
+        authorise(&self.node, &self.database, &self.key)
+    }
+
+    /// Answers a request that arrived at `arrived`.
+    pub async fn handle(&mut self, query: Query, arrived: Instant) -> Answer {
+        let answer = match self.state {
+            TransactionState::Idle => self.handle_idle(&query, arrived).await,
+            TransactionState::Open => self.handle_open(&query).await,
+            TransactionState::Failed => self.handle_failed(&query),
+        };
+        self.state = answer.state;
+        if self.state != TransactionState::Open
+            && let Some(mut transaction) = self.transaction.take()
+        {
+            transaction.abandon(&self.node);
+        }
+        let label = answer.code().map_or("success", Code::as_str);
+        self.node.metrics.count(Counter::Answers, label);
+        answer
+    }
+
+    /// Ends the transaction, because the caller is gone or idle for too long.
+    pub fn abort(&mut self, reason: &'static str) {
+        let Some(mut transaction) = self.transaction.take() else { return };
+        transaction.abandon(&self.node);
+        self.state = TransactionState::Failed;
+        events::note(
+            Event::TransactionEnded,
+            json!({
+                "request": transaction.request.id, "reason": reason,
+                "workspace": transaction.request.workspace.as_str(),
+                "age_ms": self.node.now().since(transaction.request.arrived).as_millis() as u64,
+            }),
+        );
+    }
+
+    async fn handle_idle(&mut self, query: &Query, arrived: Instant) -> Answer {
+        match &query.statement {
+            Statement::Begin { read_only } => self.begin(query, *read_only, arrived).await,
+            Statement::Read => self.single(query, Access::Read, arrived).await,
+            Statement::Write => self.single(query, Access::Write, arrived).await,
+            Statement::Execute { name, .. } => match self.prepared.get(name) {
+                Some((access, _)) => self.single(query, *access, arrived).await,
+                None => Answer::failed(unknown_name(), TransactionState::Idle),
+            },
+            Statement::Commit | Statement::Rollback => {
+                let failure = Failure::new(Code::Malformed, "no transaction is open; begin one");
+                Answer::failed(failure, TransactionState::Idle)
+            }
+            _ => self.local(query, TransactionState::Idle),
+        }
+    }
+
+    async fn handle_open(&mut self, query: &Query) -> Answer {
+        let open = TransactionState::Open;
+        let access = match &query.statement {
+            Statement::Read => Access::Read,
+            Statement::Write => Access::Write,
+            Statement::Execute { name, .. } => match self.prepared.get(name) {
+                Some((access, _)) => *access,
+                None => return Answer::failed(unknown_name(), TransactionState::Failed),
+            },
+            Statement::Commit => return self.commit(query).await,
+            Statement::Rollback => return Answer::done(TransactionState::Idle),
+            Statement::Begin { .. } => {
+                let failure = Failure::new(Code::Malformed, "a transaction is open; end it first");
+                return Answer::failed(failure, TransactionState::Failed);
+            }
+            Statement::Set { name, value } => {
+                if let Some(transaction) = &mut self.transaction
+                    && let Err(failure) = transaction.set_value(name, value).await
+                {
+                    return Answer::failed(failure, TransactionState::Failed);
+                }
+                return self.local(query, open);
+            }
+            _ => return self.local(query, open),
+        };
+        let payload = self.payload(query);
+        let Some(transaction) = &mut self.transaction else {
+            return Answer::failed(rolled_back(), TransactionState::Failed);
+        };
+        let writes = access == Access::Write;
+        transaction.run(&self.node, &self.values, &query.id, &payload, writes).await
+    }
+
+    fn handle_failed(&self, query: &Query) -> Answer {
+        match &query.statement {
+            Statement::Rollback => Answer::done(TransactionState::Idle),
+            Statement::Commit => Answer::failed(rolled_back(), TransactionState::Idle),
+            _ => {
+                let detail = "the transaction has failed; send ROLLBACK";
+                let failure = Failure::new(Code::Malformed, detail);
+                Answer::failed(failure, TransactionState::Failed)
+            }
+        }
+    }
+
+    async fn begin(&mut self, query: &Query, read_only: bool, arrived: Instant) -> Answer {
+        let request = match self.admit(query, arrived).await {
+            Ok(request) => request,
+            Err(failure) => return Answer::failed(failure, TransactionState::Idle),
+        };
+        self.transaction = Some(Transaction::new(request, read_only));
+        Answer::done(TransactionState::Open)
+    }
+
+    async fn single(&mut self, query: &Query, access: Access, arrived: Instant) -> Answer {
+        let request = match self.admit(query, arrived).await {
+            Ok(request) => request,
+            Err(failure) => return Answer::failed(failure, TransactionState::Idle),
+        };
+        let (answer, stage) = if access == Access::Read {
+            (reads::run(&self.node, &Rc::new(request)).await, Stage::Read)
+        } else {
+            let (answer, floor) = writes::run(&self.node, &request).await;
+            self.raise_floor(floor);
+            (answer, Stage::Write)
+        };
+        self.node.metrics.time(stage, self.node.now().since(arrived));
+        answer
+    }
+
+    async fn commit(&mut self, query: &Query) -> Answer {
+        let Some(transaction) = self.transaction.take() else {
+            return Answer::failed(rolled_back(), TransactionState::Idle);
+        };
+        let started = self.node.now();
+        let (answer, floor) =
+            transaction.commit(&self.node, &self.values, &query.id, &query.text).await;
+        self.raise_floor(floor);
+        self.node.metrics.time(Stage::Commit, self.node.now().since(started));
+        answer
+    }
+
+    /// Authorises an operation and admits it against the limits of its workspace.
+    async fn admit(&self, query: &Query, arrived: Instant) -> Result<Request, Failure> {
+        let checked = async {
+            let (route, workspace) = self.authorise()?;
+            admission::admit(&self.node, &workspace, route.target).await?;
+            Ok((route, workspace))
+        };
+        let (route, workspace) = match checked.await {
+            Ok(admitted) => admitted,
+            Err(failure) => {
+                self.note_refusal(query, &failure);
+                return Err(failure);
+            }
+        };
+        Ok(Request {
+            id: query.id.clone(),
+            payload: self.payload(query),
+            workspace,
+            values: self.values.clone(),
+            route,
+            arrived,
+            floor: self.floor,
+        })
+    }
+
+    fn note_refusal(&self, query: &Query, failure: &Failure) {
+        events::note(
+            Event::RequestRefused,
+            json!({
+                "request": query.id, "database": self.database.as_str(),
+                "code": failure.code.as_str(), "reason": failure.detail,
+                "version": self.node.version(),
+            }),
+        );
+    }
+
+    fn payload(&self, query: &Query) -> Payload {
+        if let Statement::Execute { name, arguments } = &query.statement
+            && let Some((access, shape)) = self.prepared.get(name)
+        {
+            return Payload::Execute {
+                access: *access,
+                shape: shape.clone(),
+                arguments: arguments.clone(),
+            };
+        }
+        Payload::Text(query.text.clone())
+    }
+
+    /// Answers what concerns the session alone.
+    fn local(&mut self, query: &Query, state: TransactionState) -> Answer {
+        match &query.statement {
+            Statement::Set { name, value } => {
+                Rc::make_mut(&mut self.values).insert(name.clone(), value.clone());
+            }
+            Statement::Prepare { name, access, shape } => {
+                self.prepared.insert(name.clone(), (*access, shape.clone()));
+            }
+            Statement::Deallocate { name } => {
+                self.prepared.remove(name);
+            }
+            _ => {
+                let failure = Failure::new(Code::Malformed, "the statement is not known");
+                return Answer::failed(failure, state);
+            }
+        }
+        Answer::done(state)
+    }
+
+    fn raise_floor(&mut self, floor: Option<Floor>) {
+        let Some(floor) = floor else { return };
+        let position =
+            self.floor.map_or(floor.position, |known| known.position.max(floor.position));
+        self.floor = Some(Floor { position, at: floor.at });
+    }
+}
+
+/// Route and workspace for a caller that wants to use `database` and shows `key`.
+///
+/// # Errors
+///
+/// The database has no route, or the key is not known.
+pub fn authorise<P>(
+    node: &Node<P>,
+    database: &Database,
+    key: &str,
+) -> Result<(Rc<Route>, Workspace), Failure>
+where
+    P: Platform,
+{
+    let Some(directory) = node.directory() else {
+        let after = std::time::Duration::from_millis(500);
+        return Err(Failure::retry_after(Code::Busy, "the instance has no configuration", after));
+    };
+    let route = directory.routes.get(database).ok_or_else(|| {
+        Failure::new(Code::NoDatabase, "no route has this name; check the name of the database")
+    })?;
+    let workspace = match directory.keys.get(key) {
+        Some(workspace) => workspace.clone(),
+        None if route.public => Workspace::new("-"),
+        None => {
+            return Err(Failure::new(
+                Code::NoAuth,
+                "the key is not known; use one of the workspace",
+            ));
+        }
+    };
+    Ok((Rc::new(route.clone()), workspace))
+}
+
+fn unknown_name() -> Failure {
+    Failure::new(Code::NoStatement, "no statement has this name; prepare it first")
+}
+
+fn rolled_back() -> Failure {
+    Failure::new(Code::Aborted, "rolled back: the transaction had failed")
+}
--- /dev/null
+++ b/crates/gateway/src/pool.rs
@@ -0,0 +1,455 @@
+//! Connections to one member, shared by the sessions of an instance.
+//!
+//! A connection belongs to one workspace, and to one operation at a time. It is used again only after an answer that
+//! leaves it outside any transaction; in every other case it is closed, which rolls back.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet},
+    io,
+    rc::Rc,
+    time::Duration,
+};
+
+use event_listener::Event as Notify;
+use hibiscusladder_core::{
+    clock::{Clock, Instant},
+    name::{DataCentre, Workspace},
+};
+use hibiscusladder_io::clock::{BootClock, within};
+use thiserror::Error;
+
+use crate::{
+    adapter::{ConnectError, Order, Platform, Target, UpstreamPort},
+    model::{Access, Answer, Code, Failure, TransactionState},
+    settings::Distance,
+};
+
+/// Longest time for opening a connection: two round trips between regions, and a busy member.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause after a member refused a connection because it has too many.
+const FULL_PAUSE: Duration = Duration::from_millis(40);
+/// Round trips that are assumed before any was measured.
+const ASSUMED_ROUND_TRIP: [(Distance, Duration); 3] = [
+    (Distance::Local, Duration::from_millis(1)),
+    (Distance::Region, Duration::from_millis(3)),
+    (Distance::Far, Duration::from_millis(41)),
+];
+/// Weight of a new measurement in the average service time.
+const SERVICE_WEIGHT: f64 = 0.1;
+/// Time after which half of the difference between measured and assumed service time is forgotten.
+const SERVICE_MEMORY: Duration = Duration::from_secs(3);
+/// Service time that is assumed before any was measured, in seconds.
+const ASSUMED_SERVICE_S: f64 = 0.012;
+/// Cost of opening a connection, in seconds, when members are compared.
+const OPENING_S: f64 = 0.012;
+
+/// Values of a session by name.
+pub type Values = BTreeMap<Box<str>, Box<str>>;
+
+/// Why no connection was to be had. Nothing has run.
+#[derive(Debug, Error)]
+pub enum AcquireError {
+    /// All connections are in use.
+    #[error("all connections to the member are in use")]
+    Exhausted,
+    /// The member refused the connection.
+    #[error("the member refused the connection ({0})")]
+    Refused(Failure),
+    /// The member does not answer.
+    #[error("the member cannot be reached: {0}")]
+    Unreachable(io::Error),
+}
+
+/// A connection with what the member knows about it.
+struct Connection<P>
+where
+    P: Platform,
+{
+    port: P::Upstream,
+    workspace: Workspace,
+    values: Values,
+    prepared: BTreeSet<Box<str>>,
+    /// When the member last answered on it.
+    answered: Instant,
+}
+
+struct State<P>
+where
+    P: Platform,
+{
+    idle: Vec<Connection<P>>,
+    open: usize,
+    limit: usize,
+    full_until: Instant,
+    service_s: f64,
+    measured: Instant,
+    in_use: usize,
+}
+
+/// The connections to one member.
+pub struct Pool<P>
+where
+    P: Platform,
+{
+    /// The member.
+    pub target: Target,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    distance: Distance,
+    state: RefCell<State<P>>,
+    released: Notify,
+    closed: Cell<bool>,
+    opened: Cell<u64>,
+}
+
+impl<P> Pool<P>
+where
+    P: Platform,
+{
+    /// Creates a pool of at most `limit` connections.
+    pub fn new(
+        target: Target,
+        data_centre: DataCentre,
+        distance: Distance,
+        limit: usize,
+    ) -> Rc<Self> {
+        let state = State {
+            idle: Vec::new(),
+            open: 0,
+            limit,
+            full_until: Instant::default(),
+            service_s: ASSUMED_SERVICE_S,
+            measured: BootClock.now(),
+            in_use: 0,
+        };
+        Rc::new(Self {
+            target,
+            data_centre,
+            distance,
+            state: RefCell::new(state),
+            released: Notify::new(),
+            closed: Cell::new(false),
+            opened: Cell::new(0),
+        })
+    }
+
+    /// Changes the largest number of connections.
+    pub fn set_limit(&self, limit: usize) {
+        self.state.borrow_mut().limit = limit;
+    }
+
+    /// Connections opened so far.
+    pub const fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+
+    /// Closes the idle connections, and the others when they are given back.
+    pub fn close(&self) {
+        self.closed.set(true);
+        self.drop_idle();
+    }
+
+    /// Closes the idle connections, which may have gone silent.
+    pub fn drop_idle(&self) {
+        let mut state = self.state.borrow_mut();
+        state.open -= state.idle.len();
+        state.idle.clear();
+        drop(state);
+        self.released.notify(usize::MAX);
+    }
+
+    /// Expected time until a new request of `workspace` is answered, in seconds.
+    pub fn expected_s(&self, workspace: &Workspace, now: Instant) -> f64 {
+        let state = self.state.borrow();
+        let age = now.since(state.measured).as_secs_f64() / SERVICE_MEMORY.as_secs_f64();
+        let trust = 0.5_f64.powf(age);
+        let service = state.service_s * trust + ASSUMED_SERVICE_S * (1.0 - trust);
+        let opening = if state.idle.iter().any(|idle| idle.workspace == *workspace) {
+            0.0
+        } else {
+            OPENING_S + self.round_trip().as_secs_f64()
+        };
+        self.round_trip().as_secs_f64() + service * (1.0 + state.in_use as f64) + opening
+    }
+
+    fn round_trip(&self) -> Duration {
+        let assumed = ASSUMED_ROUND_TRIP.iter().find(|(distance, _)| *distance == self.distance);
+        assumed.map_or(Duration::ZERO, |(_, round_trip)| *round_trip)
+    }
+
+    /// A connection for `workspace`, at best one that has `values` already.
+    ///
+    /// # Errors
+    ///
+    /// The reason when there is none until `until`. Nothing has run.
+    pub async fn acquire(
+        self: &Rc<Self>,
+        workspace: &Workspace,
+        values: &Values,
+        until: Instant,
+    ) -> Result<Lease<P>, AcquireError> {
+        loop {
+            let released = self.released.listen();
+            if let Some(connection) = self.take_idle(workspace, values) {
+                return Ok(self.lease(connection));
+            }
+            let now = BootClock.now();
+            if now >= until {
+                return Err(AcquireError::Exhausted);
+            }
+            if let Some(opening) = self.reserve(now) {
+                match opening.connect(workspace).await {
+                    Err(AcquireError::Refused(failure)) if failure.code == Code::TooMany => {
+                        self.state.borrow_mut().full_until = BootClock.now().plus(FULL_PAUSE);
+                    }
+                    result => return result,
+                }
+            }
+            let patience = until.since(now).min(FULL_PAUSE);
+            within(patience, released).await;
+        }
+    }
+
+    /// The idle connection that was answered on longest ago, whatever its workspace.
+    pub fn take_oldest(self: &Rc<Self>) -> Option<Lease<P>> {
+        loop {
+            let mut connection = {
+                let mut state = self.state.borrow_mut();
+                let oldest = (0..state.idle.len()).min_by_key(|at| state.idle[*at].answered)?;
+                state.idle.remove(oldest)
+            };
+            if !connection.port.is_stale() {
+                return Some(self.lease(connection));
+            }
+            self.state.borrow_mut().open -= 1;
+        }
+    }
+
+    fn take_idle(&self, workspace: &Workspace, values: &Values) -> Option<Connection<P>> {
+        loop {
+            let mut state = self.state.borrow_mut();
+            let own = |connection: &Connection<P>| connection.workspace == *workspace;
+            let same = |connection: &Connection<P>| own(connection) && connection.values == *values;
+            let at = state.idle.iter().rposition(same);
+            let at = at.or_else(|| state.idle.iter().rposition(own))?;
+            let mut connection = state.idle.remove(at);
+            if !connection.port.is_stale() {
+                return Some(connection);
+            }
+            state.open -= 1;
+        }
+    }
+
+    /// Reserves the place of a new connection, if necessary that of an idle one of another workspace.
+    fn reserve(self: &Rc<Self>, now: Instant) -> Option<Opening<P>> {
+        let mut state = self.state.borrow_mut();
+        if now < state.full_until {
+            return None;
+        }
+        if state.open >= state.limit {
+            let oldest = (0..state.idle.len()).min_by_key(|at| state.idle[*at].answered)?;
+            state.idle.remove(oldest);
+            state.open -= 1;
+        }
+        state.open += 1;
+        drop(state);
+        Some(Opening { pool: self.clone(), reserved: true })
+    }
+
+    fn lease(self: &Rc<Self>, connection: Connection<P>) -> Lease<P> {
+        self.state.borrow_mut().in_use += 1;
+        Lease { pool: self.clone(), connection: Some(connection), clean: true }
+    }
+
+    fn measure(&self, service: Duration, now: Instant) {
+        let mut state = self.state.borrow_mut();
+        let service = service.saturating_sub(self.round_trip()).as_secs_f64();
+        state.service_s += (service - state.service_s) * SERVICE_WEIGHT;
+        state.measured = now;
+    }
+}
+
+/// The reserved place of a connection that is being opened.
+struct Opening<P>
+where
+    P: Platform,
+{
+    pool: Rc<Pool<P>>,
+    reserved: bool,
+}
+
+impl<P> Opening<P>
+where
+    P: Platform,
+{
+    async fn connect(mut self, workspace: &Workspace) -> Result<Lease<P>, AcquireError> {
+        let connecting = P::Upstream::connect(&self.pool.target, workspace);
+        let port = match within(CONNECT_TIMEOUT, connecting).await {
+            Some(Ok(port)) => port,
+            Some(Err(ConnectError::Refused(failure))) => {
+                return Err(AcquireError::Refused(failure));
+            }
+            Some(Err(ConnectError::Io(error))) => return Err(AcquireError::Unreachable(error)),
+            None => return Err(AcquireError::Unreachable(io::ErrorKind::TimedOut.into())),
+        };
+        self.reserved = false;
+        self.pool.opened.set(self.pool.opened.get() + 1);
+        let connection = Connection {
+            port,
+            workspace: workspace.clone(),
+            values: Values::new(),
+            prepared: BTreeSet::new(),
+            answered: BootClock.now(),
+        };
+        Ok(self.pool.lease(connection))
+    }
+}
+
+impl<P> Drop for Opening<P>
+where
+    P: Platform,
+{
+    fn drop(&mut self) {
+        if self.reserved {
+            self.pool.state.borrow_mut().open -= 1;
+            self.pool.released.notify(1);
+        }
+    }
+}
+
+/// A connection in use. Dropping it gives it back, or closes it when its state is not known.
+pub struct Lease<P>
+where
+    P: Platform,
+{
+    pool: Rc<Pool<P>>,
+    connection: Option<Connection<P>>,
+    /// Whether no answer is outstanding and no transaction is open.
+    clean: bool,
+}
+
+impl<P> Lease<P>
+where
+    P: Platform,
+{
+    /// The pool that the connection belongs to.
+    pub const fn pool(&self) -> &Rc<Pool<P>> {
+        &self.pool
+    }
+
+    /// Makes the values of the connection those of the session.
+    ///
+    /// # Errors
+    ///
+    /// The connection cannot be used; the caller's statement was not sent.
+    pub async fn set_values(&mut self, values: &Values) -> io::Result<()> {
+        let connection = connection(&mut self.connection)?;
+        if connection.values == *values {
+            return Ok(());
+        }
+        if connection.values.keys().any(|name| !values.contains_key(name)) {
+            self.order(Order::Reset).await?;
+            let connection = connection_mut(&mut self.connection)?;
+            connection.values.clear();
+            connection.prepared.clear();
+        }
+        for (name, value) in values {
+            self.set_value(name, value).await?;
+        }
+        Ok(())
+    }
+
+    /// Sets one value on the connection.
+    ///
+    /// # Errors
+    ///
+    /// The connection cannot be used.
+    pub async fn set_value(&mut self, name: &str, value: &str) -> io::Result<()> {
+        let known = connection(&mut self.connection)?.values.get(name);
+        if known.is_some_and(|known| **known == *value) {
+            return Ok(());
+        }
+        self.order(Order::Set { name, value }).await?;
+        connection_mut(&mut self.connection)?.values.insert(name.into(), value.into());
+        Ok(())
+    }
+
+    /// Prepares a statement under the name that its shape has on all connections, and returns that name.
+    ///
+    /// # Errors
+    ///
+    /// The connection cannot be used.
+    pub async fn prepare(&mut self, access: Access, shape: &str) -> io::Result<Box<str>> {
+        let kind = if access == Access::Read { 'r' } else { 'w' };
+        let name: Box<str> = format!("{kind}{shape}").into();
+        if !connection(&mut self.connection)?.prepared.contains(&name) {
+            self.order(Order::Prepare { name: &name, access, shape }).await?;
+            connection_mut(&mut self.connection)?.prepared.insert(name.clone());
+        }
+        Ok(name)
+    }
+
+    /// Sends an order that has to succeed.
+    async fn order(&mut self, order: Order<'_>) -> io::Result<()> {
+        let answer = self.exchange(order).await?;
+        match answer.outcome {
+            Ok(_) => Ok(()),
+            Err(failure) => {
+                self.clean = false;
+                Err(io::Error::other(failure.to_string()))
+            }
+        }
+    }
+
+    /// Sends an order and reads the answer. If the future is dropped before that, the connection is closed.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke; the order may have run.
+    pub async fn exchange(&mut self, order: Order<'_>) -> io::Result<Answer> {
+        self.clean = false;
+        let started = BootClock.now();
+        let connection = connection_mut(&mut self.connection)?;
+        connection.port.send(order).await?;
+        let answer = connection.port.receive().await?;
+        connection.answered = BootClock.now();
+        self.clean = answer.state == TransactionState::Idle;
+        if matches!(order, Order::Forward { .. } | Order::Execute { .. }) {
+            let now = connection.answered;
+            self.pool.measure(now.since(started), now);
+        }
+        Ok(answer)
+    }
+}
+
+impl<P> Drop for Lease<P>
+where
+    P: Platform,
+{
+    fn drop(&mut self) {
+        let mut state = self.pool.state.borrow_mut();
+        state.in_use -= 1;
+        let fits = state.open <= state.limit && !self.pool.closed.get();
+        match self.connection.take() {
+            Some(connection) if self.clean && fits => state.idle.push(connection),
+            _ => state.open -= 1,
+        }
+        drop(state);
+        self.pool.released.notify(1);
+    }
+}
+
+fn connection<P>(slot: &mut Option<Connection<P>>) -> io::Result<&Connection<P>>
+where
+    P: Platform,
+{
+    connection_mut(slot).map(|connection| &*connection)
+}
+
+fn connection_mut<P>(slot: &mut Option<Connection<P>>) -> io::Result<&mut Connection<P>>
+where
+    P: Platform,
+{
+    slot.as_mut().ok_or_else(|| io::ErrorKind::NotConnected.into())
+}
--- /dev/null
+++ b/crates/gateway/src/reads.rs
@@ -0,0 +1,404 @@
+//! Single reads: choice of the member, retries and hedging.
+
+use std::{rc::Rc, time::Duration};
+
+use futures::{FutureExt, future::LocalBoxFuture};
+use hibiscusladder_core::{
+    clock::Instant,
+    name::{MemberId, Workspace},
+    position::Position,
+};
+use hibiscusladder_io::clock::{sleep, within};
+use serde_json::json;
+
+use crate::{
+    adapter::{Order, Platform},
+    directory::{Consistency, Route},
+    events::{self, Event},
+    metrics::Counter,
+    model::{Access, Answer, Code, Failure, TransactionState},
+    node::Node,
+    pool::{AcquireError, Lease, Values},
+};
+
+/// Longest time for which a request waits for a member that can run it.
+pub const MEMBER_WAIT: Duration = Duration::from_millis(4500);
+/// Time without an answer after which a read is sent to a second member as well.
+const HEDGE_AFTER: Duration = Duration::from_millis(250);
+/// Pause before members are tried again that could not run a request a moment ago.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// Longest sleep while no member can run a request.
+const CHANGE_WAIT: Duration = Duration::from_millis(100);
+/// Time since the first unanswered poll after which a replica gets no reads.
+const REPLICA_SILENCE: Duration = Duration::from_millis(500);
+/// Part of the drain time for which a leaving primary still gets work.
+const DRAIN_PART: (u32, u32) = (3, 4);
+
+/// The newest commit of a session.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Floor {
+    /// Position that includes it.
+    pub position: Position,
+    /// When it was acknowledged.
+    pub at: Instant,
+}
+
+/// A statement that is ready to be sent to any member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Payload {
+    /// Text of the caller.
+    Text(Box<str>),
+    /// Execution of a prepared statement.
+    Execute {
+        /// Whether it reads or writes.
+        access: Access,
+        /// Shape of the statement.
+        shape: Box<str>,
+        /// Arguments as they came.
+        arguments: Box<str>,
+    },
+}
+
+/// A request with all that is needed to run it.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// Id, chosen by the caller.
+    pub id: Box<str>,
+    /// What to run.
+    pub payload: Payload,
+    /// Workspace that it runs for.
+    pub workspace: Workspace,
+    /// Values of the session.
+    pub values: Rc<Values>,
+    /// Route of the database.
+    pub route: Rc<Route>,
+    /// When it had arrived, or its transaction had begun.
+    pub arrived: Instant,
+    /// Newest commit of the session.
+    pub floor: Option<Floor>,
+}
+
+/// Where a read may run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Choice {
+    /// The member.
+    pub member: MemberId,
+    /// Position that its log has to include.
+    pub after: Option<Position>,
+    /// Whether it is the primary.
+    pub primary: bool,
+}
+
+/// What became of one attempt.
+#[derive(Debug)]
+pub enum Attempt {
+    /// The member answered.
+    Answered(Answer),
+    /// The member did not run it.
+    NotRun(Code),
+    /// The member cannot be reached; nothing was sent.
+    Unreachable,
+    /// It was sent, and there was no whole answer.
+    Broken,
+}
+
+/// The members that may run a read, best first.
+pub fn choices<P>(node: &Node<P>, req: &Request) -> Vec<Choice>
+where
+    P: Platform,
+{
+    let Some(state) = node.group(&req.route.group) else { return Vec::new() };
+    let now = node.now();
+    let view = state.view.borrow();
+    let consistency = req.route.consistency;
+    let oldest = earlier(req.arrived, consistency.max_age());
+    let own = match consistency {
+        Consistency::ReadYourWrites(_) => req.floor,
+        Consistency::Primary | Consistency::Bounded(_) => None,
+    };
+    let leader = view.leader();
+    let mut choices: Vec<(f64, Choice)> = Vec::new();
+    if let Some(leader) = &leader {
+        let certain = view.certain_until().is_some_and(|until| oldest < until);
+        let has_own = own.is_none_or(|own| own.position.term <= leader.term);
+        let reachable = view.silent_for(&leader.member, now) < REPLICA_SILENCE;
+        if certain && has_own && reachable && takes_work(node, &leader.member, true, now) {
+            push(node, req, &mut choices, &leader.member, None, true);
+        }
+    }
+    let bound = match consistency {
+        Consistency::Primary => None,
+        Consistency::Bounded(_) | Consistency::ReadYourWrites(_) => view.position_at(oldest),
+    };
+    if let Some(bound) = bound {
+        let after = own.map_or(bound.position, |own| own.position.max(bound.position));
+        // The newest commit that the replica has to have applied was made at this time.
+        let newest = own.map_or(bound.sent, |own| own.at.max(bound.sent));
+        for member in view.members() {
+            let Some(status) = view.status(member) else { continue };
+            let is_leader = leader.as_ref().is_some_and(|leader| leader.member == *member);
+            let applied = status.lag <= now.since(newest);
+            let reachable = view.silent_for(member, now) < REPLICA_SILENCE;
+            if !is_leader && applied && reachable && takes_work(node, member, false, now) {
+                push(node, req, &mut choices, member, Some(after), false);
+            }
+        }
+    }
+    drop(view);
+    choices.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+    choices.into_iter().map(|(_, choice)| choice).collect()
+}
+
+fn push<P>(
+    node: &Node<P>,
+    req: &Request,
+    choices: &mut Vec<(f64, Choice)>,
+    member: &MemberId,
+    after: Option<Position>,
+    primary: bool,
+) where
+    P: Platform,
+{
+    let Some(pool) = node.pool(member) else { return };
+    let expected = pool.expected_s(&req.workspace, node.now());
+    choices.push((expected, Choice { member: member.clone(), after, primary }));
+}
+
+/// Whether new work may be given to a member. A leaving primary serves until it is replaced, for a part of the time.
+pub fn takes_work<P>(node: &Node<P>, member: &MemberId, primary: bool, now: Instant) -> bool
+where
+    P: Platform,
+{
+    let (part, whole) = DRAIN_PART;
+    let limit = node.settings.drain * part / whole;
+    node.member(member).is_some_and(|known| match known.leaving_since {
+        None => true,
+        Some(since) => primary && now.since(since) < limit,
+    })
+}
+
+/// The instant `by` before `at`.
+fn earlier(at: Instant, by: Duration) -> Instant {
+    Instant::new(at.since_origin().saturating_sub(by))
+}
+
+/// Runs a single read, at other members if necessary.
+pub async fn run<P>(node: &Rc<Node<P>>, req: &Rc<Request>) -> Answer
+where
+    P: Platform,
+{
+    let until = req.arrived.plus(MEMBER_WAIT);
+    let mut avoid: Vec<MemberId> = Vec::new();
+    let mut offered = false;
+    loop {
+        let now = node.now();
+        if now >= until {
+            return give_up(node, req, offered);
+        }
+        let mut choices = choices(node, req);
+        if choices.is_empty() {
+            wait_for_change(node, req).await;
+            continue;
+        }
+        choices.retain(|choice| !avoid.contains(&choice.member));
+        let Some(choice) = choices.first() else {
+            avoid.clear();
+            sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        offered = true;
+        let (attempt, member) = attempt_hedged(node, req, choice, choices.get(1)).await;
+        if let Some(answer) = settle(node, req, attempt, &member) {
+            return answer;
+        }
+        avoid.push(member);
+    }
+}
+
+/// The final answer that an attempt gives, if it gives one.
+fn settle<P>(node: &Node<P>, req: &Request, attempt: Attempt, member: &MemberId) -> Option<Answer>
+where
+    P: Platform,
+{
+    let cause = match attempt {
+        Attempt::Answered(answer) => match answer.code() {
+            Some(code) if is_repeatable(code) => code.as_str(),
+            _ => return Some(answer),
+        },
+        Attempt::NotRun(code) => code.as_str(),
+        Attempt::Unreachable => "unreachable",
+        Attempt::Broken => "broken",
+    };
+    note_retry(node, &req.id, cause, member);
+    None
+}
+
+/// Whether a read that was answered with `code` may succeed elsewhere.
+const fn is_repeatable(code: Code) -> bool {
+    code.is_promise() || matches!(code, Code::Failed | Code::NoStatement)
+}
+
+/// Notes that a request is sent again.
+pub fn note_retry<P>(node: &Node<P>, id: &str, cause: &'static str, member: &MemberId)
+where
+    P: Platform,
+{
+    node.metrics.count(Counter::Retries, cause);
+    events::note(
+        Event::RequestRetried,
+        json!({ "request": id, "cause": cause, "member": member.as_str() }),
+    );
+}
+
+fn give_up<P>(node: &Node<P>, req: &Request, offered: bool) -> Answer
+where
+    P: Platform,
+{
+    let term = node.group(&req.route.group).map(|state| state.view.borrow().leader_term().0);
+    let reason = if offered { "no member answered" } else { "no member with recent data" };
+    events::note(
+        Event::RequestRefused,
+        json!({
+            "request": req.id, "workspace": req.workspace.as_str(), "group": req.route.group.as_str(),
+            "reason": reason, "term": term, "version": node.version(),
+            "waited_ms": node.now().since(req.arrived).as_millis() as u64,
+        }),
+    );
+    let failure = Failure::retry_after(Code::Busy, reason, CHANGE_WAIT * 5);
+    Answer::failed(failure, TransactionState::Idle)
+}
+
+/// Waits until something has changed about the group of a request, or for a moment.
+pub async fn wait_for_change<P>(node: &Node<P>, req: &Request)
+where
+    P: Platform,
+{
+    match node.group(&req.route.group) {
+        Some(state) => state.changed(CHANGE_WAIT).await,
+        None => sleep(CHANGE_WAIT).await,
+    }
+}
+
+type Outcome = (Attempt, MemberId);
+
+/// Sends a read to a second member when the first one does not answer; the first whole answer counts.
+async fn attempt_hedged<P>(
+    node: &Rc<Node<P>>,
+    req: &Rc<Request>,
+    first: &Choice,
+    second: Option<&Choice>,
+) -> Outcome
+where
+    P: Platform,
+{
+    let mut running = boxed_attempt(node, req, first);
+    let Some(second) = second else { return running.await };
+    if let Some(outcome) = within(HEDGE_AFTER, &mut running).await {
+        return outcome;
+    }
+    note_retry(node, &req.id, "slow", &first.member);
+    let hedge = boxed_attempt(node, req, second);
+    let (outcome, other) = match futures::future::select(running, hedge).await {
+        futures::future::Either::Left(ended) | futures::future::Either::Right(ended) => ended,
+    };
+    if !matches!(outcome.0, Attempt::Answered(_)) {
+        return other.await;
+    }
+    // The slower member finishes, so that its connection can be used again.
+    node.spawn(other.map(|_| ()));
+    outcome
+}
+
+fn boxed_attempt<P>(
+    node: &Rc<Node<P>>,
+    req: &Rc<Request>,
+    choice: &Choice,
+) -> LocalBoxFuture<'static, Outcome>
+where
+    P: Platform,
+{
+    let (node, req, choice) = (node.clone(), req.clone(), choice.clone());
+    async move {
+        let attempt = attempt(&node, &req, &choice).await;
+        (attempt, choice.member)
+    }
+    .boxed_local()
+}
+
+async fn attempt<P>(node: &Node<P>, req: &Request, choice: &Choice) -> Attempt
+where
+    P: Platform,
+{
+    let limit = req.route.statement_timeout;
+    let until = node.now().plus(limit);
+    let mut lease = match acquire(node, req, &choice.member, until).await {
+        Ok(lease) => lease,
+        Err(attempt) => return attempt,
+    };
+    let running = async {
+        lease.set_values(&req.values).await?;
+        send(&mut lease, &req.id, &req.payload, choice.after).await
+    };
+    match within(limit, running).await {
+        Some(Ok(answer)) if answer.state == TransactionState::Idle => Attempt::Answered(answer),
+        _ => {
+            lease.pool().drop_idle();
+            Attempt::Broken
+        }
+    }
+}
+
+/// A connection to `member` for a request.
+///
+/// # Errors
+///
+/// The attempt's outcome when there is none.
+pub async fn acquire<P>(
+    node: &Node<P>,
+    req: &Request,
+    member: &MemberId,
+    until: Instant,
+) -> Result<Lease<P>, Attempt>
+where
+    P: Platform,
+{
+    let Some(pool) = node.pool(member) else { return Err(Attempt::Unreachable) };
+    let opened = pool.opened();
+    let started = node.now();
+    let acquired = pool.acquire(&req.workspace, &req.values, until).await;
+    node.metrics.time(crate::metrics::Stage::Connection, node.now().since(started));
+    if pool.opened() > opened {
+        node.metrics.count(Counter::MemberConnections, "opened");
+    }
+    acquired.map_err(|error| match error {
+        AcquireError::Exhausted => Attempt::NotRun(Code::TooMany),
+        AcquireError::Refused(failure) => Attempt::NotRun(failure.code),
+        AcquireError::Unreachable(_) => {
+            pool.drop_idle();
+            Attempt::Unreachable
+        }
+    })
+}
+
+/// Sends a statement on a connection that has the session's values, and reads the answer.
+///
+/// # Errors
+///
+/// The connection broke; the statement may have run.
+pub async fn send<P>(
+    lease: &mut Lease<P>,
+    id: &str,
+    payload: &Payload,
+    after: Option<Position>,
+) -> std::io::Result<Answer>
+where
+    P: Platform,
+{
+    match payload {
+        Payload::Text(text) => lease.exchange(Order::Forward { id, text, after }).await,
+        Payload::Execute { access, shape, arguments } => {
+            let name = lease.prepare(*access, shape).await?;
+            lease.exchange(Order::Execute { id, name: &name, arguments, after }).await
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve.rs
@@ -0,0 +1,160 @@
+//! One running instance: listeners, sessions and control tasks, on one thread.
+
+use std::{io, rc::Rc, time::Duration};
+
+use async_signal::{Signal, Signals};
+use futures::StreamExt;
+use hibiscusladder_io::clock::sleep;
+use miette::Diagnostic;
+use serde_json::json;
+use smol::{
+    LocalExecutor,
+    net::{TcpListener, UdpSocket},
+};
+use thiserror::Error;
+
+use crate::{
+    adapter::{Collection, Platform},
+    control,
+    events::{self, Event},
+    node::Node,
+    peers, session,
+    settings::Settings,
+    status_page::{self, Page},
+    sync,
+};
+
+/// Time before the process is killed at which it ends by itself.
+const END_MARGIN: Duration = Duration::from_millis(600);
+/// Shortest time from a request to stop until the process ends; new callers may come until then.
+const MIN_STOP: Duration = Duration::from_millis(3200);
+/// Pause after a connection could not be accepted.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// An instance could not start.
+#[derive(Debug, Error, Diagnostic)]
+pub enum ServeError {
+    /// An address cannot be listened on.
+    #[error("the address {address} for {purpose} cannot be used: {source}")]
+    #[diagnostic(
+        code(hibiscusladder::gateway::listen),
+        help("end the process that listens there, or set another address")
+    )]
+    Listen {
+        /// The address.
+        address: std::net::SocketAddr,
+        /// What it is for.
+        purpose: &'static str,
+        /// Error of the operating system.
+        source: io::Error,
+    },
+    /// Signals cannot be received.
+    #[error("signals cannot be received: {0}")]
+    #[diagnostic(code(hibiscusladder::gateway::signals), help("check the limits of the process"))]
+    Signals(#[from] io::Error),
+}
+
+/// Runs an instance until SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// An address cannot be listened on, or signals cannot be received.
+pub fn run<P>(settings: Settings, store: P::Store, promoter: P::Promoter) -> Result<(), ServeError>
+where
+    P: Platform,
+{
+    let executor = Rc::new(LocalExecutor::new());
+    let node = Node::<P>::new(settings, store, promoter, executor.clone());
+    smol::block_on(executor.run(serve(node)))
+}
+
+async fn serve<P>(node: Rc<Node<P>>) -> Result<(), ServeError>
+where
+    P: Platform,
+{
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    let settings = &node.settings;
+    let callers = listen(settings.callers, "callers").await?;
+    let readiness = listen(settings.readiness, "readiness").await?;
+    let metrics = listen(settings.metrics, "metrics").await?;
+    let directory = listen(settings.peers, "other instances").await?;
+    let datagrams = UdpSocket::bind(settings.peers).await.map_err(|source| ServeError::Listen {
+        address: settings.peers,
+        purpose: "other instances",
+        source,
+    })?;
+    let datagrams = Rc::new(datagrams);
+    events::note(
+        Event::Started,
+        json!({
+            "instance": settings.instance.as_str(), "data_centre": settings.data_centre.as_str(),
+            "callers": settings.callers.to_string(), "build": env!("CARGO_PKG_VERSION"),
+        }),
+    );
+    node.spawn(accept(node.clone(), callers));
+    node.spawn(status_page::serve(node.clone(), readiness, Page::Readiness));
+    node.spawn(status_page::serve(node.clone(), metrics, Page::Metrics));
+    node.spawn(status_page::serve(node.clone(), directory, Page::Directory));
+    for collection in
+        [Collection::Configuration, Collection::Members, Collection::Instances, Collection::Duties]
+    {
+        node.spawn(sync::follow(node.clone(), collection));
+    }
+    node.spawn(sync::register(node.clone()));
+    node.spawn(sync::expire_members(node.clone()));
+    node.spawn(peers::receive_all(node.clone(), datagrams.clone()));
+    node.spawn(peers::send_all(node.clone(), datagrams));
+    node.spawn(control::run(node.clone()));
+    wait_for_end(&node, &mut signals).await;
+    Ok(())
+}
+
+async fn listen(
+    address: std::net::SocketAddr,
+    purpose: &'static str,
+) -> Result<TcpListener, ServeError> {
+    TcpListener::bind(address).await.map_err(|source| ServeError::Listen {
+        address,
+        purpose,
+        source,
+    })
+}
+
+async fn accept<P>(node: Rc<Node<P>>, listener: TcpListener)
+where
+    P: Platform,
+{
+    let mut number = 0;
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                number += 1;
+                node.spawn(session::serve(node.clone(), stream, number));
+            }
+            // Descriptors may be used up for a moment.
+            Err(_) => sleep(ACCEPT_RETRY).await,
+        }
+    }
+}
+
+/// Waits for a request to stop, and then until the sessions have ended or the time is up.
+async fn wait_for_end<P>(node: &Node<P>, signals: &mut Signals)
+where
+    P: Platform,
+{
+    while let Some(signal) = signals.next().await {
+        // The settings name addresses and limits that a running process cannot change.
+        if !matches!(signal, Ok(Signal::Hup)) {
+            break;
+        }
+        events::note(Event::Reloaded, json!({ "changed": false }));
+    }
+    events::note(Event::Stopping, json!({ "sessions": node.sessions() }));
+    node.begin_stop();
+    let stopping = node.now();
+    let end = stopping.plus(node.settings.grace.saturating_sub(END_MARGIN));
+    sleep(MIN_STOP).await;
+    node.sessions_ended(end.since(node.now())).await;
+    events::note(Event::Stopped, json!({ "sessions": node.sessions() }));
+    events::flush();
+}
--- /dev/null
+++ b/crates/gateway/src/session.rs
@@ -0,0 +1,182 @@
+//! The connection of a caller, from its first message to its end.
+
+use std::{rc::Rc, time::Duration};
+
+use futures::FutureExt;
+use hibiscusladder_core::clock::Instant;
+use hibiscusladder_io::clock::{sleep, within};
+use serde_json::json;
+use smol::net::TcpStream;
+
+use crate::{
+    adapter::{CallerMessage, CallerPort, Opening, Platform, PortError},
+    events::{self, Event},
+    metrics::Counter,
+    model::{Code, Failure, TransactionState},
+    node::Node,
+    operation::{Session, authorise},
+};
+
+/// Longest time until a caller has sent its first message.
+const OPENING_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait of a new caller for the first configuration; callers close after 2 s.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(1500);
+/// Pause between two looks for the first configuration.
+const CONFIGURATION_PAUSE: Duration = Duration::from_millis(50);
+/// Time from a request to stop until idle sessions are closed: two probes of readiness have failed by then.
+const CLOSE_AFTER: Duration = Duration::from_millis(2300);
+/// Time over which the closing of idle sessions is spread, so that callers do not come back all at once.
+const CLOSE_SPREAD: Duration = Duration::from_millis(800);
+/// Time for which a session has to have been idle before it is closed.
+const CLOSE_IDLE: Duration = Duration::from_millis(60);
+
+/// Serves a caller until it leaves or the instance stops.
+pub async fn serve<P>(node: Rc<Node<P>>, stream: TcpStream, number: u64)
+where
+    P: Platform,
+{
+    let _guard = node.session_started();
+    let mut port = P::Caller::new(stream);
+    let Some(Ok(opening)) = within(OPENING_TIMEOUT, port.opening()).await else { return };
+    if let Err(failure) = check_opening(&node, &opening).await {
+        node.metrics.count(Counter::Sessions, failure.code.as_str());
+        events::note(
+            Event::RequestRefused,
+            json!({
+                "database": opening.database.as_str(), "code": failure.code.as_str(),
+                "reason": failure.detail, "version": node.version(),
+            }),
+        );
+        // The caller may be gone already.
+        let _ = port.reject(&failure).await;
+        return;
+    }
+    node.metrics.count(Counter::Sessions, "accepted");
+    if port.accept().await.is_err() {
+        return;
+    }
+    let mut session = Session::new(node.clone(), opening.database, opening.key);
+    let ended = converse(&node, &mut port, &mut session, number).await;
+    session.abort("the caller left");
+    if let Err(error) = ended
+        && !matches!(error, PortError::Closed | PortError::Io(_))
+    {
+        reject_message(&mut port, &error).await;
+    }
+}
+
+async fn check_opening<P>(node: &Rc<Node<P>>, opening: &Opening) -> Result<(), Failure>
+where
+    P: Platform,
+{
+    let configured = async {
+        while node.directory().is_none() {
+            sleep(CONFIGURATION_PAUSE).await;
+        }
+    };
+    within(CONFIGURATION_WAIT, configured).await;
+    authorise(node, &opening.database, &opening.key).map(|_| ())
+}
+
+async fn reject_message<C>(port: &mut C, error: &PortError)
+where
+    C: CallerPort,
+{
+    let code = match error {
+        PortError::TooLong { .. } => Code::TooBig,
+        _ => Code::Malformed,
+    };
+    events::note(
+        Event::SessionEnded,
+        json!({ "code": code.as_str(), "reason": error.to_string() }),
+    );
+    // The caller may be gone already.
+    let _ = port.reject(&Failure::new(code, error.to_string())).await;
+}
+
+async fn converse<P>(
+    node: &Rc<Node<P>>,
+    port: &mut P::Caller,
+    session: &mut Session<P>,
+    number: u64,
+) -> Result<(), PortError>
+where
+    P: Platform,
+{
+    loop {
+        let message = match session.state() {
+            TransactionState::Idle => match next_or_close(node, port, number).await? {
+                Some(message) => message,
+                None => return Ok(()),
+            },
+            TransactionState::Open => next_in_transaction(node, port, session).await?,
+            TransactionState::Failed => port.next().await?,
+        };
+        let CallerMessage::Query(query) = message else { return Ok(()) };
+        let arrived = node.now();
+        let answer = session.handle(query, arrived).await;
+        port.answer(&answer).await?;
+        if answer.code() == Some(Code::NoAuth) {
+            return Ok(());
+        }
+    }
+}
+
+/// The next message of a session outside a transaction; `None` when the session is to be closed.
+async fn next_or_close<P>(
+    node: &Rc<Node<P>>,
+    port: &mut P::Caller,
+    number: u64,
+) -> Result<Option<CallerMessage>, PortError>
+where
+    P: Platform,
+{
+    let idle_since = node.now();
+    let closing = async {
+        node.stopped().await;
+        sleep(close_wait(node, number, idle_since)).await;
+    };
+    futures::select_biased! {
+        message = port.next().fuse() => return message.map(Some),
+        () = closing.fuse() => {}
+    }
+    if port.has_pending() {
+        return port.next().await.map(Some);
+    }
+    Ok(None)
+}
+
+/// Time until an idle session may be closed; the sessions take turns.
+fn close_wait<P>(node: &Node<P>, number: u64, idle_since: Instant) -> Duration
+where
+    P: Platform,
+{
+    let stopping = node.stopping().unwrap_or_default();
+    let turn = CLOSE_SPREAD * u32::try_from(number % 16).unwrap_or(0) / 16;
+    let due = stopping.plus(CLOSE_AFTER + turn).max(idle_since.plus(CLOSE_IDLE));
+    due.since(node.now())
+}
+
+/// The next message of a session in a transaction, which is rolled back when the caller is idle for too long.
+async fn next_in_transaction<P>(
+    node: &Rc<Node<P>>,
+    port: &mut P::Caller,
+    session: &mut Session<P>,
+) -> Result<CallerMessage, PortError>
+where
+    P: Platform,
+{
+    let idle = node.directory().map_or(Duration::MAX, |directory| directory.transaction_idle);
+    let half_grace = async {
+        node.stopped().await;
+        let stopping = node.stopping().unwrap_or_default();
+        sleep(stopping.plus(node.settings.grace / 2).since(node.now())).await;
+    };
+    let reason = futures::select_biased! {
+        message = port.next().fuse() => return message,
+        () = sleep(idle).fuse() => "idle for too long",
+        () = half_grace.fuse() => "the instance stops",
+    };
+    session.abort(reason);
+    port.next().await
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,54 @@
+//! Settings of an instance, as an adapter reads them.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use hibiscusladder_core::name::{DataCentre, InstanceId};
+
+/// Settings of one instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Name of the instance; a restart keeps it.
+    pub instance: InstanceId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Region of each data centre.
+    pub regions: BTreeMap<DataCentre, Box<str>>,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address at which readiness is asked for.
+    pub readiness: SocketAddr,
+    /// Address for other instances, over TCP and UDP.
+    pub peers: SocketAddr,
+    /// Address at which metrics are served.
+    pub metrics: SocketAddr,
+    /// Time from a request to stop until the process is killed.
+    pub grace: Duration,
+    /// Time for which a leaving member may get new work.
+    pub drain: Duration,
+}
+
+/// How far away a data centre is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// The instance's own data centre.
+    Local,
+    /// Another one in the region.
+    Region,
+    /// In another region.
+    Far,
+}
+
+impl Settings {
+    /// Distance from the instance to `data_centre`; an unknown one counts as far.
+    pub fn distance(&self, data_centre: &DataCentre) -> Distance {
+        if *data_centre == self.data_centre {
+            return Distance::Local;
+        }
+        let region = self.regions.get(data_centre);
+        if region.is_some() && region == self.regions.get(&self.data_centre) {
+            Distance::Region
+        } else {
+            Distance::Far
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/status_page.rs
@@ -0,0 +1,113 @@
+//! HTTP answers of an instance: readiness, metrics, and the configuration for other instances.
+
+use std::{convert::Infallible, rc::Rc};
+
+use bytes::Bytes;
+use hibiscusladder_io::clock::sleep;
+use http_body_util::Full;
+use hyper::{Request, Response, StatusCode, body::Incoming, service::service_fn};
+use smol::net::{TcpListener, TcpStream};
+use smol_hyper::rt::FuturesIo;
+
+use crate::{adapter::Platform, events, node::Node, peers::SEND_INTERVAL};
+
+/// Path of the configuration.
+pub const DIRECTORY_PATH: &str = "/directory";
+/// Path of the metrics.
+pub const METRICS_PATH: &str = "/metrics";
+
+/// What a listener answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Page {
+    /// Any path: whether new callers may come.
+    Readiness,
+    /// The configuration, for other instances only.
+    Directory,
+    /// Metrics.
+    Metrics,
+}
+
+/// Answers requests at `listener` for as long as the process runs.
+pub async fn serve<P>(node: Rc<Node<P>>, listener: TcpListener, page: Page)
+where
+    P: Platform,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let serving = serve_connection(node.clone(), stream, page);
+                node.spawn(serving);
+            }
+            // Descriptors may be used up for a moment.
+            Err(_) => sleep(SEND_INTERVAL).await,
+        }
+    }
+}
+
+async fn serve_connection<P>(node: Rc<Node<P>>, stream: TcpStream, page: Page)
+where
+    P: Platform,
+{
+    let service = service_fn(move |req: Request<Incoming>| {
+        let answer = answer(&node, page, req.uri().path());
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    let connection = hyper::server::conn::http1::Builder::new();
+    // The other end repeats a request whose connection broke.
+    let _ = connection.serve_connection(FuturesIo::new(stream), service).await;
+}
+
+fn answer<P>(node: &Node<P>, page: Page, path: &str) -> Response<Full<Bytes>>
+where
+    P: Platform,
+{
+    match page {
+        Page::Readiness if is_ready(node) => reply(StatusCode::OK, Bytes::new()),
+        Page::Readiness => reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+        Page::Directory if path == DIRECTORY_PATH => directory(node),
+        Page::Metrics if path == METRICS_PATH => metrics(node),
+        Page::Directory | Page::Metrics => reply(StatusCode::NOT_FOUND, Bytes::new()),
+    }
+}
+
+/// Whether the instance can serve new callers. An outage of the store does not change that.
+fn is_ready<P>(node: &Node<P>) -> bool
+where
+    P: Platform,
+{
+    node.stopping().is_none() && node.directory().is_some()
+}
+
+fn directory<P>(node: &Node<P>) -> Response<Full<Bytes>>
+where
+    P: Platform,
+{
+    let directory = node.directory();
+    let body = directory.and_then(|directory| postcard::to_stdvec(&*directory).ok());
+    match body {
+        Some(body) => reply(StatusCode::OK, Bytes::from(body)),
+        None => reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+    }
+}
+
+fn metrics<P>(node: &Node<P>) -> Response<Full<Bytes>>
+where
+    P: Platform,
+{
+    let mut text = format!(
+        "hibiscus_configuration_version {}\nhibiscus_sessions {}\nhibiscus_log_lines_dropped_total {}\n",
+        node.version(),
+        node.sessions(),
+        events::dropped(),
+    );
+    match node.metrics.write(&mut text) {
+        Ok(()) => reply(StatusCode::OK, Bytes::from(text)),
+        Err(_) => reply(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
+    }
+}
+
+fn reply(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/writes.rs
@@ -0,0 +1,141 @@
+//! Single writes, which are sent at most once.
+
+use std::rc::Rc;
+
+use hibiscusladder_core::{clock::Instant, name::MemberId};
+use hibiscusladder_io::clock::within;
+use serde_json::json;
+
+use crate::{
+    adapter::Platform,
+    events::{self, Event},
+    model::{Answer, Code, Failure, TransactionState},
+    node::Node,
+    reads::{
+        Attempt, Floor, MEMBER_WAIT, Request, acquire, note_retry, send, takes_work,
+        wait_for_change,
+    },
+};
+
+/// The primary that may get a write now, unless it is being replaced.
+pub fn primary<P>(node: &Node<P>, req: &Request, now: Instant) -> Option<MemberId>
+where
+    P: Platform,
+{
+    let state = node.group(&req.route.group)?;
+    let leader = state.view.borrow().leader()?;
+    let usable = !leader.fenced && takes_work(node, &leader.member, true, now);
+    usable.then_some(leader.member)
+}
+
+/// Runs a single write; returns the session's new floor with the answer when it was kept.
+pub async fn run<P>(node: &Rc<Node<P>>, req: &Request) -> (Answer, Option<Floor>)
+where
+    P: Platform,
+{
+    let until = req.arrived.plus(MEMBER_WAIT);
+    loop {
+        let now = node.now();
+        if now >= until {
+            return (refuse(node, req), None);
+        }
+        let Some(member) = primary(node, req, now) else {
+            wait_for_change(node, req).await;
+            continue;
+        };
+        match attempt(node, req, &member).await {
+            Attempt::Answered(answer) => {
+                let floor = answer.position.filter(|_| answer.outcome.is_ok());
+                let floor = floor.map(|position| Floor { position, at: node.now() });
+                return (answer, floor);
+            }
+            Attempt::NotRun(code) => note_retry(node, &req.id, code.as_str(), &member),
+            Attempt::Unreachable => note_retry(node, &req.id, "unreachable", &member),
+            Attempt::Broken => return (unknown(node, req, &member), None),
+        }
+        wait_for_change(node, req).await;
+    }
+}
+
+async fn attempt<P>(node: &Node<P>, req: &Request, member: &MemberId) -> Attempt
+where
+    P: Platform,
+{
+    let limit = req.route.statement_timeout;
+    let mut lease = match acquire(node, req, member, node.now().plus(limit)).await {
+        Ok(lease) => lease,
+        Err(attempt) => return attempt,
+    };
+    if !matches!(within(limit, lease.set_values(&req.values)).await, Some(Ok(()))) {
+        lease.pool().drop_idle();
+        return Attempt::Unreachable;
+    }
+    let state = node.group(&req.route.group);
+    let note = |answered: bool| {
+        if let Some(state) = &state {
+            state.note_write(answered, node.now());
+        }
+    };
+    match within(limit, send(&mut lease, &req.id, &req.payload, None)).await {
+        Some(Ok(answer)) if answer.state == TransactionState::Idle => {
+            note(true);
+            match answer.code() {
+                Some(code) if code.is_promise() || code == Code::NoStatement => {
+                    Attempt::NotRun(code)
+                }
+                _ => Attempt::Answered(answer),
+            }
+        }
+        _ => {
+            note(false);
+            lease.pool().drop_idle();
+            Attempt::Broken
+        }
+    }
+}
+
+fn refuse<P>(node: &Node<P>, req: &Request) -> Answer
+where
+    P: Platform,
+{
+    let term = node.group(&req.route.group).map(|state| state.view.borrow().leader_term().0);
+    events::note(
+        Event::RequestRefused,
+        json!({
+            "request": req.id, "workspace": req.workspace.as_str(), "group": req.route.group.as_str(),
+            "reason": "no primary", "term": term, "version": node.version(),
+            "waited_ms": node.now().since(req.arrived).as_millis() as u64,
+        }),
+    );
+    let failure = Failure::retry_after(
+        Code::Busy,
+        "the database has no primary",
+        std::time::Duration::from_millis(500),
+    );
+    Answer::failed(failure, TransactionState::Idle)
+}
+
+fn unknown<P>(node: &Node<P>, req: &Request, member: &MemberId) -> Answer
+where
+    P: Platform,
+{
+    note_unknown(node, req, member, "write");
+    let detail = "the member did not answer; read the item before sending the write again";
+    Answer::failed(Failure::new(Code::Unknown, detail), TransactionState::Idle)
+}
+
+/// Notes that it is not known whether a request ran.
+pub fn note_unknown<P>(node: &Node<P>, req: &Request, member: &MemberId, what: &str)
+where
+    P: Platform,
+{
+    let term = node.group(&req.route.group).map(|state| state.view.borrow().leader_term().0);
+    events::note(
+        Event::RequestUnknown,
+        json!({
+            "request": req.id, "workspace": req.workspace.as_str(), "group": req.route.group.as_str(),
+            "member": member.as_str(), "what": what, "term": term, "version": node.version(),
+            "waited_ms": node.now().since(req.arrived).as_millis() as u64,
+        }),
+    );
+}
--- a/crates/proxy/src/clock.rs
+++ b/crates/io/src/clock.rs
@@ -4,7 +4,7 @@
 
 use hibiscusladder_core::clock::{Clock, Instant};
 use rustix::time::{ClockId, clock_gettime};
-use smol::Timer;
+use smol::{Timer, future::FutureExt};
 
 /// Monotonic time since the machine was started, including the time it was suspended.
 #[derive(Debug, Clone, Copy, Default)]
@@ -20,6 +20,19 @@
 }
 
 /// Waits for `duration`.
-pub(crate) async fn sleep(duration: Duration) {
+pub async fn sleep(duration: Duration) {
     Timer::after(duration).await;
 }
+
+/// The outcome of `future`, or `None` when it takes longer than `limit`.
+pub async fn within<F>(limit: Duration, future: F) -> Option<F::Output>
+where
+    F: Future,
+{
+    let outcome = async { Some(future.await) };
+    let late = async {
+        Timer::after(limit).await;
+        None
+    };
+    outcome.or(late).await
+}
--- a/crates/proxy/src/platform/http.rs
+++ b/crates/io/src/http.rs
@@ -1,8 +1,9 @@
 //! One HTTP/1.1 request at a time over connections that are kept for the next one.
 
 use std::{
-    io,
-    sync::{Arc, Mutex},
+    fmt, io,
+    pin::Pin,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -12,19 +13,29 @@
 use smol::{Timer, future::FutureExt, net::TcpStream};
 use smol_hyper::rt::FuturesIo;
 
-use crate::node::lock;
-
 /// Connections that are kept while they are idle.
 const IDLE_CONNECTIONS: usize = 4;
 
 /// Largest body of an answer in bytes; a listing holds many objects of at most 1 MB.
 const MAX_ANSWER_BYTES: usize = 256 << 20;
 
-type Sender = http1::SendRequest<Full<Bytes>>;
+type Driver = Pin<Box<dyn Future<Output = hyper::Result<()>> + Send>>;
+
+/// A connection and the future that moves its bytes, which is polled only while a request is on its way.
+struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    driver: Driver,
+}
+
+impl fmt::Debug for Connection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Connection").finish_non_exhaustive()
+    }
+}
 
 /// What happened to a request that got no answer.
 #[derive(Debug)]
-pub(crate) enum HttpError {
+pub enum HttpError {
     /// Nothing was sent, so the request had no effect.
     NotSent(io::Error),
     /// The request may have taken effect.
@@ -33,7 +44,7 @@
 
 impl HttpError {
     /// The error of the operating system or of the protocol.
-    pub(crate) fn into_io(self) -> io::Error {
+    pub fn into_io(self) -> io::Error {
         match self {
             Self::NotSent(error) | Self::MaybeSent(error) => error,
         }
@@ -42,33 +53,34 @@
 
 /// Client for one server.
 #[derive(Debug, Clone)]
-pub(crate) struct HttpClient {
+pub struct HttpClient {
     address: Arc<str>,
-    idle: Arc<Mutex<Vec<Sender>>>,
+    idle: Arc<Mutex<Vec<Connection>>>,
 }
 
 impl HttpClient {
     /// Creates a client for the server at `address`, as `host:port`.
-    pub(crate) fn new(address: &str) -> Self {
+    pub fn new(address: &str) -> Self {
         Self { address: Arc::from(address), idle: Arc::default() }
     }
 
     /// Address of the server.
-    pub(crate) fn address(&self) -> &str {
+    pub fn address(&self) -> &str {
         &self.address
     }
 
     /// Sends `req` and reads the whole answer within `timeout`.
-    pub(crate) async fn send(
+    pub async fn send(
         &self,
         req: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, HttpError> {
         let deadline = Timer::after(timeout);
-        let mut sender = match self.connection(timeout).await {
-            Ok(sender) => sender,
+        let mut connection = match self.connection(timeout).await {
+            Ok(connection) => connection,
             Err(error) => return Err(HttpError::NotSent(error)),
         };
+        let Connection { sender, driver } = &mut connection;
         let exchange = async {
             let answer = sender.send_request(req).await.map_err(io::Error::other)?;
             let (parts, body) = answer.into_parts();
@@ -76,22 +88,37 @@
             let body = body.map_err(io::Error::other)?.to_bytes();
             Ok(Response::from_parts(parts, body))
         };
+        let driven = async {
+            let ended = driver.await;
+            // The exchange sees the end of the connection; it ends by itself.
+            ended.err();
+            smol::future::pending().await
+        };
         let late = async {
             deadline.await;
             Err(io::Error::from(io::ErrorKind::TimedOut))
         };
-        let answer = exchange.or(late).await.map_err(HttpError::MaybeSent)?;
-        self.keep(sender);
+        let answer = match exchange.or(driven).or(late).await {
+            Ok(answer) => answer,
+            Err(error) => {
+                // The other connections may have gone silent together with this one.
+                lock(&self.idle).clear();
+                return Err(HttpError::MaybeSent(error));
+            }
+        };
+        self.keep(connection);
         Ok(answer)
     }
 
-    async fn connection(&self, timeout: Duration) -> io::Result<Sender> {
+    async fn connection(&self, timeout: Duration) -> io::Result<Connection> {
         loop {
-            let Some(mut sender) = lock(&self.idle).pop() else {
+            let Some(mut connection) = lock(&self.idle).pop() else {
                 break;
             };
-            if !sender.is_closed() && sender.ready().await.is_ok() {
-                return Ok(sender);
+            // A poll of the driver shows whether the server has closed the connection.
+            let ended = smol::future::poll_once(&mut connection.driver).await.is_some();
+            if !ended && connection.sender.is_ready() {
+                return Ok(connection);
             }
         }
         let connect = async {
@@ -104,19 +131,18 @@
             Timer::after(timeout).await;
             Err(io::Error::from(io::ErrorKind::TimedOut))
         };
-        let (sender, connection) = connect.or(late).await?;
-        smol::spawn(async move {
-            // A failed connection shows at the sender, which reports it.
-            let _ = connection.await;
-        })
-        .detach();
-        Ok(sender)
+        let (sender, driver) = connect.or(late).await?;
+        Ok(Connection { sender, driver: Box::pin(driver) })
     }
 
-    fn keep(&self, sender: Sender) {
+    fn keep(&self, connection: Connection) {
         let mut idle = lock(&self.idle);
-        if idle.len() < IDLE_CONNECTIONS && !sender.is_closed() {
-            idle.push(sender);
+        if idle.len() < IDLE_CONNECTIONS && !connection.sender.is_closed() {
+            idle.push(connection);
         }
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -2,7 +2,6 @@
 
 pub mod caller;
 pub mod classify;
-pub mod clock;
 pub mod control;
 pub mod home;
 pub mod metrics;
@@ -14,3 +13,5 @@
 pub mod settings;
 pub mod trace;
 pub mod upstream;
+
+pub use hibiscusladder_io::clock;
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -23,7 +23,6 @@
 
 mod backoff;
 mod error;
-pub(crate) mod http;
 mod message;
 
 use std::{
@@ -37,12 +36,14 @@
 
 use bytes::Bytes;
 use hibiscusladder_core::name::InstanceId;
+use hibiscusladder_io::http::{HttpClient, HttpError};
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode, header};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use smol::Timer;
 
+use self::message::{Accepted, Registrations};
 pub use self::{
     backoff::{Jitter, random_up_to},
     error::PlatformError,
@@ -50,10 +51,6 @@
         ChangeType, Listing, Registration, RegistrationState, StoreEvent, StoredObject, WatchAnswer,
     },
 };
-use self::{
-    http::{HttpClient, HttpError},
-    message::{Accepted, Registrations},
-};
 
 /// Attempts of a change before its failure is reported.
 const CHANGE_ATTEMPTS: u32 = 4;
--- a/crates/proxy/src/trace.rs
+++ b/crates/proxy/src/trace.rs
@@ -23,7 +23,7 @@
 };
 use thiserror::Error;
 
-use crate::platform::http::HttpClient;
+use hibiscusladder_io::http::HttpClient;
 
 /// Longest time of one export.
 const EXPORT_TIMEOUT: Duration = Duration::from_secs(5);
--- a/hibiscusladder/src/cli/args.rs
+++ b/hibiscusladder/src/cli/args.rs
@@ -15,6 +15,7 @@
 #[argh(subcommand)]
 pub(crate) enum Command {
     Serve(Serve),
+    Gateway(Gateway),
     Check(Check),
     Demo(Demo),
     Emulate(Emulate),
@@ -49,6 +50,11 @@
     pub(crate) config: PathBuf,
 }
 
+/// Run an instance of the gateway on the platform until SIGTERM or SIGINT.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "gateway")]
+pub(crate) struct Gateway {}
+
 /// Check a settings file and report every fault.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
--- a/hibiscusladder/src/cli/error.rs
+++ b/hibiscusladder/src/cli/error.rs
@@ -27,6 +27,10 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Serve(#[from] ServeError),
+    /// The gateway could not run.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Gateway(#[from] hibiscusladder_platform::RunError),
     /// The platform could not be reached or rejected the call.
     #[error("{0}")]
     #[diagnostic(
