--- a/crates/core/src/bucket.rs
+++ b/crates/core/src/bucket.rs
@@ -90,23 +90,6 @@
         Err(Duration::try_from_secs_f64((n - self.tokens) / self.rate).unwrap_or(Duration::MAX))
     }
 
-    /// Takes `n` tokens as soon as the bucket holds the smaller of `n` and its capacity; the rest is owed.
-    ///
-    /// A bucket whose capacity is below one request would otherwise never admit one.
-    ///
-    /// # Errors
-    ///
-    /// The wait until the bucket holds enough; [`Duration::MAX`] when it never will under its present limits.
-    pub fn try_take_owing(&mut self, n: f64, now: Instant) -> Result<(), Duration> {
-        let needed = n.min(self.capacity);
-        self.try_take(needed, now)?;
-        if self.capacity <= 0.0 {
-            return Err(Duration::MAX);
-        }
-        self.tokens -= n - needed;
-        Ok(())
-    }
-
     /// Adds up to `n` tokens that were removed from another bucket, as far as there is room.
     pub const fn add(&mut self, n: f64, now: Instant) {
         self.refill(now);
--- a/crates/core/src/share/allotment.rs
+++ b/crates/core/src/share/allotment.rs
@@ -1,66 +1,51 @@
 //! A workspace's rate, divided among instances that admit for any upstream.
 //!
-//! Each instance owns an equal part of rate and burst. It grants what it does not need to instances that need more,
-//! for a limited time. The granter counts a grant as gone from when it sends it until the grant has ended; the
-//! receiver counts the time from when it sent the message that the grant answers, which is earlier. So the parts in
-//! use never add up to more than the whole, also across partitions.
+//! Each instance accrues an equal part of the rate, and passes tokens that it does not need to instances that do. A
+//! token is removed before it is passed on, so no more tokens are used than accrue in all instances together, also
+//! across partitions; one that is lost on the way is not replaced.
 //!
 //! # Example
 //!
 //! ```
+//! use std::time::Duration;
+//!
 //! use hibiscusladder_core::{clock::Instant, share::{Allotment, Limits}};
 //!
 //! let start = Instant::default();
-//! let mut allotment = Allotment::new(Limits { rate: 80.0, capacity: 80.0 }, 8, start);
-//! assert!(allotment.try_admit(start).is_err(), "the bucket of a new instance is empty");
-//! let later = start.plus(std::time::Duration::from_secs(1));
-//! assert!(allotment.try_admit(later).is_ok());
+//! let limits = Limits { rate: 80.0, capacity: 80.0 };
+//! let mut idle = Allotment::new(limits, 2, start);
+//! let mut busy = Allotment::new(limits, 2, start);
+//! assert!(busy.try_admit(start).is_err(), "the bucket of a new instance is empty");
+//!
+//! let later = start.plus(Duration::from_secs(1));
+//! busy.receive(idle.give(30.0, later), later);
+//! assert!(busy.level(later) > 40.0);
+//! assert!(busy.try_admit(later).is_ok());
 //! ```
 
 use std::{collections::BTreeMap, time::Duration};
 
 use super::{Limits, demand::Demand};
-use crate::{
-    bucket::TokenBucket,
-    clock::{Instant, with_drift},
-    name::InstanceId,
-};
-
-/// Time for which a grant counts, from the message that it answers.
-///
-/// Four messages, so that grants survive three lost ones.
-pub const GRANT_TIME: Duration = Duration::from_millis(1200);
-/// Time since its last message after which an instance takes no part in the division.
-const PEER_SILENCE: Duration = Duration::from_millis(1000);
+use crate::{bucket::TokenBucket, clock::Instant, name::InstanceId};
+
+/// Time since its last message after which an instance gets no tokens.
+const PEER_SILENCE: Duration = Duration::from_millis(1500);
 /// Time over which arrivals count as demand.
 const DEMAND_MEMORY: Duration = Duration::from_secs(2);
-/// Part of the unused rate that goes to the instances in proportion to their demand; the rest is divided equally.
-const PROPORTIONAL_SLACK: f64 = 0.6;
-/// Rates below this, in requests per second, are not granted.
-const MIN_GRANT: f64 = 0.05;
-
-/// Rates, in requests per second, that are granted to other instances from now on.
-pub type GrantPlan = BTreeMap<InstanceId, f64>;
-
-#[derive(Debug, Clone, Default)]
+/// Weight of an instance without demand in the division, as a part of its share of the rate.
+const IDLE_WEIGHT: f64 = 0.1;
+/// Demand, as a time, for which an instance keeps tokens for itself.
+const KEPT_FOR: Duration = Duration::from_millis(300);
+/// Least capacity of a bucket in tokens, so that tokens that were asked for fit in.
+const MIN_CAPACITY: f64 = 2.0;
+/// Fewer tokens are not passed on.
+const MIN_GIFT: f64 = 0.25;
+
+#[derive(Debug, Clone, Copy)]
 struct Peer {
     demand: f64,
+    level: f64,
     heard: Instant,
-    granted: f64,
-    granted_until: Instant,
-    /// Rates granted to the peer, with the time until which each may be in use.
-    lent: Vec<(f64, Instant)>,
-}
-
-impl Peer {
-    fn lent(&self, now: Instant) -> f64 {
-        let active = self.lent.iter().filter(|(_, until)| *until > now);
-        active.map(|(rate, _)| *rate).fold(0.0, f64::max)
-    }
-
-    fn granted(&self, now: Instant) -> f64 {
-        if now < self.granted_until { self.granted } else { 0.0 }
-    }
 }
 
 /// One instance's part of the limits of one workspace.
@@ -89,12 +74,6 @@
 
     /// Changes the limits of the workspace and the number of instances.
     pub fn set_limits(&mut self, limits: Limits, instances: usize, now: Instant) {
-        if limits != self.limits {
-            // Grants are rates under the old limits.
-            for peer in self.peers.values_mut() {
-                peer.granted = 0.0;
-            }
-        }
         self.limits = limits;
         self.instances = instances.max(1);
         self.settle(now);
@@ -104,7 +83,7 @@
     ///
     /// # Errors
     ///
-    /// The time until there is a token under the present grants; [`Duration::MAX`] when there never will be.
+    /// The time until a token has accrued here; [`Duration::MAX`] when there never will be one.
     pub fn try_admit(&mut self, now: Instant) -> Result<(), Duration> {
         self.demand.record(1.0, now);
         self.try_again(now)
@@ -116,8 +95,7 @@
     ///
     /// As for [`try_admit`](Self::try_admit).
     pub fn try_again(&mut self, now: Instant) -> Result<(), Duration> {
-        self.settle(now);
-        self.bucket.try_take_owing(1.0, now)
+        self.bucket.try_take(1.0, now)
     }
 
     /// Requests per second that arrive here.
@@ -125,80 +103,88 @@
         self.demand.rate(now)
     }
 
-    /// Records what `peer` needs.
-    pub fn note_demand(&mut self, peer: &InstanceId, demand: f64, now: Instant) {
-        let peer = self.peers.entry(peer.clone()).or_default();
-        peer.demand = demand.max(0.0);
-        peer.heard = now;
+    /// Tokens that are here.
+    pub fn level(&self, now: Instant) -> f64 {
+        self.bucket.tokens(now)
     }
 
-    /// Records that `peer` grants `rate` in answer to a message that was sent at `asked`.
-    pub fn note_grant(&mut self, peer: &InstanceId, rate: f64, asked: Instant, now: Instant) {
-        let peer = self.peers.entry(peer.clone()).or_default();
-        peer.granted = rate.max(0.0);
-        peer.granted_until = asked.plus(GRANT_TIME);
+    /// Records what `peer` needs and has.
+    pub fn note(&mut self, peer: &InstanceId, demand: f64, level: f64, now: Instant) {
+        let known = Peer { demand: demand.max(0.0), level: level.max(0.0), heard: now };
+        self.peers.insert(peer.clone(), known);
         self.settle(now);
     }
 
-    /// Decides what is granted to other instances from now on; it has to be sent before the next plan.
-    pub fn plan(&mut self, now: Instant) -> GrantPlan {
-        let own = self.limits.rate / self.instances as f64;
+    /// Removes the tokens that are to be passed on now, by the instance that gets them.
+    pub fn divide(&mut self, now: Instant) -> BTreeMap<InstanceId, f64> {
+        self.settle(now);
+        let live: Vec<(&InstanceId, &Peer)> =
+            self.peers.iter().filter(|(_, peer)| now.since(peer.heard) < PEER_SILENCE).collect();
         let own_demand = self.demand.rate(now);
-        let live = |peer: &&Peer| now.since(peer.heard) < PEER_SILENCE;
-        let total: f64 =
-            own_demand + self.peers.values().filter(live).map(|peer| peer.demand).sum::<f64>();
-        let count = 1 + self.peers.values().filter(live).count();
-        let pool = own * count as f64;
-        let fair = |demand: f64| fair_part(demand, total, pool, count);
-        let surplus = (own - fair(own_demand)).max(0.0);
-        let missing = |peer: &Peer| (fair(peer.demand) - own).max(0.0);
-        let all_missing: f64 = self.peers.values().filter(live).map(missing).sum();
-
-        let mut plan = GrantPlan::new();
-        if surplus >= MIN_GRANT && all_missing > 0.0 {
-            for (name, peer) in self.peers.iter().filter(|(_, peer)| live(peer)) {
-                let rate = surplus * missing(peer) / all_missing;
-                if rate >= MIN_GRANT {
-                    plan.insert(name.clone(), rate);
-                }
-            }
+        let own_level = self.bucket.tokens(now);
+        let weights: f64 = self.weight(own_demand)
+            + live.iter().map(|(_, peer)| self.weight(peer.demand)).sum::<f64>();
+        let level = own_level + live.iter().map(|(_, peer)| peer.level).sum::<f64>();
+        if weights <= 0.0 {
+            return BTreeMap::new();
+        }
+        let target = |demand: f64| level * self.weight(demand) / weights;
+        let kept = target(own_demand).max(own_demand * KEPT_FOR.as_secs_f64());
+        let surplus = (own_level - kept).max(0.0);
+        let missing = |peer: &Peer| (target(peer.demand) - peer.level).max(0.0);
+        let all_missing: f64 = live.iter().map(|(_, peer)| missing(peer)).sum();
+        if surplus < MIN_GIFT || all_missing <= 0.0 {
+            return BTreeMap::new();
         }
-        self.lend(&plan, now);
-        plan
+        // Others give at the same time, so no instance gets more than it misses from all together.
+        let given = surplus.min(all_missing);
+        let gifts: BTreeMap<InstanceId, f64> = live
+            .into_iter()
+            .map(|(name, peer)| (name.clone(), given * missing(peer) / all_missing))
+            .filter(|(_, tokens)| *tokens >= MIN_GIFT)
+            .collect();
+        self.bucket.remove(gifts.values().sum(), now);
+        gifts
     }
 
-    fn lend(&mut self, plan: &GrantPlan, now: Instant) {
-        for (name, peer) in &mut self.peers {
-            peer.lent.retain(|(_, until)| *until > now);
-            if let Some(rate) = plan.get(name) {
-                peer.lent.push((*rate, now.plus(with_drift(GRANT_TIME))));
-            }
-        }
-        self.settle(now);
+    /// Removes up to `wanted` tokens for an instance that asks for them, as far as they are not needed here.
+    pub fn give(&mut self, wanted: f64, now: Instant) -> f64 {
+        let kept = self.demand.rate(now) * KEPT_FOR.as_secs_f64();
+        let spare = (self.bucket.tokens(now) - kept).max(0.0);
+        if spare < MIN_GIFT { 0.0 } else { self.bucket.remove(spare.min(wanted), now) }
     }
 
-    /// Adjusts the bucket to the grants in force.
-    fn settle(&mut self, now: Instant) {
-        if self.limits.rate <= 0.0 {
-            self.bucket.set_limits(0.0, 0.0, now);
-            return;
-        }
-        let own = self.limits.rate / self.instances as f64;
-        let lent: f64 = self.peers.values().map(|peer| peer.lent(now)).sum();
-        let granted: f64 = self.peers.values().map(|peer| peer.granted(now)).sum();
-        let rate = (own - lent).max(0.0) + granted;
-        let burst = self.limits.capacity * rate / self.limits.rate;
-        self.bucket.set_limits(rate, burst, now);
+    /// Adds tokens that another instance has removed.
+    pub fn receive(&mut self, tokens: f64, now: Instant) {
+        self.bucket.add(tokens, now);
+    }
+
+    /// The instances that most likely have tokens to spare, the one with most first, and the number to ask for.
+    pub fn lenders(&self, now: Instant) -> (Vec<InstanceId>, f64) {
+        let wanted = 1.0 + self.demand.rate(now) * KEPT_FOR.as_secs_f64();
+        let spare = |peer: &Peer| peer.level - peer.demand * KEPT_FOR.as_secs_f64();
+        let mut lenders: Vec<(f64, &InstanceId)> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| now.since(peer.heard) < PEER_SILENCE && spare(peer) >= MIN_GIFT)
+            .map(|(name, peer)| (spare(peer), name))
+            .collect();
+        lenders.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+        (lenders.into_iter().map(|(_, name)| name.clone()).collect(), wanted)
     }
-}
 
-/// Part of `pool` for an instance with `demand`, when all `count` of them need `total` together.
-fn fair_part(demand: f64, total: f64, pool: f64, count: usize) -> f64 {
-    if total >= pool {
-        return pool * demand / total;
+    fn weight(&self, demand: f64) -> f64 {
+        demand + IDLE_WEIGHT * self.limits.rate / self.instances as f64
+    }
+
+    /// Sets the bucket to an equal part of the rate, and to a part of the burst that follows the demand.
+    fn settle(&mut self, now: Instant) {
+        let own = self.weight(self.demand.rate(now));
+        let others: f64 = self.peers.values().map(|peer| self.weight(peer.demand)).sum();
+        let missing = self.instances.saturating_sub(1 + self.peers.len()) as f64;
+        let weights = own + others + missing * self.weight(0.0);
+        let part = if weights > 0.0 { own / weights } else { 0.0 };
+        let capacity = (self.limits.capacity * part).max(MIN_CAPACITY.min(self.limits.capacity));
+        self.bucket.set_limits(self.limits.rate / self.instances as f64, capacity, now);
     }
-    let slack = pool - total;
-    let proportion = if total > 0.0 { demand / total } else { 1.0 / count as f64 };
-    let equally = 1.0 / count as f64;
-    demand + slack * (PROPORTIONAL_SLACK * proportion + (1.0 - PROPORTIONAL_SLACK) * equally)
 }
--- a/crates/core/src/sync_group/failover.rs
+++ b/crates/core/src/sync_group/failover.rs
@@ -19,6 +19,8 @@
 const FENCE_BOUND: Duration = Duration::from_secs(10);
 /// Longest time from the promotion until the new primary answers.
 const PROMOTE_BOUND: Duration = Duration::from_secs(5);
+/// Time from the announcement of a planned replacement until the replicas are told to hold, in which writes end.
+const QUIESCE: Duration = Duration::from_millis(250);
 /// Pause after an attempt that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(800);
 
@@ -148,18 +150,37 @@
         }
     }
 
-    /// Advances the attempt. `leaving` names members that may not be promoted.
+    /// Term that the replicas are to hold, and whether all of them do, while an attempt runs.
+    pub const fn fence(&self) -> Option<(Term, bool)> {
+        match self.stage {
+            Stage::Fencing { held_since, .. } => Some((self.target, held_since.is_some())),
+            Stage::Promoting { .. } => Some((self.target, true)),
+            Stage::Idle | Stage::Claiming => None,
+        }
+    }
+
+    /// Member that is being promoted.
+    pub const fn promoting(&self) -> Option<&MemberId> {
+        match &self.stage {
+            Stage::Promoting { member, .. } => Some(member),
+            _ => None,
+        }
+    }
+
+    /// Advances the attempt. `leaving` names members that may not be promoted; `confirmed` says whether all instances
+    /// have discarded their proofs since all replicas hold the term.
     pub fn step(
         &mut self,
         view: &GroupView,
         leaving: &[MemberId],
+        confirmed: bool,
         now: Instant,
     ) -> Vec<FailoverAction> {
         match self.stage.clone() {
             Stage::Idle => Vec::new(),
             Stage::Claiming => self.step_claiming(view, now),
             Stage::Fencing { generation, held_since } => {
-                self.step_fencing(generation, held_since, view, leaving, now)
+                self.step_fencing(generation, held_since, view, leaving, confirmed, now)
             }
             Stage::Promoting { generation, member } => {
                 self.step_promoting(generation, member, view, now)
@@ -184,12 +205,16 @@
         held_since: Option<Instant>,
         view: &GroupView,
         leaving: &[MemberId],
+        confirmed: bool,
         now: Instant,
     ) -> Vec<FailoverAction> {
-        let superseded = view.leader().is_some_and(|leader| leader.term > self.replaced);
+        let superseded = view.leader(now).is_some_and(|leader| leader.term > self.replaced);
         if superseded || now.since(self.stage_started) > FENCE_BOUND {
             return self.end(superseded, view, now);
         }
+        if self.trigger == Trigger::Leaving && now.since(self.stage_started) < QUIESCE {
+            return Vec::new();
+        }
         let replicas: Vec<MemberId> = self.replicas(view).cloned().collect();
         let free: Vec<MemberId> =
             replicas.iter().filter(|member| !self.holds(view, member)).cloned().collect();
@@ -206,7 +231,7 @@
         }
         let since = held_since.unwrap_or(now);
         self.stage = Stage::Fencing { generation, held_since: Some(since) };
-        if now.since(since) < with_drift(PROOF_WINDOW) {
+        if !confirmed && now.since(since) < with_drift(PROOF_WINDOW) {
             return Vec::new();
         }
         let best = replicas
@@ -218,7 +243,7 @@
             return self.end(false, view, now);
         }
         self.enter(Stage::Promoting { generation, member }, now);
-        self.step(view, leaving, now)
+        self.step(view, leaving, confirmed, now)
     }
 
     fn step_promoting(
@@ -228,7 +253,7 @@
         view: &GroupView,
         now: Instant,
     ) -> Vec<FailoverAction> {
-        let replaced = view.leader().is_some_and(|leader| leader.term > self.replaced);
+        let replaced = view.leader(now).is_some_and(|leader| leader.term > self.replaced);
         if replaced || now.since(self.stage_started) > PROMOTE_BOUND {
             return self.end(replaced, view, now);
         }
--- a/crates/core/src/sync_group/view.rs
+++ b/crates/core/src/sync_group/view.rs
@@ -5,15 +5,17 @@
     time::Duration,
 };
 
-use super::{MemberStatus, PROOF_WINDOW, Role};
+use super::{FENCE_MEMORY, MemberStatus, PROOF_WINDOW, Role};
 use crate::{
     clock::Instant,
     name::MemberId,
     position::{Position, Term},
 };
 
-/// Positions of the primary that are kept; 32 cover 9 s of polls.
-const MAX_POSITIONS: usize = 32;
+/// Positions of the primary that are kept.
+const MAX_POSITIONS: usize = 64;
+/// Least time between two positions that are kept; 64 cover 3 s, which is longer than the data of a read may be old.
+const POSITION_SPACING: Duration = Duration::from_millis(50);
 
 /// The primary of the highest term that is known.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -22,7 +24,7 @@
     pub member: MemberId,
     /// Its term.
     pub term: Term,
-    /// Whether some member holds a higher term, so that the leader is being replaced and no write may reach it.
+    /// Whether the leader is being replaced, so that no write may reach it.
     pub fenced: bool,
 }
 
@@ -31,7 +33,7 @@
     /// Role that the member has published, for the time before it answers.
     published: Option<Role>,
     latest: Option<(MemberStatus, Instant)>,
-    /// Sending time of the first poll since the latest answer.
+    /// Sending time of the first question since the latest answer.
     unanswered_since: Option<Instant>,
 }
 
@@ -44,12 +46,31 @@
     pub position: Position,
 }
 
+/// What an instance tells others about a group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaderNews {
+    /// The leader.
+    pub member: MemberId,
+    /// Its term.
+    pub term: Term,
+    /// When the newest proof of its office was asked for.
+    pub proved: Option<Instant>,
+    /// The newest position.
+    pub position: Option<LeaderPosition>,
+}
+
 /// Answers of the members of one group, and what follows from them.
 #[derive(Debug, Clone, Default)]
 pub struct GroupView {
     members: BTreeMap<MemberId, Member>,
     leader_term: Term,
     positions: VecDeque<LeaderPosition>,
+    /// When the newest proof that the leader was in office was asked for, beside those that follow from the answers.
+    proved: Option<Instant>,
+    /// Proofs that were asked for up to this time do not count, because a fence was confirmed then.
+    proofs_after: Instant,
+    /// Term that replicas are being told to hold, and until when that counts.
+    fence: Option<(Term, Instant)>,
     /// Time up to which a replica that is gone may have received commits that no other replica has.
     lost_until: Option<Instant>,
 }
@@ -86,32 +107,86 @@
     /// Records the answer to a poll that was sent at `sent`.
     pub fn observe(&mut self, member: &MemberId, status: MemberStatus, sent: Instant) {
         let Some(state) = self.members.get_mut(member) else { return };
+        state.unanswered_since = state.unanswered_since.filter(|since| *since > sent);
         if state.latest.is_some_and(|(_, latest)| latest > sent) {
             return;
         }
         state.latest = Some((status, sent));
+        if status.role == Role::Primary {
+            self.note_leader(status.term, LeaderPosition { sent, position: status.received });
+        }
+    }
+
+    /// Records that `member` acknowledged a commit that was sent at `sent`, with its position.
+    ///
+    /// A replica received the commit, so not all replicas held a higher term when it was sent.
+    pub fn commit_acknowledged(&mut self, member: &MemberId, position: Position, sent: Instant) {
+        self.lead(member, position.term, LeaderPosition { sent, position });
+        self.prove(position.term, sent);
+    }
+
+    /// Records that the primary answered a request that was sent at `sent`, with its position.
+    pub fn answered(&mut self, member: &MemberId, position: Option<Position>, sent: Instant) {
+        let Some(state) = self.members.get_mut(member) else { return };
         state.unanswered_since = state.unanswered_since.filter(|since| *since > sent);
-        if status.role != Role::Primary || status.term < self.leader_term {
+        let leads = state.latest.is_some_and(|(status, _)| {
+            status.role == Role::Primary && status.term == self.leader_term
+        });
+        if let Some(position) = position.filter(|_| leads) {
+            self.note_leader(self.leader_term, LeaderPosition { sent, position });
+        }
+    }
+
+    /// Records what another instance knows, with its times on the own clock and not later than they were.
+    pub fn hear(&mut self, news: &LeaderNews) {
+        if news.term < self.leader_term {
             return;
         }
-        if status.term > self.leader_term {
-            self.leader_term = status.term;
-            self.positions.clear();
-            self.lost_until = None;
+        if let Some(position) = news.position {
+            self.lead(&news.member, news.term, position);
         }
-        if self.positions.len() == MAX_POSITIONS {
-            self.positions.pop_front();
+        if let Some(proved) = news.proved {
+            self.prove(news.term, proved);
         }
-        self.positions.push_back(LeaderPosition { sent, position: status.received });
     }
 
-    /// Records that a poll was sent at `sent`.
-    pub fn poll_sent(&mut self, member: &MemberId, sent: Instant) {
+    /// What other instances may want to know.
+    pub fn news(&self, now: Instant) -> Option<LeaderNews> {
+        let leader = self.leader(now)?;
+        Some(LeaderNews {
+            proved: self.proved_at(&leader),
+            member: leader.member,
+            term: leader.term,
+            position: self.positions.back().copied(),
+        })
+    }
+
+    /// Records that the replicas are being told to hold `term`, so that the leader gets no more writes for a while.
+    pub fn fence(&mut self, term: Term, now: Instant) {
+        self.fence = Some((term, now.plus(FENCE_MEMORY)));
+    }
+
+    /// Discards all proofs, because all replicas hold a higher term than the leader's; no new one can follow until
+    /// they are released or the term has a primary.
+    pub fn discard_proofs(&mut self, now: Instant) {
+        self.proofs_after = now;
+        self.proved = None;
+    }
+
+    /// Records that a question was sent at `sent`.
+    pub fn asked(&mut self, member: &MemberId, sent: Instant) {
         if let Some(state) = self.members.get_mut(member) {
             state.unanswered_since.get_or_insert(sent);
         }
     }
 
+    /// Records that the question sent at `sent` said nothing about the member.
+    pub fn ask_withdrawn(&mut self, member: &MemberId, sent: Instant) {
+        if let Some(state) = self.members.get_mut(member) {
+            state.unanswered_since = state.unanswered_since.filter(|since| *since != sent);
+        }
+    }
+
     /// The members.
     pub fn members(&self) -> impl Iterator<Item = &MemberId> {
         self.members.keys()
@@ -122,7 +197,7 @@
         self.members.get(member)?.latest.as_ref().map(|(status, _)| status)
     }
 
-    /// Time for which `member` has left polls unanswered.
+    /// Time for which `member` has left questions unanswered.
     pub fn silent_for(&self, member: &MemberId, now: Instant) -> Duration {
         let since = self.members.get(member).and_then(|state| state.unanswered_since);
         since.map_or(Duration::ZERO, |since| now.since(since))
@@ -134,6 +209,12 @@
         terms.max().unwrap_or_default().max(self.leader_term)
     }
 
+    /// The highest term that any member knows of.
+    pub fn highest_term(&self) -> Term {
+        let terms = self.answers().map(|(_, status, _)| status.highest_term());
+        terms.max().unwrap_or_default().max(self.leader_term)
+    }
+
     /// Whether `member` took no part in acknowledging the commits of `term`, as its primary does not.
     pub(super) fn is_primary_of(&self, member: &MemberId, term: Term) -> bool {
         let Some(state) = self.members.get(member) else { return false };
@@ -152,50 +233,113 @@
         self.positions.back().is_some_and(|last| last.sent >= lost && received >= last.position)
     }
 
-    /// The highest term that any member knows of.
-    pub fn highest_term(&self) -> Term {
-        let terms = self.answers().map(|(_, status, _)| status.highest_term());
-        terms.max().unwrap_or_default().max(self.leader_term)
-    }
-
     /// The primary of the highest known term; `None` while a newer one is known to exist without having answered.
-    pub fn leader(&self) -> Option<Leader> {
+    pub fn leader(&self, now: Instant) -> Option<Leader> {
         let (member, status, _) = self
             .answers()
             .filter(|(_, status, _)| status.role == Role::Primary)
             .max_by_key(|(_, status, _)| status.term)?;
+        let fenced = self.fence.is_some_and(|(term, until)| term > status.term && now < until);
         (status.term >= self.leader_term()).then(|| Leader {
             member: member.clone(),
             term: status.term,
-            fenced: self.answers().any(|(_, other, _)| other.held > status.term),
+            fenced: fenced || self.answers().any(|(_, other, _)| other.held > status.term),
         })
     }
 
     /// Time up to which no other primary can have acknowledged a commit, exclusive.
     ///
     /// A read may run at the leader if it arrived before this time.
-    pub fn certain_until(&self) -> Option<Instant> {
-        let leader = self.leader()?;
-        let (_, in_office) = self.members.get(&leader.member)?.latest.as_ref()?;
-        let others = self.answers().filter(|(member, _, _)| **member != leader.member);
-        let unfenced = others
-            .filter(|(_, status, _)| status.highest_term() <= leader.term)
-            .map(|(_, _, sent)| sent)
-            .max();
-        let witnessed = if self.members.len() == 1 { Some(*in_office) } else { unfenced };
-        witnessed.map(|sent| sent.min(*in_office).plus(PROOF_WINDOW))
+    pub fn certain_until(&self, now: Instant) -> Option<Instant> {
+        let leader = self.leader(now)?;
+        self.proved_at(&leader).map(|sent| sent.plus(PROOF_WINDOW))
     }
 
     /// A position that includes every commit acknowledged before `oldest`.
     ///
     /// It is the lowest known one, so that replicas have most likely reached it.
-    pub fn position_at(&self, oldest: Instant) -> Option<LeaderPosition> {
-        if self.certain_until().is_none_or(|until| oldest >= until) {
+    pub fn position_at(&self, oldest: Instant, now: Instant) -> Option<LeaderPosition> {
+        if self.certain_until(now).is_none_or(|until| oldest >= until) {
             return None;
         }
         self.positions.iter().find(|known| known.sent >= oldest).copied()
     }
 
+    /// When the newest proof of the leader's office was asked for.
+    fn proved_at(&self, leader: &Leader) -> Option<Instant> {
+        let polled = self.polled_at(leader).filter(|sent| *sent > self.proofs_after);
+        let told = self.proved.filter(|_| leader.term == self.leader_term);
+        polled.max(told)
+    }
+
+    /// The earlier of the leader's latest answer and the latest answer of a replica that holds no higher term.
+    fn polled_at(&self, leader: &Leader) -> Option<Instant> {
+        let (status, in_office) = self.members.get(&leader.member)?.latest.as_ref()?;
+        let others = self.answers().filter(|(member, _, _)| **member != leader.member);
+        let free = others.filter(|(_, status, _)| status.highest_term() <= leader.term);
+        let witnessed = free.map(|(_, _, sent)| sent).max();
+        let alone = self.members.len() == 1 && status.held <= leader.term;
+        let witnessed = if alone { Some(*in_office) } else { witnessed };
+        witnessed.map(|sent| sent.min(*in_office))
+    }
+
+    fn lead(&mut self, member: &MemberId, term: Term, position: LeaderPosition) {
+        let Some(state) = self.members.get_mut(member) else { return };
+        state.unanswered_since = state.unanswered_since.filter(|since| *since > position.sent);
+        let known = state
+            .latest
+            .is_some_and(|(status, _)| status.role == Role::Primary && status.term >= term);
+        if !known {
+            // Its own answers since then are newer; only a poll shows them.
+            let status = MemberStatus {
+                role: Role::Primary,
+                term,
+                received: position.position,
+                held: Term::default(),
+                lag: Duration::ZERO,
+                connections: 0,
+            };
+            // This is no poll, so it must not count as one when office is to be proved.
+            state.latest = Some((status, Instant::default()));
+        }
+        self.note_leader(term, position);
+    }
+
+    fn note_leader(&mut self, term: Term, position: LeaderPosition) {
+        if term < self.leader_term {
+            return;
+        }
+        if term > self.leader_term {
+            self.leader_term = term;
+            self.positions.clear();
+            self.proved = None;
+            self.lost_until = None;
+        }
+        if self.positions.back().is_some_and(|last| last.sent >= position.sent) {
+            return;
+        }
+        let close = match self.positions.len().checked_sub(2).and_then(|at| self.positions.get(at))
+        {
+            Some(before) => self
+                .positions
+                .back()
+                .is_some_and(|last| last.sent.since(before.sent) < POSITION_SPACING),
+            None => false,
+        };
+        if close {
+            self.positions.pop_back();
+        } else if self.positions.len() == MAX_POSITIONS {
+            self.positions.pop_front();
+        }
+        self.positions.push_back(position);
+    }
+
+    fn prove(&mut self, term: Term, sent: Instant) {
+        if term == self.leader_term && sent > self.proofs_after {
+            self.proved = self.proved.max(Some(sent));
+        }
+    }
+
     fn answers(&self) -> impl Iterator<Item = (&MemberId, &MemberStatus, Instant)> {
         self.members.iter().filter_map(|(member, state)| {
             state.latest.as_ref().map(|(status, sent)| (member, status, *sent))
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -2,7 +2,7 @@
 //!
 //! An adapter translates and decides nothing.
 
-use std::{io, net::SocketAddr, rc::Rc};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use hibiscusladder_core::{
     name::{DataCentre, Database, Group, InstanceId, MemberId, Workspace},
@@ -139,14 +139,7 @@
         /// Position that the log has to include.
         after: Option<Position>,
     },
-    /// Begin a transaction.
-    Begin {
-        /// Whether it only reads.
-        read_only: bool,
-        /// Position that the log has to include.
-        after: Option<Position>,
-    },
-    /// End the transaction and keep nothing.
+    /// End the transaction and keep nothing, although no caller asked for it.
     Rollback,
     /// Set a value of the session.
     Set {
@@ -324,11 +317,12 @@
     /// All objects of a collection.
     fn list(&self, collection: Collection) -> impl Future<Output = Result<Listing, StoreError>>;
 
-    /// Changes of a collection since `revision`; waits until there is one, for some seconds at most.
+    /// Changes of a collection since `revision`; waits until there is one, at most for `wait`.
     fn watch(
         &self,
         collection: Collection,
         revision: u64,
+        wait: Duration,
     ) -> impl Future<Output = Result<StoreChanges, StoreError>>;
 
     /// Creates an object, and returns its revision.
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -6,45 +6,50 @@
     time::Duration,
 };
 
+use event_listener::Event as Notify;
 use hibiscusladder_core::{
     clock::Instant,
     name::{InstanceId, Workspace},
-    share::Allotment,
+    share::{Allotment, Limits},
 };
-use hibiscusladder_io::clock::sleep;
+use hibiscusladder_io::clock::within;
 
 use crate::{
     adapter::Platform,
-    directory::RateLimits,
     metrics::Stage,
     model::{Code, Failure},
     node::Node,
-    peers::Demand,
+    peers::{self, Demand, Tokens},
 };
 
 /// Part of the target time of an operation for which it may wait for its allotment; a longer wait would make the
 /// refusal late.
 const WAIT_PART: u32 = 5;
-/// Pause between two tries of one operation, at least; grants of other instances may come meanwhile.
-const MIN_PAUSE: Duration = Duration::from_millis(10);
+/// Longest pause between two tries of one operation.
+const MAX_PAUSE: Duration = Duration::from_millis(50);
+/// Time between two requests for tokens of a workspace; more than a round trip within a region.
+const ASK_INTERVAL: Duration = Duration::from_millis(30);
 
 /// Allotments of all workspaces at one instance.
 #[derive(Debug, Default)]
 pub struct Admission {
     allotments: HashMap<Workspace, Allotment>,
+    asked: HashMap<Workspace, Instant>,
+    /// Notified when tokens have come.
+    changed: Rc<Notify>,
 }
 
 impl Admission {
     /// Brings the allotments in line with the configured limits and the number of instances.
     pub fn configure(
         &mut self,
-        limits: &BTreeMap<Workspace, RateLimits>,
+        limits: &BTreeMap<Workspace, Limits>,
         instances: usize,
         now: Instant,
     ) {
         self.allotments.retain(|workspace, _| limits.contains_key(workspace));
         for (workspace, limits) in limits {
-            let limits = (*limits).into();
+            let limits = *limits;
             match self.allotments.get_mut(workspace) {
                 Some(allotment) => allotment.set_limits(limits, instances, now),
                 None => {
@@ -71,41 +76,65 @@
         admitted.map_err(Some)
     }
 
-    /// Records what another instance needs and grants.
-    pub fn note(
-        &mut self,
-        peer: &InstanceId,
-        demands: &[Demand],
-        asked: Option<Instant>,
-        now: Instant,
-    ) {
+    /// Records what another instance needs and has, and takes what it passes on.
+    pub fn note(&mut self, peer: &InstanceId, demands: &[Demand], now: Instant) {
         for demand in demands {
             let Some(allotment) = self.allotments.get_mut(&*demand.workspace) else { continue };
-            allotment.note_demand(peer, f64::from(demand.rate), now);
-            if let Some(asked) = asked {
-                allotment.note_grant(peer, f64::from(demand.grant), asked, now);
-            }
+            allotment.note(peer, f64::from(demand.rate), f64::from(demand.level), now);
+            allotment.receive(f64::from(demand.gift), now);
+        }
+    }
+
+    /// Takes tokens that another instance passes on.
+    pub fn receive(&mut self, gift: &Tokens, now: Instant) {
+        if let Some(allotment) = self.allotments.get_mut(&*gift.workspace) {
+            allotment.receive(f64::from(gift.tokens), now);
+            self.changed.notify(usize::MAX);
         }
     }
 
-    /// What this instance needs and grants from now on, by the instance that it has to be told.
+    /// Removes tokens that another instance asks for.
+    #[expect(
+        clippy::cast_possible_truncation,
+        reason = "tokens need no more than the precision of f32"
+    )]
+    pub fn give(&mut self, ask: &Tokens, now: Instant) -> f32 {
+        let allotment = self.allotments.get_mut(&*ask.workspace);
+        allotment.map_or(0.0, |allotment| allotment.give(f64::from(ask.tokens), now) as f32)
+    }
+
+    /// What this instance needs, has and, if `divide` is set, passes on, by the instance that is to be told.
+    ///
+    /// Only workspaces that matter are named: those with demand or tokens to pass on.
     pub fn plan(
         &mut self,
-        peers: &[InstanceId],
+        names: &[InstanceId],
+        divide: bool,
         now: Instant,
     ) -> BTreeMap<InstanceId, Vec<Demand>> {
         let mut messages: BTreeMap<InstanceId, Vec<Demand>> =
-            peers.iter().map(|peer| (peer.clone(), Vec::new())).collect();
+            names.iter().map(|name| (name.clone(), Vec::new())).collect();
         for (workspace, allotment) in &mut self.allotments {
-            let rate = allotment.demand(now);
-            let plan = allotment.plan(now);
-            for (peer, demands) in &mut messages {
-                let grant = plan.get(peer).copied().unwrap_or_default();
-                demands.push(Demand::new(workspace, rate, grant));
+            let gifts = if divide { allotment.divide(now) } else { BTreeMap::new() };
+            let (rate, level) = (allotment.demand(now), allotment.level(now));
+            for (name, demands) in &mut messages {
+                let gift = gifts.get(name).copied().unwrap_or_default();
+                demands.push(Demand::new(workspace, rate, level, gift));
             }
         }
         messages
     }
+
+    /// The instances to ask for tokens of a workspace and their number, unless it was done a moment ago.
+    fn lenders(&mut self, workspace: &Workspace, now: Instant) -> Option<(Vec<InstanceId>, f64)> {
+        let asked = self.asked.get(workspace);
+        if asked.is_some_and(|asked| now.since(*asked) < ASK_INTERVAL) {
+            return None;
+        }
+        self.asked.insert(workspace.clone(), now);
+        let (lenders, wanted) = self.allotments.get(workspace)?.lenders(now);
+        (!lenders.is_empty()).then_some((lenders, wanted))
+    }
 }
 
 /// Admits an operation of `workspace`, which may wait for a part of `target`.
@@ -123,8 +152,10 @@
 {
     let arrived = node.now();
     let until = arrived.plus(target / WAIT_PART);
+    let changed = node.admission.borrow().changed.clone();
     let mut first = true;
     loop {
+        let tokens = changed.listen();
         let now = node.now();
         let wait = match node.admission.borrow_mut().try_admit(workspace, first, now) {
             Ok(()) => {
@@ -134,7 +165,11 @@
             Err(wait) => wait.unwrap_or(Duration::MAX),
         };
         first = false;
-        if now.plus(wait) > until {
+        let lenders = node.admission.borrow_mut().lenders(workspace, now);
+        if let Some((lenders, wanted)) = lenders {
+            peers::ask(node, workspace, &lenders, wanted);
+        }
+        if now >= until {
             let after = wait.clamp(Duration::from_millis(100), Duration::from_secs(5));
             return Err(Failure::retry_after(
                 Code::Busy,
@@ -142,6 +177,6 @@
                 after,
             ));
         }
-        sleep(wait.max(MIN_PAUSE)).await;
+        within(wait.min(MAX_PAUSE).min(until.since(now)), tokens).await;
     }
 }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -8,7 +8,6 @@
 
 use hibiscusladder_core::{
     clock::Instant,
-    membership,
     name::{Group, MemberId},
     position::Term,
     sync_group::{FailoverAction, Role, SILENCE, Trigger},
@@ -23,7 +22,6 @@
     metrics::Counter,
     monitor,
     node::{GroupState, Node},
-    peers::Suspect,
 };
 
 /// Time between two looks at all groups.
@@ -59,6 +57,7 @@
             return;
         }
         for state in node.groups() {
+            monitor::tick(&node, &state, node.now());
             let memory = memories.entry(state.name.clone()).or_default();
             look(&node, &state, memory);
         }
@@ -77,17 +76,43 @@
         demote_replaced(node, state, memory, now);
     }
     let leaving = leaving(node, &state.name);
+    let fence = state.failover.borrow().fence();
     let actions = {
         let view = state.view.borrow();
-        state.failover.borrow_mut().step(&view, &leaving, now)
+        let mut failover = state.failover.borrow_mut();
+        let confirmed = fence.is_some_and(|(term, held)| {
+            held && node.peers.borrow().all_confirmed(state.name.as_str(), term.0)
+        });
+        failover.step(&view, &leaving, confirmed, now)
     };
+    tell_fence(node, state, fence, now);
     for action in actions {
         execute(node, state, memory, action);
     }
 }
 
+/// Applies the fence of the own attempt here, and tells the others at once when it has changed.
+fn tell_fence<P>(node: &Node<P>, state: &GroupState, before: Option<(Term, bool)>, now: Instant)
+where
+    P: Platform,
+{
+    let fence = state.failover.borrow().fence();
+    if let Some((term, held)) = fence {
+        let mut view = state.view.borrow_mut();
+        view.fence(term, now);
+        if held && state.confirmed.get() < term.0 {
+            view.discard_proofs(now);
+            state.confirmed.set(term.0);
+        }
+    }
+    if fence != before {
+        node.urgent.notify(usize::MAX);
+        state.announce(None, now);
+    }
+}
+
 fn note_fence(state: &GroupState, memory: &mut Memory, now: Instant) {
-    let fenced = state.view.borrow().leader().is_some_and(|leader| leader.fenced);
+    let fenced = state.view.borrow().leader(now).is_some_and(|leader| leader.fenced);
     memory.fenced_since = if fenced { memory.fenced_since.or(Some(now)) } else { None };
 }
 
@@ -142,7 +167,7 @@
         let orphaned = memory.fenced_since.is_some_and(|since| now.since(since) >= ORPHANED);
         return orphaned.then_some(Trigger::Orphaned);
     }
-    let Some(leader) = view.leader() else {
+    let Some(leader) = view.leader(now) else {
         let answered = view.members().any(|member| view.status(member).is_some());
         return answered.then_some(Trigger::Silent);
     };
@@ -162,25 +187,19 @@
         .then_some(Trigger::Stalled)
 }
 
-/// The instance's place among the live ones for this group; the last holder of the duty comes first, because it need
-/// not wait until its claim has ended.
+/// The instance's place among those that may act; the last holder of the duty comes first, because it need not wait
+/// until its claim has ended.
 fn rank<P>(node: &Node<P>, state: &GroupState, now: Instant) -> u32
 where
     P: Platform,
 {
-    let live = node.peers.borrow().live(now);
-    let own = node.instance();
     let duties = node.duties.borrow();
     let holder = duties.holder(&state.name);
-    if holder == Some(own) {
+    if holder == Some(node.instance()) {
         return 0;
     }
-    let holder_lives = holder.is_some_and(|holder| live.contains(holder));
-    let candidates = live.iter().filter(|name| Some(*name) != holder).chain([own]);
-    let names: Vec<&str> = candidates.map(|name| name.as_str()).collect();
-    let count = names.len();
-    let ranked = membership::highest(&[state.name.as_str()], names, count);
-    let place = ranked.iter().position(|name| *name == own.as_str()).unwrap_or(0);
+    let holder_lives = holder.is_some_and(|holder| node.peers.borrow().live(now).contains(holder));
+    let place = monitor::place(node, state.name.as_str(), now);
     u32::try_from(place).unwrap_or(u32::MAX).saturating_add(u32::from(holder_lives))
 }
 
@@ -195,23 +214,18 @@
     let term = state.view.borrow().leader_term().0;
     let peers = node.peers.borrow();
     let live = 1 + peers.live(now).len();
-    let suspecting = 1 + peers.suspecting(&state.name, term, now);
+    let suspecting = 1 + peers.suspecting(state.name.as_str(), term, now);
     2 * suspecting >= live
 }
 
-/// Primaries that this instance cannot use, to be told to the others.
-pub fn suspects<P>(node: &Node<P>, now: Instant) -> Vec<Suspect>
+/// Term of the group's primary if this instance cannot use it, to be told to the others.
+pub fn suspected<P>(node: &Node<P>, state: &GroupState, now: Instant) -> Option<Term>
 where
     P: Platform,
 {
-    let suspected = |state: &Rc<GroupState>| {
-        let trigger = trigger(node, state, &Memory::default(), now)?;
-        matches!(trigger, Trigger::Silent | Trigger::Stalled).then(|| Suspect {
-            group: state.name.as_str().into(),
-            term: state.view.borrow().leader_term().0,
-        })
-    };
-    node.groups().iter().filter_map(suspected).collect()
+    let trigger = trigger(node, state, &Memory::default(), now)?;
+    let unusable = matches!(trigger, Trigger::Silent | Trigger::Stalled);
+    unusable.then(|| state.view.borrow().leader_term())
 }
 
 /// Tells primaries of lower terms that they are replaced, which they may not notice for as long as they are cut off
@@ -221,7 +235,7 @@
     P: Platform,
 {
     let view = state.view.borrow();
-    let Some(leader) = view.leader() else { return };
+    let Some(leader) = view.leader(now) else { return };
     let replaced = view.members().filter(|member| {
         let status = view.status(member);
         status.is_some_and(|status| status.role == Role::Primary && status.term < leader.term)
@@ -284,6 +298,7 @@
         FailoverAction::Ended { replaced } => {
             state.stalled.set(None);
             memory.suspected = None;
+            node.urgent.notify(usize::MAX);
             let label = if replaced { "replaced" } else { "abandoned" };
             node.metrics.count(Counter::Failovers, label);
             events::note(
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -45,6 +45,7 @@
 #[derive(Debug, Default)]
 pub struct Duties {
     claims: BTreeMap<Box<str>, Known>,
+    listed: bool,
 }
 
 impl Duties {
@@ -78,6 +79,9 @@
 where
     P: Platform,
 {
+    if !node.duties.borrow().listed {
+        list(node).await.ok()?;
+    }
     let asked = node.now();
     let known = node.duties.borrow().claims.get(group.as_str()).cloned();
     if let Some(known) = &known {
@@ -119,11 +123,8 @@
 where
     P: Platform,
 {
-    let Listing { objects, .. } = node.store.list(Collection::Duties).await.ok()?;
+    list(node).await.ok()?;
     let mut duties = node.duties.borrow_mut();
-    for object in &objects {
-        duties.note(object, node.now());
-    }
     if !matches!(error, StoreError::NoAnswer { .. }) {
         return None;
     }
@@ -134,3 +135,24 @@
     known.own_since = Some(asked);
     Some(claim.generation)
 }
+
+/// Reads all claims.
+///
+/// # Errors
+///
+/// The store does not answer.
+pub async fn list<P>(node: &Node<P>) -> Result<(), StoreError>
+where
+    P: Platform,
+{
+    let listed = node.store.list(Collection::Duties).await;
+    node.metrics.count(Counter::StoreCalls, if listed.is_ok() { "listed" } else { "list_failed" });
+    let Listing { objects, .. } = listed?;
+    let now = node.now();
+    let mut duties = node.duties.borrow_mut();
+    duties.listed = true;
+    for object in &objects {
+        duties.note(object, now);
+    }
+    Ok(())
+}
--- a/crates/gateway/src/monitor.rs
+++ b/crates/gateway/src/monitor.rs
@@ -1,71 +1,153 @@
 //! Polls of the members, and orders to them.
+//!
+//! Each poll has its price, so answers to callers' statements and messages of other instances take their place where
+//! they can. One instance polls a quiet primary; the others do so only when they hear nothing of it.
 
 use std::{io, rc::Rc, time::Duration};
 
 use hibiscusladder_core::{
     clock::Instant,
-    name::{Group, MemberId},
-    sync_group::{MemberStatus, POLL_INTERVAL, SILENCE},
+    membership,
+    name::MemberId,
+    sync_group::{MemberStatus, PROOF_WINDOW, SILENCE},
 };
-use hibiscusladder_io::clock::{sleep, within};
+use hibiscusladder_io::clock::within;
 use serde_json::json;
 
 use crate::{
     adapter::{Order, Platform, UpstreamPort},
     events::{self, Event},
-    node::{GroupState, Node},
+    node::{GroupState, Node, PollState},
     pool::{AcquireError, Lease, Pool, Values},
 };
 
 /// Longest wait for a connection for a poll.
 const CONNECTION_WAIT: Duration = Duration::from_millis(200);
 /// Longest wait for the answer to a poll or an order.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Age of the newest proof of a primary's office at which the first instance polls.
+const FIRST_POLL_AGE: Duration = Duration::from_millis(350);
+/// Age at which the others poll: a proof reaches them after two messages of another instance.
+const OTHER_POLL_AGE: Duration = Duration::from_millis(900);
+/// Difference between the ages at which the others poll, one after the other.
+const POLL_AGE_STEP: Duration = Duration::from_millis(30);
+/// Time between polls of a member that is being promoted.
+const PROMOTED_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between polls of a member that a request or another instance doubts, and of a silent primary.
+const DOUBTED_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between polls of a member that has not answered yet, and of all members while none leads.
+const UNKNOWN_INTERVAL: Duration = Duration::from_millis(400);
+/// Time between polls of a silent replica.
+const SILENT_INTERVAL: Duration = Duration::from_millis(1000);
+/// Time between polls of a replica that nothing else asks about; its lag is known from them.
+const REPLICA_INTERVAL: Duration = Duration::from_secs(6);
 
-/// Polls a member for as long as it is listed.
-pub async fn poll_member<P>(node: Rc<Node<P>>, group: Group, member: MemberId)
+/// Sends the polls that are due.
+pub fn tick<P>(node: &Rc<Node<P>>, state: &Rc<GroupState>, now: Instant)
 where
     P: Platform,
 {
-    let mut lost = false;
-    loop {
-        let started = node.now();
-        let Some(state) = node.group(&group) else { return };
-        if node.member(&member).is_none_or(|known| known.record.group != group) {
-            return;
-        }
-        poll(&node, &state, &member).await;
-        let silent = state.view.borrow().silent_for(&member, node.now()) >= SILENCE;
-        if silent != lost {
-            lost = silent;
-            let event = if lost { Event::MemberLost } else { Event::MemberRegained };
-            events::note(event, json!({ "group": group.as_str(), "member": member.as_str() }));
-        }
-        sleep(POLL_INTERVAL.saturating_sub(node.now().since(started))).await;
+    let due = due(node, state, now);
+    state.doubted.borrow_mut().clear();
+    for member in due {
+        let mut polls = state.polls.borrow_mut();
+        let lost = polls.get(&member).is_some_and(|last| last.lost);
+        polls.insert(member.clone(), PollState { sent: Some(now), running: true, lost });
+        drop(polls);
+        let (node, state) = (node.clone(), state.clone());
+        node.clone().spawn(async move { poll(&node, &state, &member).await });
     }
 }
 
-async fn poll<P>(node: &Node<P>, state: &GroupState, member: &MemberId)
+fn due<P>(node: &Node<P>, state: &GroupState, now: Instant) -> Vec<MemberId>
 where
     P: Platform,
 {
-    let sent = node.now();
-    match order(node, state, member, Order::Status).await {
-        // A poll for which no connection was free says nothing about the member.
-        Ok(_) | Err(OrderError::NoConnection) => {}
-        Err(OrderError::Failed(_)) => {
-            state.view.borrow_mut().poll_sent(member, sent);
-            state.notify();
+    let view = state.view.borrow();
+    let doubted = state.doubted.borrow();
+    let polls = state.polls.borrow();
+    let leader = view.leader(now);
+    let proof = view.certain_until(now).map(|until| PROOF_WINDOW.saturating_sub(until.since(now)));
+    let unproved = proof.is_none_or(|age| age >= poll_age(node, state, now));
+    let failover = state.failover.borrow();
+    let witness = leader.as_ref().and_then(|leader| {
+        let others = view.members().filter(|member| **member != leader.member);
+        others.min_by_key(|member| view.silent_for(member, now)).cloned()
+    });
+    let interval = |member: &MemberId| -> Duration {
+        let leads = leader.as_ref().is_some_and(|leader| leader.member == *member);
+        let silent = !view.silent_for(member, now).is_zero();
+        if failover.promoting() == Some(member) {
+            PROMOTED_INTERVAL
+        } else if doubted.contains(member) || (leads && silent) {
+            DOUBTED_INTERVAL
+        } else if view.status(member).is_none() || leader.is_none() {
+            UNKNOWN_INTERVAL
+        } else if unproved && (leads || witness.as_ref() == Some(member)) {
+            DOUBTED_INTERVAL
+        } else if silent {
+            SILENT_INTERVAL
+        } else {
+            REPLICA_INTERVAL
         }
+    };
+    let due = view.members().filter(|member| {
+        polls.get(*member).is_none_or(|last| {
+            !last.running && last.sent.is_none_or(|sent| now.since(sent) >= interval(member))
+        })
+    });
+    due.cloned().collect()
+}
+
+/// Age of a proof at which this instance polls.
+fn poll_age<P>(node: &Node<P>, state: &GroupState, now: Instant) -> Duration
+where
+    P: Platform,
+{
+    match place(node, state.name.as_str(), now) {
+        0 => FIRST_POLL_AGE,
+        place => OTHER_POLL_AGE + POLL_AGE_STEP * u32::try_from(place.min(5)).unwrap_or(0),
     }
 }
 
+/// The instance's place among the live ones for `key`; each key has another order.
+pub fn place<P>(node: &Node<P>, key: &str, now: Instant) -> usize
+where
+    P: Platform,
+{
+    let own = node.instance().as_str();
+    let own_weight = membership::weight(&[key], own);
+    let live = node.peers.borrow().live(now);
+    live.iter().filter(|name| membership::weight(&[key], name.as_str()) > own_weight).count()
+}
+
+async fn poll<P>(node: &Rc<Node<P>>, state: &GroupState, member: &MemberId)
+where
+    P: Platform,
+{
+    // A poll without a connection or a free slot says nothing about the member.
+    let _ = order(node, state, member, Order::Status).await;
+    let silent = state.view.borrow().silent_for(member, node.now()) >= SILENCE;
+    let mut polls = state.polls.borrow_mut();
+    let poll = polls.entry(member.clone()).or_default();
+    poll.running = false;
+    if poll.lost != silent {
+        poll.lost = silent;
+        let event = if silent { Event::MemberLost } else { Event::MemberRegained };
+        events::note(event, json!({ "group": state.name.as_str(), "member": member.as_str() }));
+    }
+    drop(polls);
+    state.notify();
+}
+
 /// Why an order to a member had no answer.
 #[derive(Debug)]
 pub enum OrderError {
     /// No connection was free; nothing was sent.
     NoConnection,
-    /// The member does not answer, or not with a status.
+    /// The member has no free slot.
+    Busy,
+    /// The member does not answer.
     Failed(io::Error),
 }
 
@@ -84,26 +166,37 @@
     P: Platform,
 {
     let pool = node.pool(member).ok_or(OrderError::NoConnection)?;
-    let mut lease = connection(node, &pool).await?;
+    let asked = node.now();
+    state.view.borrow_mut().asked(member, asked);
+    let mut lease = match connection(node, &pool).await {
+        Ok(lease) => lease,
+        Err(error) => {
+            if matches!(error, OrderError::NoConnection) {
+                state.view.borrow_mut().ask_withdrawn(member, asked);
+            }
+            return Err(error);
+        }
+    };
     let sent = node.now();
     let exchange = within(ANSWER_TIMEOUT, lease.exchange(order)).await;
-    let answer = match exchange {
-        Some(Ok(answer)) => answer,
-        Some(Err(error)) => {
-            pool.drop_idle();
-            return Err(OrderError::Failed(error));
-        }
-        None => {
-            pool.drop_idle();
-            return Err(OrderError::Failed(io::ErrorKind::TimedOut.into()));
+    let error = match exchange {
+        Some(Ok(answer)) => {
+            let mut view = state.view.borrow_mut();
+            let Some(status) = P::Upstream::status(&answer) else {
+                // A member without a free slot lives.
+                view.answered(member, None, sent);
+                return Err(OrderError::Busy);
+            };
+            view.observe(member, status, sent);
+            drop(view);
+            state.announce(Some(member), node.now());
+            return Ok(status);
         }
+        Some(Err(error)) => error,
+        None => io::ErrorKind::TimedOut.into(),
     };
-    let Some(status) = P::Upstream::status(&answer) else {
-        // A member without a free slot answers that it is busy, which shows that it lives.
-        return Err(OrderError::NoConnection);
-    };
-    observe(state, member, status, sent);
-    Ok(status)
+    pool.drop_idle();
+    Err(OrderError::Failed(error))
 }
 
 async fn connection<P>(node: &Node<P>, pool: &Rc<Pool<P>>) -> Result<Lease<P>, OrderError>
@@ -121,25 +214,3 @@
         Err(AcquireError::Exhausted | AcquireError::Refused(_)) => Err(OrderError::NoConnection),
     }
 }
-
-fn observe(state: &GroupState, member: &MemberId, status: MemberStatus, sent: Instant) {
-    let mut view = state.view.borrow_mut();
-    view.observe(member, status, sent);
-    let leader = view.leader();
-    drop(view);
-    let leader = leader.map(|leader| (leader.member, leader.term.0, leader.fenced));
-    if *state.announced.borrow() != leader {
-        events::note(
-            Event::LeaderChanged,
-            json!({
-                "group": state.name.as_str(),
-                "leader": leader.as_ref().map(|(member, _, _)| member.as_str()),
-                "term": leader.as_ref().map(|(_, term, _)| *term),
-                "fenced": leader.as_ref().map(|(_, _, fenced)| *fenced),
-                "answered_by": member.as_str(), "held": status.held.0,
-            }),
-        );
-        *state.announced.borrow_mut() = leader;
-    }
-    state.notify();
-}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
     time::Duration,
 };
@@ -15,7 +15,7 @@
 };
 use hibiscusladder_io::clock::{BootClock, within};
 use serde_json::json;
-use smol::LocalExecutor;
+use smol::{LocalExecutor, net::UdpSocket};
 
 use crate::{
     adapter::{Platform, Target},
@@ -33,6 +33,17 @@
 /// Connections to a member for each instance, at least; one more than the polls need.
 const MIN_CONNECTIONS: usize = 2;
 
+/// Polls of one member.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct PollState {
+    /// When the latest was sent.
+    pub sent: Option<Instant>,
+    /// Whether it has no answer yet.
+    pub running: bool,
+    /// Whether the member was logged as lost.
+    pub lost: bool,
+}
+
 /// State of one group.
 #[derive(Debug)]
 pub struct GroupState {
@@ -44,8 +55,14 @@
     pub failover: RefCell<Failover>,
     /// Writes in a row that got no answer, and since when.
     pub stalled: Cell<Option<(u32, Instant)>>,
+    /// Highest term for which the instance has discarded its proofs.
+    pub confirmed: Cell<u64>,
+    /// Members that have to be polled soon, because a request to them has no answer.
+    pub doubted: RefCell<BTreeSet<MemberId>>,
+    /// Polls of the members.
+    pub polls: RefCell<BTreeMap<MemberId, PollState>>,
     /// Leader that was last logged.
-    pub announced: RefCell<Option<(MemberId, u64, bool)>>,
+    announced: RefCell<Option<(MemberId, u64, bool)>>,
     changed: Notify,
 }
 
@@ -56,6 +73,9 @@
             view: RefCell::default(),
             failover: RefCell::default(),
             stalled: Cell::new(None),
+            confirmed: Cell::new(0),
+            doubted: RefCell::default(),
+            polls: RefCell::default(),
             announced: RefCell::default(),
             changed: Notify::new(),
         })
@@ -66,6 +86,31 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Logs the leader if it has changed, and wakes those that wait.
+    pub fn announce(&self, answered_by: Option<&MemberId>, now: Instant) {
+        let leader = self.view.borrow().leader(now);
+        let leader = leader.map(|leader| (leader.member, leader.term.0, leader.fenced));
+        if *self.announced.borrow() != leader {
+            events::note(
+                Event::LeaderChanged,
+                json!({
+                    "group": self.name.as_str(),
+                    "leader": leader.as_ref().map(|(member, _, _)| member.as_str()),
+                    "term": leader.as_ref().map(|(_, term, _)| *term),
+                    "fenced": leader.as_ref().map(|(_, _, fenced)| *fenced),
+                    "answered_by": answered_by.map(MemberId::as_str),
+                }),
+            );
+            *self.announced.borrow_mut() = leader;
+            self.notify();
+        }
+    }
+
+    /// Asks for a poll of a member, because a request to it has no answer.
+    pub fn doubt(&self, member: &MemberId) {
+        self.doubted.borrow_mut().insert(member.clone());
+    }
+
     /// Waits for a change, at most for `limit`.
     pub async fn changed(&self, limit: Duration) {
         within(limit, self.changed.listen()).await;
@@ -105,6 +150,13 @@
     pub peers: RefCell<Peers>,
     /// Claims of duties.
     pub duties: RefCell<Duties>,
+    /// Socket for messages to other instances.
+    pub datagrams: UdpSocket,
+    /// Notified when other instances have to be told something at once.
+    pub urgent: Notify,
+    /// Notified when the watches of the store have to be renewed, because another instance knows more.
+    pub watches: Notify,
+    members_revision: Cell<u64>,
     directory: RefCell<Option<Rc<Directory>>>,
     groups: RefCell<BTreeMap<Group, Rc<GroupState>>>,
     pools: RefCell<BTreeMap<MemberId, Rc<Pool<P>>>>,
@@ -124,6 +176,7 @@
         settings: Settings,
         store: P::Store,
         promoter: P::Promoter,
+        datagrams: UdpSocket,
         executor: Rc<LocalExecutor<'static>>,
     ) -> Rc<Self> {
         let now = BootClock.now();
@@ -137,6 +190,10 @@
             roster: RefCell::default(),
             admission: RefCell::default(),
             duties: RefCell::default(),
+            datagrams,
+            urgent: Notify::new(),
+            watches: Notify::new(),
+            members_revision: Cell::new(0),
             directory: RefCell::default(),
             groups: RefCell::default(),
             pools: RefCell::default(),
@@ -198,6 +255,21 @@
         self.groups.borrow().get(name).cloned()
     }
 
+    /// State of the group with this name.
+    pub fn group_named(&self, name: &str) -> Option<Rc<GroupState>> {
+        self.groups.borrow().get(name).cloned()
+    }
+
+    /// Revision of the newest entry of a member.
+    pub const fn members_revision(&self) -> u64 {
+        self.members_revision.get()
+    }
+
+    /// Records the revision of an entry of a member.
+    pub fn note_members_revision(&self, revision: u64) {
+        self.members_revision.set(self.members_revision.get().max(revision));
+    }
+
     /// All groups.
     pub fn groups(&self) -> Vec<Rc<GroupState>> {
         self.groups.borrow().values().cloned().collect()
@@ -246,7 +318,10 @@
     pub fn update_limits(&self) {
         let Some(directory) = self.directory() else { return };
         let instances = self.peers.borrow().instances();
-        self.admission.borrow_mut().configure(&directory.workspaces, instances, self.now());
+        let limits = directory.workspaces.iter().map(|(workspace, limits)| {
+            (workspace.clone(), self.settings.tolerance.extend((*limits).into()))
+        });
+        self.admission.borrow_mut().configure(&limits.collect(), instances, self.now());
         for pool in self.pools.borrow().values() {
             pool.set_limit(self.connection_limit(&pool.target.group));
         }
--- a/crates/gateway/src/operation.rs
+++ b/crates/gateway/src/operation.rs
@@ -80,7 +80,8 @@
         if self.state != TransactionState::Open
             && let Some(mut transaction) = self.transaction.take()
         {
-            transaction.abandon(&self.node);
+            let asked = matches!(query.statement, Statement::Rollback).then_some(&query);
+            transaction.abandon(&self.node, asked);
         }
         let label = answer.code().map_or("success", Code::as_str);
         self.node.metrics.count(Counter::Answers, label);
@@ -90,7 +91,7 @@
     /// Ends the transaction, because the caller is gone or idle for too long.
     pub fn abort(&mut self, reason: &'static str) {
         let Some(mut transaction) = self.transaction.take() else { return };
-        transaction.abandon(&self.node);
+        transaction.abandon(&self.node, None);
         self.state = TransactionState::Failed;
         events::note(
             Event::TransactionEnded,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,30 +1,28 @@
-//! Messages between instances: demand, grants, suspicions and the version of the configuration.
+//! Messages between instances: demand and tokens, what is known about primaries, and versions.
 //!
-//! Each instance sends one datagram to each other one every [`SEND_INTERVAL`]. A message names the sending time of
-//! the latest message that it answers, on the clock of the instance that it goes to, so that a grant's time is
-//! counted from before it was given.
+//! Each instance sends one datagram to each other one every [`SEND_INTERVAL`], and at once when a primary is being
+//! replaced. Times go as ages at the sending. A message also names the latest message of the receiver that the sender
+//! has, so the receiver knows a time of its own clock before which the message was not sent, and counts ages from there.
 
 use std::{collections::BTreeMap, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use hibiscusladder_core::{
     clock::Instant,
-    name::{Group, InstanceId, Workspace},
-};
-use hibiscusladder_io::{
-    clock::{sleep, within},
-    http::HttpClient,
+    name::{InstanceId, MemberId, Workspace},
+    position::{Lsn, Position, Term},
+    sync_group::{LeaderNews, LeaderPosition},
 };
+use hibiscusladder_io::{clock::within, http::HttpClient};
 use http_body_util::Full;
 use hyper::Request;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use smol::net::UdpSocket;
 
 use crate::{
     adapter::Platform,
     directory::Directory,
     events::{self, Event},
-    node::Node,
+    node::{GroupState, Node},
     status_page::DIRECTORY_PATH,
 };
 
@@ -34,57 +32,105 @@
 const SILENCE: Duration = Duration::from_millis(1000);
 /// Largest datagram that is read.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
-/// Time for which another instance has to be ahead before its configuration is asked for; the store is faster.
-const BEHIND_PATIENCE: Duration = Duration::from_millis(1500);
+/// Time for which another instance has to be ahead before the gateway acts on it; the store is faster.
+const BEHIND_PATIENCE: Duration = Duration::from_millis(1000);
 /// Time limit for the configuration of another instance.
 const DIRECTORY_TIMEOUT: Duration = Duration::from_secs(1);
+/// Instances that are asked for tokens at once.
+const ASKED: usize = 3;
+
+/// A datagram.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Datagram {
+    /// What the sender knows and needs.
+    Status(Status),
+    /// Asks for tokens.
+    Ask(Tokens),
+    /// Passes on tokens.
+    Gift(Tokens),
+}
+
+/// Tokens of a workspace.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Tokens {
+    /// Name of the sender.
+    pub from: Box<str>,
+    /// The workspace.
+    pub workspace: Box<str>,
+    /// Their number.
+    pub tokens: f32,
+}
 
-/// What an instance needs of a workspace's rate, and what it grants to the receiver.
+/// What an instance needs of a workspace's rate, what it has, and what it passes on.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Demand {
     /// The workspace.
     pub workspace: Box<str>,
     /// Operations per second that arrive at the sender.
     pub rate: f32,
-    /// Operations per second that the sender grants to the receiver.
-    pub grant: f32,
+    /// Tokens at the sender.
+    pub level: f32,
+    /// Tokens that the sender passes on to the receiver.
+    pub gift: f32,
 }
 
 impl Demand {
     /// Creates the entry for a workspace.
     #[expect(
         clippy::cast_possible_truncation,
-        reason = "rates need no more than the precision of f32"
+        reason = "tokens need no more than the precision of f32"
     )]
-    pub fn new(workspace: &Workspace, rate: f64, grant: f64) -> Self {
-        Self { workspace: workspace.as_str().into(), rate: rate as f32, grant: grant as f32 }
+    pub fn new(workspace: &Workspace, rate: f64, level: f64, gift: f64) -> Self {
+        let workspace = workspace.as_str().into();
+        Self { workspace, rate: rate as f32, level: level as f32, gift: gift as f32 }
     }
 }
 
-/// A primary that the sender cannot use.
+/// What the sender knows about a group.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Suspect {
-    /// Its group.
+pub struct GroupNews {
+    /// The group.
     pub group: Box<str>,
+    /// Its primary.
+    pub leader: Option<LeaderEntry>,
+    /// Term that the sender makes the replicas hold, and whether all do.
+    pub fence: Option<(u64, bool)>,
+    /// Highest term for which the sender has discarded its proofs.
+    pub confirmed: u64,
+    /// Term of a primary that the sender cannot use.
+    pub suspected: Option<u64>,
+}
+
+/// A primary.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderEntry {
+    /// The member.
+    pub member: Box<str>,
     /// Its term.
     pub term: u64,
+    /// Age of the newest proof of its office, in microseconds.
+    pub proof_age: Option<u64>,
+    /// Its newest position as term and number, and the age in microseconds.
+    pub position: Option<(u64, u64, u64)>,
 }
 
-/// A message between instances.
+/// What an instance tells the others.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Message {
+pub struct Status {
     /// Name of the sender.
     pub from: Box<str>,
     /// Start of the sender's process on its clock, in nanoseconds.
     pub started: u64,
     /// Sending time on the sender's clock, in nanoseconds.
     pub sent: u64,
-    /// Process of the receiver that the sender last heard, and the sending time of what it heard.
+    /// Process and sending time of the receiver's latest message that the sender has.
     pub answers: Option<(u64, u64)>,
     /// Version of the sender's configuration.
     pub version: u64,
-    /// Primaries that the sender cannot use.
-    pub suspects: Vec<Suspect>,
+    /// Revision of the newest entry of a member that the sender has.
+    pub members: u64,
+    /// Groups.
+    pub groups: Vec<GroupNews>,
     /// Demand by workspace.
     pub demands: Vec<Demand>,
 }
@@ -94,10 +140,6 @@
 pub struct Registration {
     /// Address for other instances.
     pub address: SocketAddr,
-    /// Grows with each renewal.
-    pub renewals: u64,
-    /// Start of the process on its clock, in nanoseconds.
-    pub started: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -106,8 +148,30 @@
     /// Process and sending time of the latest message.
     latest: Option<(u64, u64)>,
     heard: Option<Instant>,
+    registered: Instant,
     version: u64,
-    suspects: Vec<Suspect>,
+    members: u64,
+    suspected: BTreeMap<Box<str>, u64>,
+    confirmed: BTreeMap<Box<str>, u64>,
+}
+
+impl Peer {
+    const fn new(address: SocketAddr, now: Instant) -> Self {
+        Self {
+            address,
+            latest: None,
+            heard: None,
+            registered: now,
+            version: 0,
+            members: 0,
+            suspected: BTreeMap::new(),
+            confirmed: BTreeMap::new(),
+        }
+    }
+
+    fn is_live(&self, now: Instant) -> bool {
+        self.heard.is_some_and(|heard| now.since(heard) < SILENCE)
+    }
 }
 
 /// The other instances.
@@ -118,44 +182,38 @@
     peers: BTreeMap<InstanceId, Peer>,
 }
 
+/// What a message meant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Received {
+    /// Sending time of the own message that it answers.
+    pub asked: Option<Instant>,
+    /// Whether the sender had not been heard for a while.
+    pub regained: bool,
+    /// Whether the sender was not known.
+    pub new: bool,
+}
+
 impl Peers {
     /// Creates the state of an instance that was started at `now` and knows no other.
     pub fn new(own: InstanceId, now: Instant) -> Self {
         Self { own, started: nanos(now), peers: BTreeMap::new() }
     }
 
-    /// Start of this process on its clock, in nanoseconds.
-    pub const fn started(&self) -> u64 {
-        self.started
-    }
-
-    /// Records the registration of an instance.
-    pub fn register(&mut self, name: InstanceId, registration: &Registration) {
-        if name == self.own {
-            return;
-        }
-        let address = registration.address;
-        let peer = self.peers.entry(name).or_insert_with(|| Peer {
-            address,
-            latest: None,
-            heard: None,
-            version: 0,
-            suspects: Vec::new(),
+    /// Records the registrations of all instances; one that is not listed is forgotten unless it was heard since.
+    pub fn register(&mut self, listed: &[(InstanceId, Registration)], now: Instant) {
+        self.peers.retain(|name, peer| {
+            peer.is_live(now) || listed.iter().any(|(listed, _)| listed == name)
         });
-        peer.address = address;
-    }
-
-    /// Forgets an instance whose registration is gone.
-    pub fn unregister(&mut self, name: &str) {
-        self.peers.remove(name);
-    }
-
-    /// Forgets the instances that are not among `listed`.
-    pub fn keep(&mut self, listed: &[InstanceId]) {
-        self.peers.retain(|name, _| listed.contains(name));
+        for (name, registration) in listed.iter().filter(|(name, _)| *name != self.own) {
+            let peer = self.peers.entry(name.clone());
+            let peer = peer.or_insert_with(|| Peer::new(registration.address, now));
+            if !peer.is_live(now) {
+                peer.address = registration.address;
+            }
+        }
     }
 
-    /// Number of registered instances, with this one.
+    /// Number of known instances, with this one.
     pub fn instances(&self) -> usize {
         1 + self.peers.len()
     }
@@ -171,33 +229,60 @@
         live.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Instances that have been neither heard nor newly registered for `silence`.
+    pub fn silent(&self, silence: Duration, now: Instant) -> Vec<InstanceId> {
+        let silent = self.peers.iter().filter(|(_, peer)| {
+            now.since(peer.heard.map_or(peer.registered, |heard| heard.max(peer.registered)))
+                >= silence
+        });
+        silent.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Number of live instances that cannot use the primary of `term`.
-    pub fn suspecting(&self, group: &Group, term: u64, now: Instant) -> usize {
-        let suspects = |peer: &&Peer| {
-            peer.suspects
-                .iter()
-                .any(|suspect| *suspect.group == *group.as_str() && suspect.term >= term)
-        };
-        self.peers.values().filter(|peer| peer.is_live(now)).filter(suspects).count()
+    pub fn suspecting(&self, group: &str, term: u64, now: Instant) -> usize {
+        let live = self.peers.values().filter(|peer| peer.is_live(now));
+        live.filter(|peer| peer.suspected.get(group).is_some_and(|known| *known >= term)).count()
+    }
+
+    /// Whether all known instances have discarded their proofs for `term`.
+    pub fn all_confirmed(&self, group: &str, term: u64) -> bool {
+        let confirmed = |peer: &Peer| peer.confirmed.get(group).is_some_and(|known| *known >= term);
+        self.peers.values().all(confirmed)
     }
 
-    /// Records a message; returns the sending time of the own message that it answers, if that was this process.
-    ///
-    /// An instance that is not registered, or a message that is older than another one, has no effect.
-    pub fn receive(&mut self, message: &Message, now: Instant) -> Option<Received> {
+    /// Records a message from `address`; `None` when a newer one came before it.
+    pub fn receive(
+        &mut self,
+        status: &Status,
+        address: SocketAddr,
+        now: Instant,
+    ) -> Option<Received> {
+        if *status.from == *self.own.as_str() {
+            return None;
+        }
         let started = self.started;
-        let peer = self.peers.get_mut(&*message.from)?;
-        if peer.latest.is_some_and(|latest| latest >= (message.started, message.sent)) {
+        let name = InstanceId::new(&status.from);
+        let new = !self.peers.contains_key(&name);
+        let peer = self.peers.entry(name).or_insert_with(|| Peer::new(address, now));
+        if peer.latest.is_some_and(|latest| latest >= (status.started, status.sent)) {
             return None;
         }
         let regained = !peer.is_live(now) && peer.heard.is_some();
-        peer.latest = Some((message.started, message.sent));
+        peer.address = address;
+        peer.latest = Some((status.started, status.sent));
         peer.heard = Some(now);
-        peer.version = message.version;
-        peer.suspects.clone_from(&message.suspects);
-        let answers = message.answers.filter(|(process, _)| *process == started);
+        peer.version = status.version;
+        peer.members = status.members;
+        peer.suspected = suspected(status);
+        peer.confirmed =
+            status.groups.iter().map(|news| (news.group.clone(), news.confirmed)).collect();
+        let answers = status.answers.filter(|(process, _)| *process == started);
         let asked = answers.map(|(_, sent)| Instant::new(Duration::from_nanos(sent)));
-        Some(Received { asked, regained })
+        Some(Received { asked, regained, new })
+    }
+
+    fn address(&self, name: &InstanceId) -> Option<SocketAddr> {
+        self.peers.get(name).map(|peer| peer.address)
     }
 
     /// A live instance with a newer configuration than `version`.
@@ -206,118 +291,260 @@
         ahead.max_by_key(|peer| peer.version).map(|peer| peer.address)
     }
 
-    /// Instances that are no longer heard, and forgets what they said.
-    fn fall_silent(&mut self, now: Instant) -> Vec<InstanceId> {
-        let mut silent = Vec::new();
-        for (name, peer) in &mut self.peers {
-            if peer.heard.is_some() && !peer.is_live(now) && !peer.suspects.is_empty() {
-                peer.suspects.clear();
-            }
-            if peer.heard.is_some_and(|heard| {
-                let silence = now.since(heard);
-                silence >= SILENCE && silence < SILENCE + SEND_INTERVAL
-            }) {
-                silent.push(name.clone());
-            }
-        }
-        silent
+    /// Whether a live instance has newer entries of members than `revision`.
+    fn members_ahead(&self, revision: u64, now: Instant) -> bool {
+        self.peers.values().any(|peer| peer.is_live(now) && peer.members > revision)
     }
-}
 
-/// What a message meant.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Received {
-    /// Sending time of the own message that it answers.
-    pub asked: Option<Instant>,
-    /// Whether the sender had not been heard for a while.
-    pub regained: bool,
+    /// Instances that have just become silent.
+    fn newly_silent(&mut self, now: Instant) -> Vec<InstanceId> {
+        let newly = self.peers.iter().filter(|(_, peer)| {
+            let silence = peer.heard.map_or(Duration::ZERO, |heard| now.since(heard));
+            silence >= SILENCE && silence < SILENCE + SEND_INTERVAL
+        });
+        newly.map(|(name, _)| name.clone()).collect()
+    }
 }
 
-impl Peer {
-    fn is_live(&self, now: Instant) -> bool {
-        self.heard.is_some_and(|heard| now.since(heard) < SILENCE)
-    }
+fn suspected(status: &Status) -> BTreeMap<Box<str>, u64> {
+    let suspected = |news: &GroupNews| Some((news.group.clone(), news.suspected?));
+    status.groups.iter().filter_map(suspected).collect()
 }
 
 fn nanos(instant: Instant) -> u64 {
     u64::try_from(instant.since_origin().as_nanos()).unwrap_or(u64::MAX)
 }
 
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// Receives messages for as long as the process runs.
-pub async fn receive_all<P>(node: Rc<Node<P>>, socket: Rc<UdpSocket>)
+pub async fn receive_all<P>(node: Rc<Node<P>>)
 where
     P: Platform,
 {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let Ok((length, _)) = socket.recv_from(&mut buf).await else {
-            sleep(SEND_INTERVAL).await;
-            continue;
-        };
+        let Ok((length, address)) = node.datagrams.recv_from(&mut buf).await else { continue };
         // A datagram that cannot be read comes from another version or another program.
-        let Ok(message) = postcard::from_bytes::<Message>(&buf[..length]) else { continue };
+        let Ok(datagram) = postcard::from_bytes::<Datagram>(&buf[..length]) else { continue };
         let now = node.now();
-        let received = node.peers.borrow_mut().receive(&message, now);
-        let Some(received) = received else { continue };
-        let from = InstanceId::new(&message.from);
-        if received.regained {
-            events::note(Event::PeerRegained, json!({ "instance": from.as_str() }));
+        match datagram {
+            Datagram::Status(status) => take_status(&node, &status, address, now),
+            Datagram::Ask(ask) => give(&node, &ask, address, now),
+            Datagram::Gift(gift) => node.admission.borrow_mut().receive(&gift, now),
+        }
+    }
+}
+
+fn take_status<P>(node: &Rc<Node<P>>, status: &Status, address: SocketAddr, now: Instant)
+where
+    P: Platform,
+{
+    let received = node.peers.borrow_mut().receive(status, address, now);
+    let Some(received) = received else { return };
+    let from = InstanceId::new(&status.from);
+    if received.regained || received.new {
+        events::note(
+            Event::PeerRegained,
+            json!({ "instance": from.as_str(), "new": received.new }),
+        );
+    }
+    if received.new {
+        node.update_limits();
+    }
+    node.admission.borrow_mut().note(&from, &status.demands, now);
+    let mut answer = false;
+    for news in &status.groups {
+        if let Some(state) = node.group_named(&news.group) {
+            answer |= take_news(&state, news, received.asked, now);
+        }
+    }
+    if answer {
+        send_to(node, &[from], now);
+    }
+}
+
+/// Takes over what another instance knows about a group; returns whether it waits for an answer.
+fn take_news(state: &GroupState, news: &GroupNews, asked: Option<Instant>, now: Instant) -> bool {
+    let mut view = state.view.borrow_mut();
+    if let (Some(leader), Some(asked)) = (&news.leader, asked) {
+        let at = |age: u64| {
+            Instant::new(asked.since_origin().saturating_sub(Duration::from_micros(age)))
+        };
+        view.hear(&LeaderNews {
+            member: MemberId::new(&leader.member),
+            term: Term(leader.term),
+            proved: leader.proof_age.map(at),
+            position: leader.position.map(|(term, number, age)| LeaderPosition {
+                sent: at(age),
+                position: Position::new(Term(term), Lsn(number)),
+            }),
+        });
+    }
+    if let Some(leader) = view.leader(now).filter(|leader| news.suspected == Some(leader.term.0)) {
+        state.doubt(&leader.member);
+    }
+    let Some((term, held)) = news.fence else {
+        drop(view);
+        state.announce(None, now);
+        return false;
+    };
+    view.fence(Term(term), now);
+    let confirms = held && state.confirmed.get() < term;
+    if confirms {
+        view.discard_proofs(now);
+        state.confirmed.set(term);
+    }
+    drop(view);
+    state.announce(None, now);
+    confirms
+}
+
+/// Passes on tokens that another instance asks for, if they are not needed here.
+fn give<P>(node: &Rc<Node<P>>, ask: &Tokens, address: SocketAddr, now: Instant)
+where
+    P: Platform,
+{
+    let tokens = node.admission.borrow_mut().give(ask, now);
+    if tokens <= 0.0 {
+        return;
+    }
+    let gift =
+        Tokens { from: node.instance().as_str().into(), workspace: ask.workspace.clone(), tokens };
+    send_datagram(node, address, &Datagram::Gift(gift));
+}
+
+/// Asks other instances for tokens of a workspace.
+pub fn ask<P>(node: &Rc<Node<P>>, workspace: &Workspace, lenders: &[InstanceId], wanted: f64)
+where
+    P: Platform,
+{
+    #[expect(
+        clippy::cast_possible_truncation,
+        reason = "tokens need no more than the precision of f32"
+    )]
+    let tokens = Tokens {
+        from: node.instance().as_str().into(),
+        workspace: workspace.as_str().into(),
+        tokens: wanted as f32,
+    };
+    let datagram = Datagram::Ask(tokens);
+    for lender in lenders.iter().take(ASKED) {
+        let address = node.peers.borrow().address(lender);
+        if let Some(address) = address {
+            send_datagram(node, address, &datagram);
         }
-        node.admission.borrow_mut().note(&from, &message.demands, received.asked, now);
     }
 }
 
+fn send_datagram<P>(node: &Rc<Node<P>>, address: SocketAddr, datagram: &Datagram)
+where
+    P: Platform,
+{
+    let Ok(bytes) = postcard::to_stdvec(datagram) else { return };
+    let sender = node.clone();
+    node.spawn(async move {
+        // A lost datagram is made up for by the next one.
+        let _ = sender.datagrams.send_to(&bytes, address).await;
+    });
+}
+
 /// Sends messages for as long as the process runs.
-pub async fn send_all<P>(node: Rc<Node<P>>, socket: Rc<UdpSocket>)
+pub async fn send_all<P>(node: Rc<Node<P>>)
 where
     P: Platform,
 {
     let mut behind_since = None;
     loop {
-        sleep(SEND_INTERVAL).await;
+        within(SEND_INTERVAL, node.urgent.listen()).await;
         let now = node.now();
-        for silent in node.peers.borrow_mut().fall_silent(now) {
+        for silent in node.peers.borrow_mut().newly_silent(now) {
             events::note(Event::PeerLost, json!({ "instance": silent.as_str() }));
         }
-        for (address, datagram) in datagrams(&node, now) {
-            // A lost message is repaired by the next one.
-            let _ = socket.send_to(&datagram, address).await;
-        }
-        let ahead = node.peers.borrow().ahead(node.version(), now);
-        let Some(address) = ahead else {
-            behind_since = None;
-            continue;
-        };
-        if now.since(*behind_since.get_or_insert(now)) >= BEHIND_PATIENCE {
-            behind_since = Some(now);
-            let node = node.clone();
-            node.clone().spawn(async move { fetch_directory(&node, address).await });
-        }
+        let names = node.peers.borrow().names();
+        send_to(&node, &names, now);
+        catch_up(&node, &mut behind_since, now);
     }
 }
 
-fn datagrams<P>(node: &Node<P>, now: Instant) -> Vec<(SocketAddr, Vec<u8>)>
+/// Acts when other instances have had newer versions for a while.
+fn catch_up<P>(node: &Rc<Node<P>>, behind_since: &mut Option<Instant>, now: Instant)
 where
     P: Platform,
 {
-    let suspects = crate::control::suspects(node, now);
-    let names = node.peers.borrow().names();
-    let mut plans = node.admission.borrow_mut().plan(&names, now);
-    let peers = node.peers.borrow();
-    let messages = peers.peers.iter().filter_map(|(name, peer)| {
-        let message = Message {
+    let ahead = node.peers.borrow().ahead(node.version(), now);
+    let members = node.peers.borrow().members_ahead(node.members_revision(), now);
+    if ahead.is_none() && !members {
+        *behind_since = None;
+        return;
+    }
+    if now.since(*behind_since.get_or_insert(now)) < BEHIND_PATIENCE {
+        return;
+    }
+    *behind_since = Some(now);
+    node.watches.notify(usize::MAX);
+    if let Some(address) = ahead {
+        let fetcher = node.clone();
+        node.spawn(async move { fetch_directory(&fetcher, address).await });
+    }
+}
+
+/// Sends the present state to some instances.
+fn send_to<P>(node: &Rc<Node<P>>, names: &[InstanceId], now: Instant)
+where
+    P: Platform,
+{
+    let groups = group_news(node, now);
+    let everyone = node.peers.borrow().names();
+    // Tokens are divided only among those who get this message.
+    let mut demands = node.admission.borrow_mut().plan(names, names.len() == everyone.len(), now);
+    for name in names {
+        let (address, answers) = {
+            let peers = node.peers.borrow();
+            let Some(peer) = peers.peers.get(name) else { continue };
+            (peer.address, peer.latest)
+        };
+        let status = Status {
             from: node.instance().as_str().into(),
-            started: peers.started,
+            started: node.peers.borrow().started,
             sent: nanos(now),
-            answers: peer.latest,
+            answers,
             version: node.version(),
-            suspects: suspects.clone(),
-            demands: plans.remove(name).unwrap_or_default(),
+            members: node.members_revision(),
+            groups: groups.clone(),
+            demands: demands.remove(name).unwrap_or_default(),
         };
-        let datagram = postcard::to_stdvec(&message).ok()?;
-        Some((peer.address, datagram))
+        send_datagram(node, address, &Datagram::Status(status));
+    }
+}
+
+fn group_news<P>(node: &Node<P>, now: Instant) -> Vec<GroupNews>
+where
+    P: Platform,
+{
+    let groups = node.groups();
+    let news = groups.iter().map(|state| {
+        let view = state.view.borrow();
+        let leader = view.news(now).map(|news| LeaderEntry {
+            member: news.member.as_str().into(),
+            term: news.term.0,
+            proof_age: news.proved.map(|proved| micros(now.since(proved))),
+            position: news.position.map(|known| {
+                (known.position.term.0, known.position.lsn.0, micros(now.since(known.sent)))
+            }),
+        });
+        let fence = state.failover.borrow().fence();
+        GroupNews {
+            group: state.name.as_str().into(),
+            leader,
+            fence: fence.map(|(term, held)| (term.0, held)),
+            confirmed: state.confirmed.get(),
+            suspected: crate::control::suspected(node, state, now).map(|term| term.0),
+        }
     });
-    messages.collect()
+    news.collect()
 }
 
 async fn fetch_directory<P>(node: &Node<P>, address: SocketAddr)
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -44,6 +44,14 @@
 /// Cost of opening a connection, in seconds, when members are compared.
 const OPENING_S: f64 = 0.012;
 
+/// Time for which a member that did not answer is the last choice.
+const TROUBLE_PAUSE: Duration = Duration::from_millis(1000);
+/// Cost of a member that did not answer a moment ago, in seconds, when members are compared.
+const TROUBLE_S: f64 = 10.0;
+/// Shortest and longest time for which a member that lagged gets no reads.
+const MIN_LAG_PAUSE: Duration = Duration::from_millis(60);
+const MAX_LAG_PAUSE: Duration = Duration::from_millis(600);
+
 /// Values of a session by name.
 pub type Values = BTreeMap<Box<str>, Box<str>>;
 
@@ -101,6 +109,10 @@
     released: Notify,
     closed: Cell<bool>,
     opened: Cell<u64>,
+    /// Until when the member is taken to lag, and the pause after its next answer that says so.
+    lagging: Cell<(Instant, Duration)>,
+    /// Until when the member is the last choice, because it did not answer.
+    troubled_until: Cell<Instant>,
 }
 
 impl<P> Pool<P>
@@ -131,6 +143,8 @@
             released: Notify::new(),
             closed: Cell::new(false),
             opened: Cell::new(0),
+            lagging: Cell::new((Instant::default(), MIN_LAG_PAUSE)),
+            troubled_until: Cell::new(Instant::default()),
         })
     }
 
@@ -159,6 +173,27 @@
         self.released.notify(usize::MAX);
     }
 
+    /// Records whether the member answered that its log lacks a position.
+    pub fn note_lagging(&self, lagging: bool, now: Instant) {
+        let (until, pause) = self.lagging.get();
+        self.lagging.set(if lagging {
+            (now.plus(pause), (pause * 2).min(MAX_LAG_PAUSE))
+        } else {
+            (until, MIN_LAG_PAUSE)
+        });
+    }
+
+    /// Whether the member has lagged a moment ago.
+    pub fn is_lagging(&self, now: Instant) -> bool {
+        now < self.lagging.get().0
+    }
+
+    /// Records that the member did not answer, and closes the idle connections, which may have gone silent.
+    pub fn note_trouble(&self, now: Instant) {
+        self.troubled_until.set(now.plus(TROUBLE_PAUSE));
+        self.drop_idle();
+    }
+
     /// Expected time until a new request of `workspace` is answered, in seconds.
     pub fn expected_s(&self, workspace: &Workspace, now: Instant) -> f64 {
         let state = self.state.borrow();
@@ -170,7 +205,9 @@
         } else {
             OPENING_S + self.round_trip().as_secs_f64()
         };
-        self.round_trip().as_secs_f64() + service * (1.0 + state.in_use as f64) + opening
+        let trouble = if now < self.troubled_until.get() { TROUBLE_S } else { 0.0 };
+        let queue = service * (1.0 + state.in_use as f64);
+        self.round_trip().as_secs_f64() + queue + opening + trouble
     }
 
     fn round_trip(&self) -> Duration {
--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -25,6 +25,8 @@
 pub const MEMBER_WAIT: Duration = Duration::from_millis(4500);
 /// Time without an answer after which a read is sent to a second member as well.
 const HEDGE_AFTER: Duration = Duration::from_millis(250);
+/// Time without an answer after which a member is polled.
+const DOUBT_AFTER: Duration = Duration::from_millis(220);
 /// Pause before members are tried again that could not run a request a moment ago.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Longest sleep while no member can run a request.
@@ -116,10 +118,10 @@
         Consistency::ReadYourWrites(_) => req.floor,
         Consistency::Primary | Consistency::Bounded(_) => None,
     };
-    let leader = view.leader();
+    let leader = view.leader(now);
     let mut choices: Vec<(f64, Choice)> = Vec::new();
     if let Some(leader) = &leader {
-        let certain = view.certain_until().is_some_and(|until| oldest < until);
+        let certain = view.certain_until(now).is_some_and(|until| oldest < until);
         let has_own = own.is_none_or(|own| own.position.term <= leader.term);
         let reachable = view.silent_for(&leader.member, now) < REPLICA_SILENCE;
         if certain && has_own && reachable && takes_work(node, &leader.member, true, now) {
@@ -128,7 +130,7 @@
     }
     let bound = match consistency {
         Consistency::Primary => None,
-        Consistency::Bounded(_) | Consistency::ReadYourWrites(_) => view.position_at(oldest),
+        Consistency::Bounded(_) | Consistency::ReadYourWrites(_) => view.position_at(oldest, now),
     };
     if let Some(bound) = bound {
         let after = own.map_or(bound.position, |own| own.position.max(bound.position));
@@ -160,7 +162,12 @@
     P: Platform,
 {
     let Some(pool) = node.pool(member) else { return };
-    let expected = pool.expected_s(&req.workspace, node.now());
+    let now = node.now();
+    // A replica that lags is left out unless the session has nothing else; the primary cannot lag.
+    if !primary && pool.is_lagging(now) {
+        return;
+    }
+    let expected = pool.expected_s(&req.workspace, now);
     choices.push((expected, Choice { member: member.clone(), after, primary }));
 }
 
@@ -335,19 +342,67 @@
         Ok(lease) => lease,
         Err(attempt) => return attempt,
     };
+    let sent = node.now();
     let running = async {
         lease.set_values(&req.values).await?;
         send(&mut lease, &req.id, &req.payload, choice.after).await
     };
-    match within(limit, running).await {
-        Some(Ok(answer)) if answer.state == TransactionState::Idle => Attempt::Answered(answer),
+    match within(limit, doubting(node, req, &choice.member, running)).await {
+        Some(Ok(answer)) if answer.state == TransactionState::Idle => {
+            note_answer(node, req, &choice.member, answer.position, sent);
+            lease.pool().note_lagging(answer.code() == Some(Code::Lagging), node.now());
+            Attempt::Answered(answer)
+        }
         _ => {
-            lease.pool().drop_idle();
+            lease.pool().note_trouble(node.now());
             Attempt::Broken
         }
     }
 }
 
+/// Waits for `answer`, and has the member polled when it takes long.
+pub async fn doubting<P, F>(
+    node: &Node<P>,
+    req: &Request,
+    member: &MemberId,
+    answer: F,
+) -> F::Output
+where
+    P: Platform,
+    F: Future,
+{
+    let mut answer = std::pin::pin!(answer);
+    if let Some(answer) = within(DOUBT_AFTER, &mut answer).await {
+        return answer;
+    }
+    doubt(node, req, member);
+    answer.await
+}
+
+fn doubt<P>(node: &Node<P>, req: &Request, member: &MemberId)
+where
+    P: Platform,
+{
+    if let Some(state) = node.group(&req.route.group) {
+        state.doubt(member);
+    }
+}
+
+/// Records that `member` answered a request that was sent at `sent`.
+pub fn note_answer<P>(
+    node: &Node<P>,
+    req: &Request,
+    member: &MemberId,
+    position: Option<Position>,
+    sent: Instant,
+) where
+    P: Platform,
+{
+    if let Some(state) = node.group(&req.route.group) {
+        state.view.borrow_mut().answered(member, position, sent);
+    }
+}
+
 /// A connection to `member` for a request.
 ///
 /// # Errors
@@ -374,7 +429,8 @@
         AcquireError::Exhausted => Attempt::NotRun(Code::TooMany),
         AcquireError::Refused(failure) => Attempt::NotRun(failure.code),
         AcquireError::Unreachable(_) => {
-            pool.drop_idle();
+            pool.note_trouble(node.now());
+            doubt(node, req, member);
             Attempt::Unreachable
         }
     })
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -64,8 +64,15 @@
     P: Platform,
 {
     let executor = Rc::new(LocalExecutor::new());
-    let node = Node::<P>::new(settings, store, promoter, executor.clone());
-    smol::block_on(executor.run(serve(node)))
+    smol::block_on(executor.run(async {
+        let datagrams = UdpSocket::bind(settings.peers).await;
+        let datagrams = datagrams.map_err(|source| ServeError::Listen {
+            address: settings.peers,
+            purpose: "messages of other instances",
+            source,
+        })?;
+        serve(Node::<P>::new(settings, store, promoter, datagrams, executor.clone())).await
+    }))
 }
 
 async fn serve<P>(node: Rc<Node<P>>) -> Result<(), ServeError>
@@ -78,12 +85,6 @@
     let readiness = listen(settings.readiness, "readiness").await?;
     let metrics = listen(settings.metrics, "metrics").await?;
     let directory = listen(settings.peers, "other instances").await?;
-    let datagrams = UdpSocket::bind(settings.peers).await.map_err(|source| ServeError::Listen {
-        address: settings.peers,
-        purpose: "other instances",
-        source,
-    })?;
-    let datagrams = Rc::new(datagrams);
     events::note(
         Event::Started,
         json!({
@@ -102,8 +103,8 @@
     }
     node.spawn(sync::register(node.clone()));
     node.spawn(sync::expire_members(node.clone()));
-    node.spawn(peers::receive_all(node.clone(), datagrams.clone()));
-    node.spawn(peers::send_all(node.clone(), datagrams));
+    node.spawn(peers::receive_all(node.clone()));
+    node.spawn(peers::send_all(node.clone()));
     node.spawn(control::run(node.clone()));
     wait_for_end(&node, &mut signals).await;
     Ok(())
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,10 +2,13 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use hibiscusladder_core::name::{DataCentre, InstanceId};
+use hibiscusladder_core::{
+    name::{DataCentre, InstanceId},
+    share::Limits,
+};
 
 /// Settings of one instance.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
     /// Name of the instance; a restart keeps it.
     pub instance: InstanceId,
@@ -25,6 +28,34 @@
     pub grace: Duration,
     /// Time for which a leaving member may get new work.
     pub drain: Duration,
+    /// How far a workspace may pass its limits.
+    pub tolerance: Tolerance,
+}
+
+/// By how much the limits of a workspace may be passed, over all instances together.
+///
+/// The division among instances is never quite in step with the callers. Without a margin a workspace would be refused
+/// below its limits; the gateway uses a part of what is tolerated and leaves the rest to delays.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Tolerance {
+    /// Part of rate and burst.
+    pub overage: f64,
+    /// Operations.
+    pub slack: f64,
+}
+
+/// Part of the tolerated overage and slack that is used.
+const USED_TOLERANCE: f64 = 0.6;
+
+impl Tolerance {
+    /// The limits that the gateway enforces for a contract's.
+    pub fn extend(self, limits: Limits) -> Limits {
+        let factor = 1.0 + USED_TOLERANCE * self.overage;
+        Limits {
+            rate: limits.rate * factor,
+            capacity: limits.capacity * factor + USED_TOLERANCE * self.slack,
+        }
+    }
 }
 
 /// How far away a data centre is.
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -8,12 +8,13 @@
 };
 use hibiscusladder_io::clock::sleep;
 use serde_json::json;
+use smol::future::FutureExt;
 
 use crate::{
     adapter::{Collection, Content, Listing, MemberRecord, Object, Platform, Store, StoreError},
     events::{self, Event},
     metrics::Counter,
-    monitor,
+    monitor::place,
     node::Node,
     peers::Registration,
     roster::RosterChange,
@@ -23,10 +24,18 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause between calls while the store does not answer.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1000);
-/// Time between two renewals of the own registration.
-const RENEWAL_INTERVAL: Duration = Duration::from_secs(10);
-/// Time without a renewal after which another instance's registration is removed.
-const ABANDONED_AFTER: Duration = Duration::from_secs(45);
+/// Time from the start until the instances are listed again; others that start at the same time have registered then.
+const SECOND_LISTING: Duration = Duration::from_secs(2);
+/// Time between two listings of the instances; new ones make themselves known by their messages.
+const LISTING_INTERVAL: Duration = Duration::from_secs(25);
+/// Time without a message after which another instance's registration is removed.
+const ABANDONED_AFTER: Duration = Duration::from_secs(60);
+/// Instances whose watches are short, so that one of them notices soon when a watch has gone silent.
+const WATCHERS: usize = 2;
+/// Longest time that their watches wait.
+const SHORT_WATCH: Duration = Duration::from_secs(2);
+/// Longest time that the other watches wait; each call has its price.
+const LONG_WATCH: Duration = Duration::from_secs(20);
 /// Time between two looks for members whose entries stayed away.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -78,17 +87,11 @@
     let Listing { objects, revision } = listed?;
     let now = node.now();
     let members: Vec<MemberId> = objects.iter().map(|object| (*object.name).into()).collect();
-    let instances: Vec<InstanceId> = objects.iter().map(|object| (*object.name).into()).collect();
     for object in objects {
         apply(node, collection, object, now);
     }
-    match collection {
-        Collection::Members => node.roster.borrow_mut().lapse_others(&members, now),
-        Collection::Instances => {
-            node.peers.borrow_mut().keep(&instances);
-            node.update_limits();
-        }
-        Collection::Configuration | Collection::Duties => {}
+    if collection == Collection::Members {
+        node.roster.borrow_mut().lapse_others(&members, now);
     }
     Ok(revision)
 }
@@ -97,14 +100,23 @@
 where
     P: Platform,
 {
-    let watched = node.store.watch(collection, since).await;
+    let watcher = place(node, collection.as_str(), node.now()) < WATCHERS;
+    let wait = if watcher { SHORT_WATCH } else { LONG_WATCH };
+    let renewal = node.watches.listen();
+    let watching = async { Some(node.store.watch(collection, since, wait).await) };
+    let renewed = async {
+        renewal.await;
+        None
+    };
+    // The changes are asked for again from the same revision.
+    let Some(watched) = watching.or(renewed).await else { return Ok(since) };
     let label = if watched.is_ok() { "watched" } else { "watch_failed" };
     node.metrics.count(Counter::StoreCalls, label);
     let watched = watched?;
     let now = node.now();
     for change in watched.changes {
-        if change.deleted {
-            remove(node, collection, &change.object.name, now);
+        if change.deleted && collection == Collection::Members {
+            node.roster.borrow_mut().lapse(&change.object.name, now);
         } else {
             apply(node, collection, change.object, now);
         }
@@ -133,20 +145,9 @@
             node.apply_directory(directory, "store");
         }
         (Collection::Members, Content::Member(record)) => {
+            node.note_members_revision(object.revision);
             apply_member(node, MemberId::new(&object.name), record, now);
         }
-        (Collection::Instances, Content::Own(text)) => {
-            // A registration that cannot be read was written by another version; it is replaced or removed there.
-            if let Ok(registration) = serde_json::from_str::<Registration>(&text) {
-                let name = InstanceId::new(&object.name);
-                node.peers.borrow_mut().register(name, &registration);
-                node.update_limits();
-            }
-        }
-        (Collection::Duties, content) => {
-            let object = Object { name: object.name, revision: object.revision, content };
-            node.duties.borrow_mut().note(&object, now);
-        }
         _ => {}
     }
 }
@@ -155,7 +156,6 @@
 where
     P: Platform,
 {
-    let known = node.member(&id).is_some();
     let fields = json!({
         "member": id.as_str(), "group": record.group.as_str(), "leaving": record.leaving,
         "role": format!("{:?}", record.role), "started_ms": record.started_ms,
@@ -173,23 +173,6 @@
         }
     }
     node.update_groups();
-    if !known {
-        node.spawn(monitor::poll_member(node.clone(), group, id));
-    }
-}
-
-fn remove<P>(node: &Node<P>, collection: Collection, name: &str, now: Instant)
-where
-    P: Platform,
-{
-    match collection {
-        Collection::Members => node.roster.borrow_mut().lapse(name, now),
-        Collection::Instances => {
-            node.peers.borrow_mut().unregister(name);
-            node.update_limits();
-        }
-        Collection::Configuration | Collection::Duties => {}
-    }
 }
 
 /// Removes members whose entries stayed away, for as long as the process runs.
@@ -211,70 +194,81 @@
     }
 }
 
-/// Renews the own registration, and removes abandoned ones, for as long as the process runs.
+/// Registers the instance and lists the others, for as long as the process runs.
 pub async fn register<P>(node: Rc<Node<P>>)
 where
     P: Platform,
 {
-    let mut renewals = 0;
-    let mut others = Vec::new();
+    let mut pause = SECOND_LISTING;
     loop {
-        renewals += 1;
-        match renew(&node, renewals, &mut others).await {
-            Ok(()) => sleep(RENEWAL_INTERVAL).await,
+        match list_instances(&node).await {
+            Ok(()) => {
+                sleep(pause).await;
+                pause = LISTING_INTERVAL;
+            }
             Err(_) => sleep(MAX_RETRY_PAUSE).await,
         }
     }
 }
 
-/// A registration of another instance, and since when it has had its revision.
-type Seen = (Box<str>, u64, Instant);
+async fn list_instances<P>(node: &Rc<Node<P>>) -> Result<(), StoreError>
+where
+    P: Platform,
+{
+    let listed = node.store.list(Collection::Instances).await;
+    node.metrics.count(Counter::StoreCalls, if listed.is_ok() { "listed" } else { "list_failed" });
+    let Listing { objects, .. } = listed?;
+    let now = node.now();
+    let registrations: Vec<(InstanceId, Registration)> = objects
+        .iter()
+        .filter_map(|object| {
+            // One that cannot be read was written by another version; that instance is known by its messages.
+            let Content::Own(text) = &object.content else { return None };
+            Some((InstanceId::new(&object.name), serde_json::from_str(text).ok()?))
+        })
+        .collect();
+    node.peers.borrow_mut().register(&registrations, now);
+    node.update_limits();
+    register_self(node, &objects, &registrations).await?;
+    remove_abandoned(node, &objects, now).await
+}
 
-async fn renew<P>(node: &Node<P>, renewals: u64, others: &mut Vec<Seen>) -> Result<(), StoreError>
+async fn register_self<P>(
+    node: &Node<P>,
+    objects: &[Object],
+    registrations: &[(InstanceId, Registration)],
+) -> Result<(), StoreError>
 where
     P: Platform,
 {
-    let registration = Registration {
-        address: node.settings.peers,
-        renewals,
-        started: node.peers.borrow().started(),
-    };
-    let Ok(text) = serde_json::to_string(&registration) else { return Ok(()) };
-    let Listing { objects, .. } = node.store.list(Collection::Instances).await?;
-    let name = node.instance().as_str();
-    let own = objects.iter().find(|object| *object.name == *name);
-    match own {
-        Some(own) => {
-            node.store.replace(Collection::Instances, name, own.revision, &text).await?;
-        }
-        None => {
-            node.store.create(Collection::Instances, name, &text).await?;
-        }
+    let own = Registration { address: node.settings.peers };
+    if registrations.iter().any(|(name, known)| name == node.instance() && *known == own) {
+        return Ok(());
     }
-    remove_abandoned(node, &objects, others).await
+    let Ok(text) = serde_json::to_string(&own) else { return Ok(()) };
+    let name = node.instance().as_str();
+    let written = match objects.iter().find(|object| *object.name == *name) {
+        Some(known) => node.store.replace(Collection::Instances, name, known.revision, &text).await,
+        None => node.store.create(Collection::Instances, name, &text).await,
+    };
+    node.metrics
+        .count(Counter::StoreCalls, if written.is_ok() { "written" } else { "write_failed" });
+    written.map(|_| ())
 }
 
+/// Removes registrations of instances that have been silent for long.
 async fn remove_abandoned<P>(
     node: &Node<P>,
     objects: &[Object],
-    others: &mut Vec<Seen>,
+    now: Instant,
 ) -> Result<(), StoreError>
 where
     P: Platform,
 {
-    let now = node.now();
-    let seen = |object: &Object| {
-        let known = others
-            .iter()
-            .find(|(name, revision, _)| *name == object.name && *revision == object.revision);
-        (object.name.clone(), object.revision, known.map_or(now, |(_, _, since)| *since))
-    };
-    *others = objects.iter().map(seen).collect();
-    let live = node.peers.borrow().live(now);
-    for (name, revision, since) in others.iter() {
-        let heard = live.iter().any(|live| live.as_str() == &**name);
-        if now.since(*since) >= ABANDONED_AFTER && !heard && **name != *node.instance().as_str() {
-            node.store.remove(Collection::Instances, name, *revision).await?;
+    let silent = node.peers.borrow().silent(ABANDONED_AFTER, now);
+    for object in objects {
+        if silent.iter().any(|name| name.as_str() == &*object.name) {
+            node.store.remove(Collection::Instances, &object.name, object.revision).await?;
         }
     }
     Ok(())
--- a/crates/gateway/src/transaction.rs
+++ b/crates/gateway/src/transaction.rs
@@ -9,14 +9,14 @@
 use crate::{
     adapter::{Order, Platform},
     events::{self, Event},
-    model::{Answer, Code, Failure, TransactionState},
+    model::{Answer, Code, Failure, Query, TransactionState},
     node::Node,
     pool::{Lease, Values},
     reads::{
-        Attempt, Choice, Floor, MEMBER_WAIT, Payload, Request, acquire, choices, note_retry, send,
-        wait_for_change,
+        Attempt, Choice, Floor, MEMBER_WAIT, Payload, Request, acquire, choices, doubting,
+        note_answer, note_retry, send, wait_for_change,
     },
-    writes::{self, note_unknown},
+    writes::{self, note_commit, note_unknown},
 };
 
 /// Longest wait for the answer to a rollback; after it the connection is closed, which rolls back as well.
@@ -80,10 +80,17 @@
             return Answer::failed(aborted("there is no connection"), TransactionState::Failed);
         };
         self.wrote |= writes;
-        match within(limit, send(lease, id, payload, None)).await {
+        let member = lease.pool().target.member.clone();
+        let sent = node.now();
+        let answered = doubting(node, &self.request, &member, send(lease, id, payload, None));
+        let answered = within(limit, answered).await;
+        if matches!(answered, Some(Ok(_))) {
+            note_answer(node, &self.request, &member, None, sent);
+        }
+        match answered {
             Some(Ok(answer)) if answer.state != TransactionState::Idle => {
                 if answer.outcome.is_err() {
-                    self.abandon(node);
+                    self.abandon(node, None);
                     return Answer { state: TransactionState::Failed, ..answer };
                 }
                 answer
@@ -115,7 +122,9 @@
         };
         let member = lease.pool().target.member.clone();
         let payload = Payload::Text(text.into());
-        let answered = within(limit, send(lease, id, &payload, None)).await;
+        let sent = node.now();
+        let answered = doubting(node, &self.request, &member, send(lease, id, &payload, None));
+        let answered = within(limit, answered).await;
         if self.wrote
             && let Some(state) = node.group(&self.request.route.group)
         {
@@ -123,6 +132,9 @@
         }
         match answered {
             Some(Ok(answer)) if answer.state == TransactionState::Idle => {
+                if self.wrote && answer.outcome.is_ok() {
+                    note_commit(node, &self.request, &member, answer.position, sent);
+                }
                 let floor = answer.position.filter(|_| self.wrote && answer.outcome.is_ok());
                 (answer, floor.map(|position| Floor { position, at: node.now() }))
             }
@@ -141,12 +153,17 @@
         }
     }
 
-    /// Rolls back in the background.
-    pub fn abandon(&mut self, node: &Node<P>) {
+    /// Rolls back in the background, because the caller asked for it with `query` or without being asked.
+    pub fn abandon(&mut self, node: &Node<P>, query: Option<&Query>) {
         let Some(mut lease) = self.lease.take() else { return };
+        let own = query.map(|query| (query.id.clone(), query.text.clone()));
         node.spawn(async move {
+            let order = match &own {
+                Some((id, text)) => Order::Forward { id, text, after: None },
+                None => Order::Rollback,
+            };
             // Without an answer the connection is closed, which rolls back as well.
-            within(ROLLBACK_TIMEOUT, lease.exchange(Order::Rollback)).await;
+            within(ROLLBACK_TIMEOUT, lease.exchange(order)).await;
         });
     }
 
@@ -210,6 +227,14 @@
         Err(aborted("no member could begin the transaction; try again in 500 ms"))
     }
 
+    /// The caller's own statement.
+    fn begin_text(&self) -> &str {
+        match &self.request.payload {
+            Payload::Text(text) => text,
+            Payload::Execute { .. } => "",
+        }
+    }
+
     fn candidates(&self, node: &Node<P>) -> Vec<Choice> {
         let mut candidates = choices(node, &self.request);
         if !self.read_only {
@@ -234,7 +259,8 @@
                     _ => "unreachable",
                 }
             })?;
-        let begin = Order::Begin { read_only: self.read_only, after: choice.after };
+        let begin =
+            Order::Forward { id: &self.request.id, text: self.begin_text(), after: choice.after };
         let beginning = async {
             lease.set_values(values).await?;
             lease.exchange(begin).await
--- a/crates/gateway/src/writes.rs
+++ b/crates/gateway/src/writes.rs
@@ -1,8 +1,8 @@
 //! Single writes, which are sent at most once.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
-use hibiscusladder_core::{clock::Instant, name::MemberId};
+use hibiscusladder_core::{clock::Instant, name::MemberId, position::Position};
 use hibiscusladder_io::clock::within;
 use serde_json::json;
 
@@ -12,19 +12,24 @@
     model::{Answer, Code, Failure, TransactionState},
     node::Node,
     reads::{
-        Attempt, Floor, MEMBER_WAIT, Request, acquire, note_retry, send, takes_work,
-        wait_for_change,
+        Attempt, Floor, MEMBER_WAIT, Request, acquire, doubting, note_answer, note_retry, send,
+        takes_work, wait_for_change,
     },
 };
 
+/// Time since the first unanswered question after which a primary gets no new writes.
+const PRIMARY_SILENCE: Duration = Duration::from_millis(300);
+
 /// The primary that may get a write now, unless it is being replaced.
 pub fn primary<P>(node: &Node<P>, req: &Request, now: Instant) -> Option<MemberId>
 where
     P: Platform,
 {
     let state = node.group(&req.route.group)?;
-    let leader = state.view.borrow().leader()?;
-    let usable = !leader.fenced && takes_work(node, &leader.member, true, now);
+    let view = state.view.borrow();
+    let leader = view.leader(now)?;
+    let silent = view.silent_for(&leader.member, now) >= PRIMARY_SILENCE;
+    let usable = !leader.fenced && !silent && takes_work(node, &leader.member, true, now);
     usable.then_some(leader.member)
 }
 
@@ -76,9 +81,16 @@
             state.note_write(answered, node.now());
         }
     };
-    match within(limit, send(&mut lease, &req.id, &req.payload, None)).await {
+    let sent = node.now();
+    let answered = doubting(node, req, member, send(&mut lease, &req.id, &req.payload, None));
+    match within(limit, answered).await {
         Some(Ok(answer)) if answer.state == TransactionState::Idle => {
             note(true);
+            if answer.outcome.is_ok() {
+                note_commit(node, req, member, answer.position, sent);
+            } else {
+                note_answer(node, req, member, None, sent);
+            }
             match answer.code() {
                 Some(code) if code.is_promise() || code == Code::NoStatement => {
                     Attempt::NotRun(code)
@@ -107,11 +119,8 @@
             "waited_ms": node.now().since(req.arrived).as_millis() as u64,
         }),
     );
-    let failure = Failure::retry_after(
-        Code::Busy,
-        "the database has no primary",
-        std::time::Duration::from_millis(500),
-    );
+    let failure =
+        Failure::retry_after(Code::Busy, "the database has no primary", Duration::from_millis(500));
     Answer::failed(failure, TransactionState::Idle)
 }
 
@@ -124,6 +133,21 @@
     Answer::failed(Failure::new(Code::Unknown, detail), TransactionState::Idle)
 }
 
+/// Records a commit that was sent at `sent` and acknowledged with the member's position.
+pub fn note_commit<P>(
+    node: &Node<P>,
+    req: &Request,
+    member: &MemberId,
+    position: Option<Position>,
+    sent: Instant,
+) where
+    P: Platform,
+{
+    let (Some(state), Some(position)) = (node.group(&req.route.group), position) else { return };
+    state.view.borrow_mut().commit_acknowledged(member, position, sent);
+    state.announce(Some(member), node.now());
+}
+
 /// Notes that it is not known whether a request ran.
 pub fn note_unknown<P>(node: &Node<P>, req: &Request, member: &MemberId, what: &str)
 where
