--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,4 +36,5 @@
 pub mod share;
 pub mod sync_group;
 pub mod term_history;
+pub mod topology;
 pub mod witness;
--- a/crates/core/src/share/allotment.rs
+++ b/crates/core/src/share/allotment.rs
@@ -1,7 +1,6 @@
 //! A workspace's rate, divided among instances that admit for any upstream.
 //!
-//! Each instance accrues an equal part of the rate, and passes tokens that it does not need to instances that do. A
-//! token is removed before it is passed on, so no more tokens are used than accrue in all instances together, also
+//! Some instances accrue a part of the rate each, and pass tokens that they do not need to instances that do. A token is removed before it is passed on, so no more tokens are used than accrue in all instances together, also
 //! across partitions; one that is lost on the way is not replaced.
 //!
 //! # Example
@@ -13,8 +12,8 @@
 //!
 //! let start = Instant::default();
 //! let limits = Limits { rate: 80.0, capacity: 80.0 };
-//! let mut idle = Allotment::new(limits, 2, start);
-//! let mut busy = Allotment::new(limits, 2, start);
+//! let mut idle = Allotment::new(limits, 0.5, start);
+//! let mut busy = Allotment::new(limits, 0.5, start);
 //! assert!(busy.try_admit(start).is_err(), "the bucket of a new instance is empty");
 //!
 //! let later = start.plus(Duration::from_secs(1));
@@ -36,8 +35,10 @@
 const IDLE_WEIGHT: f64 = 0.1;
 /// Demand, as a time, for which an instance keeps tokens for itself.
 const KEPT_FOR: Duration = Duration::from_millis(300);
-/// Least capacity of a bucket in tokens, so that tokens that were asked for fit in.
+/// Least capacity of a bucket with demand in tokens, so that tokens that were asked for fit in.
 const MIN_CAPACITY: f64 = 2.0;
+/// Demand, as a time, that the least capacity covers.
+const MIN_CAPACITY_FOR: Duration = Duration::from_secs(4);
 /// Fewer tokens are not passed on.
 const MIN_GIFT: f64 = 0.25;
 
@@ -46,24 +47,38 @@
     demand: f64,
     level: f64,
     heard: Instant,
+    /// Whether the instance accrues a part of the rate itself, and speaks for others too.
+    accrues: bool,
+}
+
+impl Peer {
+    fn is_live(&self, now: Instant) -> bool {
+        now.since(self.heard) < PEER_SILENCE
+    }
 }
 
 /// One instance's part of the limits of one workspace.
 #[derive(Debug, Clone)]
 pub struct Allotment {
     limits: Limits,
-    instances: usize,
+    /// Part of the rate that accrues here.
+    part: f64,
+    /// Demand of all instances, as told by one that knows it.
+    total: Option<f64>,
     bucket: TokenBucket,
     demand: Demand,
     peers: BTreeMap<InstanceId, Peer>,
 }
 
 impl Allotment {
-    /// Creates the part of one of `instances` instances, with an empty bucket: a predecessor may have just used its.
-    pub fn new(limits: Limits, instances: usize, now: Instant) -> Self {
+    /// Creates the allotment of an instance at which `part` of the rate accrues.
+    ///
+    /// The bucket is empty, because a predecessor may have just used its tokens.
+    pub fn new(limits: Limits, part: f64, now: Instant) -> Self {
         let mut allotment = Self {
             limits,
-            instances: instances.max(1),
+            part,
+            total: None,
             bucket: TokenBucket::new(0.0, 0.0, now),
             demand: Demand::with_memory(DEMAND_MEMORY, now),
             peers: BTreeMap::new(),
@@ -72,10 +87,10 @@
         allotment
     }
 
-    /// Changes the limits of the workspace and the number of instances.
-    pub fn set_limits(&mut self, limits: Limits, instances: usize, now: Instant) {
+    /// Changes the limits of the workspace and the part of the rate that accrues here.
+    pub fn set_limits(&mut self, limits: Limits, part: f64, now: Instant) {
         self.limits = limits;
-        self.instances = instances.max(1);
+        self.part = part;
         self.settle(now);
     }
 
@@ -108,43 +123,70 @@
         self.bucket.tokens(now)
     }
 
+    /// Demand that this instance tells others that accrue a part of the rate: its own, and its part of that of the
+    /// instances which it serves together with `sharing - 1` others.
+    pub fn told_demand(&self, sharing: usize, now: Instant) -> f64 {
+        let served = self.peers.values().filter(|peer| !peer.accrues && peer.is_live(now));
+        let served: f64 = served.map(|peer| peer.demand).sum();
+        self.demand.rate(now) + served / sharing.max(1) as f64
+    }
+
+    /// Demand of all instances, as far as it is known here.
+    pub fn total_demand(&self, sharing: usize, now: Instant) -> f64 {
+        let others = self.peers.values().filter(|peer| peer.accrues && peer.is_live(now));
+        self.told_demand(sharing, now) + others.map(|peer| peer.demand).sum::<f64>()
+    }
+
     /// Records what `peer` needs and has.
-    pub fn note(&mut self, peer: &InstanceId, demand: f64, level: f64, now: Instant) {
-        let known = Peer { demand: demand.max(0.0), level: level.max(0.0), heard: now };
+    pub fn note(
+        &mut self,
+        peer: &InstanceId,
+        demand: f64,
+        level: f64,
+        accrues: bool,
+        now: Instant,
+    ) {
+        let known = Peer { demand: demand.max(0.0), level: level.max(0.0), heard: now, accrues };
         self.peers.insert(peer.clone(), known);
         self.settle(now);
     }
 
-    /// Removes the tokens that are to be passed on now, by the instance that gets them.
-    pub fn divide(&mut self, now: Instant) -> BTreeMap<InstanceId, f64> {
+    /// Records the demand of all instances; for an instance at which nothing accrues.
+    pub fn note_total(&mut self, total: f64, now: Instant) {
+        self.total = Some(total);
         self.settle(now);
-        let live: Vec<(&InstanceId, &Peer)> =
-            self.peers.iter().filter(|(_, peer)| now.since(peer.heard) < PEER_SILENCE).collect();
+    }
+
+    /// Removes the tokens that are to be passed on to `peer` now.
+    pub fn gift(&mut self, peer: &InstanceId, now: Instant) -> f64 {
+        self.settle(now);
+        let Some(receiver) = self.peers.get(peer).filter(|peer| peer.is_live(now)) else {
+            return 0.0;
+        };
+        let live = || self.peers.values().filter(|peer| peer.is_live(now));
         let own_demand = self.demand.rate(now);
         let own_level = self.bucket.tokens(now);
-        let weights: f64 = self.weight(own_demand)
-            + live.iter().map(|(_, peer)| self.weight(peer.demand)).sum::<f64>();
-        let level = own_level + live.iter().map(|(_, peer)| peer.level).sum::<f64>();
+        let weights: f64 =
+            self.weight(own_demand) + live().map(|peer| self.weight(peer.demand)).sum::<f64>();
         if weights <= 0.0 {
-            return BTreeMap::new();
+            return 0.0;
         }
+        let level = own_level + live().map(|peer| peer.level).sum::<f64>();
         let target = |demand: f64| level * self.weight(demand) / weights;
         let kept = target(own_demand).max(own_demand * KEPT_FOR.as_secs_f64());
         let surplus = (own_level - kept).max(0.0);
         let missing = |peer: &Peer| (target(peer.demand) - peer.level).max(0.0);
-        let all_missing: f64 = live.iter().map(|(_, peer)| missing(peer)).sum();
-        if surplus < MIN_GIFT || all_missing <= 0.0 {
-            return BTreeMap::new();
-        }
-        // Others give at the same time, so no instance gets more than it misses from all together.
+        let all_missing: f64 = live().map(missing).sum();
+        // Others give at the same time, so an instance gets no more than it misses from all together.
         let given = surplus.min(all_missing);
-        let gifts: BTreeMap<InstanceId, f64> = live
-            .into_iter()
-            .map(|(name, peer)| (name.clone(), given * missing(peer) / all_missing))
-            .filter(|(_, tokens)| *tokens >= MIN_GIFT)
-            .collect();
-        self.bucket.remove(gifts.values().sum(), now);
-        gifts
+        let tokens = if all_missing > 0.0 { given * missing(receiver) / all_missing } else { 0.0 };
+        if tokens < MIN_GIFT {
+            return 0.0;
+        }
+        if let Some(receiver) = self.peers.get_mut(peer) {
+            receiver.level += tokens;
+        }
+        self.bucket.remove(tokens, now)
     }
 
     /// Removes up to `wanted` tokens for an instance that asks for them, as far as they are not needed here.
@@ -166,7 +208,7 @@
         let mut lenders: Vec<(f64, &InstanceId)> = self
             .peers
             .iter()
-            .filter(|(_, peer)| now.since(peer.heard) < PEER_SILENCE && spare(peer) >= MIN_GIFT)
+            .filter(|(_, peer)| peer.is_live(now) && spare(peer) >= MIN_GIFT)
             .map(|(name, peer)| (spare(peer), name))
             .collect();
         lenders.sort_by(|(a, _), (b, _)| b.total_cmp(a));
@@ -174,17 +216,26 @@
     }
 
     fn weight(&self, demand: f64) -> f64 {
-        demand + IDLE_WEIGHT * self.limits.rate / self.instances as f64
+        demand + IDLE_WEIGHT * self.limits.rate / (1 + self.peers.len()) as f64
     }
 
-    /// Sets the bucket to an equal part of the rate, and to a part of the burst that follows the demand.
+    /// Sets the bucket to the part of the rate that accrues here, and to a part of the burst that follows the demand.
     fn settle(&mut self, now: Instant) {
-        let own = self.weight(self.demand.rate(now));
-        let others: f64 = self.peers.values().map(|peer| self.weight(peer.demand)).sum();
-        let missing = self.instances.saturating_sub(1 + self.peers.len()) as f64;
-        let weights = own + others + missing * self.weight(0.0);
-        let part = if weights > 0.0 { own / weights } else { 0.0 };
-        let capacity = (self.limits.capacity * part).max(MIN_CAPACITY.min(self.limits.capacity));
-        self.bucket.set_limits(self.limits.rate / self.instances as f64, capacity, now);
+        let demand = self.demand.rate(now);
+        let part = match self.total {
+            Some(total) if self.part <= 0.0 => demand / total.max(demand).max(f64::MIN_POSITIVE),
+            _ => {
+                // Tokens for instances at which nothing accrues are stored here until they ask.
+                let served = self.peers.values().filter(|peer| !peer.accrues);
+                let own = self.weight(demand) + served.map(|peer| peer.demand).sum::<f64>();
+                let others = self.peers.values().filter(|peer| peer.accrues);
+                let others: f64 = others.map(|peer| self.weight(peer.demand)).sum();
+                if own > 0.0 { own / (own + others) } else { 0.0 }
+            }
+        };
+        // Without demand nothing is stored beyond the part of the burst, so that idle instances do not add up.
+        let least = MIN_CAPACITY.min(demand * MIN_CAPACITY_FOR.as_secs_f64());
+        let capacity = (self.limits.capacity * part).max(least.min(self.limits.capacity));
+        self.bucket.set_limits(self.limits.rate * self.part, capacity, now);
     }
 }
--- a/crates/core/src/sync_group/view.rs
+++ b/crates/core/src/sync_group/view.rs
@@ -166,6 +166,11 @@
         self.fence = Some((term, now.plus(FENCE_MEMORY)));
     }
 
+    /// Term that replicas are being told to hold, as far as another instance said so lately.
+    pub fn fenced(&self, now: Instant) -> Option<Term> {
+        self.fence.filter(|(_, until)| now < *until).map(|(term, _)| term)
+    }
+
     /// Discards all proofs, because all replicas hold a higher term than the leader's; no new one can follow until
     /// they are released or the term has a primary.
     pub fn discard_proofs(&mut self, now: Instant) {
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -27,6 +27,8 @@
 const WAIT_PART: u32 = 5;
 /// Longest pause between two tries of one operation.
 const MAX_PAUSE: Duration = Duration::from_millis(50);
+/// Demand in operations per second below which a workspace is not named in messages.
+const NO_DEMAND: f64 = 0.01;
 /// Time between two requests for tokens of a workspace; more than a round trip within a region.
 const ASK_INTERVAL: Duration = Duration::from_millis(30);
 
@@ -40,20 +42,15 @@
 }
 
 impl Admission {
-    /// Brings the allotments in line with the configured limits and the number of instances.
-    pub fn configure(
-        &mut self,
-        limits: &BTreeMap<Workspace, Limits>,
-        instances: usize,
-        now: Instant,
-    ) {
+    /// Brings the allotments in line with the configured limits and the part of them that accrues here.
+    pub fn configure(&mut self, limits: &BTreeMap<Workspace, Limits>, part: f64, now: Instant) {
         self.allotments.retain(|workspace, _| limits.contains_key(workspace));
         for (workspace, limits) in limits {
             let limits = *limits;
             match self.allotments.get_mut(workspace) {
-                Some(allotment) => allotment.set_limits(limits, instances, now),
+                Some(allotment) => allotment.set_limits(limits, part, now),
                 None => {
-                    let allotment = Allotment::new(limits, instances, now);
+                    let allotment = Allotment::new(limits, part, now);
                     self.allotments.insert(workspace.clone(), allotment);
                 }
             }
@@ -77,12 +74,14 @@
     }
 
     /// Records what another instance needs and has, and takes what it passes on.
-    pub fn note(&mut self, peer: &InstanceId, demands: &[Demand], now: Instant) {
+    pub fn note(&mut self, peer: &InstanceId, demands: &[Demand], is_hub: bool, now: Instant) {
         for demand in demands {
             let Some(allotment) = self.allotments.get_mut(&*demand.workspace) else { continue };
-            allotment.note(peer, f64::from(demand.rate), f64::from(demand.level), now);
-            allotment.receive(f64::from(demand.gift), now);
+            allotment.note(peer, demand.rate.into(), demand.level.into(), is_hub, now);
+            allotment.note_total(demand.total.into(), now);
+            allotment.receive(demand.gift.into(), now);
         }
+        self.changed.notify(usize::MAX);
     }
 
     /// Takes tokens that another instance passes on.
@@ -103,26 +102,20 @@
         allotment.map_or(0.0, |allotment| allotment.give(f64::from(ask.tokens), now) as f32)
     }
 
-    /// What this instance needs, has and, if `divide` is set, passes on, by the instance that is to be told.
+    /// What `peer` is told, with the tokens that are passed on to it.
     ///
-    /// Only workspaces that matter are named: those with demand or tokens to pass on.
-    pub fn plan(
-        &mut self,
-        names: &[InstanceId],
-        divide: bool,
-        now: Instant,
-    ) -> BTreeMap<InstanceId, Vec<Demand>> {
-        let mut messages: BTreeMap<InstanceId, Vec<Demand>> =
-            names.iter().map(|name| (name.clone(), Vec::new())).collect();
-        for (workspace, allotment) in &mut self.allotments {
-            let gifts = if divide { allotment.divide(now) } else { BTreeMap::new() };
-            let (rate, level) = (allotment.demand(now), allotment.level(now));
-            for (name, demands) in &mut messages {
-                let gift = gifts.get(name).copied().unwrap_or_default();
-                demands.push(Demand::new(workspace, rate, level, gift));
+    /// `sharing` hubs serve the same instances as this one, if it is a hub.
+    pub fn tell(&mut self, peer: &InstanceId, sharing: usize, now: Instant) -> Vec<Demand> {
+        let demands = self.allotments.iter_mut().filter_map(|(workspace, allotment)| {
+            let rate = allotment.told_demand(sharing, now);
+            let total = allotment.total_demand(sharing, now);
+            if total < NO_DEMAND {
+                return None;
             }
-        }
-        messages
+            let gift = allotment.gift(peer, now);
+            Some(Demand::new(workspace, [rate, total, allotment.level(now), gift]))
+        });
+        demands.collect()
     }
 
     /// The instances to ask for tokens of a workspace and their number, unless it was done a moment ago.
@@ -132,8 +125,7 @@
             return None;
         }
         self.asked.insert(workspace.clone(), now);
-        let (lenders, wanted) = self.allotments.get(workspace)?.lenders(now);
-        (!lenders.is_empty()).then_some((lenders, wanted))
+        Some(self.allotments.get(workspace)?.lenders(now))
     }
 }
 
@@ -166,7 +158,11 @@
         };
         first = false;
         let lenders = node.admission.borrow_mut().lenders(workspace, now);
-        if let Some((lenders, wanted)) = lenders {
+        if let Some((mut lenders, wanted)) = lenders {
+            if lenders.is_empty() {
+                // Nothing is known yet of a workspace that was idle until now.
+                lenders = peers::neighbours(node);
+            }
             peers::ask(node, workspace, &lenders, wanted);
         }
         if now >= until {
--- /dev/null
+++ b/crates/gateway/src/channel.rs
@@ -0,0 +1,275 @@
+//! The way to a member: a connection of this instance, or a tunnel to one that holds connections.
+
+use std::{rc::Rc, time::Duration};
+
+use hibiscusladder_core::{
+    clock::{Clock, Instant},
+    name::{InstanceId, MemberId, Workspace},
+    position::Position,
+};
+use hibiscusladder_io::clock::{BootClock, within};
+
+use crate::{
+    adapter::{Order, Platform},
+    metrics::{Counter, Stage},
+    model::{Answer, Code, TransactionState},
+    node::Node,
+    pool::{AcquireError, Lease, Pool, UseGuard, Values},
+    tunnel::{Call, Payload, Reply, RunCall, Tunnel},
+};
+
+/// Time beyond the limit of a statement for which the reply of a holder is waited for.
+const REPLY_SLACK: Duration = Duration::from_millis(60);
+/// Longest wait for the answer to a rollback; after it the connection is closed, which rolls back as well.
+const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// What became of one attempt to run a statement.
+#[derive(Debug)]
+pub enum Attempt {
+    /// The member answered.
+    Answered(Answer),
+    /// The member did not run it.
+    NotRun(Code),
+    /// The member cannot be reached; nothing was sent.
+    Unreachable,
+    /// It was sent, and there was no whole answer.
+    Broken,
+}
+
+/// A statement with what it needs on a connection.
+#[derive(Debug, Clone, Copy)]
+pub struct Run<'a> {
+    /// Id of the request.
+    pub id: &'a str,
+    /// The statement.
+    pub payload: &'a Payload,
+    /// Values of the session.
+    pub values: &'a Values,
+    /// Position that the log has to include.
+    pub after: Option<Position>,
+    /// Time limit.
+    pub limit: Duration,
+}
+
+/// A way to a member that is in use.
+pub enum Channel<P>
+where
+    P: Platform,
+{
+    /// A connection of this instance.
+    Local(Lease<P>),
+    /// A tunnel to a holder.
+    Remote(RemoteChannel<P>),
+}
+
+/// A tunnel to a holder, used for one member and workspace.
+pub struct RemoteChannel<P>
+where
+    P: Platform,
+{
+    tunnel: Tunnel,
+    workspace: Workspace,
+    pool: Rc<Pool<P>>,
+    _in_use: UseGuard<P>,
+}
+
+/// Opens a way to `member`.
+///
+/// # Errors
+///
+/// The outcome of an attempt for which there is none.
+pub async fn open<P>(
+    node: &Node<P>,
+    member: &MemberId,
+    workspace: &Workspace,
+    values: &Values,
+    until: Instant,
+) -> Result<Channel<P>, Attempt>
+where
+    P: Platform,
+{
+    let pool = node.pool(member).ok_or(Attempt::Unreachable)?;
+    let started = node.now();
+    let opened = match node.holders(&pool) {
+        Some(holders) if !holders.contains(node.instance()) => {
+            open_remote(node, pool, workspace, &holders).await
+        }
+        _ => open_local(node, &pool, workspace, values, until).await,
+    };
+    node.metrics.time(Stage::Connection, node.now().since(started));
+    opened
+}
+
+async fn open_local<P>(
+    node: &Node<P>,
+    pool: &Rc<Pool<P>>,
+    workspace: &Workspace,
+    values: &Values,
+    until: Instant,
+) -> Result<Channel<P>, Attempt>
+where
+    P: Platform,
+{
+    let opened = pool.opened();
+    let acquired = pool.acquire(workspace, values, until).await;
+    if pool.opened() > opened {
+        node.metrics.count(Counter::MemberConnections, "opened");
+    }
+    acquired.map(Channel::Local).map_err(|error| match error {
+        AcquireError::Exhausted => Attempt::NotRun(Code::TooMany),
+        AcquireError::Refused(failure) => Attempt::NotRun(failure.code),
+        AcquireError::Unreachable(_) => {
+            pool.note_trouble(node.now());
+            Attempt::Unreachable
+        }
+    })
+}
+
+async fn open_remote<P>(
+    node: &Node<P>,
+    pool: Rc<Pool<P>>,
+    workspace: &Workspace,
+    holders: &[InstanceId],
+) -> Result<Channel<P>, Attempt>
+where
+    P: Platform,
+{
+    for (holder, address) in node.holder_addresses(holders, workspace) {
+        match node.tunnels.open(address).await {
+            Ok(tunnel) => {
+                let in_use = pool.begin_use();
+                let workspace = workspace.clone();
+                let remote = RemoteChannel { tunnel, workspace, pool, _in_use: in_use };
+                return Ok(Channel::Remote(remote));
+            }
+            Err(_) => node.peers.borrow_mut().note_trouble(&holder, node.now()),
+        }
+    }
+    Err(Attempt::Unreachable)
+}
+
+impl<P> Channel<P>
+where
+    P: Platform,
+{
+    /// Runs a statement. If the future is dropped, the member's connection is closed.
+    pub async fn run(&mut self, node: &Node<P>, run: Run<'_>) -> Attempt {
+        match self {
+            Self::Local(lease) => run_local(lease, run).await,
+            Self::Remote(remote) => remote.run(node, run).await,
+        }
+    }
+
+    /// Ends the transaction without keeping anything, with id and text of the caller's request if there was one.
+    pub async fn rollback(self, request: Option<(Box<str>, Box<str>)>) {
+        let ending = async {
+            match self {
+                Self::Local(mut lease) => {
+                    let order = match &request {
+                        Some((id, text)) => Order::Forward { id, text, after: None },
+                        None => Order::Rollback,
+                    };
+                    // Without an answer the connection is closed, which rolls back as well.
+                    lease.exchange(order).await.err();
+                }
+                Self::Remote(mut remote) => {
+                    // As above; the holder closes the connection when the tunnel breaks.
+                    remote.tunnel.call(&Call::Rollback { request }).await.err();
+                }
+            }
+        };
+        within(ROLLBACK_TIMEOUT, ending).await;
+    }
+}
+
+/// Runs a statement on a connection of this instance.
+pub async fn run_local<P>(lease: &mut Lease<P>, run: Run<'_>) -> Attempt
+where
+    P: Platform,
+{
+    let until = BootClock.now().plus(run.limit);
+    if !matches!(within(run.limit, prepare(lease, &run)).await, Some(Ok(()))) {
+        lease.pool().note_trouble(BootClock.now());
+        return Attempt::Unreachable;
+    }
+    let sending = send(lease, &run);
+    match within(until.since(BootClock.now()), sending).await {
+        Some(Ok(answer)) => Attempt::Answered(answer),
+        _ => {
+            lease.pool().note_trouble(BootClock.now());
+            Attempt::Broken
+        }
+    }
+}
+
+/// Brings the connection into the state that the statement needs.
+async fn prepare<P>(lease: &mut Lease<P>, run: &Run<'_>) -> std::io::Result<()>
+where
+    P: Platform,
+{
+    lease.set_values(run.values).await?;
+    if let Payload::Execute { access, shape, .. } = run.payload {
+        lease.prepare(*access, shape).await?;
+    }
+    Ok(())
+}
+
+async fn send<P>(lease: &mut Lease<P>, run: &Run<'_>) -> std::io::Result<Answer>
+where
+    P: Platform,
+{
+    let (id, after) = (run.id, run.after);
+    match run.payload {
+        Payload::Text(text) => lease.exchange(Order::Forward { id, text, after }).await,
+        Payload::Execute { access, shape, arguments } => {
+            let name = lease.prepare(*access, shape).await?;
+            lease.exchange(Order::Execute { id, name: &name, arguments, after }).await
+        }
+    }
+}
+
+impl<P> RemoteChannel<P>
+where
+    P: Platform,
+{
+    async fn run(&mut self, node: &Node<P>, run: Run<'_>) -> Attempt {
+        let call = Call::Run(RunCall {
+            member: self.pool.target.member.as_str().into(),
+            workspace: self.workspace.as_str().into(),
+            values: run.values.clone(),
+            id: run.id.into(),
+            statement: run.payload.clone(),
+            after: run.after.map(|at| (at.term.0, at.lsn.0)),
+            limit: u64::try_from(run.limit.as_micros()).unwrap_or(u64::MAX),
+        });
+        let started = node.now();
+        let reply = within(run.limit + REPLY_SLACK, self.tunnel.call(&call)).await;
+        match reply {
+            Some(Ok(Reply::Answered(answer))) => {
+                let now = node.now();
+                self.pool.measure(now.since(started), now);
+                Attempt::Answered(answer.into())
+            }
+            Some(Ok(Reply::NotRun(code))) => Attempt::NotRun(code),
+            Some(Ok(Reply::Unreachable)) => {
+                // The member or the holder; the next attempt takes another holder.
+                node.note_holder_trouble(self.tunnel.address());
+                Attempt::Unreachable
+            }
+            Some(Ok(Reply::Broken)) => {
+                self.pool.note_trouble(node.now());
+                Attempt::Broken
+            }
+            Some(Ok(Reply::Status(_)) | Err(_)) | None => {
+                node.tunnels.drop_idle(self.tunnel.address());
+                node.note_holder_trouble(self.tunnel.address());
+                Attempt::Broken
+            }
+        }
+    }
+}
+
+/// Whether an answer leaves the session outside any transaction.
+pub fn is_idle(answer: &Answer) -> bool {
+    answer.state == TransactionState::Idle
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -16,12 +16,13 @@
 use serde_json::json;
 
 use crate::{
-    adapter::{Order, Platform, Promoter},
+    adapter::{Platform, Promoter},
     duty,
     events::{self, Event},
     metrics::Counter,
     monitor,
     node::{GroupState, Node},
+    tunnel::StatusOrder,
 };
 
 /// Time between two looks at all groups.
@@ -58,6 +59,9 @@
         }
         for state in node.groups() {
             monitor::tick(&node, &state, node.now());
+            if !node.topology().is_hub(node.instance()) {
+                continue;
+            }
             let memory = memories.entry(state.name.clone()).or_default();
             look(&node, &state, memory);
         }
@@ -69,7 +73,7 @@
     P: Platform,
 {
     let now = node.now();
-    note_fence(state, memory, now);
+    note_beliefs(state, memory, now);
     let running = state.failover.borrow().is_running();
     if !running {
         consider(node, state, memory, now);
@@ -81,7 +85,9 @@
         let view = state.view.borrow();
         let mut failover = state.failover.borrow_mut();
         let confirmed = fence.is_some_and(|(term, held)| {
-            held && node.peers.borrow().all_confirmed(state.name.as_str(), term.0)
+            // In a larger fleet no instance hears of all others.
+            held && node.topology().is_flat()
+                && node.peers.borrow().all_confirmed(state.name.as_str(), term.0)
         });
         failover.step(&view, &leaving, confirmed, now)
     };
@@ -111,8 +117,14 @@
     }
 }
 
-fn note_fence(state: &GroupState, memory: &mut Memory, now: Instant) {
+fn note_beliefs(state: &GroupState, memory: &mut Memory, now: Instant) {
     let fenced = state.view.borrow().leader(now).is_some_and(|leader| leader.fenced);
+    let leaderless = {
+        let view = state.view.borrow();
+        view.leader(now).is_none() && view.members().any(|member| view.status(member).is_some())
+    };
+    let since = state.leaderless_since.get();
+    state.leaderless_since.set(leaderless.then(|| since.unwrap_or(now)));
     memory.fenced_since = if fenced { memory.fenced_since.or(Some(now)) } else { None };
 }
 
@@ -168,8 +180,9 @@
         return orphaned.then_some(Trigger::Orphaned);
     }
     let Some(leader) = view.leader(now) else {
-        let answered = view.members().any(|member| view.status(member).is_some());
-        return answered.then_some(Trigger::Silent);
+        // After a start the primary may just not have answered yet.
+        let since = state.leaderless_since.get();
+        return since.is_some_and(|since| now.since(since) >= SILENCE).then_some(Trigger::Silent);
     };
     if node.member(&leader.member).is_some_and(|member| !member.is_staying()) {
         let successor = view.members().any(|member| {
@@ -244,33 +257,17 @@
         let due = memory.demoted.get(member).is_none_or(|last| now.since(*last) >= DEMOTE_INTERVAL);
         if due {
             memory.demoted.insert(member.clone(), now);
-            send(node, state, memory, member.clone(), SimpleOrder::Demote(leader.term));
+            send(node, state, memory, member.clone(), StatusOrder::Demote(leader.term.0));
         }
     }
 }
 
-#[derive(Debug, Clone, Copy)]
-enum SimpleOrder {
-    Hold(Term),
-    Resume,
-    Demote(Term),
-}
-
-impl SimpleOrder {
-    const fn order(self) -> Order<'static> {
-        match self {
-            Self::Hold(term) => Order::Hold(term),
-            Self::Resume => Order::Resume,
-            Self::Demote(term) => Order::Demote(term),
-        }
-    }
-
-    const fn as_str(self) -> &'static str {
-        match self {
-            Self::Hold(_) => "hold",
-            Self::Resume => "resume",
-            Self::Demote(_) => "demote",
-        }
+const fn order_name(order: StatusOrder) -> &'static str {
+    match order {
+        StatusOrder::Status => "status",
+        StatusOrder::Hold(_) => "hold",
+        StatusOrder::Resume => "resume",
+        StatusOrder::Demote(_) => "demote",
     }
 }
 
@@ -288,9 +285,9 @@
             node.clone().spawn(async move { claim(&node, &state).await });
         }
         FailoverAction::Hold { member, term } => {
-            send(node, state, memory, member, SimpleOrder::Hold(term));
+            send(node, state, memory, member, StatusOrder::Hold(term.0));
         }
-        FailoverAction::Resume { member } => send(node, state, memory, member, SimpleOrder::Resume),
+        FailoverAction::Resume { member } => send(node, state, memory, member, StatusOrder::Resume),
         FailoverAction::Promote { member, .. } => {
             let (node, state) = (node.clone(), state.clone());
             node.clone().spawn(async move { promote(&node, &state, &member).await });
@@ -319,7 +316,7 @@
     state: &Rc<GroupState>,
     memory: &Memory,
     member: MemberId,
-    order: SimpleOrder,
+    order: StatusOrder,
 ) where
     P: Platform,
 {
@@ -328,7 +325,7 @@
     }
     let (node, state, busy) = (node.clone(), state.clone(), memory.busy.clone());
     node.clone().spawn(async move {
-        let answered = monitor::order(&node, &state, &member, order.order()).await;
+        let answered = monitor::order(&node, &state, &member, order).await;
         busy.borrow_mut().remove(&member);
         let outcome = match answered {
             Ok(status) => format!("received {}, holds {}", status.received, status.held),
@@ -337,7 +334,7 @@
         events::note(
             Event::FailoverStep,
             json!({
-                "group": state.name.as_str(), "step": order.as_str(),
+                "group": state.name.as_str(), "step": order_name(order),
                 "member": member.as_str(), "outcome": outcome,
             }),
         );
--- /dev/null
+++ b/crates/gateway/src/holder.rs
@@ -0,0 +1,169 @@
+//! Runs what other instances ask of the connections that this instance holds.
+
+use std::{rc::Rc, time::Duration};
+
+use hibiscusladder_core::{
+    clock::Instant,
+    name::{MemberId, Workspace},
+    sync_group::{MemberStatus, Role},
+};
+use hibiscusladder_io::clock::sleep;
+use smol::net::{TcpListener, TcpStream};
+
+use crate::{
+    adapter::{Order, Platform},
+    channel::{Attempt, Run, run_local},
+    model::TransactionState,
+    monitor,
+    node::Node,
+    pool::{AcquireError, Lease},
+    tunnel::{Call, FrameStream, RemoteStatus, Reply, RunCall, StatusOrder, position},
+};
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+/// Time from a request to stop until new work is sent to another holder.
+const REFUSE_AFTER: Duration = Duration::from_millis(300);
+/// Part of a statement's limit for which it may wait for a connection.
+const CONNECTION_PART: u32 = 2;
+
+/// Accepts tunnels for as long as the process runs.
+pub async fn serve<P>(node: Rc<Node<P>>, listener: TcpListener)
+where
+    P: Platform,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => node.spawn(serve_tunnel(node.clone(), stream)),
+            // Descriptors may be used up for a moment.
+            Err(_) => sleep(ACCEPT_RETRY).await,
+        }
+    }
+}
+
+async fn serve_tunnel<P>(node: Rc<Node<P>>, stream: TcpStream)
+where
+    P: Platform,
+{
+    let mut frames = FrameStream::new(stream);
+    let mut open: Option<Lease<P>> = None;
+    // Keeps the process from ending while a call runs or a transaction is open.
+    let mut guard = None;
+    loop {
+        // The other instance has closed the tunnel, or is gone; an open transaction is rolled back.
+        let Ok(call) = frames.receive::<Call>().await else { return };
+        guard.get_or_insert_with(|| node.session_started());
+        let reply = match call {
+            Call::Run(call) => run(&node, &mut open, &call).await,
+            Call::Rollback { request } => {
+                rollback(&mut open, request).await;
+                Reply::NotRun(crate::model::Code::Aborted)
+            }
+            Call::Order { member, order } => {
+                Reply::Status(send_order(&node, &MemberId::new(&member), order).await)
+            }
+        };
+        let sent = frames.send(&reply).await;
+        if open.is_none() {
+            guard = None;
+        }
+        if sent.is_err() {
+            return;
+        }
+    }
+}
+
+async fn run<P>(node: &Rc<Node<P>>, open: &mut Option<Lease<P>>, call: &RunCall) -> Reply
+where
+    P: Platform,
+{
+    let limit = Duration::from_micros(call.limit);
+    let until = node.now().plus(limit);
+    let mut lease = match open.take() {
+        Some(lease) => lease,
+        None => match acquire(node, call, limit).await {
+            Ok(lease) => lease,
+            Err(reply) => return reply,
+        },
+    };
+    let run = Run {
+        id: &call.id,
+        payload: &call.statement,
+        values: &call.values,
+        after: call.after.map(position),
+        limit: until.since(node.now()),
+    };
+    match run_local(&mut lease, run).await {
+        Attempt::Answered(answer) => {
+            if answer.state != TransactionState::Idle {
+                *open = Some(lease);
+            }
+            Reply::Answered(answer.into())
+        }
+        Attempt::NotRun(code) => Reply::NotRun(code),
+        Attempt::Unreachable => Reply::Unreachable,
+        Attempt::Broken => Reply::Broken,
+    }
+}
+
+async fn acquire<P>(node: &Rc<Node<P>>, call: &RunCall, limit: Duration) -> Result<Lease<P>, Reply>
+where
+    P: Platform,
+{
+    let now = node.now();
+    if is_refusing(node, now) {
+        return Err(Reply::Unreachable);
+    }
+    let pool = node.pool(&MemberId::new(&call.member)).ok_or(Reply::Unreachable)?;
+    let until = now.plus(limit / CONNECTION_PART);
+    let workspace = Workspace::new(&call.workspace);
+    pool.acquire(&workspace, &call.values, until).await.map_err(|error| match error {
+        AcquireError::Exhausted => Reply::NotRun(crate::model::Code::TooMany),
+        AcquireError::Refused(failure) => Reply::NotRun(failure.code),
+        AcquireError::Unreachable(_) => Reply::Unreachable,
+    })
+}
+
+fn is_refusing<P>(node: &Node<P>, now: Instant) -> bool
+where
+    P: Platform,
+{
+    node.stopping().is_some_and(|since| now.since(since) >= REFUSE_AFTER)
+}
+
+async fn rollback<P>(open: &mut Option<Lease<P>>, request: Option<(Box<str>, Box<str>)>)
+where
+    P: Platform,
+{
+    let Some(mut lease) = open.take() else { return };
+    let order = match &request {
+        Some((id, text)) => Order::Forward { id, text, after: None },
+        None => Order::Rollback,
+    };
+    // Without an answer the connection is closed, which rolls back as well.
+    lease.exchange(order).await.err();
+}
+
+async fn send_order<P>(
+    node: &Rc<Node<P>>,
+    member: &MemberId,
+    order: StatusOrder,
+) -> Option<RemoteStatus>
+where
+    P: Platform,
+{
+    let pool = node.pool(member)?;
+    let status = monitor::exchange_status(node, &pool, monitor::order_of(order)).await.ok()?;
+    Some(remote_status(&status))
+}
+
+fn remote_status(status: &MemberStatus) -> RemoteStatus {
+    RemoteStatus {
+        primary: status.role == Role::Primary,
+        term: status.term.0,
+        received: (status.received.term.0, status.received.lsn.0),
+        held: status.held.0,
+        lag: u64::try_from(status.lag.as_micros()).unwrap_or(u64::MAX),
+        connections: status.connections,
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,10 +7,12 @@
 
 pub mod adapter;
 pub mod admission;
+pub mod channel;
 pub mod control;
 pub mod directory;
 pub mod duty;
 pub mod events;
+pub mod holder;
 pub mod metrics;
 pub mod model;
 pub mod monitor;
@@ -24,7 +26,9 @@
 pub mod serve;
 pub mod session;
 pub mod settings;
+pub mod snapshot;
 pub mod status_page;
 pub mod sync;
 pub mod transaction;
+pub mod tunnel;
 pub mod writes;
--- a/crates/gateway/src/model.rs
+++ b/crates/gateway/src/model.rs
@@ -3,9 +3,10 @@
 use std::{borrow::Cow, fmt, time::Duration};
 
 use hibiscusladder_core::position::Position;
+use serde::{Deserialize, Serialize};
 
 /// Whether a prepared statement reads or writes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Access {
     /// Reads an item.
     Read,
@@ -73,7 +74,7 @@
 }
 
 /// State of a session after an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum TransactionState {
     /// No transaction.
     #[default]
@@ -85,7 +86,7 @@
 }
 
 /// Why a request was not answered with success.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Code {
     /// Not run, for want of capacity.
     Busy,
--- a/crates/gateway/src/monitor.rs
+++ b/crates/gateway/src/monitor.rs
@@ -8,8 +8,9 @@
 use hibiscusladder_core::{
     clock::Instant,
     membership,
-    name::MemberId,
-    sync_group::{MemberStatus, PROOF_WINDOW, SILENCE},
+    name::{InstanceId, MemberId},
+    position::Term,
+    sync_group::{MemberStatus, PROOF_WINDOW, Role, SILENCE},
 };
 use hibiscusladder_io::clock::within;
 use serde_json::json;
@@ -19,6 +20,7 @@
     events::{self, Event},
     node::{GroupState, Node, PollState},
     pool::{AcquireError, Lease, Pool, Values},
+    tunnel::{self, Call, RemoteStatus, Reply, StatusOrder},
 };
 
 /// Longest wait for a connection for a poll.
@@ -29,6 +31,8 @@
 const FIRST_POLL_AGE: Duration = Duration::from_millis(350);
 /// Age at which the others poll: a proof reaches them after two messages of another instance.
 const OTHER_POLL_AGE: Duration = Duration::from_millis(900);
+/// Age at which an instance polls that hears of proofs from hubs, each of which polls itself.
+const LAST_POLL_AGE: Duration = Duration::from_millis(1150);
 /// Difference between the ages at which the others poll, one after the other.
 const POLL_AGE_STEP: Duration = Duration::from_millis(30);
 /// Time between polls of a member that is being promoted.
@@ -74,9 +78,14 @@
         let others = view.members().filter(|member| **member != leader.member);
         others.min_by_key(|member| view.silent_for(member, now)).cloned()
     });
+    let is_hub = node.topology().is_hub(node.instance());
     let interval = |member: &MemberId| -> Duration {
         let leads = leader.as_ref().is_some_and(|leader| leader.member == *member);
         let silent = !view.silent_for(member, now).is_zero();
+        if !is_hub && !doubted.contains(member) && !(leads && (silent || unproved)) {
+            // A hub tells what it knows.
+            return Duration::MAX;
+        }
         if failover.promoting() == Some(member) {
             PROMOTED_INTERVAL
         } else if doubted.contains(member) || (leads && silent) {
@@ -92,9 +101,10 @@
         }
     };
     let due = view.members().filter(|member| {
-        polls.get(*member).is_none_or(|last| {
-            !last.running && last.sent.is_none_or(|sent| now.since(sent) >= interval(member))
-        })
+        let last = polls.get(*member).copied().unwrap_or_default();
+        let rested = last.sent.map_or(Duration::MAX, |sent| now.since(sent));
+        let interval = interval(member);
+        !last.running && interval < Duration::MAX && rested >= interval
     });
     due.cloned().collect()
 }
@@ -104,21 +114,28 @@
 where
     P: Platform,
 {
+    let topology = node.topology();
+    if !topology.is_flat() {
+        let is_hub = topology.is_hub(node.instance());
+        return if is_hub { FIRST_POLL_AGE } else { LAST_POLL_AGE };
+    }
     match place(node, state.name.as_str(), now) {
         0 => FIRST_POLL_AGE,
         place => OTHER_POLL_AGE + POLL_AGE_STEP * u32::try_from(place.min(5)).unwrap_or(0),
     }
 }
 
-/// The instance's place among the live ones for `key`; each key has another order.
+/// The instance's place among the live hubs for `key`; each key has another order.
 pub fn place<P>(node: &Node<P>, key: &str, now: Instant) -> usize
 where
     P: Platform,
 {
     let own = node.instance().as_str();
     let own_weight = membership::weight(&[key], own);
+    let topology = node.topology();
     let live = node.peers.borrow().live(now);
-    live.iter().filter(|name| membership::weight(&[key], name.as_str()) > own_weight).count()
+    let hubs = live.iter().filter(|name| topology.is_hub(name));
+    hubs.filter(|name| membership::weight(&[key], name.as_str()) > own_weight).count()
 }
 
 async fn poll<P>(node: &Rc<Node<P>>, state: &GroupState, member: &MemberId)
@@ -126,7 +143,7 @@
     P: Platform,
 {
     // A poll without a connection or a free slot says nothing about the member.
-    let _ = order(node, state, member, Order::Status).await;
+    let _ = order(node, state, member, StatusOrder::Status).await;
     let silent = state.view.borrow().silent_for(member, node.now()) >= SILENCE;
     let mut polls = state.polls.borrow_mut();
     let poll = polls.entry(member.clone()).or_default();
@@ -160,38 +177,62 @@
     node: &Node<P>,
     state: &GroupState,
     member: &MemberId,
-    order: Order<'_>,
+    order: StatusOrder,
 ) -> Result<MemberStatus, OrderError>
 where
     P: Platform,
 {
     let pool = node.pool(member).ok_or(OrderError::NoConnection)?;
-    let asked = node.now();
-    state.view.borrow_mut().asked(member, asked);
-    let mut lease = match connection(node, &pool).await {
-        Ok(lease) => lease,
-        Err(error) => {
-            if matches!(error, OrderError::NoConnection) {
-                state.view.borrow_mut().ask_withdrawn(member, asked);
-            }
-            return Err(error);
+    let sent = node.now();
+    state.view.borrow_mut().asked(member, sent);
+    let exchanged = match node.holders(&pool) {
+        Some(holders) if !holders.contains(node.instance()) => {
+            exchange_remote(node, member, &holders, order).await
         }
+        _ => exchange_status(node, &pool, order_of(order)).await,
     };
-    let sent = node.now();
+    let mut view = state.view.borrow_mut();
+    match &exchanged {
+        Ok(status) => view.observe(member, *status, sent),
+        Err(OrderError::NoConnection) => view.ask_withdrawn(member, sent),
+        // A member without a free slot lives.
+        Err(OrderError::Busy) => view.answered(member, None, sent),
+        Err(OrderError::Failed(_)) => {}
+    }
+    drop(view);
+    if exchanged.is_ok() {
+        state.announce(Some(member), node.now());
+    }
+    exchanged
+}
+
+/// The order as a member gets it.
+pub const fn order_of(order: StatusOrder) -> Order<'static> {
+    match order {
+        StatusOrder::Status => Order::Status,
+        StatusOrder::Hold(term) => Order::Hold(Term(term)),
+        StatusOrder::Resume => Order::Resume,
+        StatusOrder::Demote(term) => Order::Demote(Term(term)),
+    }
+}
+
+/// Sends an order on a connection of this instance.
+///
+/// # Errors
+///
+/// As for [`order`].
+pub async fn exchange_status<P>(
+    node: &Node<P>,
+    pool: &Rc<Pool<P>>,
+    order: Order<'_>,
+) -> Result<MemberStatus, OrderError>
+where
+    P: Platform,
+{
+    let mut lease = connection(node, pool).await?;
     let exchange = within(ANSWER_TIMEOUT, lease.exchange(order)).await;
     let error = match exchange {
-        Some(Ok(answer)) => {
-            let mut view = state.view.borrow_mut();
-            let Some(status) = P::Upstream::status(&answer) else {
-                // A member without a free slot lives.
-                view.answered(member, None, sent);
-                return Err(OrderError::Busy);
-            };
-            view.observe(member, status, sent);
-            drop(view);
-            state.announce(Some(member), node.now());
-            return Ok(status);
-        }
+        Some(Ok(answer)) => return P::Upstream::status(&answer).ok_or(OrderError::Busy),
         Some(Err(error)) => error,
         None => io::ErrorKind::TimedOut.into(),
     };
@@ -199,6 +240,46 @@
     Err(OrderError::Failed(error))
 }
 
+/// Sends an order by way of an instance that holds connections to the member.
+async fn exchange_remote<P>(
+    node: &Node<P>,
+    member: &MemberId,
+    holders: &[InstanceId],
+    order: StatusOrder,
+) -> Result<MemberStatus, OrderError>
+where
+    P: Platform,
+{
+    let workspace = node.any_workspace().ok_or(OrderError::NoConnection)?;
+    let call = Call::Order { member: member.as_str().into(), order };
+    for (holder, address) in node.holder_addresses(holders, &workspace) {
+        let Ok(mut tunnel) = node.tunnels.open(address).await else {
+            node.peers.borrow_mut().note_trouble(&holder, node.now());
+            continue;
+        };
+        match within(ANSWER_TIMEOUT + CONNECTION_WAIT, tunnel.call(&call)).await {
+            Some(Ok(Reply::Status(Some(status)))) => return Ok(member_status(status)),
+            Some(Ok(_)) => return Err(OrderError::Failed(io::ErrorKind::TimedOut.into())),
+            Some(Err(_)) | None => {
+                node.tunnels.drop_idle(address);
+                node.peers.borrow_mut().note_trouble(&holder, node.now());
+            }
+        }
+    }
+    Err(OrderError::NoConnection)
+}
+
+fn member_status(status: RemoteStatus) -> MemberStatus {
+    MemberStatus {
+        role: if status.primary { Role::Primary } else { Role::Replica },
+        term: Term(status.term),
+        received: tunnel::position(status.received),
+        held: Term(status.held),
+        lag: Duration::from_micros(status.lag),
+        connections: status.connections,
+    }
+}
+
 async fn connection<P>(node: &Node<P>, pool: &Rc<Pool<P>>) -> Result<Lease<P>, OrderError>
 where
     P: Platform,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -10,8 +11,10 @@
 use event_listener::Event as Notify;
 use hibiscusladder_core::{
     clock::{Clock, Instant},
-    name::{Group, InstanceId, MemberId, Workspace},
+    membership,
+    name::{DataCentre, Group, InstanceId, MemberId, Workspace},
     sync_group::{Failover, GroupView},
+    topology::{HOLDERS, Profile, Topology},
 };
 use hibiscusladder_io::clock::{BootClock, within};
 use serde_json::json;
@@ -24,14 +27,17 @@
     duty::Duties,
     events::{self, Event},
     metrics::Metrics,
-    peers::Peers,
-    pool::Pool,
+    peers::{Peers, Registration},
+    pool::{Pool, PoolLimits},
     roster::{Member, Roster},
     settings::Settings,
+    tunnel::Tunnels,
 };
 
 /// Connections to a member for each instance, at least; one more than the polls need.
 const MIN_CONNECTIONS: usize = 2;
+/// Connections of a holder's part that it leaves free: those of a process that has just died still count at the member.
+const HELD_BACK: usize = 1;
 
 /// Polls of one member.
 #[derive(Debug, Default, Clone, Copy)]
@@ -55,6 +61,8 @@
     pub failover: RefCell<Failover>,
     /// Writes in a row that got no answer, and since when.
     pub stalled: Cell<Option<(u32, Instant)>>,
+    /// Since when members answer and none of them leads.
+    pub leaderless_since: Cell<Option<Instant>>,
     /// Highest term for which the instance has discarded its proofs.
     pub confirmed: Cell<u64>,
     /// Members that have to be polled soon, because a request to them has no answer.
@@ -73,6 +81,7 @@
             view: RefCell::default(),
             failover: RefCell::default(),
             stalled: Cell::new(None),
+            leaderless_since: Cell::new(None),
             confirmed: Cell::new(0),
             doubted: RefCell::default(),
             polls: RefCell::default(),
@@ -152,8 +161,14 @@
     pub duties: RefCell<Duties>,
     /// Socket for messages to other instances.
     pub datagrams: UdpSocket,
+    /// Tunnels to holders.
+    pub tunnels: Tunnels,
+    topology: RefCell<Rc<Topology>>,
+    listed: Cell<bool>,
     /// Notified when other instances have to be told something at once.
     pub urgent: Notify,
+    /// Notified when an instance was heard that is not registered as far as is known.
+    pub strangers: Notify,
     /// Notified when the watches of the store have to be renewed, because another instance knows more.
     pub watches: Notify,
     members_revision: Cell<u64>,
@@ -191,7 +206,11 @@
             admission: RefCell::default(),
             duties: RefCell::default(),
             datagrams,
+            tunnels: Tunnels::default(),
+            topology: RefCell::default(),
+            listed: Cell::new(false),
             urgent: Notify::new(),
+            strangers: Notify::new(),
             watches: Notify::new(),
             members_revision: Cell::new(0),
             directory: RefCell::default(),
@@ -290,8 +309,8 @@
         let target =
             Target { member: id.clone(), group: record.group.clone(), address: record.address };
         let distance = self.settings.distance(&record.data_centre);
-        let limit = self.connection_limit(&record.group);
-        let pool = Pool::new(target, record.data_centre, distance, limit);
+        let limits = self.pool_limits(&record.group);
+        let pool = Pool::new(target, record.data_centre, distance, limits);
         self.pools.borrow_mut().insert(id.clone(), pool.clone());
         Some(pool)
     }
@@ -316,22 +335,112 @@
 
     /// Brings allotments and connection limits in line with the configuration and the number of instances.
     pub fn update_limits(&self) {
+        let topology = self.update_topology();
         let Some(directory) = self.directory() else { return };
-        let instances = self.peers.borrow().instances();
+        // Before the others are known, tokens come only from them.
+        let part = if self.listed.get() && topology.is_hub(self.instance()) {
+            1.0 / topology.hubs().count().max(1) as f64
+        } else {
+            0.0
+        };
         let limits = directory.workspaces.iter().map(|(workspace, limits)| {
             (workspace.clone(), self.settings.tolerance.extend((*limits).into()))
         });
-        self.admission.borrow_mut().configure(&limits.collect(), instances, self.now());
+        self.admission.borrow_mut().configure(&limits.collect(), part, self.now());
         for pool in self.pools.borrow().values() {
-            pool.set_limit(self.connection_limit(&pool.target.group));
+            pool.set_limits(self.pool_limits(&pool.target.group));
         }
     }
 
-    fn connection_limit(&self, group: &Group) -> usize {
+    fn max_connections(&self, group: &Group) -> usize {
         let directory = self.directory();
         let limits = directory.as_ref().and_then(|directory| directory.groups.get(group));
-        let total = limits.map_or(MIN_CONNECTIONS, |limits| limits.max_connections);
-        (total / self.peers.borrow().instances()).max(MIN_CONNECTIONS)
+        limits.map_or(MIN_CONNECTIONS, |limits| limits.max_connections)
+    }
+
+    fn pool_limits(&self, group: &Group) -> PoolLimits {
+        let total = self.max_connections(group);
+        let topology = self.topology();
+        if total / topology.len().max(1) >= MIN_CONNECTIONS {
+            let open = total / topology.len().max(1);
+            return PoolLimits { open, idle: open };
+        }
+        let open = (total / HOLDERS).saturating_sub(HELD_BACK).max(1);
+        PoolLimits { open, idle: open }
+    }
+
+    /// The instances that connect to a member; `None` when all do.
+    pub fn holders(&self, pool: &Pool<P>) -> Option<Vec<InstanceId>> {
+        let target = &pool.target;
+        let total = self.max_connections(&target.group);
+        self.topology().holders(&target.member, &pool.data_centre, total)
+    }
+
+    /// Addresses of holders for calls; the workspaces are spread over them, so that connections are used again.
+    pub fn holder_addresses(
+        &self,
+        holders: &[InstanceId],
+        workspace: &Workspace,
+    ) -> Vec<(InstanceId, SocketAddr)> {
+        let mut holders = holders.to_vec();
+        let first = membership::weight(&[], workspace.as_str()) % holders.len().max(1) as u64;
+        holders.rotate_left(usize::try_from(first).unwrap_or(0));
+        self.peers.borrow().holders(&holders, self.now())
+    }
+
+    /// Records that the holder with this address did not answer.
+    pub fn note_holder_trouble(&self, address: SocketAddr) {
+        self.peers.borrow_mut().note_trouble_at(address, self.now());
+    }
+
+    /// Takes over the registrations of the instances.
+    pub fn register(&self, registrations: &[(InstanceId, Registration)]) {
+        self.listed.set(true);
+        self.peers.borrow_mut().register(registrations, self.now());
+        self.update_limits();
+    }
+
+    /// Whether the other instances are known.
+    pub const fn has_registrations(&self) -> bool {
+        self.listed.get()
+    }
+
+    /// The own registration.
+    pub fn registration(&self) -> Registration {
+        Registration {
+            address: self.settings.peers,
+            tunnels: self.settings.tunnels,
+            data_centre: self.settings.data_centre.clone(),
+            capacity: self.settings.capacity,
+        }
+    }
+
+    /// The parts of the instances.
+    pub fn topology(&self) -> Rc<Topology> {
+        self.topology.borrow().clone()
+    }
+
+    fn update_topology(&self) -> Rc<Topology> {
+        let region = |data_centre: &DataCentre| {
+            self.settings.regions.get(data_centre).cloned().unwrap_or_default()
+        };
+        let settings = &self.settings;
+        let own = Profile {
+            name: settings.instance.clone(),
+            data_centre: settings.data_centre.clone(),
+            region: region(&settings.data_centre),
+            capacity: settings.capacity,
+        };
+        let peers = self.peers.borrow();
+        let others = peers.registrations().map(|(name, known)| Profile {
+            name: name.clone(),
+            data_centre: known.data_centre.clone(),
+            region: region(&known.data_centre),
+            capacity: known.capacity,
+        });
+        let topology = Rc::new(Topology::new(others.chain([own])));
+        *self.topology.borrow_mut() = topology.clone();
+        topology
     }
 
     /// A workspace for connections that serve no caller.
@@ -365,7 +474,7 @@
         }
     }
 
-    /// Counts a session for as long as the returned guard lives.
+    /// Counts a session, or a call of another instance, for as long as the returned guard lives.
     pub fn session_started(self: &Rc<Self>) -> SessionGuard<P> {
         self.sessions.set(self.sessions.get() + 1);
         SessionGuard { node: self.clone() }
--- a/crates/gateway/src/operation.rs
+++ b/crates/gateway/src/operation.rs
@@ -17,8 +17,9 @@
     model::{Access, Answer, Code, Failure, Query, Statement, TransactionState},
     node::Node,
     pool::Values,
-    reads::{self, Floor, Payload, Request},
+    reads::{self, Floor, Request},
     transaction::Transaction,
+    tunnel::Payload,
     writes,
 };
 
@@ -135,14 +136,6 @@
                 let failure = Failure::new(Code::Malformed, "a transaction is open; end it first");
                 return Answer::failed(failure, TransactionState::Failed);
             }
-            Statement::Set { name, value } => {
-                if let Some(transaction) = &mut self.transaction
-                    && let Err(failure) = transaction.set_value(name, value).await
-                {
-                    return Answer::failed(failure, TransactionState::Failed);
-                }
-                return self.local(query, open);
-            }
             _ => return self.local(query, open),
         };
         let payload = self.payload(query);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,7 +8,7 @@
 
 use hibiscusladder_core::{
     clock::Instant,
-    name::{InstanceId, MemberId, Workspace},
+    name::{DataCentre, InstanceId, MemberId, Workspace},
     position::{Lsn, Position, Term},
     sync_group::{LeaderNews, LeaderPosition},
 };
@@ -20,9 +20,9 @@
 
 use crate::{
     adapter::Platform,
-    directory::Directory,
     events::{self, Event},
     node::{GroupState, Node},
+    snapshot::Snapshot,
     status_page::DIRECTORY_PATH,
 };
 
@@ -36,6 +36,8 @@
 const BEHIND_PATIENCE: Duration = Duration::from_millis(1000);
 /// Time limit for the configuration of another instance.
 const DIRECTORY_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for which a holder that did not answer is the last choice.
+const HOLDER_PAUSE: Duration = Duration::from_millis(1000);
 /// Instances that are asked for tokens at once.
 const ASKED: usize = 3;
 
@@ -66,8 +68,10 @@
 pub struct Demand {
     /// The workspace.
     pub workspace: Box<str>,
-    /// Operations per second that arrive at the sender.
+    /// Operations per second that the sender needs tokens for.
     pub rate: f32,
+    /// Operations per second at all instances, as far as the sender knows.
+    pub total: f32,
     /// Tokens at the sender.
     pub level: f32,
     /// Tokens that the sender passes on to the receiver.
@@ -75,14 +79,14 @@
 }
 
 impl Demand {
-    /// Creates the entry for a workspace.
+    /// Creates the entry for a workspace from rate, total, level and gift.
     #[expect(
         clippy::cast_possible_truncation,
-        reason = "tokens need no more than the precision of f32"
+        reason = "tokens need no more precision than f32 has"
     )]
-    pub fn new(workspace: &Workspace, rate: f64, level: f64, gift: f64) -> Self {
-        let workspace = workspace.as_str().into();
-        Self { workspace, rate: rate as f32, level: level as f32, gift: gift as f32 }
+    pub fn new(workspace: &Workspace, numbers: [f64; 4]) -> Self {
+        let [rate, total, level, gift] = numbers.map(|number| number as f32);
+        Self { workspace: workspace.as_str().into(), rate, total, level, gift }
     }
 }
 
@@ -138,13 +142,23 @@
 /// How an instance registers itself in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
-    /// Address for other instances.
+    /// Address for messages of other instances.
     pub address: SocketAddr,
+    /// Address for calls of other instances.
+    pub tunnels: SocketAddr,
+    /// Data centre.
+    pub data_centre: DataCentre,
+    /// What it can carry, in thousandths of a core.
+    pub capacity: u32,
 }
 
 #[derive(Debug, Clone)]
 struct Peer {
     address: SocketAddr,
+    /// What the instance says of itself, once that is known.
+    registration: Option<Registration>,
+    /// Until when the instance is the last choice as a holder.
+    troubled_until: Instant,
     /// Process and sending time of the latest message.
     latest: Option<(u64, u64)>,
     heard: Option<Instant>,
@@ -159,6 +173,8 @@
     const fn new(address: SocketAddr, now: Instant) -> Self {
         Self {
             address,
+            registration: None,
+            troubled_until: Instant::new(Duration::ZERO),
             latest: None,
             heard: None,
             registered: now,
@@ -207,15 +223,44 @@
         for (name, registration) in listed.iter().filter(|(name, _)| *name != self.own) {
             let peer = self.peers.entry(name.clone());
             let peer = peer.or_insert_with(|| Peer::new(registration.address, now));
+            peer.registration = Some(registration.clone());
             if !peer.is_live(now) {
                 peer.address = registration.address;
             }
         }
     }
 
-    /// Number of known instances, with this one.
-    pub fn instances(&self) -> usize {
-        1 + self.peers.len()
+    /// The registrations of the other instances, as far as they are known.
+    pub fn registrations(&self) -> impl Iterator<Item = (&InstanceId, &Registration)> {
+        self.peers.iter().filter_map(|(name, peer)| Some((name, peer.registration.as_ref()?)))
+    }
+
+    /// Addresses of some holders, those in trouble last.
+    pub fn holders(&self, names: &[InstanceId], now: Instant) -> Vec<(InstanceId, SocketAddr)> {
+        let known = names.iter().filter_map(|name| Some((name, self.peers.get(name)?)));
+        let mut known: Vec<(&InstanceId, &Peer)> = known.collect();
+        known.sort_by_key(|(_, peer)| now < peer.troubled_until);
+        let addresses = known
+            .into_iter()
+            .filter_map(|(name, peer)| Some((name.clone(), peer.registration.as_ref()?.tunnels)));
+        addresses.collect()
+    }
+
+    /// Records that a holder did not answer.
+    pub fn note_trouble(&mut self, name: &InstanceId, now: Instant) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.troubled_until = now.plus(HOLDER_PAUSE);
+        }
+    }
+
+    /// Records that the holder with this address for calls did not answer.
+    pub fn note_trouble_at(&mut self, address: SocketAddr, now: Instant) {
+        let at = |peer: &&mut Peer| {
+            peer.registration.as_ref().is_some_and(|known| known.tunnels == address)
+        };
+        for peer in self.peers.values_mut().filter(at) {
+            peer.troubled_until = now.plus(HOLDER_PAUSE);
+        }
     }
 
     /// Names of the other instances.
@@ -291,6 +336,12 @@
         ahead.max_by_key(|peer| peer.version).map(|peer| peer.address)
     }
 
+    /// The live instance with the newest configuration and members.
+    fn newest(&self, now: Instant) -> Option<SocketAddr> {
+        let live = self.peers.values().filter(|peer| peer.is_live(now));
+        live.max_by_key(|peer| (peer.version, peer.members)).map(|peer| peer.address)
+    }
+
     /// Whether a live instance has newer entries of members than `revision`.
     fn members_ahead(&self, revision: u64, now: Instant) -> bool {
         self.peers.values().any(|peer| peer.is_live(now) && peer.members > revision)
@@ -345,17 +396,20 @@
     let received = node.peers.borrow_mut().receive(status, address, now);
     let Some(received) = received else { return };
     let from = InstanceId::new(&status.from);
+    if received.new {
+        node.strangers.notify(usize::MAX);
+    }
     if received.regained || received.new {
         events::note(
             Event::PeerRegained,
             json!({ "instance": from.as_str(), "new": received.new }),
         );
     }
-    if received.new {
-        node.update_limits();
-    }
-    node.admission.borrow_mut().note(&from, &status.demands, now);
-    let mut answer = false;
+    let topology = node.topology();
+    let is_hub = topology.is_hub(&from);
+    node.admission.borrow_mut().note(&from, &status.demands, is_hub, now);
+    // An instance that is no hub asks by its message.
+    let mut answer = !is_hub && topology.is_hub(node.instance());
     for news in &status.groups {
         if let Some(state) = node.group_named(&news.group) {
             answer |= take_news(&state, news, received.asked, now);
@@ -457,18 +511,50 @@
     P: Platform,
 {
     let mut behind_since = None;
+    let mut turn = 0;
     loop {
         within(SEND_INTERVAL, node.urgent.listen()).await;
         let now = node.now();
         for silent in node.peers.borrow_mut().newly_silent(now) {
             events::note(Event::PeerLost, json!({ "instance": silent.as_str() }));
         }
-        let names = node.peers.borrow().names();
-        send_to(&node, &names, now);
+        turn += 1;
+        let receivers = receivers(&node, turn);
+        send_to(&node, &receivers, now);
         catch_up(&node, &mut behind_since, now);
     }
 }
 
+/// The hubs of the own region, without this instance.
+pub fn neighbours<P>(node: &Node<P>) -> Vec<InstanceId>
+where
+    P: Platform,
+{
+    let topology = node.topology();
+    topology
+        .regional_hubs(node.instance())
+        .filter(|name| *name != node.instance())
+        .cloned()
+        .collect()
+}
+
+/// The instances that get a message in this turn: hubs tell all hubs, others one hub of their region after the other.
+fn receivers<P>(node: &Node<P>, turn: usize) -> Vec<InstanceId>
+where
+    P: Platform,
+{
+    let topology = node.topology();
+    let own = node.instance();
+    if topology.is_flat() {
+        return node.peers.borrow().names();
+    }
+    if topology.is_hub(own) {
+        return topology.hubs().filter(|name| *name != own).cloned().collect();
+    }
+    let hubs = neighbours(node);
+    hubs.get(turn % hubs.len().max(1)).cloned().into_iter().collect()
+}
+
 /// Acts when other instances have had newer versions for a while.
 fn catch_up<P>(node: &Rc<Node<P>>, behind_since: &mut Option<Instant>, now: Instant)
 where
@@ -480,11 +566,15 @@
         *behind_since = None;
         return;
     }
-    if now.since(*behind_since.get_or_insert(now)) < BEHIND_PATIENCE {
+    // A hub watches the store itself, and is told at the same time as the others.
+    let is_hub = node.topology().is_hub(node.instance());
+    let patience = if is_hub { BEHIND_PATIENCE } else { Duration::ZERO };
+    if now.since(*behind_since.get_or_insert(now)) < patience {
         return;
     }
     *behind_since = Some(now);
     node.watches.notify(usize::MAX);
+    let ahead = if is_hub { ahead } else { node.peers.borrow().newest(now) };
     if let Some(address) = ahead {
         let fetcher = node.clone();
         node.spawn(async move { fetch_directory(&fetcher, address).await });
@@ -496,16 +586,17 @@
 where
     P: Platform,
 {
-    let groups = group_news(node, now);
-    let everyone = node.peers.borrow().names();
-    // Tokens are divided only among those who get this message.
-    let mut demands = node.admission.borrow_mut().plan(names, names.len() == everyone.len(), now);
+    let topology = node.topology();
+    let sharing = topology.regional_hubs(node.instance()).count();
+    let sharing = if topology.is_hub(node.instance()) { sharing } else { 1 };
     for name in names {
         let (address, answers) = {
             let peers = node.peers.borrow();
             let Some(peer) = peers.peers.get(name) else { continue };
             (peer.address, peer.latest)
         };
+        // Hubs hear of a fence from the instance that sets it; the others hear of it from their hubs.
+        let relayed = !topology.is_hub(name);
         let status = Status {
             from: node.instance().as_str().into(),
             started: node.peers.borrow().started,
@@ -513,14 +604,14 @@
             answers,
             version: node.version(),
             members: node.members_revision(),
-            groups: groups.clone(),
-            demands: demands.remove(name).unwrap_or_default(),
+            groups: group_news(node, relayed, now),
+            demands: node.admission.borrow_mut().tell(name, sharing, now),
         };
         send_datagram(node, address, &Datagram::Status(status));
     }
 }
 
-fn group_news<P>(node: &Node<P>, now: Instant) -> Vec<GroupNews>
+fn group_news<P>(node: &Node<P>, relayed: bool, now: Instant) -> Vec<GroupNews>
 where
     P: Platform,
 {
@@ -535,7 +626,9 @@
                 (known.position.term.0, known.position.lsn.0, micros(now.since(known.sent)))
             }),
         });
-        let fence = state.failover.borrow().fence();
+        let own = state.failover.borrow().fence();
+        let heard = || view.fenced(now).map(|term| (term, false));
+        let fence = if relayed { own.or_else(heard) } else { own };
         GroupNews {
             group: state.name.as_str().into(),
             leader,
@@ -547,13 +640,13 @@
     news.collect()
 }
 
-async fn fetch_directory<P>(node: &Node<P>, address: SocketAddr)
+async fn fetch_directory<P>(node: &Rc<Node<P>>, address: SocketAddr)
 where
     P: Platform,
 {
     let fetched = within(DIRECTORY_TIMEOUT, get_directory(address)).await;
     match fetched {
-        Some(Ok(directory)) => node.apply_directory(Rc::new(directory), "instance"),
+        Some(Ok(snapshot)) => snapshot.apply(node),
         Some(Err(error)) => note_unfetched(address, &error.to_string()),
         None => note_unfetched(address, "no answer in time"),
     }
@@ -564,7 +657,7 @@
     events::note(Event::PeerLost, fields);
 }
 
-async fn get_directory(address: SocketAddr) -> io::Result<Directory> {
+async fn get_directory(address: SocketAddr) -> io::Result<Snapshot> {
     let req = Request::get(DIRECTORY_PATH)
         .header(hyper::header::HOST, address.to_string())
         .body(Full::default())
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -88,13 +88,22 @@
 {
     idle: Vec<Connection<P>>,
     open: usize,
-    limit: usize,
+    limits: PoolLimits,
     full_until: Instant,
     service_s: f64,
     measured: Instant,
     in_use: usize,
 }
 
+/// How many connections an instance may have to a member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PoolLimits {
+    /// Connections at once.
+    pub open: usize,
+    /// Connections that are kept while they are idle.
+    pub idle: usize,
+}
+
 /// The connections to one member.
 pub struct Pool<P>
 where
@@ -119,17 +128,17 @@
 where
     P: Platform,
 {
-    /// Creates a pool of at most `limit` connections.
+    /// Creates a pool without connections.
     pub fn new(
         target: Target,
         data_centre: DataCentre,
         distance: Distance,
-        limit: usize,
+        limits: PoolLimits,
     ) -> Rc<Self> {
         let state = State {
             idle: Vec::new(),
             open: 0,
-            limit,
+            limits,
             full_until: Instant::default(),
             service_s: ASSUMED_SERVICE_S,
             measured: BootClock.now(),
@@ -148,9 +157,9 @@
         })
     }
 
-    /// Changes the largest number of connections.
-    pub fn set_limit(&self, limit: usize) {
-        self.state.borrow_mut().limit = limit;
+    /// Changes the numbers of connections.
+    pub fn set_limits(&self, limits: PoolLimits) {
+        self.state.borrow_mut().limits = limits;
     }
 
     /// Connections opened so far.
@@ -284,7 +293,7 @@
         if now < state.full_until {
             return None;
         }
-        if state.open >= state.limit {
+        if state.open >= state.limits.open {
             let oldest = (0..state.idle.len()).min_by_key(|at| state.idle[*at].answered)?;
             state.idle.remove(oldest);
             state.open -= 1;
@@ -294,12 +303,19 @@
         Some(Opening { pool: self.clone(), reserved: true })
     }
 
+    /// Counts a use of the member by way of another instance.
+    pub fn begin_use(self: &Rc<Self>) -> UseGuard<P> {
+        self.state.borrow_mut().in_use += 1;
+        UseGuard { pool: self.clone() }
+    }
+
     fn lease(self: &Rc<Self>, connection: Connection<P>) -> Lease<P> {
         self.state.borrow_mut().in_use += 1;
         Lease { pool: self.clone(), connection: Some(connection), clean: true }
     }
 
-    fn measure(&self, service: Duration, now: Instant) {
+    /// Records how long a member took for a statement.
+    pub fn measure(&self, service: Duration, now: Instant) {
         let mut state = self.state.borrow_mut();
         let service = service.saturating_sub(self.round_trip()).as_secs_f64();
         state.service_s += (service - state.service_s) * SERVICE_WEIGHT;
@@ -307,6 +323,23 @@
     }
 }
 
+/// Counts a use of a member until it is dropped.
+pub struct UseGuard<P>
+where
+    P: Platform,
+{
+    pool: Rc<Pool<P>>,
+}
+
+impl<P> Drop for UseGuard<P>
+where
+    P: Platform,
+{
+    fn drop(&mut self) {
+        self.pool.state.borrow_mut().in_use -= 1;
+    }
+}
+
 /// The reserved place of a connection that is being opened.
 struct Opening<P>
 where
@@ -467,7 +500,9 @@
     fn drop(&mut self) {
         let mut state = self.pool.state.borrow_mut();
         state.in_use -= 1;
-        let fits = state.open <= state.limit && !self.pool.closed.get();
+        let fits = state.open <= state.limits.open
+            && state.idle.len() < state.limits.idle
+            && !self.pool.closed.get();
         match self.connection.take() {
             Some(connection) if self.clean && fits => state.idle.push(connection),
             _ => state.open -= 1,
--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -12,13 +12,15 @@
 use serde_json::json;
 
 use crate::{
-    adapter::{Order, Platform},
+    adapter::Platform,
+    channel::{self, Attempt, Channel, Run, is_idle},
     directory::{Consistency, Route},
     events::{self, Event},
     metrics::Counter,
-    model::{Access, Answer, Code, Failure, TransactionState},
+    model::{Answer, Code, Failure, TransactionState},
     node::Node,
-    pool::{AcquireError, Lease, Values},
+    pool::Values,
+    tunnel::Payload,
 };
 
 /// Longest time for which a request waits for a member that can run it.
@@ -45,22 +47,6 @@
     pub at: Instant,
 }
 
-/// A statement that is ready to be sent to any member.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Payload {
-    /// Text of the caller.
-    Text(Box<str>),
-    /// Execution of a prepared statement.
-    Execute {
-        /// Whether it reads or writes.
-        access: Access,
-        /// Shape of the statement.
-        shape: Box<str>,
-        /// Arguments as they came.
-        arguments: Box<str>,
-    },
-}
-
 /// A request with all that is needed to run it.
 #[derive(Debug, Clone)]
 pub struct Request {
@@ -80,6 +66,13 @@
     pub floor: Option<Floor>,
 }
 
+impl Request {
+    /// The request's statement for a connection.
+    pub fn run(&self, after: Option<Position>, limit: Duration) -> Run<'_> {
+        Run { id: &self.id, payload: &self.payload, values: &self.values, after, limit }
+    }
+}
+
 /// Where a read may run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Choice {
@@ -91,19 +84,6 @@
     pub primary: bool,
 }
 
-/// What became of one attempt.
-#[derive(Debug)]
-pub enum Attempt {
-    /// The member answered.
-    Answered(Answer),
-    /// The member did not run it.
-    NotRun(Code),
-    /// The member cannot be reached; nothing was sent.
-    Unreachable,
-    /// It was sent, and there was no whole answer.
-    Broken,
-}
-
 /// The members that may run a read, best first.
 pub fn choices<P>(node: &Node<P>, req: &Request) -> Vec<Choice>
 where
@@ -137,9 +117,9 @@
         // The newest commit that the replica has to have applied was made at this time.
         let newest = own.map_or(bound.sent, |own| own.at.max(bound.sent));
         for member in view.members() {
-            let Some(status) = view.status(member) else { continue };
+            let lag = view.status(member).map_or(Duration::ZERO, |status| status.lag);
             let is_leader = leader.as_ref().is_some_and(|leader| leader.member == *member);
-            let applied = status.lag <= now.since(newest);
+            let applied = lag <= now.since(newest);
             let reachable = view.silent_for(member, now) < REPLICA_SILENCE;
             if !is_leader && applied && reachable && takes_work(node, member, false, now) {
                 push(node, req, &mut choices, member, Some(after), false);
@@ -337,29 +317,46 @@
     P: Platform,
 {
     let limit = req.route.statement_timeout;
-    let until = node.now().plus(limit);
-    let mut lease = match acquire(node, req, &choice.member, until).await {
-        Ok(lease) => lease,
+    let mut channel = match open(node, req, &choice.member).await {
+        Ok(channel) => channel,
         Err(attempt) => return attempt,
     };
     let sent = node.now();
-    let running = async {
-        lease.set_values(&req.values).await?;
-        send(&mut lease, &req.id, &req.payload, choice.after).await
-    };
-    match within(limit, doubting(node, req, &choice.member, running)).await {
-        Some(Ok(answer)) if answer.state == TransactionState::Idle => {
+    let running = channel.run(node, req.run(choice.after, limit));
+    match doubting(node, req, &choice.member, running).await {
+        Attempt::Answered(answer) if is_idle(&answer) => {
             note_answer(node, req, &choice.member, answer.position, sent);
-            lease.pool().note_lagging(answer.code() == Some(Code::Lagging), node.now());
+            if let Some(pool) = node.pool(&choice.member) {
+                pool.note_lagging(answer.code() == Some(Code::Lagging), node.now());
+            }
             Attempt::Answered(answer)
         }
-        _ => {
-            lease.pool().note_trouble(node.now());
-            Attempt::Broken
-        }
+        Attempt::Answered(_) => Attempt::Broken,
+        other => other,
     }
 }
 
+/// Opens a way to `member` for a request.
+///
+/// # Errors
+///
+/// The attempt's outcome when there is none.
+pub async fn open<P>(
+    node: &Node<P>,
+    req: &Request,
+    member: &MemberId,
+) -> Result<Channel<P>, Attempt>
+where
+    P: Platform,
+{
+    let until = node.now().plus(req.route.statement_timeout);
+    let opened = channel::open(node, member, &req.workspace, &req.values, until).await;
+    if matches!(opened, Err(Attempt::Unreachable)) {
+        doubt(node, req, member);
+    }
+    opened
+}
+
 /// Waits for `answer`, and has the member polled when it takes long.
 pub async fn doubting<P, F>(
     node: &Node<P>,
@@ -402,59 +399,3 @@
         state.view.borrow_mut().answered(member, position, sent);
     }
 }
-
-/// A connection to `member` for a request.
-///
-/// # Errors
-///
-/// The attempt's outcome when there is none.
-pub async fn acquire<P>(
-    node: &Node<P>,
-    req: &Request,
-    member: &MemberId,
-    until: Instant,
-) -> Result<Lease<P>, Attempt>
-where
-    P: Platform,
-{
-    let Some(pool) = node.pool(member) else { return Err(Attempt::Unreachable) };
-    let opened = pool.opened();
-    let started = node.now();
-    let acquired = pool.acquire(&req.workspace, &req.values, until).await;
-    node.metrics.time(crate::metrics::Stage::Connection, node.now().since(started));
-    if pool.opened() > opened {
-        node.metrics.count(Counter::MemberConnections, "opened");
-    }
-    acquired.map_err(|error| match error {
-        AcquireError::Exhausted => Attempt::NotRun(Code::TooMany),
-        AcquireError::Refused(failure) => Attempt::NotRun(failure.code),
-        AcquireError::Unreachable(_) => {
-            pool.note_trouble(node.now());
-            doubt(node, req, member);
-            Attempt::Unreachable
-        }
-    })
-}
-
-/// Sends a statement on a connection that has the session's values, and reads the answer.
-///
-/// # Errors
-///
-/// The connection broke; the statement may have run.
-pub async fn send<P>(
-    lease: &mut Lease<P>,
-    id: &str,
-    payload: &Payload,
-    after: Option<Position>,
-) -> std::io::Result<Answer>
-where
-    P: Platform,
-{
-    match payload {
-        Payload::Text(text) => lease.exchange(Order::Forward { id, text, after }).await,
-        Payload::Execute { access, shape, arguments } => {
-            let name = lease.prepare(*access, shape).await?;
-            lease.exchange(Order::Execute { id, name: &name, arguments, after }).await
-        }
-    }
-}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -17,6 +17,7 @@
     adapter::{Collection, Platform},
     control,
     events::{self, Event},
+    holder,
     node::Node,
     peers, session,
     settings::Settings,
@@ -84,6 +85,7 @@
     let callers = listen(settings.callers, "callers").await?;
     let readiness = listen(settings.readiness, "readiness").await?;
     let metrics = listen(settings.metrics, "metrics").await?;
+    let tunnels = listen(settings.tunnels, "calls of other instances").await?;
     let directory = listen(settings.peers, "other instances").await?;
     events::note(
         Event::Started,
@@ -93,6 +95,7 @@
         }),
     );
     node.spawn(accept(node.clone(), callers));
+    node.spawn(holder::serve(node.clone(), tunnels));
     node.spawn(status_page::serve(node.clone(), readiness, Page::Readiness));
     node.spawn(status_page::serve(node.clone(), metrics, Page::Metrics));
     node.spawn(status_page::serve(node.clone(), directory, Page::Directory));
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -22,6 +22,10 @@
     pub readiness: SocketAddr,
     /// Address for other instances, over TCP and UDP.
     pub peers: SocketAddr,
+    /// Address for calls of other instances to the members whose connections this one holds.
+    pub tunnels: SocketAddr,
+    /// What the instance can carry, in thousandths of a core.
+    pub capacity: u32,
     /// Address at which metrics are served.
     pub metrics: SocketAddr,
     /// Time from a request to stop until the process is killed.
--- a/crates/gateway/src/status_page.rs
+++ b/crates/gateway/src/status_page.rs
@@ -9,7 +9,7 @@
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::FuturesIo;
 
-use crate::{adapter::Platform, events, node::Node, peers::SEND_INTERVAL};
+use crate::{adapter::Platform, events, node::Node, peers::SEND_INTERVAL, snapshot::Snapshot};
 
 /// Path of the configuration.
 pub const DIRECTORY_PATH: &str = "/directory";
@@ -82,8 +82,7 @@
 where
     P: Platform,
 {
-    let directory = node.directory();
-    let body = directory.and_then(|directory| postcard::to_stdvec(&*directory).ok());
+    let body = Snapshot::take(node).and_then(|snapshot| postcard::to_stdvec(&snapshot).ok());
     match body {
         Some(body) => reply(StatusCode::OK, Bytes::from(body)),
         None => reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -6,7 +6,7 @@
     clock::Instant,
     name::{InstanceId, MemberId},
 };
-use hibiscusladder_io::clock::sleep;
+use hibiscusladder_io::clock::{sleep, within};
 use serde_json::json;
 use smol::future::FutureExt;
 
@@ -24,14 +24,17 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause between calls while the store does not answer.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1000);
-/// Time from the start until the instances are listed again; others that start at the same time have registered then.
-const SECOND_LISTING: Duration = Duration::from_secs(2);
+/// Time from the own registration until the instances are listed; others that start at the same time have registered
+/// then.
+const FIRST_LISTING: Duration = Duration::from_millis(900);
 /// Time between two listings of the instances; new ones make themselves known by their messages.
 const LISTING_INTERVAL: Duration = Duration::from_secs(25);
 /// Time without a message after which another instance's registration is removed.
 const ABANDONED_AFTER: Duration = Duration::from_secs(60);
 /// Instances whose watches are short, so that one of them notices soon when a watch has gone silent.
 const WATCHERS: usize = 2;
+/// Pause between two looks whether an instance that is no hub still hears one.
+const HUB_LOOK: Duration = Duration::from_millis(500);
 /// Longest time that their watches wait.
 const SHORT_WATCH: Duration = Duration::from_secs(2);
 /// Longest time that the other watches wait; each call has its price.
@@ -48,6 +51,11 @@
     let mut pause = RETRY_PAUSE;
     let mut lost = false;
     loop {
+        if !is_watcher(&node) {
+            revision = None;
+            sleep(HUB_LOOK).await;
+            continue;
+        }
         let result = match revision {
             None => list(&node, collection).await,
             Some(since) => watch(&node, collection, since).await,
@@ -78,6 +86,19 @@
     }
 }
 
+/// Whether this instance asks the store itself: hubs do, and others while they hear no hub.
+fn is_watcher<P>(node: &Node<P>) -> bool
+where
+    P: Platform,
+{
+    let topology = node.topology();
+    if !node.has_registrations() {
+        return false;
+    }
+    let live = node.peers.borrow().live(node.now());
+    topology.is_hub(node.instance()) || !live.iter().any(|name| topology.is_hub(name))
+}
+
 async fn list<P>(node: &Rc<Node<P>>, collection: Collection) -> Result<u64, StoreError>
 where
     P: Platform,
@@ -152,7 +173,8 @@
     }
 }
 
-fn apply_member<P>(node: &Rc<Node<P>>, id: MemberId, record: MemberRecord, now: Instant)
+/// Takes over what a member says of itself.
+pub fn apply_member<P>(node: &Rc<Node<P>>, id: MemberId, record: MemberRecord, now: Instant)
 where
     P: Platform,
 {
@@ -199,12 +221,13 @@
 where
     P: Platform,
 {
-    let mut pause = SECOND_LISTING;
+    // A failure shows at the listing as well, which registers again.
+    register_self(&node, &[], &[]).await.err();
+    sleep(FIRST_LISTING).await;
     loop {
         match list_instances(&node).await {
             Ok(()) => {
-                sleep(pause).await;
-                pause = LISTING_INTERVAL;
+                within(LISTING_INTERVAL, node.strangers.listen()).await;
             }
             Err(_) => sleep(MAX_RETRY_PAUSE).await,
         }
@@ -227,8 +250,7 @@
             Some((InstanceId::new(&object.name), serde_json::from_str(text).ok()?))
         })
         .collect();
-    node.peers.borrow_mut().register(&registrations, now);
-    node.update_limits();
+    node.register(&registrations);
     register_self(node, &objects, &registrations).await?;
     remove_abandoned(node, &objects, now).await
 }
@@ -241,7 +263,7 @@
 where
     P: Platform,
 {
-    let own = Registration { address: node.settings.peers };
+    let own = node.registration();
     if registrations.iter().any(|(name, known)| name == node.instance() && *known == own) {
         return Ok(());
     }
--- a/crates/gateway/src/transaction.rs
+++ b/crates/gateway/src/transaction.rs
@@ -3,24 +3,24 @@
 use std::{rc::Rc, time::Duration};
 
 use hibiscusladder_core::name::MemberId;
-use hibiscusladder_io::clock::{sleep, within};
+use hibiscusladder_io::clock::sleep;
 use serde_json::json;
 
 use crate::{
-    adapter::{Order, Platform},
+    adapter::Platform,
+    channel::{Attempt, Channel, Run, is_idle},
     events::{self, Event},
     model::{Answer, Code, Failure, Query, TransactionState},
     node::Node,
-    pool::{Lease, Values},
+    pool::Values,
     reads::{
-        Attempt, Choice, Floor, MEMBER_WAIT, Payload, Request, acquire, choices, doubting,
-        note_answer, note_retry, send, wait_for_change,
+        self, Choice, Floor, MEMBER_WAIT, Request, choices, doubting, note_answer, note_retry,
+        wait_for_change,
     },
-    writes::{self, note_commit, note_unknown},
+    tunnel::Payload,
+    writes::{self, note_commit, note_unknown, note_write},
 };
 
-/// Longest wait for the answer to a rollback; after it the connection is closed, which rolls back as well.
-const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause before members are tried again that could not begin a transaction a moment ago.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
@@ -33,7 +33,8 @@
     pub request: Request,
     /// Whether it only reads.
     pub read_only: bool,
-    lease: Option<Lease<P>>,
+    /// The member and the way to it, from the first statement on.
+    channel: Option<(MemberId, Channel<P>)>,
     wrote: bool,
 }
 
@@ -43,24 +44,7 @@
 {
     /// A transaction that no member knows of yet.
     pub const fn new(request: Request, read_only: bool) -> Self {
-        Self { request, read_only, lease: None, wrote: false }
-    }
-
-    /// Sets a value on the connection, if there is one.
-    ///
-    /// # Errors
-    ///
-    /// The connection broke; the transaction is rolled back.
-    pub async fn set_value(&mut self, name: &str, value: &str) -> Result<(), Failure> {
-        let limit = self.request.route.statement_timeout;
-        let Some(lease) = &mut self.lease else { return Ok(()) };
-        match within(limit, lease.set_value(name, value)).await {
-            Some(Ok(())) => Ok(()),
-            _ => {
-                self.lease = None;
-                Err(aborted("the connection to the member broke"))
-            }
-        }
+        Self { request, read_only, channel: None, wrote: false }
     }
 
     /// Runs a read or a write.
@@ -72,35 +56,21 @@
         payload: &Payload,
         writes: bool,
     ) -> Answer {
+        let failed = TransactionState::Failed;
         if let Err(failure) = self.begin(node, values, id).await {
-            return Answer::failed(failure, TransactionState::Failed);
+            return Answer::failed(failure, failed);
         }
-        let limit = self.request.route.statement_timeout;
-        let Some(lease) = &mut self.lease else {
-            return Answer::failed(aborted("there is no connection"), TransactionState::Failed);
-        };
         self.wrote |= writes;
-        let member = lease.pool().target.member.clone();
-        let sent = node.now();
-        let answered = doubting(node, &self.request, &member, send(lease, id, payload, None));
-        let answered = within(limit, answered).await;
-        if matches!(answered, Some(Ok(_))) {
-            note_answer(node, &self.request, &member, None, sent);
-        }
-        match answered {
-            Some(Ok(answer)) if answer.state != TransactionState::Idle => {
+        match self.send(node, values, id, payload).await {
+            Attempt::Answered(answer) if !is_idle(&answer) => {
                 if answer.outcome.is_err() {
                     self.abandon(node, None);
-                    return Answer { state: TransactionState::Failed, ..answer };
+                    return Answer { state: failed, ..answer };
                 }
                 answer
             }
-            outcome => {
-                let reason =
-                    if outcome.is_some() { "the connection broke" } else { "no answer in time" };
-                let failure = self.lose(node, id, reason);
-                Answer::failed(failure, TransactionState::Failed)
-            }
+            Attempt::Broken => Answer::failed(self.lose(node, id, "no whole answer"), failed),
+            _ => Answer::failed(self.lose(node, id, "the connection broke"), failed),
         }
     }
 
@@ -112,69 +82,81 @@
         id: &str,
         text: &str,
     ) -> (Answer, Option<Floor>) {
+        let idle = TransactionState::Idle;
         if let Err(failure) = self.begin(node, values, id).await {
-            return (Answer::failed(failure, TransactionState::Idle), None);
+            return (Answer::failed(failure, idle), None);
         }
-        let limit = self.request.route.statement_timeout;
-        let Some(lease) = &mut self.lease else {
-            let failure = aborted("there is no connection");
-            return (Answer::failed(failure, TransactionState::Idle), None);
-        };
-        let member = lease.pool().target.member.clone();
-        let payload = Payload::Text(text.into());
         let sent = node.now();
-        let answered = doubting(node, &self.request, &member, send(lease, id, &payload, None));
-        let answered = within(limit, answered).await;
-        if self.wrote
-            && let Some(state) = node.group(&self.request.route.group)
-        {
-            state.note_write(matches!(answered, Some(Ok(_))), node.now());
+        let payload = Payload::Text(text.into());
+        let attempt = self.send(node, values, id, &payload).await;
+        if self.wrote {
+            note_write(node, &self.request, matches!(attempt, Attempt::Answered(_)));
         }
-        match answered {
-            Some(Ok(answer)) if answer.state == TransactionState::Idle => {
-                if self.wrote && answer.outcome.is_ok() {
+        match attempt {
+            Attempt::Answered(answer) if is_idle(&answer) => {
+                let kept = self.wrote && answer.outcome.is_ok();
+                if let Some(member) = self.member().filter(|_| kept) {
                     note_commit(node, &self.request, &member, answer.position, sent);
                 }
-                let floor = answer.position.filter(|_| self.wrote && answer.outcome.is_ok());
+                let floor = answer.position.filter(|_| kept);
                 (answer, floor.map(|position| Floor { position, at: node.now() }))
             }
+            // Nothing of the commit was sent, or there is nothing to keep.
+            Attempt::NotRun(_) | Attempt::Unreachable => {
+                (Answer::failed(self.lose(node, id, "the commit was not sent"), idle), None)
+            }
             _ if !self.wrote => {
                 let failure = self.lose(node, id, "no answer to the commit of reads");
-                (Answer::failed(failure, TransactionState::Idle), None)
-            }
-            _ => {
-                lease.pool().drop_idle();
-                note_unknown(node, &self.request, &member, "commit");
-                let detail =
-                    "the member did not answer the commit; read the items before trying again";
-                let failure = Failure::new(Code::Unknown, detail);
-                (Answer::failed(failure, TransactionState::Idle), None)
+                (Answer::failed(failure, idle), None)
             }
+            _ => (self.unknown(node), None),
         }
     }
 
     /// Rolls back in the background, because the caller asked for it with `query` or without being asked.
     pub fn abandon(&mut self, node: &Node<P>, query: Option<&Query>) {
-        let Some(mut lease) = self.lease.take() else { return };
-        let own = query.map(|query| (query.id.clone(), query.text.clone()));
-        node.spawn(async move {
-            let order = match &own {
-                Some((id, text)) => Order::Forward { id, text, after: None },
-                None => Order::Rollback,
-            };
-            // Without an answer the connection is closed, which rolls back as well.
-            within(ROLLBACK_TIMEOUT, lease.exchange(order)).await;
-        });
+        let Some((_, channel)) = self.channel.take() else { return };
+        let request = query.map(|query| (query.id.clone(), query.text.clone()));
+        node.spawn(channel.rollback(request));
+    }
+
+    async fn send(
+        &mut self,
+        node: &Rc<Node<P>>,
+        values: &Values,
+        id: &str,
+        payload: &Payload,
+    ) -> Attempt {
+        let limit = self.request.route.statement_timeout;
+        let Some((member, channel)) = &mut self.channel else { return Attempt::Unreachable };
+        let sent = node.now();
+        let running = channel.run(node, Run { id, payload, values, after: None, limit });
+        let attempt = doubting(node, &self.request, member, running).await;
+        if matches!(attempt, Attempt::Answered(_)) {
+            note_answer(node, &self.request, member, None, sent);
+        }
+        attempt
+    }
+
+    fn member(&self) -> Option<MemberId> {
+        self.channel.as_ref().map(|(member, _)| member.clone())
+    }
+
+    fn unknown(&self, node: &Node<P>) -> Answer {
+        if let Some(member) = self.member() {
+            note_unknown(node, &self.request, &member, "commit");
+        }
+        let detail = "the member did not answer the commit; read the items before trying again";
+        Answer::failed(Failure::new(Code::Unknown, detail), TransactionState::Idle)
     }
 
     /// Closes the connection, which rolls back.
     fn lose(&mut self, node: &Node<P>, id: &str, reason: &'static str) -> Failure {
-        if let Some(lease) = self.lease.take() {
-            lease.pool().drop_idle();
+        if let Some((member, _)) = self.channel.take() {
             events::note(
                 Event::TransactionEnded,
                 json!({
-                    "request": id, "reason": reason, "member": lease.pool().target.member.as_str(),
+                    "request": id, "reason": reason, "member": member.as_str(),
                     "workspace": self.request.workspace.as_str(),
                     "age_ms": node.now().since(self.request.arrived).as_millis() as u64,
                 }),
@@ -190,7 +172,7 @@
         values: &Values,
         id: &str,
     ) -> Result<(), Failure> {
-        if self.lease.is_some() {
+        if self.channel.is_some() {
             return Ok(());
         }
         let until = node.now().plus(MEMBER_WAIT);
@@ -208,8 +190,8 @@
                 continue;
             };
             match self.begin_at(node, values, choice).await {
-                Ok(lease) => {
-                    self.lease = Some(lease);
+                Ok(channel) => {
+                    self.channel = Some((choice.member.clone(), channel));
                     return Ok(());
                 }
                 Err(cause) => note_retry(node, id, cause, &choice.member),
@@ -227,14 +209,6 @@
         Err(aborted("no member could begin the transaction; try again in 500 ms"))
     }
 
-    /// The caller's own statement.
-    fn begin_text(&self) -> &str {
-        match &self.request.payload {
-            Payload::Text(text) => text,
-            Payload::Execute { .. } => "",
-        }
-    }
-
     fn candidates(&self, node: &Node<P>) -> Vec<Choice> {
         let mut candidates = choices(node, &self.request);
         if !self.read_only {
@@ -249,36 +223,33 @@
         node: &Rc<Node<P>>,
         values: &Values,
         choice: &Choice,
-    ) -> Result<Lease<P>, &'static str> {
+    ) -> Result<Channel<P>, &'static str> {
         let limit = self.request.route.statement_timeout;
-        let until = node.now().plus(limit);
-        let mut lease =
-            acquire(node, &self.request, &choice.member, until).await.map_err(|attempt| {
-                match attempt {
-                    Attempt::NotRun(code) => code.as_str(),
-                    _ => "unreachable",
-                }
-            })?;
-        let begin =
-            Order::Forward { id: &self.request.id, text: self.begin_text(), after: choice.after };
-        let beginning = async {
-            lease.set_values(values).await?;
-            lease.exchange(begin).await
-        };
-        match within(limit, beginning).await {
-            Some(Ok(answer)) => match answer.outcome {
-                Ok(_) if answer.state == TransactionState::Open => Ok(lease),
+        let mut channel = reads::open(node, &self.request, &choice.member)
+            .await
+            .map_err(|attempt| cause_of(&attempt))?;
+        let run = Run { values, ..self.request.run(choice.after, limit) };
+        let running = channel.run(node, run);
+        match doubting(node, &self.request, &choice.member, running).await {
+            Attempt::Answered(answer) => match answer.outcome {
+                Ok(_) if answer.state == TransactionState::Open => Ok(channel),
                 Ok(_) => Err("not_begun"),
                 Err(failure) => Err(failure.code.as_str()),
             },
-            _ => {
-                lease.pool().drop_idle();
-                Err("broken")
-            }
+            attempt => Err(cause_of(&attempt)),
         }
     }
 }
 
+const fn cause_of(attempt: &Attempt) -> &'static str {
+    match attempt {
+        Attempt::Answered(_) => "answered",
+        Attempt::NotRun(code) => code.as_str(),
+        Attempt::Unreachable => "unreachable",
+        Attempt::Broken => "broken",
+    }
+}
+
 fn aborted(reason: &'static str) -> Failure {
     Failure::new(Code::Aborted, format!("rolled back: {reason}"))
 }
--- a/crates/gateway/src/writes.rs
+++ b/crates/gateway/src/writes.rs
@@ -3,17 +3,17 @@
 use std::{rc::Rc, time::Duration};
 
 use hibiscusladder_core::{clock::Instant, name::MemberId, position::Position};
-use hibiscusladder_io::clock::within;
 use serde_json::json;
 
 use crate::{
     adapter::Platform,
+    channel::{Attempt, is_idle},
     events::{self, Event},
     model::{Answer, Code, Failure, TransactionState},
     node::Node,
     reads::{
-        Attempt, Floor, MEMBER_WAIT, Request, acquire, doubting, note_answer, note_retry, send,
-        takes_work, wait_for_change,
+        self, Floor, MEMBER_WAIT, Request, doubting, note_answer, note_retry, takes_work,
+        wait_for_change,
     },
 };
 
@@ -67,25 +67,16 @@
     P: Platform,
 {
     let limit = req.route.statement_timeout;
-    let mut lease = match acquire(node, req, member, node.now().plus(limit)).await {
-        Ok(lease) => lease,
+    let mut channel = match reads::open(node, req, member).await {
+        Ok(channel) => channel,
         Err(attempt) => return attempt,
     };
-    if !matches!(within(limit, lease.set_values(&req.values)).await, Some(Ok(()))) {
-        lease.pool().drop_idle();
-        return Attempt::Unreachable;
-    }
-    let state = node.group(&req.route.group);
-    let note = |answered: bool| {
-        if let Some(state) = &state {
-            state.note_write(answered, node.now());
-        }
-    };
     let sent = node.now();
-    let answered = doubting(node, req, member, send(&mut lease, &req.id, &req.payload, None));
-    match within(limit, answered).await {
-        Some(Ok(answer)) if answer.state == TransactionState::Idle => {
-            note(true);
+    let running = channel.run(node, req.run(None, limit));
+    let attempt = doubting(node, req, member, running).await;
+    match attempt {
+        Attempt::Answered(answer) if is_idle(&answer) => {
+            note_write(node, req, true);
             if answer.outcome.is_ok() {
                 note_commit(node, req, member, answer.position, sent);
             } else {
@@ -98,11 +89,21 @@
                 _ => Attempt::Answered(answer),
             }
         }
-        _ => {
-            note(false);
-            lease.pool().drop_idle();
+        Attempt::Answered(_) | Attempt::Broken => {
+            note_write(node, req, false);
             Attempt::Broken
         }
+        other => other,
+    }
+}
+
+/// Records whether a write or a commit of writes had an answer.
+pub fn note_write<P>(node: &Node<P>, req: &Request, answered: bool)
+where
+    P: Platform,
+{
+    if let Some(state) = node.group(&req.route.group) {
+        state.note_write(answered, node.now());
     }
 }
 
