feat(gateway): refuse early when members are at capacity; explain command

Ruled out: more connections for each holder (members reset what is over the cap). `explain` tells the story of a request from logs.

--- a/crates/gateway/src/channel.rs
+++ b/crates/gateway/src/channel.rs
@@ -36,6 +36,18 @@
     Broken,
 }
 
+impl Attempt {
+    /// Whether the member had no capacity for it.
+    pub fn is_busy(&self) -> bool {
+        let code = match self {
+            Self::NotRun(code) => Some(*code),
+            Self::Answered(answer) => answer.code(),
+            Self::Unreachable | Self::Broken => None,
+        };
+        matches!(code, Some(Code::Busy | Code::TooMany))
+    }
+}
+
 /// A statement with what it needs on a connection.
 #[derive(Debug, Clone, Copy)]
 pub struct Run<'a> {
@@ -49,6 +61,8 @@
     pub after: Option<Position>,
     /// Time limit.
     pub limit: Duration,
+    /// Longest wait for a connection of a holder.
+    pub patience: Duration,
 }
 
 /// A way to a member that is in use.
@@ -241,6 +255,7 @@
             statement: run.payload.clone(),
             after: run.after.map(|at| (at.term.0, at.lsn.0)),
             limit: u64::try_from(run.limit.as_micros()).unwrap_or(u64::MAX),
+            patience: u64::try_from(run.patience.as_micros()).unwrap_or(u64::MAX),
         });
         let started = node.now();
         let reply = within(run.limit + REPLY_SLACK, self.tunnel.call(&call)).await;
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -24,8 +24,6 @@
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 /// Time from a request to stop until new work is sent to another holder.
 const REFUSE_AFTER: Duration = Duration::from_millis(300);
-/// Part of a statement's limit for which it may wait for a connection.
-const CONNECTION_PART: u32 = 2;
 
 /// Accepts tunnels for as long as the process runs.
 pub async fn serve<P>(node: Rc<Node<P>>, listener: TcpListener)
@@ -81,7 +79,7 @@
     let until = node.now().plus(limit);
     let mut lease = match open.take() {
         Some(lease) => lease,
-        None => match acquire(node, call, limit).await {
+        None => match acquire(node, call).await {
             Ok(lease) => lease,
             Err(reply) => return reply,
         },
@@ -92,6 +90,7 @@
         values: &call.values,
         after: call.after.map(position),
         limit: until.since(node.now()),
+        patience: Duration::ZERO,
     };
     match run_local(&mut lease, run).await {
         Attempt::Answered(answer) => {
@@ -106,7 +105,7 @@
     }
 }
 
-async fn acquire<P>(node: &Rc<Node<P>>, call: &RunCall, limit: Duration) -> Result<Lease<P>, Reply>
+async fn acquire<P>(node: &Rc<Node<P>>, call: &RunCall) -> Result<Lease<P>, Reply>
 where
     P: Platform,
 {
@@ -115,7 +114,7 @@
         return Err(Reply::Unreachable);
     }
     let pool = node.pool(&MemberId::new(&call.member)).ok_or(Reply::Unreachable)?;
-    let until = now.plus(limit / CONNECTION_PART);
+    let until = now.plus(Duration::from_micros(call.patience));
     let workspace = Workspace::new(&call.workspace);
     pool.acquire(&workspace, &call.values, until).await.map_err(|error| match error {
         AcquireError::Exhausted => Reply::NotRun(crate::model::Code::TooMany),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -309,7 +309,7 @@
         let target =
             Target { member: id.clone(), group: record.group.clone(), address: record.address };
         let distance = self.settings.distance(&record.data_centre);
-        let limits = self.pool_limits(&record.group);
+        let limits = self.pool_limits(&target, &record.data_centre);
         let pool = Pool::new(target, record.data_centre, distance, limits);
         self.pools.borrow_mut().insert(id.clone(), pool.clone());
         Some(pool)
@@ -348,7 +348,7 @@
         });
         self.admission.borrow_mut().configure(&limits.collect(), part, self.now());
         for pool in self.pools.borrow().values() {
-            pool.set_limits(self.pool_limits(&pool.target.group));
+            pool.set_limits(self.pool_limits(&pool.target, &pool.data_centre));
         }
     }
 
@@ -358,13 +358,20 @@
         limits.map_or(MIN_CONNECTIONS, |limits| limits.max_connections)
     }
 
-    fn pool_limits(&self, group: &Group) -> PoolLimits {
-        let total = self.max_connections(group);
+    fn pool_limits(&self, target: &Target, data_centre: &DataCentre) -> PoolLimits {
+        let total = self.max_connections(&target.group);
+        let member = &target.member;
         let topology = self.topology();
         if total / topology.len().max(1) >= MIN_CONNECTIONS {
             let open = total / topology.len().max(1);
             return PoolLimits { open, idle: open };
         }
+        let held_elsewhere = topology
+            .holders(member, data_centre, total)
+            .is_some_and(|holders| !holders.contains(self.instance()));
+        if held_elsewhere {
+            return PoolLimits { open: 0, idle: 0 };
+        }
         let open = (total / HOLDERS).saturating_sub(HELD_BACK).max(1);
         PoolLimits { open, idle: open }
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -42,7 +42,7 @@
 /// Service time that is assumed before any was measured, in seconds.
 const ASSUMED_SERVICE_S: f64 = 0.012;
 /// Cost of opening a connection, in seconds, when members are compared.
-const OPENING_S: f64 = 0.012;
+pub const OPENING_S: f64 = 0.012;
 
 /// Time for which a member that did not answer is the last choice.
 const TROUBLE_PAUSE: Duration = Duration::from_millis(1000);
@@ -209,11 +209,13 @@
         let age = now.since(state.measured).as_secs_f64() / SERVICE_MEMORY.as_secs_f64();
         let trust = 0.5_f64.powf(age);
         let service = state.service_s * trust + ASSUMED_SERVICE_S * (1.0 - trust);
-        let opening = if state.idle.iter().any(|idle| idle.workspace == *workspace) {
-            0.0
-        } else {
-            OPENING_S + self.round_trip().as_secs_f64()
-        };
+        let held_elsewhere = state.limits.open == 0;
+        let opening =
+            if held_elsewhere || state.idle.iter().any(|idle| idle.workspace == *workspace) {
+                0.0
+            } else {
+                OPENING_S + self.round_trip().as_secs_f64()
+            };
         let trouble = if now < self.troubled_until.get() { TROUBLE_S } else { 0.0 };
         let queue = service * (1.0 + state.in_use as f64);
         self.round_trip().as_secs_f64() + queue + opening + trouble
--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -5,6 +5,7 @@
 use futures::{FutureExt, future::LocalBoxFuture};
 use hibiscusladder_core::{
     clock::Instant,
+    membership,
     name::{MemberId, Workspace},
     position::Position,
 };
@@ -19,12 +20,14 @@
     metrics::Counter,
     model::{Answer, Code, Failure, TransactionState},
     node::Node,
-    pool::Values,
+    pool::{OPENING_S, Values},
     tunnel::Payload,
 };
 
 /// Longest time for which a request waits for a member that can run it.
 pub const MEMBER_WAIT: Duration = Duration::from_millis(4500);
+/// Part of an operation's target time for which it waits for a connection to a busy member.
+const PATIENCE_PART: u32 = 4;
 /// Time without an answer after which a read is sent to a second member as well.
 const HEDGE_AFTER: Duration = Duration::from_millis(250);
 /// Time without an answer after which a member is polled.
@@ -69,7 +72,19 @@
 impl Request {
     /// The request's statement for a connection.
     pub fn run(&self, after: Option<Position>, limit: Duration) -> Run<'_> {
-        Run { id: &self.id, payload: &self.payload, values: &self.values, after, limit }
+        Run {
+            id: &self.id,
+            payload: &self.payload,
+            values: &self.values,
+            after,
+            limit,
+            patience: self.patience(),
+        }
+    }
+
+    /// Longest wait for a connection. A later refusal would cost the caller the time for another attempt.
+    pub fn patience(&self) -> Duration {
+        self.route.target / PATIENCE_PART
     }
 }
 
@@ -127,10 +142,29 @@
         }
     }
     drop(view);
+    prefer_one_replica(node, req, &mut choices);
     choices.sort_by(|(a, _), (b, _)| a.total_cmp(b));
     choices.into_iter().map(|(_, choice)| choice).collect()
 }
 
+/// Sends a workspace's reads to one replica where other instances hold the connections, so that these are used again.
+fn prefer_one_replica<P>(node: &Node<P>, req: &Request, choices: &mut [(f64, Choice)])
+where
+    P: Platform,
+{
+    if node.topology().is_flat() {
+        return;
+    }
+    let weight = |member: &MemberId| membership::weight(&[req.workspace.as_str()], member.as_str());
+    let replicas = || choices.iter().filter(|(_, choice)| !choice.primary);
+    let preferred = replicas().map(|(_, choice)| weight(&choice.member)).max();
+    for (expected, choice) in choices.iter_mut() {
+        if !choice.primary && Some(weight(&choice.member)) != preferred {
+            *expected += OPENING_S;
+        }
+    }
+}
+
 fn push<P>(
     node: &Node<P>,
     req: &Request,
@@ -177,10 +211,12 @@
     let until = req.arrived.plus(MEMBER_WAIT);
     let mut avoid: Vec<MemberId> = Vec::new();
     let mut offered = false;
+    let mut busy = false;
     loop {
         let now = node.now();
         if now >= until {
-            return give_up(node, req, offered);
+            let reason = if offered { "no member answered" } else { "no member with recent data" };
+            return give_up(node, req, reason);
         }
         let mut choices = choices(node, req);
         if choices.is_empty() {
@@ -189,12 +225,16 @@
         }
         choices.retain(|choice| !avoid.contains(&choice.member));
         let Some(choice) = choices.first() else {
+            if busy && now.since(req.arrived) >= req.patience() {
+                return give_up(node, req, "the members are at capacity");
+            }
             avoid.clear();
             sleep(RETRY_PAUSE).await;
             continue;
         };
         offered = true;
         let (attempt, member) = attempt_hedged(node, req, choice, choices.get(1)).await;
+        busy = attempt.is_busy();
         if let Some(answer) = settle(node, req, attempt, &member) {
             return answer;
         }
@@ -237,12 +277,11 @@
     );
 }
 
-fn give_up<P>(node: &Node<P>, req: &Request, offered: bool) -> Answer
+fn give_up<P>(node: &Node<P>, req: &Request, reason: &'static str) -> Answer
 where
     P: Platform,
 {
     let term = node.group(&req.route.group).map(|state| state.view.borrow().leader_term().0);
-    let reason = if offered { "no member answered" } else { "no member with recent data" };
     events::note(
         Event::RequestRefused,
         json!({
@@ -349,7 +388,7 @@
 where
     P: Platform,
 {
-    let until = node.now().plus(req.route.statement_timeout);
+    let until = node.now().plus(req.patience());
     let opened = channel::open(node, member, &req.workspace, &req.values, until).await;
     if matches!(opened, Err(Attempt::Unreachable)) {
         doubt(node, req, member);
--- a/crates/gateway/src/transaction.rs
+++ b/crates/gateway/src/transaction.rs
@@ -24,6 +24,9 @@
 /// Pause before members are tried again that could not begin a transaction a moment ago.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
+/// Causes for which a member that lives did not begin a transaction.
+const BUSY_CAUSES: [&str; 2] = [Code::Busy.as_str(), Code::TooMany.as_str()];
+
 /// A transaction that the caller has begun.
 pub struct Transaction<P>
 where
@@ -130,7 +133,8 @@
         let limit = self.request.route.statement_timeout;
         let Some((member, channel)) = &mut self.channel else { return Attempt::Unreachable };
         let sent = node.now();
-        let running = channel.run(node, Run { id, payload, values, after: None, limit });
+        let running = channel
+            .run(node, Run { id, payload, values, after: None, limit, patience: Duration::ZERO });
         let attempt = doubting(node, &self.request, member, running).await;
         if matches!(attempt, Attempt::Answered(_)) {
             note_answer(node, &self.request, member, None, sent);
@@ -175,7 +179,9 @@
         if self.channel.is_some() {
             return Ok(());
         }
-        let until = node.now().plus(MEMBER_WAIT);
+        let begun = node.now();
+        let until = begun.plus(MEMBER_WAIT);
+        let mut busy = false;
         let mut avoid: Vec<MemberId> = Vec::new();
         while node.now() < until {
             let candidates = self.candidates(node);
@@ -185,6 +191,9 @@
             }
             let Some(choice) = candidates.iter().find(|choice| !avoid.contains(&choice.member))
             else {
+                if busy && node.now().since(begun) >= self.request.patience() {
+                    break;
+                }
                 avoid.clear();
                 sleep(RETRY_PAUSE).await;
                 continue;
@@ -194,7 +203,10 @@
                     self.channel = Some((choice.member.clone(), channel));
                     return Ok(());
                 }
-                Err(cause) => note_retry(node, id, cause, &choice.member),
+                Err(cause) => {
+                    busy = BUSY_CAUSES.contains(&cause);
+                    note_retry(node, id, cause, &choice.member);
+                }
             }
             avoid.push(choice.member.clone());
         }
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -57,6 +57,8 @@
     pub after: Option<(u64, u64)>,
     /// Time limit in microseconds.
     pub limit: u64,
+    /// Longest wait for a connection in microseconds.
+    pub patience: u64,
 }
 
 /// A statement that is ready to be sent to any member.
--- a/crates/gateway/src/writes.rs
+++ b/crates/gateway/src/writes.rs
@@ -42,13 +42,17 @@
     loop {
         let now = node.now();
         if now >= until {
-            return (refuse(node, req), None);
+            return (refuse(node, req, "the database has no primary"), None);
         }
         let Some(member) = primary(node, req, now) else {
             wait_for_change(node, req).await;
             continue;
         };
-        match attempt(node, req, &member).await {
+        let attempt = attempt(node, req, &member).await;
+        if attempt.is_busy() && node.now().since(req.arrived) >= req.patience() {
+            return (refuse(node, req, "the primary is at capacity"), None);
+        }
+        match attempt {
             Attempt::Answered(answer) => {
                 let floor = answer.position.filter(|_| answer.outcome.is_ok());
                 let floor = floor.map(|position| Floor { position, at: node.now() });
@@ -107,7 +111,7 @@
     }
 }
 
-fn refuse<P>(node: &Node<P>, req: &Request) -> Answer
+fn refuse<P>(node: &Node<P>, req: &Request, reason: &'static str) -> Answer
 where
     P: Platform,
 {
@@ -116,7 +120,7 @@
         Event::RequestRefused,
         json!({
             "request": req.id, "workspace": req.workspace.as_str(), "group": req.route.group.as_str(),
-            "reason": "no primary", "term": term, "version": node.version(),
+            "reason": reason, "term": term, "version": node.version(),
             "waited_ms": crate::events::millis(node.now().since(req.arrived)),
         }),
     );
--- a/hibiscusladder/src/cli/args.rs
+++ b/hibiscusladder/src/cli/args.rs
@@ -16,6 +16,7 @@
 pub(crate) enum Command {
     Serve(Serve),
     Gateway(Gateway),
+    Explain(Explain),
     Check(Check),
     Demo(Demo),
     Emulate(Emulate),
@@ -59,6 +60,18 @@
     pub(crate) config: Option<PathBuf>,
 }
 
+/// Tell the story of one request from the logs of gateway instances.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub(crate) struct Explain {
+    /// id of the request
+    #[argh(option)]
+    pub(crate) request: String,
+    /// logs of the instances
+    #[argh(positional)]
+    pub(crate) files: Vec<PathBuf>,
+}
+
 /// Check a settings file and report every fault.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
--- a/hibiscusladder/src/cli/emulate.rs
+++ b/hibiscusladder/src/cli/emulate.rs
@@ -114,7 +114,7 @@
     let unreadable = |reason: String| CliError::File {
         path: path.to_owned(),
         reason,
-        remedy: "see docs/operations.md for the settings of the emulators".to_owned(),
+        remedy: "see docs/OPERATIONS.md for the settings of the emulators".to_owned(),
     };
     let text = fs::read_to_string(path).map_err(|error| unreadable(error.to_string()))?;
     toml::from_str(&text).map_err(|error| unreadable(error.to_string().trim_end().to_owned()))
--- a/hibiscusladder/src/cli/mod.rs
+++ b/hibiscusladder/src/cli/mod.rs
@@ -7,6 +7,7 @@
 mod difference;
 mod emulate;
 mod error;
+mod explain;
 mod in_force;
 mod key;
 mod load;
@@ -58,6 +59,7 @@
     match command {
         Command::Serve(args) => serve::run(&args),
         Command::Gateway(args) => Ok(hibiscusladder_platform::run(args.config)?),
+        Command::Explain(args) => explain::run(&args),
         Command::Check(args) => check::run(&args),
         Command::Demo(args) => demo::run(&args),
         Command::Emulate(args) => emulate::run(&args),
--- a/hibiscusladder/tests/gateway/fleet.rs
+++ b/hibiscusladder/tests/gateway/fleet.rs
@@ -53,7 +53,7 @@
         let callers = loopback(free_port().expect("a port"));
         let readiness = loopback(free_port().expect("a port"));
         let name = format!("gateway-{number}");
-        let zone = if number % 2 == 0 { "north" } else { "south" };
+        let zone = if number.is_multiple_of(2) { "north" } else { "south" };
         let settings = node_file(&name, zone, callers, readiness, port_range(), &self.standin);
         let process = self.run(&name, &settings, callers);
         self.gateways.push(Gateway { name, callers, settings, process });
--- a/hibiscusladder/tests/gateway/soak/history.rs
+++ b/hibiscusladder/tests/gateway/soak/history.rs
@@ -208,7 +208,7 @@
 
     fn fail(&mut self) -> bool {
         self.failures += 1;
-        if self.failures % PATIENCE == 0 {
+        if self.failures.is_multiple_of(PATIENCE) {
             self.instance += 1;
         }
         false
@@ -292,3 +292,21 @@
     }
     Some(())
 }
+
+/// Guards against a checker that misses broken promises: one broken history for each rule.
+#[test_case::test_case(Fate::Acknowledged, 1, "club-a", &[1, 2], 0; "nothing broken")]
+#[test_case::test_case(Fate::Acknowledged, 0, "club-a", &[1, 2], 1; "an acknowledged write is lost")]
+#[test_case::test_case(Fate::Acknowledged, 2, "club-a", &[1, 2], 1; "a write is kept twice")]
+#[test_case::test_case(Fate::Refused, 1, "club-a", &[1, 2], 1; "a refused write is kept")]
+#[test_case::test_case(Fate::Unknown, 2, "club-a", &[1, 2], 1; "a write in doubt is kept twice")]
+#[test_case::test_case(Fate::Acknowledged, 1, "club-b", &[1, 2], 1; "it ran for another workspace")]
+#[test_case::test_case(Fate::Acknowledged, 1, "club-a", &[2, 1], 1; "a generation number fell")]
+fn violations_finds(fate: Fate, kept: usize, ran_for: &str, promotions: &[u64], broken: usize) {
+    let history = History::new(0);
+    history.seen().fates.insert("w".to_owned(), fate);
+    history.seen().workspaces.insert("w".to_owned(), WORKSPACES[0]);
+    let kept = BTreeMap::from([("w".to_owned(), kept)]);
+    let workspace = ran_for.to_owned();
+    let ran = [Ran { id: "w".to_owned(), workspace, first: true, at: Instant::now() }];
+    assert_eq!(history.violations(&kept, &ran, promotions).len(), broken);
+}
--- a/hibiscusladder/tests/gateway/soak/plan.rs
+++ b/hibiscusladder/tests/gateway/soak/plan.rs
@@ -9,8 +9,8 @@
 
 /// Members of the group.
 const MEMBERS: usize = 3;
-/// Faults that begin in a second, on average.
-const FAULTS_PER_SECOND: f64 = 1.2;
+/// Faults that begin in ten seconds.
+const FAULTS_PER_TEN_SECONDS: u64 = 12;
 /// Shortest and longest time that a fault lasts, in milliseconds.
 const LASTS_MS: std::ops::Range<u64> = 300..3500;
 
@@ -52,9 +52,9 @@
 /// The faults of a run with their times, in order.
 pub(super) fn plan(seed: u64, length: Duration) -> Vec<(Duration, Fault)> {
     let mut rng = StdRng::seed_from_u64(seed);
-    let count = (length.as_secs_f64() * FAULTS_PER_SECOND).ceil();
+    let count = (length.as_secs() * FAULTS_PER_TEN_SECONDS).div_ceil(10);
     let mut plan = Vec::new();
-    for number in 0..count as u64 {
+    for number in 0..count {
         let at = length.mul_f64(rng.random_range(0.0..0.8));
         let end = at + Duration::from_millis(rng.random_range(LASTS_MS));
         let (begin, ending) = fault(&mut rng, number);
