--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -70,21 +70,9 @@
 }
 
 impl Request {
-    /// The request's statement for a connection.
-    pub fn run(&self, after: Option<Position>, limit: Duration) -> Run<'_> {
-        Run {
-            id: &self.id,
-            payload: &self.payload,
-            values: &self.values,
-            after,
-            limit,
-            patience: self.patience(),
-        }
-    }
-
-    /// Longest wait for a connection. A later refusal would cost the caller the time for another attempt.
-    pub fn patience(&self) -> Duration {
-        self.route.target / PATIENCE_PART
+    /// The request's statement for a connection, for which a holder waits for `patience` at most.
+    pub fn run(&self, after: Option<Position>, limit: Duration, patience: Duration) -> Run<'_> {
+        Run { id: &self.id, payload: &self.payload, values: &self.values, after, limit, patience }
     }
 }
 
@@ -225,7 +213,7 @@
         }
         choices.retain(|choice| !avoid.contains(&choice.member));
         let Some(choice) = choices.first() else {
-            if busy && now.since(req.arrived) >= req.patience() {
+            if busy && now.since(req.arrived) >= patience(node, req) {
                 return give_up(node, req, "the members are at capacity");
             }
             avoid.clear();
@@ -361,7 +349,7 @@
         Err(attempt) => return attempt,
     };
     let sent = node.now();
-    let running = channel.run(node, req.run(choice.after, limit));
+    let running = channel.run(node, req.run(choice.after, limit, patience(node, req)));
     match doubting(node, req, &choice.member, running).await {
         Attempt::Answered(answer) if is_idle(&answer) => {
             note_answer(node, req, &choice.member, answer.position, sent);
@@ -375,6 +363,21 @@
     }
 }
 
+/// Longest wait of a request for a connection to a busy member.
+///
+/// Where an instance has few connections of its own, one is soon given back. At a holder the requests of many instances
+/// wait, and a late refusal would cost the caller the time for another attempt.
+pub fn patience<P>(node: &Node<P>, req: &Request) -> Duration
+where
+    P: Platform,
+{
+    if node.topology().is_flat() {
+        req.route.statement_timeout
+    } else {
+        req.route.target / PATIENCE_PART
+    }
+}
+
 /// Opens a way to `member` for a request.
 ///
 /// # Errors
@@ -388,7 +391,7 @@
 where
     P: Platform,
 {
-    let until = node.now().plus(req.patience());
+    let until = node.now().plus(patience(node, req));
     let opened = channel::open(node, member, &req.workspace, &req.values, until).await;
     if matches!(opened, Err(Attempt::Unreachable)) {
         doubt(node, req, member);
--- a/crates/gateway/src/transaction.rs
+++ b/crates/gateway/src/transaction.rs
@@ -15,7 +15,7 @@
     pool::Values,
     reads::{
         self, Choice, Floor, MEMBER_WAIT, Request, choices, doubting, note_answer, note_retry,
-        wait_for_change,
+        patience, wait_for_change,
     },
     tunnel::Payload,
     writes::{self, note_commit, note_unknown, note_write},
@@ -191,7 +191,7 @@
             }
             let Some(choice) = candidates.iter().find(|choice| !avoid.contains(&choice.member))
             else {
-                if busy && node.now().since(begun) >= self.request.patience() {
+                if busy && node.now().since(begun) >= patience(node, &self.request) {
                     break;
                 }
                 avoid.clear();
@@ -240,7 +240,8 @@
         let mut channel = reads::open(node, &self.request, &choice.member)
             .await
             .map_err(|attempt| cause_of(&attempt))?;
-        let run = Run { values, ..self.request.run(choice.after, limit) };
+        let run =
+            Run { values, ..self.request.run(choice.after, limit, patience(node, &self.request)) };
         let running = channel.run(node, run);
         match doubting(node, &self.request, &choice.member, running).await {
             Attempt::Answered(answer) => match answer.outcome {
--- a/crates/gateway/src/writes.rs
+++ b/crates/gateway/src/writes.rs
@@ -12,7 +12,7 @@
     model::{Answer, Code, Failure, TransactionState},
     node::Node,
     reads::{
-        self, Floor, MEMBER_WAIT, Request, doubting, note_answer, note_retry, takes_work,
+        self, Floor, MEMBER_WAIT, Request, doubting, note_answer, note_retry, patience, takes_work,
         wait_for_change,
     },
 };
@@ -49,7 +49,7 @@
             continue;
         };
         let attempt = attempt(node, req, &member).await;
-        if attempt.is_busy() && node.now().since(req.arrived) >= req.patience() {
+        if attempt.is_busy() && node.now().since(req.arrived) >= patience(node, req) {
             return (refuse(node, req, "the primary is at capacity"), None);
         }
         match attempt {
@@ -76,7 +76,7 @@
         Err(attempt) => return attempt,
     };
     let sent = node.now();
-    let running = channel.run(node, req.run(None, limit));
+    let running = channel.run(node, req.run(None, limit, patience(node, req)));
     let attempt = doubting(node, req, member, running).await;
     match attempt {
         Attempt::Answered(answer) if is_idle(&answer) => {
