fix(gateway): ask for the configuration at once after a start, and hold requests for a dark primary

Cause: after all processes were killed requests waited 1.3 s at the median, because a new process listed the configuration only 0.9 s after its own registration; while a primary was dark, requests were refused as "at capacity", since its connections were all waiting for answers. Ruled out: the change of primary itself (its steps took as long as before). Change: a new process lists at once and again after 0.9 s; a flat fleet refuses nothing for busy connections before the longest wait.

--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -363,19 +363,16 @@
     }
 }
 
-/// Longest wait of a request for a connection to a busy member.
+/// Longest wait of a request for a busy member.
 ///
-/// Where an instance has few connections of its own, one is soon given back. At a holder the requests of many instances
-/// wait, and a late refusal would cost the caller the time for another attempt.
+/// Where an instance has few connections of its own, one is soon given back; while a primary is dark all of them are
+/// in use, and its successor will serve. At a holder the requests of many instances wait, and a late refusal would cost
+/// the caller the time for another attempt.
 pub fn patience<P>(node: &Node<P>, req: &Request) -> Duration
 where
     P: Platform,
 {
-    if node.topology().is_flat() {
-        req.route.statement_timeout
-    } else {
-        req.route.target / PATIENCE_PART
-    }
+    if node.topology().is_flat() { MEMBER_WAIT } else { req.route.target / PATIENCE_PART }
 }
 
 /// Opens a way to `member` for a request.
@@ -391,7 +388,7 @@
 where
     P: Platform,
 {
-    let until = node.now().plus(patience(node, req));
+    let until = node.now().plus(patience(node, req).min(req.route.statement_timeout));
     let opened = channel::open(node, member, &req.workspace, &req.values, until).await;
     if matches!(opened, Err(Attempt::Unreachable)) {
         doubt(node, req, member);
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -24,9 +24,9 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause between calls while the store does not answer.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1000);
-/// Time from the own registration until the instances are listed; others that start at the same time have registered
+/// Time from the first listing of the instances until the second; others that start at the same time have registered
 /// then.
-const FIRST_LISTING: Duration = Duration::from_millis(900);
+const SECOND_LISTING: Duration = Duration::from_millis(900);
 /// Time between two listings of the instances; new ones make themselves known by their messages.
 const LISTING_INTERVAL: Duration = Duration::from_secs(25);
 /// Time without a message after which another instance's registration is removed.
@@ -86,14 +86,14 @@
     }
 }
 
-/// Whether this instance asks the store itself: hubs do, and others while they hear no hub.
+/// Whether this instance asks the store itself: hubs do, and others after a start and while they hear no hub.
 fn is_watcher<P>(node: &Node<P>) -> bool
 where
     P: Platform,
 {
     let topology = node.topology();
     if !node.has_registrations() {
-        return false;
+        return true;
     }
     let live = node.peers.borrow().live(node.now());
     topology.is_hub(node.instance()) || !live.iter().any(|name| topology.is_hub(name))
@@ -221,13 +221,12 @@
 where
     P: Platform,
 {
-    // A failure shows at the listing as well, which registers again.
-    register_self(&node, &[], &[]).await.err();
-    sleep(FIRST_LISTING).await;
+    let mut pause = SECOND_LISTING;
     loop {
         match list_instances(&node).await {
             Ok(()) => {
-                within(LISTING_INTERVAL, node.strangers.listen()).await;
+                within(pause, node.strangers.listen()).await;
+                pause = LISTING_INTERVAL;
             }
             Err(_) => sleep(MAX_RETRY_PAUSE).await,
         }
