fix(cli): keep the remedy of explain on one line; test folders of their own

Cause: the test of an unknown request failed in the first run (the message was wrapped inside the words it looks for), and then the test of other times, because two tests with the same request shared a folder and one removed it. Ruled out: the command itself (its output held both parts). Change: a shorter remedy; a folder for each call. Conclusion: none beyond the two tests.

--- a/hibiscusladder/src/cli/explain.rs
+++ b/hibiscusladder/src/cli/explain.rs
@@ -86,8 +86,8 @@
     let (Some(first), Some(last)) = (of_request.first(), of_request.last()) else {
         return Err(CliError::NotFound {
             object: format!("line about request {}", args.request),
-            remedy: "a request that was served at the first attempt leaves no line; check the id, \
-                     and name the logs of all instances"
+            remedy: "check the id, and name the logs of all instances; a request served at once \
+                     leaves no line"
                 .to_owned(),
         });
     };
--- a/hibiscusladder/tests/explain.rs
+++ b/hibiscusladder/tests/explain.rs
@@ -1,9 +1,15 @@
 //! The command that tells the story of one request.
 
-use std::{fs, process::Command};
+use std::{
+    fs,
+    process::Command,
+    sync::atomic::{AtomicU32, Ordering},
+};
 
 use test_case::test_case;
 
+static FOLDERS: AtomicU32 = AtomicU32::new(0);
+
 const FIRST_LOG: &str = r#"
 {"event":"started","instance":"gateway-0","time_ms":1000}
 {"event":"configuration_applied","version":3,"replaces":2,"time_ms":9000}
@@ -19,7 +25,9 @@
 "#;
 
 fn explain(request: &str) -> (bool, String) {
-    let folder = std::env::temp_dir().join(format!("explain-{}-{request}", std::process::id()));
+    // Tests of one process run at the same time.
+    let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
+    let folder = std::env::temp_dir().join(format!("explain-{}-{number}", std::process::id()));
     fs::create_dir_all(&folder).expect("a folder");
     let logs = [("gateway-0.log", FIRST_LOG), ("gateway-1.log", SECOND_LOG)];
     let paths = logs.map(|(name, text)| {
