--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -16,10 +16,11 @@
 
 use crate::{
     adapter::Platform,
+    message::{Demand, Tokens},
+    messenger,
     metrics::Stage,
     model::{Code, Failure},
     node::Node,
-    peers::{self, Demand, Tokens},
 };
 
 /// Part of the target time of an operation for which it may wait for its allotment; a longer wait would make the
@@ -161,9 +162,9 @@
         if let Some((mut lenders, wanted)) = lenders {
             if lenders.is_empty() {
                 // Nothing is known yet of a workspace that was idle until now.
-                lenders = peers::neighbours(node);
+                lenders = messenger::neighbours(node);
             }
-            peers::ask(node, workspace, &lenders, wanted);
+            messenger::ask(node, workspace, &lenders, wanted);
         }
         if now >= until {
             let after = wait.clamp(Duration::from_millis(100), Duration::from_secs(5));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod duty;
 pub mod events;
 pub mod holder;
+pub mod message;
+pub mod messenger;
 pub mod metrics;
 pub mod model;
 pub mod monitor;
--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -34,6 +34,8 @@
 const DOUBT_AFTER: Duration = Duration::from_millis(220);
 /// Pause before members are tried again that could not run a request a moment ago.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// Time after which a refused caller is told to come back; about half of a change of primary.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Longest sleep while no member can run a request.
 const CHANGE_WAIT: Duration = Duration::from_millis(100);
 /// Time since the first unanswered poll after which a replica gets no reads.
@@ -204,7 +206,7 @@
         let now = node.now();
         if now >= until {
             let reason = if offered { "no member answered" } else { "no member with recent data" };
-            return give_up(node, req, reason);
+            return refuse(node, req, reason);
         }
         let mut choices = choices(node, req);
         if choices.is_empty() {
@@ -214,7 +216,7 @@
         choices.retain(|choice| !avoid.contains(&choice.member));
         let Some(choice) = choices.first() else {
             if busy && now.since(req.arrived) >= patience(node, req) {
-                return give_up(node, req, "the members are at capacity");
+                return refuse(node, req, "the members are at capacity");
             }
             avoid.clear();
             sleep(RETRY_PAUSE).await;
@@ -265,7 +267,8 @@
     );
 }
 
-fn give_up<P>(node: &Node<P>, req: &Request, reason: &'static str) -> Answer
+/// Refuses a request that did not run, and says when to come back.
+pub fn refuse<P>(node: &Node<P>, req: &Request, reason: &'static str) -> Answer
 where
     P: Platform,
 {
@@ -278,7 +281,7 @@
             "waited_ms": crate::events::millis(node.now().since(req.arrived)),
         }),
     );
-    let failure = Failure::retry_after(Code::Busy, reason, CHANGE_WAIT * 5);
+    let failure = Failure::retry_after(Code::Busy, reason, RETRY_AFTER);
     Answer::failed(failure, TransactionState::Idle)
 }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -17,9 +17,9 @@
     adapter::{Collection, Platform},
     control,
     events::{self, Event},
-    holder,
+    holder, messenger,
     node::Node,
-    peers, session,
+    session,
     settings::Settings,
     status_page::{self, Page},
     sync,
@@ -106,8 +106,8 @@
     }
     node.spawn(sync::register(node.clone()));
     node.spawn(sync::expire_members(node.clone()));
-    node.spawn(peers::receive_all(node.clone()));
-    node.spawn(peers::send_all(node.clone()));
+    node.spawn(messenger::receive_all(node.clone()));
+    node.spawn(messenger::send_all(node.clone()));
     node.spawn(control::run(node.clone()));
     wait_for_end(&node, &mut signals).await;
     Ok(())
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -11,8 +11,8 @@
 use crate::{
     adapter::{MemberRecord, Platform},
     directory::Directory,
+    message::Registration,
     node::Node,
-    peers::Registration,
     sync,
 };
 
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -13,10 +13,10 @@
 use crate::{
     adapter::{Collection, Content, Listing, MemberRecord, Object, Platform, Store, StoreError},
     events::{self, Event},
+    message::Registration,
     metrics::Counter,
     monitor::place,
     node::Node,
-    peers::Registration,
     roster::RosterChange,
 };
 
--- a/crates/gateway/src/writes.rs
+++ b/crates/gateway/src/writes.rs
@@ -12,8 +12,8 @@
     model::{Answer, Code, Failure, TransactionState},
     node::Node,
     reads::{
-        self, Floor, MEMBER_WAIT, Request, doubting, note_answer, note_retry, patience, takes_work,
-        wait_for_change,
+        self, Floor, MEMBER_WAIT, Request, doubting, note_answer, note_retry, patience, refuse,
+        takes_work, wait_for_change,
     },
 };
 
@@ -111,24 +111,6 @@
     }
 }
 
-fn refuse<P>(node: &Node<P>, req: &Request, reason: &'static str) -> Answer
-where
-    P: Platform,
-{
-    let term = node.group(&req.route.group).map(|state| state.view.borrow().leader_term().0);
-    events::note(
-        Event::RequestRefused,
-        json!({
-            "request": req.id, "workspace": req.workspace.as_str(), "group": req.route.group.as_str(),
-            "reason": reason, "term": term, "version": node.version(),
-            "waited_ms": crate::events::millis(node.now().since(req.arrived)),
-        }),
-    );
-    let failure =
-        Failure::retry_after(Code::Busy, "the database has no primary", Duration::from_millis(500));
-    Answer::failed(failure, TransactionState::Idle)
-}
-
 fn unknown<P>(node: &Node<P>, req: &Request, member: &MemberId) -> Answer
 where
     P: Platform,
--- /dev/null
+++ b/crates/gateway/tests/peers.rs
@@ -0,0 +1,95 @@
+//! The other instances, as far as they are heard.
+
+use std::{net::SocketAddr, time::Duration};
+
+use hibiscusladder_core::{clock::Instant, name::InstanceId};
+use hibiscusladder_gateway::{
+    message::{GroupNews, Registration, Status},
+    peers::{Peers, nanos},
+};
+
+fn at(ms: u64) -> Instant {
+    Instant::new(Duration::from_millis(ms))
+}
+
+fn address() -> SocketAddr {
+    ([10, 0, 0, 2], 7560).into()
+}
+
+fn status(started: u64, sent: u64) -> Status {
+    Status {
+        from: "b".into(),
+        started,
+        sent,
+        answers: None,
+        version: 1,
+        members: 0,
+        groups: Vec::new(),
+        demands: Vec::new(),
+    }
+}
+
+fn registration() -> (InstanceId, Registration) {
+    let tunnels = ([10, 0, 0, 2], 7562).into();
+    let data_centre = "north".into();
+    ("b".into(), Registration { address: address(), tunnels, data_centre, capacity: 250 })
+}
+
+/// Guards against messages that overtake each other and bring old beliefs back.
+#[test]
+fn receive_ignores_older_messages() {
+    let mut peers = Peers::new("a".into(), at(0));
+    assert!(peers.receive(&status(1, 20), address(), at(10)).is_some());
+    assert!(peers.receive(&status(1, 10), address(), at(11)).is_none());
+    assert!(peers.receive(&status(0, 90), address(), at(12)).is_none(), "an older process");
+    assert!(peers.receive(&status(2, 5), address(), at(13)).is_some(), "a newer process");
+}
+
+/// Guards against ages that are counted from a message to an earlier process, whose clock reading means nothing here.
+#[test]
+fn receive_trusts_answers_to_this_process_only() {
+    let mut peers = Peers::new("a".into(), at(100));
+    let mut message = status(1, 1);
+    message.answers = Some((nanos(at(100)), nanos(at(150))));
+    let received = peers.receive(&message, address(), at(200)).expect("a new message");
+    assert_eq!(received.asked, Some(at(150)));
+    message.sent = 2;
+    message.answers = Some((nanos(at(50)), nanos(at(150))));
+    let received = peers.receive(&message, address(), at(210)).expect("a new message");
+    assert_eq!(received.asked, None);
+}
+
+/// Guards against a promotion before an instance that is known but silent has confirmed the fence.
+#[test]
+fn all_confirmed_waits_for_silent_instances() {
+    let mut peers = Peers::new("a".into(), at(0));
+    peers.register(&[registration()], at(0));
+    assert!(!peers.all_confirmed("padron", 2));
+    let mut message = status(1, 1);
+    let news = |confirmed| GroupNews {
+        group: "padron".into(),
+        leader: None,
+        fence: None,
+        confirmed,
+        suspected: None,
+    };
+    message.groups = vec![news(1)];
+    peers.receive(&message, address(), at(10));
+    assert!(!peers.all_confirmed("padron", 2));
+    message.sent = 2;
+    message.groups = vec![news(2)];
+    peers.receive(&message, address(), at(20));
+    assert!(peers.all_confirmed("padron", 2));
+}
+
+/// Guards against an instance whose registration is missing in a list that was made before it registered.
+#[test]
+fn register_keeps_instances_that_are_heard() {
+    let mut peers = Peers::new("a".into(), at(0));
+    peers.register(&[registration()], at(0));
+    peers.receive(&status(1, 1), address(), at(100));
+    peers.register(&[], at(200));
+    assert_eq!(peers.names(), [InstanceId::from("b")]);
+    peers.register(&[], at(5000));
+    assert!(peers.names().is_empty());
+}
--- /dev/null
+++ b/crates/gateway/tests/roster.rs
@@ -0,0 +1,64 @@
+//! Members as the store lists them.
+
+use std::time::Duration;
+
+use hibiscusladder_core::{clock::Instant, name::MemberId};
+use hibiscusladder_gateway::{
+    adapter::MemberRecord,
+    roster::{LAPSE_GRACE, Roster, RosterChange},
+};
+
+fn at(ms: u64) -> Instant {
+    Instant::new(Duration::from_millis(ms))
+}
+
+fn id() -> MemberId {
+    "i-1".into()
+}
+
+fn record(port: u16, started_ms: u64, leaving: bool) -> MemberRecord {
+    MemberRecord {
+        group: "padron".into(),
+        address: ([10, 0, 0, 1], port).into(),
+        data_centre: "north".into(),
+        leaving,
+        role: None,
+        started_ms,
+    }
+}
+
+/// Guards against members that are dropped because their entries lapsed while the store was away.
+#[test]
+fn lapsed_member_counts_until_the_grace_ends() {
+    let mut roster = Roster::default();
+    roster.update(id(), record(80, 1, false), at(0));
+    roster.lapse_others(&[], at(1000));
+    assert!(roster.expire(at(1000)).is_empty());
+    roster.update(id(), record(80, 1, false), at(2000));
+    assert!(roster.expire(at(60_000)).is_empty());
+    roster.lapse("i-1", at(60_000));
+    assert_eq!(roster.expire(at(60_000).plus(LAPSE_GRACE)), [id()]);
+    assert!(roster.get(&id()).is_none());
+}
+
+/// Guards against connections and beliefs that are kept for a process that is not the same any more.
+#[test]
+fn update_tells_a_restart_from_a_change() {
+    let mut roster = Roster::default();
+    assert_eq!(roster.update(id(), record(80, 1, false), at(0)), RosterChange::Updated);
+    assert_eq!(roster.update(id(), record(80, 1, false), at(1)), RosterChange::None);
+    assert_eq!(roster.update(id(), record(80, 1, true), at(2)), RosterChange::Updated);
+    assert_eq!(roster.update(id(), record(80, 2, false), at(3)), RosterChange::Restarted);
+    assert_eq!(roster.update(id(), record(81, 2, false), at(4)), RosterChange::Restarted);
+}
+
+/// Guards against a drain time that begins anew with each entry of a leaving member.
+#[test]
+fn leaving_counts_from_the_first_entry() {
+    let mut roster = Roster::default();
+    roster.update(id(), record(80, 1, true), at(10));
+    let mut later = record(80, 1, true);
+    later.data_centre = "south".into();
+    roster.update(id(), later, at(5000));
+    assert_eq!(roster.get(&id()).and_then(|member| member.leaving_since), Some(at(10)));
+}
