fix(gateway): do not count a fence as confirmed before the other instances are known

Cause: found in a read of the code: a process that has just started knows no other instance, so "all have confirmed" held at once and the wait for proofs was left out. Change: without a list of the instances the wait is kept.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -85,8 +85,9 @@
         let view = state.view.borrow();
         let mut failover = state.failover.borrow_mut();
         let confirmed = fence.is_some_and(|(term, held)| {
-            // In a larger fleet no instance hears of all others.
-            held && node.topology().is_flat()
+            // In a larger fleet no instance hears of all others, and after a start none is known.
+            held && node.has_registrations()
+                && node.topology().is_flat()
                 && node.peers.borrow().all_confirmed(state.name.as_str(), term.0)
         });
         failover.step(&view, &leaving, confirmed, now)
