fix(core): count proofs from the first instant of a process

Ruled out: an effect on a running process (its clock starts with the machine). Change: no confirmed fence is `None`. Conclusion: none beyond the case.

--- a/crates/core/src/sync_group/view.rs
+++ b/crates/core/src/sync_group/view.rs
@@ -68,7 +68,7 @@
     /// When the newest proof that the leader was in office was asked for, beside those that follow from the answers.
     proved: Option<Instant>,
     /// Proofs that were asked for up to this time do not count, because a fence was confirmed then.
-    proofs_after: Instant,
+    proofs_after: Option<Instant>,
     /// Term that replicas are being told to hold, and until when that counts.
     fence: Option<(Term, Instant)>,
     /// Time up to which a replica that is gone may have received commits that no other replica has.
@@ -174,7 +174,7 @@
     /// Discards all proofs, because all replicas hold a higher term than the leader's; no new one can follow until
     /// they are released or the term has a primary.
     pub fn discard_proofs(&mut self, now: Instant) {
-        self.proofs_after = now;
+        self.proofs_after = Some(now);
         self.proved = None;
     }
 
@@ -272,7 +272,7 @@
 
     /// When the newest proof of the leader's office was asked for.
     fn proved_at(&self, leader: &Leader) -> Option<Instant> {
-        let polled = self.polled_at(leader).filter(|sent| *sent > self.proofs_after);
+        let polled = self.polled_at(leader).filter(|sent| Some(*sent) > self.proofs_after);
         let told = self.proved.filter(|_| leader.term == self.leader_term);
         polled.max(told)
     }
@@ -340,7 +340,7 @@
     }
 
     fn prove(&mut self, term: Term, sent: Instant) {
-        if term == self.leader_term && sent > self.proofs_after {
+        if term == self.leader_term && Some(sent) > self.proofs_after {
             self.proved = self.proved.max(Some(sent));
         }
     }
