fix(gateway): let instances of a large fleet ask for the tokens that waiting requests need

An instance at which nothing accrues had no room for the first token it was sent, since its bucket took the demand into account only with the next message of a hub; it asked up to three hubs for more than it needed, and hubs passed tokens on to it with their messages; what it did not use within seconds was lost.

Ruled out: limits that were too low (demand_of_all was half of rate in the new field allotment of request_refused).

Change: such an instance makes room when a request arrives, asks one hub at a time for what the waiting requests lack, and gets nothing that it did not ask for. Refusals log the state of the allotment. Only configuration and members are followed in the store; nobody used what the watches of instances and duties brought.

--- a/crates/core/src/share/allotment.rs
+++ b/crates/core/src/share/allotment.rs
@@ -8,7 +8,7 @@
 //! ```
 //! use std::time::Duration;
 //!
-//! use hibiscusladder_core::{clock::Instant, share::{Allotment, Limits}};
+//! use hibiscusladder_core::{clock::Instant, share::{Allotment, Limits, TokenRequest}};
 //!
 //! let start = Instant::default();
 //! let limits = Limits { rate: 80.0, capacity: 80.0 };
@@ -17,7 +17,8 @@
 //! assert!(busy.try_admit(start).is_err(), "the bucket of a new instance is empty");
 //!
 //! let later = start.plus(Duration::from_secs(1));
-//! busy.receive(idle.give(30.0, later), later);
+//! let request = TokenRequest { wanted: 30.0, least: 1.0 };
+//! busy.receive(idle.give(request, later), later);
 //! assert!(busy.level(later) > 40.0);
 //! assert!(busy.try_admit(later).is_ok());
 //! ```
@@ -43,6 +44,19 @@
 const ACCRUAL_FOR: Duration = Duration::from_millis(280);
 /// Fewer tokens are not passed on.
 const MIN_GIFT: f64 = 0.25;
+/// Demand, as a time, for which an instance at which nothing accrues asks in advance; a few round trips in a region.
+const STOCK_FOR: Duration = Duration::from_millis(100);
+/// Requests for tokens are multiples of this part, which survives their encoding.
+const REQUEST_STEP: f64 = 1.0 / 64.0;
+
+/// How many tokens an instance asks another one for.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TokenRequest {
+    /// Tokens that it can use.
+    pub wanted: f64,
+    /// Fewer are of no use to it.
+    pub least: f64,
+}
 
 #[derive(Debug, Clone, Copy)]
 struct Peer {
@@ -100,9 +114,13 @@
     ///
     /// # Errors
     ///
-    /// The time until a token has accrued here; [`Duration::MAX`] when there never will be one.
+    /// The time until a token has accrued here, or for this instance; [`Duration::MAX`] when there never will be one.
     pub fn try_admit(&mut self, now: Instant) -> Result<(), Duration> {
         self.demand.record(1.0, now);
+        if self.depends_on_others() {
+            // Makes room for the token that is asked for now.
+            self.settle(now);
+        }
         self.try_again(now)
     }
 
@@ -112,7 +130,15 @@
     ///
     /// As for [`try_admit`](Self::try_admit).
     pub fn try_again(&mut self, now: Instant) -> Result<(), Duration> {
-        self.bucket.try_take(1.0, now)
+        let taken = self.bucket.try_take(1.0, now);
+        taken.map_err(|wait| if self.depends_on_others() { self.time_per_token(now) } else { wait })
+    }
+
+    /// Time in which one token accrues for this instance, if the rate is divided by the demand.
+    fn time_per_token(&self, now: Instant) -> Duration {
+        let demand = self.demand.rate(now);
+        let part = demand / self.known_total(now).max(demand).max(f64::MIN_POSITIVE);
+        Duration::try_from_secs_f64(1.0 / (self.limits.rate * part)).unwrap_or(Duration::MAX)
     }
 
     /// Requests per second that arrive here.
@@ -120,6 +146,21 @@
         self.demand.rate(now)
     }
 
+    /// Limits of the workspace.
+    pub const fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    /// Largest number of tokens that are kept here.
+    pub const fn capacity(&self) -> f64 {
+        self.bucket.capacity()
+    }
+
+    /// Demand of all instances, as told by one that knows it, or as known here.
+    pub fn known_total(&self, now: Instant) -> f64 {
+        self.total.unwrap_or_else(|| self.total_demand(1, now))
+    }
+
     /// Tokens that are here.
     pub fn level(&self, now: Instant) -> f64 {
         self.bucket.tokens(now)
@@ -159,26 +200,29 @@
         self.settle(now);
     }
 
-    /// Removes the tokens that are to be passed on to `peer` now.
-    pub fn gift(&mut self, peer: &InstanceId, now: Instant) -> f64 {
+    /// Removes the tokens that are to be passed on to `peer` now; `sharing` as for [`told_demand`](Self::told_demand).
+    ///
+    /// One at which nothing accrues gets none: it asks for those that it needs, and would lose others.
+    pub fn gift(&mut self, peer: &InstanceId, sharing: usize, now: Instant) -> f64 {
         self.settle(now);
-        let Some(receiver) = self.peers.get(peer).filter(|peer| peer.is_live(now)) else {
+        let may_get = |peer: &&Peer| peer.accrues && peer.is_live(now);
+        let Some(receiver) = self.peers.get(peer).filter(may_get) else {
             return 0.0;
         };
-        let live = || self.peers.values().filter(|peer| peer.is_live(now));
-        let own_demand = self.demand.rate(now);
+        let others = || self.peers.values().filter(may_get);
+        let own_demand = self.told_demand(sharing, now);
         let own_level = self.bucket.tokens(now);
         let weights: f64 =
-            self.weight(own_demand) + live().map(|peer| self.weight(peer.demand)).sum::<f64>();
+            self.weight(own_demand) + others().map(|peer| self.weight(peer.demand)).sum::<f64>();
         if weights <= 0.0 {
             return 0.0;
         }
-        let level = own_level + live().map(|peer| peer.level).sum::<f64>();
+        let level = own_level + others().map(|peer| peer.level).sum::<f64>();
         let target = |demand: f64| level * self.weight(demand) / weights;
         let kept = target(own_demand).max(own_demand * KEPT_FOR.as_secs_f64());
         let surplus = (own_level - kept).max(0.0);
         let missing = |peer: &Peer| (target(peer.demand) - peer.level).max(0.0);
-        let all_missing: f64 = live().map(missing).sum();
+        let all_missing: f64 = others().map(missing).sum();
         // Others give at the same time, so an instance gets no more than it misses from all together.
         let given = surplus.min(all_missing);
         let tokens = if all_missing > 0.0 { given * missing(receiver) / all_missing } else { 0.0 };
@@ -191,11 +235,11 @@
         self.bucket.remove(tokens, now)
     }
 
-    /// Removes up to `wanted` tokens for an instance that asks for them, as far as they are not needed here.
-    pub fn give(&mut self, wanted: f64, now: Instant) -> f64 {
+    /// Removes the tokens that another instance asks for, as far as they are not needed here.
+    pub fn give(&mut self, request: TokenRequest, now: Instant) -> f64 {
         let kept = self.demand.rate(now) * KEPT_FOR.as_secs_f64();
         let spare = (self.bucket.tokens(now) - kept).max(0.0);
-        if spare < MIN_GIFT { 0.0 } else { self.bucket.remove(spare.min(wanted), now) }
+        if spare < request.least { 0.0 } else { self.bucket.remove(spare.min(request.wanted), now) }
     }
 
     /// Adds tokens that another instance has removed.
@@ -203,18 +247,43 @@
         self.bucket.add(tokens, now);
     }
 
-    /// The instances that most likely have tokens to spare, the one with most first, and the number to ask for.
-    pub fn lenders(&self, now: Instant) -> (Vec<InstanceId>, f64) {
-        let wanted = 1.0 + self.demand.rate(now) * KEPT_FOR.as_secs_f64();
+    /// Whether all tokens come from other instances, so that unused ones would be lost here.
+    pub fn depends_on_others(&self) -> bool {
+        self.part <= 0.0
+    }
+
+    /// What to ask others for while `waiting` requests wait for tokens.
+    pub fn request(&self, waiting: u32, now: Instant) -> TokenRequest {
+        let demand = self.demand.rate(now);
+        if !self.depends_on_others() {
+            let wanted = 1.0 + demand * KEPT_FOR.as_secs_f64();
+            return TokenRequest { wanted, least: MIN_GIFT };
+        }
+        let level = self.bucket.tokens(now);
+        let missing = |tokens: f64| {
+            let missing = tokens.min(self.bucket.capacity()) - level;
+            (missing.max(0.0) / REQUEST_STEP).ceil() * REQUEST_STEP
+        };
+        let stock = (demand * STOCK_FOR.as_secs_f64()).floor();
+        TokenRequest { wanted: missing(f64::from(waiting) + stock), least: missing(1.0) }
+    }
+
+    /// The instances that most likely have tokens to spare, the one with most first.
+    pub fn lenders(&self, now: Instant) -> Vec<InstanceId> {
         let spare = |peer: &Peer| peer.level - peer.demand * KEPT_FOR.as_secs_f64();
+        // An instance that depends on the others hears of their tokens too seldom to rule any out.
+        let may_lend = |peer: &Peer| {
+            peer.is_live(now)
+                && if self.depends_on_others() { peer.accrues } else { spare(peer) >= MIN_GIFT }
+        };
         let mut lenders: Vec<(f64, &InstanceId)> = self
             .peers
             .iter()
-            .filter(|(_, peer)| peer.is_live(now) && spare(peer) >= MIN_GIFT)
+            .filter(|(_, peer)| may_lend(peer))
             .map(|(name, peer)| (spare(peer), name))
             .collect();
         lenders.sort_by(|(a, _), (b, _)| b.total_cmp(a));
-        (lenders.into_iter().map(|(_, name)| name.clone()).collect(), wanted)
+        lenders.into_iter().map(|(_, name)| name.clone()).collect()
     }
 
     fn weight(&self, demand: f64) -> f64 {
--- a/crates/core/tests/allotment.rs
+++ b/crates/core/tests/allotment.rs
@@ -5,7 +5,7 @@
 use hibiscusladder_core::{
     clock::Instant,
     name::InstanceId,
-    share::{Allotment, Limits},
+    share::{Allotment, Limits, TokenRequest},
 };
 use proptest::prelude::*;
 
@@ -37,7 +37,7 @@
             for to in (0..self.allotments.len()).filter(|to| *to != from && heard(from, *to)) {
                 let (demand, level) =
                     (self.allotments[from].demand(self.now), self.allotments[from].level(self.now));
-                let gift = self.allotments[from].gift(&name(to), self.now);
+                let gift = self.allotments[from].gift(&name(to), 1, self.now);
                 let receiver = &mut self.allotments[to];
                 receiver.note(&name(from), demand, level, true, self.now);
                 receiver.receive(gift, self.now);
@@ -83,9 +83,9 @@
 #[test]
 fn give_keeps_only_what_the_demand_needs() {
     let mut allotment = Allotment::new(LIMITS, 1.0, at(0));
-    let given = allotment.give(100.0, at(1000));
+    let given = allotment.give(TokenRequest { wanted: 100.0, least: 0.25 }, at(1000));
     assert!((given - 40.0).abs() < 0.01, "{given}");
-    assert_eq!(allotment.give(1.0, at(1000)), 0.0);
+    assert_eq!(allotment.give(TokenRequest { wanted: 1.0, least: 0.25 }, at(1000)), 0.0);
 }
 
 /// Guards against tokens that pile up at instances at which nothing accrues, and are all used at once.
@@ -103,6 +103,57 @@
     assert!(allotment.level(at(20_000)) < 0.01);
 }
 
+/// Instances of a large fleet at which nothing accrues, in front of two at which the rate does.
+const SPOKES: usize = 28;
+
+/// Guards against tokens that are lost in a large fleet, because instances get more than the requests that wait there
+/// need: a workspace was refused at two thirds of its rate.
+#[test]
+fn large_fleet_serves_below_the_limit() {
+    let limits = Limits { rate: 12.0, capacity: 20.0 };
+    let mut hubs = vec![Allotment::new(limits, 0.5, at(0)); 2];
+    let mut spokes = vec![Allotment::new(limits, 0.0, at(0)); SPOKES];
+    let mut admitted = 0;
+    // 8 requests a second for 30 s, each at another instance than the last.
+    for number in 0..240_u64 {
+        let now = at(2000 + number * 125);
+        let spoke = usize::try_from(number * 11).expect("small") % SPOKES;
+        if number.is_multiple_of(4) {
+            exchange_with_hubs(&mut hubs, &mut spokes, now);
+        }
+        let asking = &mut spokes[spoke];
+        let mut served = asking.try_admit(now).is_ok();
+        for hub in &mut hubs {
+            if served {
+                break;
+            }
+            let request = asking.request(1, now);
+            asking.receive(hub.give(request, now), now);
+            served = asking.try_again(now).is_ok();
+        }
+        admitted += u32::from(served);
+    }
+    assert!(admitted >= 238, "{admitted} of 240 were admitted");
+}
+
+/// Lets each hub hear all instances and tell them what it passes on.
+fn exchange_with_hubs(hubs: &mut [Allotment], spokes: &mut [Allotment], now: Instant) {
+    for (number, spoke) in spokes.iter_mut().enumerate() {
+        for (hub_number, hub) in hubs.iter_mut().enumerate() {
+            hub.note(&name(number), spoke.demand(now), spoke.level(now), false, now);
+            spoke.note(&name(100 + hub_number), hub.demand(now), hub.level(now), true, now);
+            spoke.note_total(hub.total_demand(2, now), now);
+            spoke.receive(hub.gift(&name(number), 2, now), now);
+        }
+    }
+    for (from, to) in [(0, 1), (1, 0)] {
+        let (demand, level) = (hubs[from].told_demand(2, now), hubs[from].level(now));
+        let gift = hubs[from].gift(&name(100 + to), 2, now);
+        hubs[to].note(&name(100 + from), demand, level, true, now);
+        hubs[to].receive(gift, now);
+    }
+}
+
 proptest! {
     /// Guards against more admissions than the contract allows, whoever hears whom and wherever callers are.
     #[test]
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -1,6 +1,7 @@
 //! Admission of operations against the rate and burst of their workspace.
 
 use std::{
+    cell::Cell,
     collections::{BTreeMap, HashMap},
     rc::Rc,
     time::Duration,
@@ -10,13 +11,14 @@
 use hibiscusladder_core::{
     clock::Instant,
     name::{InstanceId, Workspace},
-    share::{Allotment, Limits},
+    share::{Allotment, Limits, TokenRequest},
 };
 use hibiscusladder_io::clock::within;
+use serde_json::{Value, json};
 
 use crate::{
     adapter::Platform,
-    message::{Demand, Tokens},
+    message::{Ask, Demand, Tokens},
     messenger,
     metrics::Stage,
     model::{Code, Failure},
@@ -26,18 +28,49 @@
 /// Part of the target time of an operation for which it may wait for its allotment; a longer wait would make the
 /// refusal late.
 const WAIT_PART: u32 = 5;
-/// Longest pause between two tries of one operation.
-const MAX_PAUSE: Duration = Duration::from_millis(50);
 /// Demand in operations per second below which a workspace is not named in messages.
 const NO_DEMAND: f64 = 0.01;
 /// Time between two requests for tokens of a workspace; more than a round trip within a region.
 const ASK_INTERVAL: Duration = Duration::from_millis(30);
+/// Instances that are asked at once for tokens that accrue at all of them.
+const ASKED_AT_ONCE: usize = 3;
+/// Shortest and longest time after which a refused caller is told to come back.
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(5));
+
+/// Operations of a workspace that wait, and the tokens that were asked for.
+#[derive(Debug, Default)]
+struct Waiting {
+    operations: Rc<Cell<u32>>,
+    asked: Instant,
+    /// Tokens asked for since `asked` that have not come.
+    outstanding: f64,
+    /// Number of rounds of questions, which go to one lender after the other.
+    round: usize,
+}
+
+/// Counts a waiting operation until it is dropped.
+struct WaitGuard(Rc<Cell<u32>>);
+
+impl Drop for WaitGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// A question for tokens.
+struct Question {
+    /// Who is asked; empty when nothing is known yet of a workspace that was idle until now.
+    lenders: Vec<InstanceId>,
+    /// Number of the round of questions.
+    round: usize,
+    request: TokenRequest,
+}
 
 /// Allotments of all workspaces at one instance.
 #[derive(Debug, Default)]
 pub struct Admission {
     allotments: HashMap<Workspace, Allotment>,
-    asked: HashMap<Workspace, Instant>,
+    waiting: HashMap<Workspace, Waiting>,
     /// Notified when tokens have come.
     changed: Rc<Notify>,
 }
@@ -74,6 +107,18 @@
         admitted.map_err(Some)
     }
 
+    /// What decides about a workspace's operations here, for the log.
+    pub fn standing(&self, workspace: &Workspace, now: Instant) -> Value {
+        self.allotments.get(workspace).map_or(Value::Null, |allotment| {
+            let limits = allotment.limits();
+            json!({
+                "workspace": workspace.as_str(), "rate": limits.rate, "burst": limits.capacity,
+                "tokens": allotment.level(now), "capacity": allotment.capacity(),
+                "demand": allotment.demand(now), "demand_of_all": allotment.known_total(now),
+            })
+        })
+    }
+
     /// Records what another instance needs and has, and takes what it passes on.
     pub fn note(&mut self, peer: &InstanceId, demands: &[Demand], is_hub: bool, now: Instant) {
         for demand in demands {
@@ -87,8 +132,12 @@
 
     /// Takes tokens that another instance passes on.
     pub fn receive(&mut self, gift: &Tokens, now: Instant) {
+        let tokens = f64::from(gift.tokens);
         if let Some(allotment) = self.allotments.get_mut(&*gift.workspace) {
-            allotment.receive(f64::from(gift.tokens), now);
+            allotment.receive(tokens, now);
+        }
+        if let Some(waiting) = self.waiting.get_mut(&*gift.workspace) {
+            waiting.outstanding = (waiting.outstanding - tokens).max(0.0);
             self.changed.notify(usize::MAX);
         }
     }
@@ -98,9 +147,9 @@
         clippy::cast_possible_truncation,
         reason = "tokens need no more than the precision of f32"
     )]
-    pub fn give(&mut self, ask: &Tokens, now: Instant) -> f32 {
+    pub fn give(&mut self, ask: &Ask, now: Instant) -> f32 {
         let allotment = self.allotments.get_mut(&*ask.workspace);
-        allotment.map_or(0.0, |allotment| allotment.give(f64::from(ask.tokens), now) as f32)
+        allotment.map_or(0.0, |allotment| allotment.give(ask.request(), now) as f32)
     }
 
     /// What `peer` is told, with the tokens that are passed on to it.
@@ -113,20 +162,45 @@
             if total < NO_DEMAND {
                 return None;
             }
-            let gift = allotment.gift(peer, now);
+            let gift = allotment.gift(peer, sharing, now);
             Some(Demand::new(workspace, [rate, total, allotment.level(now), gift]))
         });
         demands.collect()
     }
 
-    /// The instances to ask for tokens of a workspace and their number, unless it was done a moment ago.
-    fn lenders(&mut self, workspace: &Workspace, now: Instant) -> Option<(Vec<InstanceId>, f64)> {
-        let asked = self.asked.get(workspace);
-        if asked.is_some_and(|asked| now.since(*asked) < ASK_INTERVAL) {
+    /// Counts an operation that waits, for as long as the returned guard lives.
+    fn wait(&mut self, workspace: &Workspace) -> WaitGuard {
+        let operations = &self.waiting.entry(workspace.clone()).or_default().operations;
+        operations.set(operations.get() + 1);
+        WaitGuard(operations.clone())
+    }
+
+    /// What to ask others for while operations of `workspace` wait, unless it was asked for a moment ago.
+    fn question(&mut self, workspace: &Workspace, now: Instant) -> Option<Question> {
+        let allotment = self.allotments.get(workspace)?;
+        let waiting = self.waiting.get_mut(workspace)?;
+        let rested = now.since(waiting.asked) >= ASK_INTERVAL;
+        if rested {
+            waiting.asked = now;
+            waiting.outstanding = 0.0;
+            waiting.round += 1;
+        }
+        let mut request = allotment.request(waiting.operations.get(), now);
+        let mut lenders = allotment.lenders(now);
+        if allotment.depends_on_others() {
+            // What comes beyond the need is lost, so one instance is asked at a time.
+            request.wanted -= waiting.outstanding;
+            let turn = waiting.round % lenders.len().max(1);
+            lenders = lenders.get(turn).cloned().into_iter().collect();
+        } else if !rested {
+            return None;
+        }
+        if request.wanted < request.least || request.wanted <= 0.0 {
             return None;
         }
-        self.asked.insert(workspace.clone(), now);
-        Some(self.allotments.get(workspace)?.lenders(now))
+        waiting.outstanding += request.wanted;
+        lenders.truncate(ASKED_AT_ONCE);
+        Some(Question { lenders, round: waiting.round, request })
     }
 }
 
@@ -146,10 +220,11 @@
     let arrived = node.now();
     let until = arrived.plus(target / WAIT_PART);
     let changed = node.admission.borrow().changed.clone();
-    let mut first = true;
+    let mut waits = None;
     loop {
         let tokens = changed.listen();
         let now = node.now();
+        let first = waits.is_none();
         let wait = match node.admission.borrow_mut().try_admit(workspace, first, now) {
             Ok(()) => {
                 node.metrics.time(Stage::Admission, now.since(arrived));
@@ -157,23 +232,31 @@
             }
             Err(wait) => wait.unwrap_or(Duration::MAX),
         };
-        first = false;
-        let lenders = node.admission.borrow_mut().lenders(workspace, now);
-        if let Some((mut lenders, wanted)) = lenders {
-            if lenders.is_empty() {
-                // Nothing is known yet of a workspace that was idle until now.
-                lenders = messenger::neighbours(node);
-            }
-            messenger::ask(node, workspace, &lenders, wanted);
-        }
         if now >= until {
-            let after = wait.clamp(Duration::from_millis(100), Duration::from_secs(5));
+            let (shortest, longest) = RETRY_AFTER;
             return Err(Failure::retry_after(
                 Code::Busy,
                 "the workspace is at the limit of its contract",
-                after,
+                wait.clamp(shortest, longest),
             ));
         }
-        within(wait.min(MAX_PAUSE).min(until.since(now)), tokens).await;
+        waits.get_or_insert_with(|| node.admission.borrow_mut().wait(workspace));
+        ask(node, workspace, now);
+        within(wait.min(ASK_INTERVAL).min(until.since(now)), tokens).await;
+    }
+}
+
+fn ask<P>(node: &Rc<Node<P>>, workspace: &Workspace, now: Instant)
+where
+    P: Platform,
+{
+    let question = node.admission.borrow_mut().question(workspace, now);
+    let Some(Question { mut lenders, round, request }) = question else { return };
+    if lenders.is_empty() {
+        lenders = messenger::neighbours(node);
+        let turn = round % lenders.len().max(1);
+        lenders.rotate_left(turn);
+        lenders.truncate(1);
     }
+    messenger::ask(node, workspace, &lenders, request);
 }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 
-use hibiscusladder_core::name::{DataCentre, Workspace};
+use hibiscusladder_core::{
+    name::{DataCentre, Workspace},
+    share::TokenRequest,
+};
 use serde::{Deserialize, Serialize};
 
 /// A datagram.
@@ -11,7 +14,7 @@
     /// What the sender knows and needs.
     Status(Status),
     /// Asks for tokens.
-    Ask(Tokens),
+    Ask(Ask),
     /// Passes on tokens.
     Gift(Tokens),
 }
@@ -19,14 +22,40 @@
 /// Tokens of a workspace.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Tokens {
-    /// Name of the sender.
-    pub from: Box<str>,
     /// The workspace.
     pub workspace: Box<str>,
     /// Their number.
     pub tokens: f32,
 }
 
+/// A request for tokens of a workspace.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The workspace.
+    pub workspace: Box<str>,
+    /// Tokens that the sender can use.
+    pub wanted: f32,
+    /// Fewer are of no use to it.
+    pub least: f32,
+}
+
+impl Ask {
+    /// Creates the message for a request.
+    #[expect(
+        clippy::cast_possible_truncation,
+        reason = "requests are multiples of a part that f32 holds exactly"
+    )]
+    pub fn new(workspace: &Workspace, request: TokenRequest) -> Self {
+        let (wanted, least) = (request.wanted as f32, request.least as f32);
+        Self { workspace: workspace.as_str().into(), wanted, least }
+    }
+
+    /// What is asked for.
+    pub fn request(&self) -> TokenRequest {
+        TokenRequest { wanted: self.wanted.into(), least: self.least.into() }
+    }
+}
+
 /// What an instance needs of a workspace's rate, what it has, and what it passes on.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Demand {
--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -10,6 +10,7 @@
     clock::Instant,
     name::{InstanceId, MemberId, Workspace},
     position::{Lsn, Position, Term},
+    share::TokenRequest,
     sync_group::{LeaderNews, LeaderPosition},
 };
 use hibiscusladder_io::{clock::within, http::HttpClient};
@@ -20,7 +21,7 @@
 use crate::{
     adapter::Platform,
     events::{self, Event},
-    message::{Datagram, GroupNews, LeaderEntry, Status, Tokens},
+    message::{Ask, Datagram, GroupNews, LeaderEntry, Status, Tokens},
     node::{GroupState, Node},
     peers::{SEND_INTERVAL, nanos},
     snapshot::Snapshot,
@@ -33,8 +34,6 @@
 const BEHIND_PATIENCE: Duration = Duration::from_millis(1000);
 /// Time limit for the configuration of another instance.
 const DIRECTORY_TIMEOUT: Duration = Duration::from_secs(1);
-/// Instances that are asked for tokens at once.
-const ASKED: usize = 3;
 
 fn micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
@@ -127,7 +126,7 @@
 }
 
 /// Passes on tokens that another instance asks for, if they are not needed here.
-fn give<P>(node: &Rc<Node<P>>, ask: &Tokens, address: SocketAddr, now: Instant)
+fn give<P>(node: &Rc<Node<P>>, ask: &Ask, address: SocketAddr, now: Instant)
 where
     P: Platform,
 {
@@ -135,27 +134,21 @@
     if tokens <= 0.0 {
         return;
     }
-    let gift =
-        Tokens { from: node.instance().as_str().into(), workspace: ask.workspace.clone(), tokens };
+    let gift = Tokens { workspace: ask.workspace.clone(), tokens };
     send_datagram(node, address, &Datagram::Gift(gift));
 }
 
 /// Asks other instances for tokens of a workspace.
-pub fn ask<P>(node: &Rc<Node<P>>, workspace: &Workspace, lenders: &[InstanceId], wanted: f64)
-where
+pub fn ask<P>(
+    node: &Rc<Node<P>>,
+    workspace: &Workspace,
+    lenders: &[InstanceId],
+    request: TokenRequest,
+) where
     P: Platform,
 {
-    #[expect(
-        clippy::cast_possible_truncation,
-        reason = "tokens need no more than the precision of f32"
-    )]
-    let tokens = Tokens {
-        from: node.instance().as_str().into(),
-        workspace: workspace.as_str().into(),
-        tokens: wanted as f32,
-    };
-    let datagram = Datagram::Ask(tokens);
-    for lender in lenders.iter().take(ASKED) {
+    let datagram = Datagram::Ask(Ask::new(workspace, request));
+    for lender in lenders {
         let address = node.peers.borrow().address(lender);
         if let Some(address) = address {
             send_datagram(node, address, &datagram);
--- a/crates/gateway/src/operation.rs
+++ b/crates/gateway/src/operation.rs
@@ -6,7 +6,7 @@
     clock::Instant,
     name::{Database, Workspace},
 };
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::{
     adapter::Platform,
@@ -197,18 +197,14 @@
 
     /// Authorises an operation and admits it against the limits of its workspace.
     async fn admit(&self, query: &Query, arrived: Instant) -> Result<Request, Failure> {
-        let checked = async {
-            let (route, workspace) = self.authorise()?;
-            admission::admit(&self.node, &workspace, route.target).await?;
-            Ok((route, workspace))
-        };
-        let (route, workspace) = match checked.await {
-            Ok(admitted) => admitted,
-            Err(failure) => {
-                self.note_refusal(query, &failure);
-                return Err(failure);
-            }
-        };
+        let (route, workspace) = self.authorise().inspect_err(|failure| {
+            self.note_refusal(query, failure, json!({}));
+        })?;
+        if let Err(failure) = admission::admit(&self.node, &workspace, route.target).await {
+            let standing = self.node.admission.borrow().standing(&workspace, self.node.now());
+            self.note_refusal(query, &failure, json!({ "allotment": standing }));
+            return Err(failure);
+        }
         Ok(Request {
             id: query.id.clone(),
             payload: self.payload(query),
@@ -220,15 +216,16 @@
         })
     }
 
-    fn note_refusal(&self, query: &Query, failure: &Failure) {
-        events::note(
-            Event::RequestRefused,
-            json!({
-                "request": query.id, "database": self.database.as_str(),
-                "code": failure.code.as_str(), "reason": failure.detail,
-                "version": self.node.version(),
-            }),
-        );
+    fn note_refusal(&self, query: &Query, failure: &Failure, inputs: Value) {
+        let mut fields = json!({
+            "request": query.id, "database": self.database.as_str(),
+            "code": failure.code.as_str(), "reason": failure.detail,
+            "version": self.node.version(),
+        });
+        if let (Value::Object(fields), Value::Object(inputs)) = (&mut fields, inputs) {
+            fields.extend(inputs);
+        }
+        events::note(Event::RequestRefused, fields);
     }
 
     fn payload(&self, query: &Query) -> Payload {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -99,9 +99,7 @@
     node.spawn(status_page::serve(node.clone(), readiness, Page::Readiness));
     node.spawn(status_page::serve(node.clone(), metrics, Page::Metrics));
     node.spawn(status_page::serve(node.clone(), directory, Page::Directory));
-    for collection in
-        [Collection::Configuration, Collection::Members, Collection::Instances, Collection::Duties]
-    {
+    for collection in [Collection::Configuration, Collection::Members] {
         node.spawn(sync::follow(node.clone(), collection));
     }
     node.spawn(sync::register(node.clone()));
