perf(gateway): queue requests for a member's slots where its connections are held

Refused callers came back together after a second, met the same congestion and gave up; reads that waited were sent to a second member as well. 34,290 connections were opened, each for 12 ms of a slot, because requests of another workspace took the place of an idle one.

Change: a holder lets its part of a member's slots and one more run, queues the rest fairly by workspace (FairQueue of the core), prefers workspaces with an idle connection by at most 120 ms of slot time, and refuses at once what will not get its turn in time. An instance tries other members for 40 ms each first, then waits for half of the statement's time limit. A read that waits in such a queue is not sent twice. Statements of open transactions do not queue.

--- a/crates/core/src/queue/fair.rs
+++ b/crates/core/src/queue/fair.rs
@@ -138,12 +138,27 @@
 
     /// Starts the next request if a slot is free.
     pub fn pop(&mut self, now: Instant) -> Option<Started<T>> {
+        self.pop_preferring(now, Duration::ZERO, |_| false)
+    }
+
+    /// Like [`pop`](Self::pop), but prefers workspaces that `cheap` names, whose requests cost less at present.
+    ///
+    /// A workspace that is passed over falls behind its fair share by `slack` of slot time at most.
+    pub fn pop_preferring<F>(
+        &mut self,
+        now: Instant,
+        slack: Duration,
+        cheap: F,
+    ) -> Option<Started<T>>
+    where
+        F: Fn(&Workspace) -> bool,
+    {
         self.drop_expired(now);
         if self.running.len() >= self.slots {
             return None;
         }
         self.charge_running(now);
-        let workspace = self.next_workspace()?;
+        let workspace = self.next_workspace(slack, cheap)?;
         let flow = self.flows.get_mut(&workspace)?;
         self.virtual_time = self.virtual_time.max(flow.tag);
         let (first, charged) = flow.start()?;
@@ -216,13 +231,21 @@
         flow
     }
 
-    /// The waiting workspace with the lowest tag; the name decides between equal tags.
-    fn next_workspace(&self) -> Option<Workspace> {
-        let waiting = self.flows.iter().filter(|(_, flow)| !flow.waiting.is_empty());
-        let first = waiting.min_by(|(name, flow), (other_name, other)| {
+    /// The waiting workspace with the lowest tag, or the lowest cheap one within `slack`; the name decides between
+    /// equal tags.
+    fn next_workspace<F>(&self, slack: Duration, cheap: F) -> Option<Workspace>
+    where
+        F: Fn(&Workspace) -> bool,
+    {
+        let waiting = || self.flows.iter().filter(|(_, flow)| !flow.waiting.is_empty());
+        let order = |(name, flow): &(&Workspace, &Flow<T>),
+                     (other_name, other): &(&Workspace, &Flow<T>)| {
             flow.tag.total_cmp(&other.tag).then_with(|| name.cmp(other_name))
-        });
-        first.map(|(name, _)| name.clone())
+        };
+        let first = waiting().min_by(order)?;
+        let limit = first.1.tag + slack.as_secs_f64();
+        let near = waiting().filter(|(name, flow)| flow.tag <= limit && cheap(name)).min_by(order);
+        Some(near.unwrap_or(first).0.clone())
     }
 
     /// Charges requests that already hold their slot for longer than was estimated.
--- a/crates/core/tests/queue.rs
+++ b/crates/core/tests/queue.rs
@@ -147,3 +147,29 @@
     assert!(queue.pop(at(1)).is_none());
     assert_eq!(queue.in_service(), 2);
 }
+
+/// Guards against a slot that goes to a workspace without a connection while one with a connection waits, and against
+/// a workspace that waits for ever behind those with connections.
+#[test]
+fn pop_preferring_is_bounded_by_its_slack() {
+    const COST_MS: u64 = 10;
+    let mut queue = FairQueue::new(1).max_wait(Duration::from_secs(1000));
+    let (near, far) = (Workspace::new("near"), Workspace::new("far"));
+    for _ in 0..40 {
+        queue.push(&far, 1, "far", FAR, at(0)).expect("the bound is far");
+        queue.push(&near, 1, "near", FAR, at(0)).expect("the bound is far");
+    }
+    let slack = Duration::from_millis(100);
+    let order: Vec<&str> = (0..60)
+        .map(|turn| {
+            let now = at(turn * COST_MS);
+            let started = queue.pop_preferring(now, slack, |workspace| *workspace == near);
+            let started = started.expect("requests wait");
+            queue.finish(started.ticket, at((turn + 1) * COST_MS));
+            started.item
+        })
+        .collect();
+    assert!(order[..8].iter().all(|item| *item == "near"), "{order:?}");
+    let passed = order.iter().position(|item| *item == "far").expect("its turn comes");
+    assert!(passed <= 12, "passed over {passed} times of 10 ms");
+}
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -230,6 +230,8 @@
     pub role: Option<Role>,
     /// Start of its process, in Unix milliseconds.
     pub started_ms: u64,
+    /// Statements that it runs at once.
+    pub slots: u32,
 }
 
 /// What an object of the store holds.
--- /dev/null
+++ b/crates/gateway/src/gate.rs
@@ -0,0 +1,108 @@
+//! Bounds the statements that run at a member at once, and shares its slots fairly among workspaces.
+//!
+//! A member sheds what comes beyond its own short queue, and the opening of a connection costs it as much as a
+//! statement. Requests therefore wait at the instance that holds the connections, where a workspace with an idle
+//! connection may go before others for a while.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use futures::channel::oneshot;
+use hibiscusladder_core::{
+    clock::{Clock, Instant},
+    name::Workspace,
+    queue::{FairQueue, Ticket},
+};
+use hibiscusladder_io::clock::{BootClock, within};
+
+use crate::{adapter::Platform, pool::Pool};
+
+/// Slot time by which a workspace without an idle connection may fall behind one that has some; about ten openings.
+const REUSE_SLACK: Duration = Duration::from_millis(120);
+/// All requests of a pool count the same; their rates are limited elsewhere.
+const WEIGHT: u32 = 1;
+
+/// The requests that wait for a slot of a member.
+pub struct Gate<P>
+where
+    P: Platform,
+{
+    /// `None` when the number of connections is bound enough.
+    slots: Cell<Option<u32>>,
+    queue: RefCell<FairQueue<oneshot::Sender<Permit<P>>>>,
+}
+
+impl<P> Gate<P>
+where
+    P: Platform,
+{
+    /// Creates a gate for `slots` statements at once.
+    pub fn new(slots: Option<u32>) -> Self {
+        let queue = FairQueue::new(slots.unwrap_or_default());
+        Self { slots: Cell::new(slots), queue: RefCell::new(queue) }
+    }
+
+    /// Changes the number of slots.
+    pub fn set_slots(&self, slots: Option<u32>) {
+        self.slots.set(slots);
+        self.queue.borrow_mut().set_slots(slots.unwrap_or(u32::MAX));
+    }
+}
+
+/// The right to run a statement; dropping it lets the next one run.
+pub struct Permit<P>
+where
+    P: Platform,
+{
+    pool: Rc<Pool<P>>,
+    ticket: Option<Ticket>,
+}
+
+impl<P> Drop for Permit<P>
+where
+    P: Platform,
+{
+    fn drop(&mut self) {
+        let Some(ticket) = self.ticket.take() else { return };
+        self.pool.gate.queue.borrow_mut().finish(ticket, BootClock.now());
+        start_waiting(&self.pool);
+    }
+}
+
+/// Waits for the right to run a statement of `workspace`; `None` when it will not come until `until`.
+pub async fn enter<P>(
+    pool: &Rc<Pool<P>>,
+    workspace: &Workspace,
+    until: Instant,
+) -> Option<Permit<P>>
+where
+    P: Platform,
+{
+    if pool.gate.slots.get().is_none() {
+        return Some(Permit { pool: pool.clone(), ticket: None });
+    }
+    let (start, started) = oneshot::channel();
+    let now = BootClock.now();
+    pool.gate.queue.borrow_mut().push(workspace, WEIGHT, start, until, now).ok()?;
+    start_waiting(pool);
+    within(until.since(now), started).await?.ok()
+}
+
+fn start_waiting<P>(pool: &Rc<Pool<P>>)
+where
+    P: Platform,
+{
+    loop {
+        let now = BootClock.now();
+        let mut queue = pool.gate.queue.borrow_mut();
+        let next = queue.pop_preferring(now, REUSE_SLACK, |workspace| pool.has_idle(workspace));
+        drop(queue.take_expired(now));
+        drop(queue);
+        let Some(next) = next else { return };
+        // A request that is no longer waiting gives the permit back.
+        let _ = next.item.send(Permit { pool: pool.clone(), ticket: Some(next.ticket) });
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod directory;
 pub mod duty;
 pub mod events;
+pub mod gate;
 pub mod holder;
 pub mod message;
 pub mod messenger;
--- a/crates/gateway/src/monitor.rs
+++ b/crates/gateway/src/monitor.rs
@@ -289,7 +289,7 @@
     }
     let workspace = node.any_workspace().ok_or(OrderError::NoConnection)?;
     let until = node.now().plus(CONNECTION_WAIT);
-    match pool.acquire(&workspace, &Values::new(), until).await {
+    match pool.connect(&workspace, &Values::new(), until).await {
         Ok(lease) => Ok(lease),
         Err(AcquireError::Unreachable(error)) => Err(OrderError::Failed(error)),
         Err(AcquireError::Exhausted | AcquireError::Refused(_)) => Err(OrderError::NoConnection),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -39,6 +39,8 @@
 const MIN_CONNECTIONS: usize = 2;
 /// Connections of a holder's part that it leaves free: those of a process that has just died still count at the member.
 const HELD_BACK: usize = 1;
+/// Statements that a holder sends beyond its part of a member's slots, so that none is empty during a round trip.
+const SPARE_STATEMENTS: usize = 1;
 
 /// Polls of one member.
 #[derive(Debug, Default, Clone, Copy)]
@@ -365,16 +367,18 @@
         let topology = self.topology();
         if total / topology.len().max(1) >= MIN_CONNECTIONS {
             let open = total / topology.len().max(1);
-            return PoolLimits { open, idle: open };
+            return PoolLimits { open, idle: open, running: None };
         }
         let held_elsewhere = topology
             .holders(member, data_centre, total)
             .is_some_and(|holders| !holders.contains(self.instance()));
         if held_elsewhere {
-            return PoolLimits { open: 0, idle: 0 };
+            return PoolLimits { open: 0, idle: 0, running: None };
         }
         let open = (total / HOLDERS).saturating_sub(HELD_BACK).max(1);
-        PoolLimits { open, idle: open }
+        let slots = self.member(member).map_or(1, |known| known.record.slots as usize);
+        let running = u32::try_from(slots.div_ceil(HOLDERS) + SPARE_STATEMENTS).ok();
+        PoolLimits { open, idle: open, running }
     }
 
     /// The instances that connect to a member; `None` when all do.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     adapter::{ConnectError, Order, Platform, Target, UpstreamPort},
+    gate::{self, Gate, Permit},
     model::{Access, Answer, Code, Failure, TransactionState},
     settings::Distance,
 };
@@ -102,6 +103,8 @@
     pub open: usize,
     /// Connections that are kept while they are idle.
     pub idle: usize,
+    /// Statements that run at once, beside those of open transactions; `None` for as many as there are connections.
+    pub running: Option<u32>,
 }
 
 /// The connections to one member.
@@ -113,6 +116,7 @@
     pub target: Target,
     /// Its data centre.
     pub data_centre: DataCentre,
+    pub(crate) gate: Gate<P>,
     distance: Distance,
     state: RefCell<State<P>>,
     released: Notify,
@@ -147,6 +151,7 @@
         Rc::new(Self {
             target,
             data_centre,
+            gate: Gate::new(limits.running),
             distance,
             state: RefCell::new(state),
             released: Notify::new(),
@@ -160,6 +165,12 @@
     /// Changes the numbers of connections.
     pub fn set_limits(&self, limits: PoolLimits) {
         self.state.borrow_mut().limits = limits;
+        self.gate.set_slots(limits.running);
+    }
+
+    /// Whether a connection of `workspace` is idle.
+    pub(crate) fn has_idle(&self, workspace: &Workspace) -> bool {
+        self.state.borrow().idle.iter().any(|idle| idle.workspace == *workspace)
     }
 
     /// Connections opened so far.
@@ -210,12 +221,11 @@
         let trust = 0.5_f64.powf(age);
         let service = state.service_s * trust + ASSUMED_SERVICE_S * (1.0 - trust);
         let held_elsewhere = state.limits.open == 0;
-        let opening =
-            if held_elsewhere || state.idle.iter().any(|idle| idle.workspace == *workspace) {
-                0.0
-            } else {
-                OPENING_S + self.round_trip().as_secs_f64()
-            };
+        let opening = if held_elsewhere || self.has_idle(workspace) {
+            0.0
+        } else {
+            OPENING_S + self.round_trip().as_secs_f64()
+        };
         let trouble = if now < self.troubled_until.get() { TROUBLE_S } else { 0.0 };
         let queue = service * (1.0 + state.in_use as f64);
         self.round_trip().as_secs_f64() + queue + opening + trouble
@@ -226,7 +236,7 @@
         assumed.map_or(Duration::ZERO, |(_, round_trip)| *round_trip)
     }
 
-    /// A connection for `workspace`, at best one that has `values` already.
+    /// A connection for a statement of `workspace` that may run now, at best one that has `values` already.
     ///
     /// # Errors
     ///
@@ -236,6 +246,24 @@
         workspace: &Workspace,
         values: &Values,
         until: Instant,
+    ) -> Result<Lease<P>, AcquireError> {
+        let permit = gate::enter(self, workspace, until).await;
+        let permit = permit.ok_or(AcquireError::Exhausted)?;
+        let mut lease = self.connect(workspace, values, until).await?;
+        lease.permit = Some(permit);
+        Ok(lease)
+    }
+
+    /// Like [`acquire`](Self::acquire), whatever else runs at the member.
+    ///
+    /// # Errors
+    ///
+    /// As for [`acquire`](Self::acquire).
+    pub async fn connect(
+        self: &Rc<Self>,
+        workspace: &Workspace,
+        values: &Values,
+        until: Instant,
     ) -> Result<Lease<P>, AcquireError> {
         loop {
             let released = self.released.listen();
@@ -313,7 +341,7 @@
 
     fn lease(self: &Rc<Self>, connection: Connection<P>) -> Lease<P> {
         self.state.borrow_mut().in_use += 1;
-        Lease { pool: self.clone(), connection: Some(connection), clean: true }
+        Lease { pool: self.clone(), connection: Some(connection), clean: true, permit: None }
     }
 
     /// Records how long a member took for a statement.
@@ -399,6 +427,8 @@
     connection: Option<Connection<P>>,
     /// Whether no answer is outstanding and no transaction is open.
     clean: bool,
+    /// Given back after the first answer; the statements of a transaction do not wait for their turn.
+    permit: Option<Permit<P>>,
 }
 
 impl<P> Lease<P>
@@ -490,6 +520,9 @@
         if matches!(order, Order::Forward { .. } | Order::Execute { .. }) {
             let now = connection.answered;
             self.pool.measure(now.since(started), now);
+            if !self.clean {
+                self.permit = None;
+            }
         }
         Ok(answer)
     }
--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -26,14 +26,16 @@
 
 /// Longest time for which a request waits for a member that can run it.
 pub const MEMBER_WAIT: Duration = Duration::from_millis(4500);
-/// Part of an operation's target time for which it waits for a connection to a busy member.
-const PATIENCE_PART: u32 = 4;
+/// Wait for a slot of a busy member after which another member is tried; a few statements.
+const FIRST_PATIENCE: Duration = Duration::from_millis(40);
+/// Part of a statement's time limit for which a holder lets it wait for a slot; the rest is for running it.
+const PATIENCE_PART: u32 = 2;
 /// Time without an answer after which a read is sent to a second member as well.
 const HEDGE_AFTER: Duration = Duration::from_millis(250);
 /// Time without an answer after which a member is polled.
 const DOUBT_AFTER: Duration = Duration::from_millis(220);
 /// Pause before members are tried again that could not run a request a moment ago.
-const RETRY_PAUSE: Duration = Duration::from_millis(20);
+pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Time after which a refused caller is told to come back; about half of a change of primary.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Longest sleep while no member can run a request.
@@ -202,6 +204,7 @@
     let mut avoid: Vec<MemberId> = Vec::new();
     let mut offered = false;
     let mut busy = false;
+    let mut patience = longest_patience(node, req).min(FIRST_PATIENCE);
     loop {
         let now = node.now();
         if now >= until {
@@ -215,15 +218,17 @@
         }
         choices.retain(|choice| !avoid.contains(&choice.member));
         let Some(choice) = choices.first() else {
-            if busy && now.since(req.arrived) >= patience(node, req) {
+            if busy && now.since(req.arrived) >= capacity_wait(node, req) {
                 return refuse(node, req, "the members are at capacity");
             }
             avoid.clear();
+            patience = longest_patience(node, req);
             sleep(RETRY_PAUSE).await;
             continue;
         };
         offered = true;
-        let (attempt, member) = attempt_hedged(node, req, choice, choices.get(1)).await;
+        let second = choices.get(1);
+        let (attempt, member) = attempt_hedged(node, req, choice, second, patience).await;
         busy = attempt.is_busy();
         if let Some(answer) = settle(node, req, attempt, &member) {
             return answer;
@@ -304,17 +309,20 @@
     req: &Rc<Request>,
     first: &Choice,
     second: Option<&Choice>,
+    patience: Duration,
 ) -> Outcome
 where
     P: Platform,
 {
-    let mut running = boxed_attempt(node, req, first);
+    let mut running = boxed_attempt(node, req, first, patience);
     let Some(second) = second else { return running.await };
-    if let Some(outcome) = within(HEDGE_AFTER, &mut running).await {
+    // A request that waits for a slot is in good hands.
+    let waits = if node.topology().is_flat() { Duration::ZERO } else { patience };
+    if let Some(outcome) = within(HEDGE_AFTER + waits, &mut running).await {
         return outcome;
     }
     note_retry(node, &req.id, "slow", &first.member);
-    let hedge = boxed_attempt(node, req, second);
+    let hedge = boxed_attempt(node, req, second, patience);
     let (outcome, other) = match futures::future::select(running, hedge).await {
         futures::future::Either::Left(ended) | futures::future::Either::Right(ended) => ended,
     };
@@ -330,29 +338,30 @@
     node: &Rc<Node<P>>,
     req: &Rc<Request>,
     choice: &Choice,
+    patience: Duration,
 ) -> LocalBoxFuture<'static, Outcome>
 where
     P: Platform,
 {
     let (node, req, choice) = (node.clone(), req.clone(), choice.clone());
     async move {
-        let attempt = attempt(&node, &req, &choice).await;
+        let attempt = attempt(&node, &req, &choice, patience).await;
         (attempt, choice.member)
     }
     .boxed_local()
 }
 
-async fn attempt<P>(node: &Node<P>, req: &Request, choice: &Choice) -> Attempt
+async fn attempt<P>(node: &Node<P>, req: &Request, choice: &Choice, patience: Duration) -> Attempt
 where
     P: Platform,
 {
     let limit = req.route.statement_timeout;
-    let mut channel = match open(node, req, &choice.member).await {
+    let mut channel = match open(node, req, &choice.member, patience).await {
         Ok(channel) => channel,
         Err(attempt) => return attempt,
     };
     let sent = node.now();
-    let running = channel.run(node, req.run(choice.after, limit, patience(node, req)));
+    let running = channel.run(node, req.run(choice.after, limit, patience));
     match doubting(node, req, &choice.member, running).await {
         Attempt::Answered(answer) if is_idle(&answer) => {
             note_answer(node, req, &choice.member, answer.position, sent);
@@ -366,16 +375,24 @@
     }
 }
 
-/// Longest wait of a request for a busy member.
+/// Longest wait of one attempt for a busy member.
 ///
 /// Where an instance has few connections of its own, one is soon given back; while a primary is dark all of them are
-/// in use, and its successor will serve. At a holder the requests of many instances wait, and a late refusal would cost
-/// the caller the time for another attempt.
-pub fn patience<P>(node: &Node<P>, req: &Request) -> Duration
+/// in use, and its successor will serve.
+pub fn longest_patience<P>(node: &Node<P>, req: &Request) -> Duration
 where
     P: Platform,
 {
-    if node.topology().is_flat() { MEMBER_WAIT } else { req.route.target / PATIENCE_PART }
+    let part = req.route.statement_timeout / PATIENCE_PART;
+    if node.topology().is_flat() { MEMBER_WAIT } else { part }
+}
+
+/// Time from its arrival after which a request is refused when no member has a slot for it.
+pub fn capacity_wait<P>(node: &Node<P>, req: &Request) -> Duration
+where
+    P: Platform,
+{
+    if node.topology().is_flat() { MEMBER_WAIT } else { req.route.statement_timeout }
 }
 
 /// Opens a way to `member` for a request.
@@ -387,11 +404,12 @@
     node: &Node<P>,
     req: &Request,
     member: &MemberId,
+    patience: Duration,
 ) -> Result<Channel<P>, Attempt>
 where
     P: Platform,
 {
-    let until = node.now().plus(patience(node, req).min(req.route.statement_timeout));
+    let until = node.now().plus(patience.min(req.route.statement_timeout));
     let opened = channel::open(node, member, &req.workspace, &req.values, until).await;
     if matches!(opened, Err(Attempt::Unreachable)) {
         doubt(node, req, member);
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -35,6 +35,7 @@
     leaving: bool,
     primary: Option<bool>,
     started_ms: u64,
+    slots: u32,
 }
 
 impl Snapshot {
@@ -87,6 +88,7 @@
             leaving: record.leaving,
             primary: record.role.map(|role| role == Role::Primary),
             started_ms: record.started_ms,
+            slots: record.slots,
         }
     }
 
@@ -99,6 +101,7 @@
             leaving: self.leaving,
             role: self.primary.map(role),
             started_ms: self.started_ms,
+            slots: self.slots,
         };
         (self.id, record)
     }
--- a/crates/gateway/src/transaction.rs
+++ b/crates/gateway/src/transaction.rs
@@ -14,16 +14,13 @@
     node::Node,
     pool::Values,
     reads::{
-        self, Choice, Floor, MEMBER_WAIT, Request, choices, doubting, note_answer, note_retry,
-        patience, wait_for_change,
+        self, Choice, Floor, MEMBER_WAIT, RETRY_PAUSE, Request, capacity_wait, choices, doubting,
+        longest_patience, note_answer, note_retry, wait_for_change,
     },
     tunnel::Payload,
     writes::{self, note_commit, note_unknown, note_write},
 };
 
-/// Pause before members are tried again that could not begin a transaction a moment ago.
-const RETRY_PAUSE: Duration = Duration::from_millis(20);
-
 /// Causes for which a member that lives did not begin a transaction.
 const BUSY_CAUSES: [&str; 2] = [Code::Busy.as_str(), Code::TooMany.as_str()];
 
@@ -191,7 +188,7 @@
             }
             let Some(choice) = candidates.iter().find(|choice| !avoid.contains(&choice.member))
             else {
-                if busy && node.now().since(begun) >= patience(node, &self.request) {
+                if busy && node.now().since(begun) >= capacity_wait(node, &self.request) {
                     break;
                 }
                 avoid.clear();
@@ -237,11 +234,11 @@
         choice: &Choice,
     ) -> Result<Channel<P>, &'static str> {
         let limit = self.request.route.statement_timeout;
-        let mut channel = reads::open(node, &self.request, &choice.member)
+        let patience = longest_patience(node, &self.request);
+        let mut channel = reads::open(node, &self.request, &choice.member, patience)
             .await
             .map_err(|attempt| cause_of(&attempt))?;
-        let run =
-            Run { values, ..self.request.run(choice.after, limit, patience(node, &self.request)) };
+        let run = Run { values, ..self.request.run(choice.after, limit, patience) };
         let running = channel.run(node, run);
         match doubting(node, &self.request, &choice.member, running).await {
             Attempt::Answered(answer) => match answer.outcome {
--- a/crates/gateway/src/writes.rs
+++ b/crates/gateway/src/writes.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use hibiscusladder_core::{clock::Instant, name::MemberId, position::Position};
+use hibiscusladder_io::clock::sleep;
 use serde_json::json;
 
 use crate::{
@@ -12,8 +13,8 @@
     model::{Answer, Code, Failure, TransactionState},
     node::Node,
     reads::{
-        self, Floor, MEMBER_WAIT, Request, doubting, note_answer, note_retry, patience, refuse,
-        takes_work, wait_for_change,
+        self, Floor, MEMBER_WAIT, RETRY_PAUSE, Request, capacity_wait, doubting, longest_patience,
+        note_answer, note_retry, refuse, takes_work, wait_for_change,
     },
 };
 
@@ -49,7 +50,8 @@
             continue;
         };
         let attempt = attempt(node, req, &member).await;
-        if attempt.is_busy() && node.now().since(req.arrived) >= patience(node, req) {
+        let busy = attempt.is_busy();
+        if busy && node.now().since(req.arrived) >= capacity_wait(node, req) {
             return (refuse(node, req, "the primary is at capacity"), None);
         }
         match attempt {
@@ -62,7 +64,11 @@
             Attempt::Unreachable => note_retry(node, &req.id, "unreachable", &member),
             Attempt::Broken => return (unknown(node, req, &member), None),
         }
-        wait_for_change(node, req).await;
+        if busy {
+            sleep(RETRY_PAUSE).await;
+        } else {
+            wait_for_change(node, req).await;
+        }
     }
 }
 
@@ -71,12 +77,13 @@
     P: Platform,
 {
     let limit = req.route.statement_timeout;
-    let mut channel = match reads::open(node, req, member).await {
+    let patience = longest_patience(node, req);
+    let mut channel = match reads::open(node, req, member, patience).await {
         Ok(channel) => channel,
         Err(attempt) => return attempt,
     };
     let sent = node.now();
-    let running = channel.run(node, req.run(None, limit, patience(node, req)));
+    let running = channel.run(node, req.run(None, limit, patience));
     let attempt = doubting(node, req, member, running).await;
     match attempt {
         Attempt::Answered(answer) if is_idle(&answer) => {
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -24,6 +24,7 @@
         leaving,
         role: None,
         started_ms,
+        slots: 2,
     }
 }
 
