fix(gateway): grant tokens at a start, and serve callers of public routes

Cause: (1) after all instances lost power, their buckets were empty while a backlog of callers came back; 1,300 tries were refused at contracts that were not reached.

Change: a process begins with its part of a quarter of the tolerated overage and slack, which two starts of all instances within one window may use beside the half that the division uses (at_start_leaves_the_limits_kept).

--- a/crates/core/src/share/allotment.rs
+++ b/crates/core/src/share/allotment.rs
@@ -242,6 +242,11 @@
         if spare < request.least { 0.0 } else { self.bucket.remove(spare.min(request.wanted), now) }
     }
 
+    /// Adds this instance's part of `tokens` that all instances together may use beyond what accrues.
+    pub fn grant(&mut self, tokens: f64, now: Instant) {
+        self.bucket.add(tokens * self.part, now);
+    }
+
     /// Adds tokens that another instance has removed.
     pub fn receive(&mut self, tokens: f64, now: Instant) {
         self.bucket.add(tokens, now);
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -23,6 +23,7 @@
     metrics::Stage,
     model::{Code, Failure},
     node::Node,
+    operation::NO_WORKSPACE,
 };
 
 /// Part of the target time of an operation for which it may wait for its allotment; a longer wait would make the
@@ -107,6 +108,15 @@
         admitted.map_err(Some)
     }
 
+    /// Adds this instance's part of the operations that `tokens` grants each workspace.
+    pub fn grant(&mut self, tokens: &BTreeMap<Workspace, f64>, now: Instant) {
+        for (workspace, tokens) in tokens {
+            if let Some(allotment) = self.allotments.get_mut(workspace) {
+                allotment.grant(*tokens, now);
+            }
+        }
+    }
+
     /// What decides about a workspace's operations here, for the log.
     pub fn standing(&self, workspace: &Workspace, now: Instant) -> Value {
         self.allotments.get(workspace).map_or(Value::Null, |allotment| {
@@ -206,6 +216,8 @@
 
 /// Admits an operation of `workspace`, which may wait for a part of `target`.
 ///
+/// A caller without a key belongs to no workspace, so no contract limits it.
+///
 /// # Errors
 ///
 /// The refusal, which says when to come back.
@@ -217,6 +229,9 @@
 where
     P: Platform,
 {
+    if workspace.as_str() == NO_WORKSPACE {
+        return Ok(());
+    }
     let arrived = node.now();
     let until = arrived.plus(target / WAIT_PART);
     let changed = node.admission.borrow().changed.clone();
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -168,6 +168,8 @@
     pub tunnels: Tunnels,
     topology: RefCell<Rc<Topology>>,
     listed: Cell<bool>,
+    /// Whether the tokens of the start were granted.
+    granted: Cell<bool>,
     /// Notified when other instances have to be told something at once.
     pub urgent: Notify,
     /// Notified when an instance was heard that is not registered as far as is known.
@@ -212,6 +214,7 @@
             tunnels: Tunnels::default(),
             topology: RefCell::default(),
             listed: Cell::new(false),
+            granted: Cell::new(false),
             urgent: Notify::new(),
             strangers: Notify::new(),
             watches: Notify::new(),
@@ -349,7 +352,16 @@
         let limits = directory.workspaces.iter().map(|(workspace, limits)| {
             (workspace.clone(), self.settings.tolerance.extend((*limits).into()))
         });
-        self.admission.borrow_mut().configure(&limits.collect(), part, self.now());
+        let mut admission = self.admission.borrow_mut();
+        admission.configure(&limits.collect(), part, self.now());
+        if part > 0.0 && !self.granted.replace(true) {
+            let tolerance = self.settings.tolerance;
+            let tokens = directory.workspaces.iter().map(|(workspace, limits)| {
+                (workspace.clone(), tolerance.at_start((*limits).into()))
+            });
+            admission.grant(&tokens.collect(), self.now());
+        }
+        drop(admission);
         for pool in self.pools.borrow().values() {
             pool.set_limits(self.pool_limits(&pool.target, &pool.data_centre));
         }
--- a/crates/gateway/src/operation.rs
+++ b/crates/gateway/src/operation.rs
@@ -23,6 +23,9 @@
     writes,
 };
 
+/// Name that members are told for a caller without a key, whom public routes serve.
+pub const NO_WORKSPACE: &str = "-";
+
 /// State of a session between two requests.
 pub struct Session<P>
 where
@@ -291,7 +294,7 @@
     })?;
     let workspace = match directory.keys.get(key) {
         Some(workspace) => workspace.clone(),
-        None if route.public => Workspace::new("-"),
+        None if route.public => Workspace::new(NO_WORKSPACE),
         None => {
             return Err(Failure::new(
                 Code::NoAuth,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -46,10 +46,15 @@
     pub overage: f64,
     /// Operations.
     pub slack: f64,
+    /// Time over which operations are counted against the limits.
+    pub window: Duration,
 }
 
 /// Part of the tolerated overage and slack that is used.
 const USED_TOLERANCE: f64 = 0.5;
+/// Part of the tolerated overage and slack that the first tokens of new processes may use, if all instances start again
+/// within one window; twice that is left after [`USED_TOLERANCE`].
+const START_TOLERANCE: f64 = 0.25;
 
 impl Tolerance {
     /// The limits that the gateway enforces for a contract's.
@@ -60,6 +65,12 @@
             capacity: limits.capacity * factor + USED_TOLERANCE * self.slack,
         }
     }
+
+    /// Operations that all instances together may admit at their start, when it is not known what was used before.
+    pub fn at_start(self, limits: Limits) -> f64 {
+        let in_window = limits.rate * self.window.as_secs_f64() + limits.capacity;
+        START_TOLERANCE * (self.overage * in_window + self.slack)
+    }
 }
 
 /// How far away a data centre is.
--- /dev/null
+++ b/crates/gateway/tests/settings.rs
@@ -0,0 +1,28 @@
+//! Settings of an instance, and the margins that follow from them.
+
+use std::time::Duration;
+
+use hibiscusladder_core::share::Limits;
+use hibiscusladder_gateway::settings::Tolerance;
+use test_case::test_case;
+
+const TOLERANCE: Tolerance =
+    Tolerance { overage: 0.1, slack: 20.0, window: Duration::from_secs(5) };
+/// Starts of all instances within one window.
+const STARTS: f64 = 2.0;
+
+/// Guards against first tokens that, beside what accrues, pass what is tolerated when all processes are killed twice
+/// within a window.
+#[test_case(0.5, 0.5; "small")]
+#[test_case(7.0, 7.0; "usual")]
+#[test_case(230.0, 230.0; "large")]
+#[test_case(10.0, 400.0; "bursty")]
+fn at_start_leaves_the_limits_kept(rate: f64, burst: f64) {
+    let limits = Limits { rate, capacity: burst };
+    let enforced = TOLERANCE.extend(limits);
+    let window = TOLERANCE.window.as_secs_f64();
+    let used = enforced.capacity + enforced.rate * window + STARTS * TOLERANCE.at_start(limits);
+    let allowed = (rate * window + burst) * (1.0 + TOLERANCE.overage) + TOLERANCE.slack;
+    assert!(used <= allowed, "{used} > {allowed}");
+    assert!(TOLERANCE.at_start(limits) > 0.0);
+}
