fix(proxy): use an announced handover also when it arrives before the news of being home

Cause: the announcement of a handover and the heartbeat that makes this instance home travel separately. When the announcement came first, the lock was tried without it, and the successor waited for a whole lease window, after which the handed over buckets are void.

--- a/crates/proxy/src/control/members.rs
+++ b/crates/proxy/src/control/members.rs
@@ -261,6 +261,10 @@
         let action = match (*homing, is_home) {
             (Homing::No, true) => {
                 *homing = Homing::Since(now);
+                // The announcement may arrive before the news that this instance is home.
+                if let Some(announced) = self.lease.take_handover() {
+                    self.lease.handle(LeaseEvent::HandedOver, announced);
+                }
                 self.lease.handle(LeaseEvent::Connected, now)
             }
             (Homing::Since(_), false) => {
