perf(gateway): hold connections at two instances in every larger fleet

Change: all fleets over 12 instances use holders, whether or not there are connections for each instance.

--- a/crates/core/src/topology.rs
+++ b/crates/core/src/topology.rs
@@ -125,7 +125,7 @@
         data_centre: &DataCentre,
         max_connections: usize,
     ) -> Option<Vec<InstanceId>> {
-        if max_connections >= MIN_DIRECT_CONNECTIONS * self.instances.len() {
+        if self.is_flat() && max_connections >= MIN_DIRECT_CONNECTIONS * self.instances.len() {
             return None;
         }
         let near = self.instances.values().filter(|profile| profile.data_centre == *data_centre);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -380,14 +380,11 @@
         let total = self.max_connections(&target.group);
         let member = &target.member;
         let topology = self.topology();
-        if total / topology.len().max(1) >= MIN_CONNECTIONS {
+        let Some(holders) = topology.holders(member, data_centre, total) else {
             let open = total / topology.len().max(1);
             return PoolLimits { open, idle: open, running: None };
-        }
-        let held_elsewhere = topology
-            .holders(member, data_centre, total)
-            .is_some_and(|holders| !holders.contains(self.instance()));
-        if held_elsewhere {
+        };
+        if !holders.contains(self.instance()) {
             return PoolLimits { open: 0, idle: 0, running: None };
         }
         let open = (total / HOLDERS).saturating_sub(HELD_BACK).max(1);
--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -35,7 +35,9 @@
 /// Time without an answer after which a member is polled.
 const DOUBT_AFTER: Duration = Duration::from_millis(220);
 /// Pause before members are tried again that could not run a request a moment ago.
-pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(20);
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// Pause before holders are asked again that had too many requests waiting; several statements end meanwhile.
+const CAPACITY_PAUSE: Duration = Duration::from_millis(100);
 /// Time after which a refused caller is told to come back; about half of a change of primary.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Longest sleep while no member can run a request.
@@ -222,8 +224,9 @@
                 return refuse(node, req, "the members are at capacity");
             }
             avoid.clear();
+            let first_round = patience < longest_patience(node, req);
             patience = longest_patience(node, req);
-            sleep(RETRY_PAUSE).await;
+            sleep(if first_round { RETRY_PAUSE } else { retry_pause(node) }).await;
             continue;
         };
         offered = true;
@@ -395,6 +398,14 @@
     if node.topology().is_flat() { MEMBER_WAIT } else { req.route.statement_timeout }
 }
 
+/// Pause before members are tried again that had no slot for a request.
+pub fn retry_pause<P>(node: &Node<P>) -> Duration
+where
+    P: Platform,
+{
+    if node.topology().is_flat() { RETRY_PAUSE } else { CAPACITY_PAUSE }
+}
+
 /// Opens a way to `member` for a request.
 ///
 /// # Errors
--- a/crates/gateway/src/transaction.rs
+++ b/crates/gateway/src/transaction.rs
@@ -14,8 +14,8 @@
     node::Node,
     pool::Values,
     reads::{
-        self, Choice, Floor, MEMBER_WAIT, RETRY_PAUSE, Request, capacity_wait, choices, doubting,
-        longest_patience, note_answer, note_retry, wait_for_change,
+        self, Choice, Floor, MEMBER_WAIT, Request, capacity_wait, choices, doubting,
+        longest_patience, note_answer, note_retry, retry_pause, wait_for_change,
     },
     tunnel::Payload,
     writes::{self, note_commit, note_unknown, note_write},
@@ -192,7 +192,7 @@
                     break;
                 }
                 avoid.clear();
-                sleep(RETRY_PAUSE).await;
+                sleep(retry_pause(node)).await;
                 continue;
             };
             match self.begin_at(node, values, choice).await {
--- a/crates/gateway/src/writes.rs
+++ b/crates/gateway/src/writes.rs
@@ -13,8 +13,8 @@
     model::{Answer, Code, Failure, TransactionState},
     node::Node,
     reads::{
-        self, Floor, MEMBER_WAIT, RETRY_PAUSE, Request, capacity_wait, doubting, longest_patience,
-        note_answer, note_retry, refuse, takes_work, wait_for_change,
+        self, Floor, MEMBER_WAIT, Request, capacity_wait, doubting, longest_patience, note_answer,
+        note_retry, refuse, retry_pause, takes_work, wait_for_change,
     },
 };
 
@@ -65,7 +65,7 @@
             Attempt::Broken => return (unknown(node, req, &member), None),
         }
         if busy {
-            sleep(RETRY_PAUSE).await;
+            sleep(retry_pause(node)).await;
         } else {
             wait_for_change(node, req).await;
         }
