test(gateway): soak large fleets, one-way cuts, links to store and callers, and limits

Cause: the soak ran three instances only, so that holders, hubs and tokens on request were never under faults, and it did not check limits.

New faults: answers of a member are lost, an instance's link to the store or its callers' links are cut, silent or one-way, and the first workspace's rate changes. The checker counts operations in windows of 5 s against the rates that may be in force; passed_limits_finds gives it broken and whole histories. Links between instances are still not broken: their address is the one that an instance listens on.

--- a/hibiscusladder/tests/gateway/fleet.rs
+++ b/hibiscusladder/tests/gateway/fleet.rs
@@ -10,6 +10,7 @@
 
 use hibiscusladder_platform_standin::{Caller, Reply, Standin, WORKSPACES, node_file};
 use hibiscusladder_testkit::{
+    fault_proxy::FaultProxy,
     ports::free_port,
     process::{Binary, Process},
 };
@@ -23,6 +24,8 @@
 pub(crate) struct Gateway {
     name: String,
     pub(crate) callers: SocketAddr,
+    /// Relay of this instance's calls to the store.
+    pub(crate) store: FaultProxy,
     settings: String,
     pub(crate) process: Process,
 }
@@ -54,9 +57,10 @@
         let readiness = loopback(free_port().expect("a port"));
         let name = format!("gateway-{number}");
         let zone = if number.is_multiple_of(2) { "north" } else { "south" };
-        let settings = node_file(&name, zone, callers, readiness, port_range(), &self.standin);
+        let store = FaultProxy::start(self.standin.store_address()).expect("a relay");
+        let settings = node_file(&name, zone, callers, readiness, port_range(), store.address());
         let process = self.run(&name, &settings, callers);
-        self.gateways.push(Gateway { name, callers, settings, process });
+        self.gateways.push(Gateway { name, callers, store, settings, process });
     }
 
     fn run(&self, name: &str, settings: &str, callers: SocketAddr) -> Process {
--- a/hibiscusladder/tests/gateway/soak/history.rs
+++ b/hibiscusladder/tests/gateway/soak/history.rs
@@ -24,6 +24,14 @@
 const PAUSE_MS: u64 = 40;
 /// Operations without success in a row after which a caller goes to another instance.
 const PATIENCE: u32 = 3;
+/// Rate of the workspaces in operations a second, at first and unless a fault lowers it; the burst is as large.
+pub(super) const MAX_RATE: f64 = 200.0;
+/// Window in which operations are counted against a rate (`quota_window_s` of the deployments).
+const WINDOW: Duration = Duration::from_secs(5);
+/// Time until a rate has to be in force (`config_apply_ms`).
+const IN_FORCE: Duration = Duration::from_secs(4);
+/// By how much a rate and burst may be passed (`quota_overage`, `quota_slack`).
+const TOLERATED: (f64, f64) = (1.1, 20.0);
 /// Codes that promise that nothing is kept.
 const PROMISES: [&str; 6] = ["BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"];
 
@@ -41,6 +49,8 @@
     acknowledged: BTreeMap<String, Vec<(u64, Instant)>>,
     fates: BTreeMap<String, Fate>,
     workspaces: BTreeMap<String, &'static str>,
+    /// Rates of the first workspace, and when they were written.
+    rates: Vec<(Instant, f64)>,
     broken: Vec<String>,
 }
 
@@ -89,6 +99,11 @@
         }
     }
 
+    /// Records that the first workspace is about to have another rate.
+    pub(super) fn note_rate(&self, rate: f64) {
+        self.seen().rates.push((Instant::now(), rate));
+    }
+
     pub(super) fn stop(&self) {
         self.stopped.store(true, Ordering::SeqCst);
     }
@@ -140,6 +155,7 @@
                 broken.push(format!("{} ran for {}", statement.id, statement.workspace));
             }
         }
+        broken.extend(passed_limits(&seen.rates, ran));
         if !promotions.is_sorted() {
             broken.push(format!("generation numbers fell: {promotions:?}"));
         }
@@ -147,6 +163,32 @@
     }
 }
 
+/// Windows in which more operations of the first workspace ran than any rate allows that may have been in force.
+fn passed_limits(rates: &[(Instant, f64)], ran: &[Ran]) -> Vec<String> {
+    let of_first = ran.iter().filter(|ran| ran.first && ran.workspace == WORKSPACES[0]);
+    let mut times: Vec<Instant> = of_first.map(|ran| ran.at).collect();
+    times.sort();
+    let (factor, slack) = TOLERATED;
+    let passed = (0..times.len()).filter_map(|first| {
+        let (from, until) = (times[first], times[first] + WINDOW);
+        let count = times[first..].iter().take_while(|at| **at < until).count();
+        let rate = highest_rate(rates, from, until);
+        let allowed = (rate * WINDOW.as_secs_f64() + rate) * factor + slack;
+        let text = || format!("{count} operations in a window at {rate} a second");
+        (count as f64 > allowed).then(text)
+    });
+    passed.take(1).collect()
+}
+
+/// The highest rate that an instance may have enforced from `from` to `until`.
+fn highest_rate(rates: &[(Instant, f64)], from: Instant, until: Instant) -> f64 {
+    let first = rates.iter().rposition(|(at, _)| *at + IN_FORCE <= from);
+    let later = rates.iter().skip(first.unwrap_or(0));
+    let in_window = later.filter(|(at, _)| *at < until).map(|(_, rate)| *rate);
+    let before = first.is_none().then_some(MAX_RATE);
+    in_window.chain(before).fold(0.0, f64::max)
+}
+
 /// One caller and its open sessions.
 struct CallerState {
     number: usize,
@@ -310,3 +352,26 @@
     let ran = [Ran { id: "w".to_owned(), workspace, first: true, at: Instant::now() }];
     assert_eq!(history.violations(&kept, &ran, promotions).len(), broken);
 }
+
+/// Guards against a check of the limits that misses an excess, or counts one against a rate that is not in force yet.
+#[test_case::test_case(110, &[], 0; "within the first rate")]
+#[test_case::test_case(200, &[(-10, 15.0)], 1; "above a rate in force")]
+#[test_case::test_case(200, &[(-1, 15.0)], 0; "above a rate that is new")]
+#[test_case::test_case(200, &[(-10, 15.0), (2, 200.0)], 0; "raised within the window")]
+fn passed_limits_finds(count: u64, rates: &[(i64, f64)], found: usize) {
+    let start = Instant::now() + Duration::from_secs(60);
+    let at = |seconds: i64| match u64::try_from(seconds) {
+        Ok(seconds) => start + Duration::from_secs(seconds),
+        Err(_) => start - Duration::from_secs(seconds.unsigned_abs()),
+    };
+    let rates: Vec<(Instant, f64)> = rates.iter().map(|(time, rate)| (at(*time), *rate)).collect();
+    let ran: Vec<Ran> = (0..count)
+        .map(|number| Ran {
+            id: number.to_string(),
+            workspace: WORKSPACES[0].to_owned(),
+            first: true,
+            at: start + Duration::from_millis(20 * number),
+        })
+        .collect();
+    assert_eq!(passed_limits(&rates, &ran).len(), found);
+}
--- a/hibiscusladder/tests/gateway/soak/mod.rs
+++ b/hibiscusladder/tests/gateway/soak/mod.rs
@@ -13,17 +13,21 @@
     time::{Duration, Instant},
 };
 
-use hibiscusladder_testkit::fault_proxy::{FaultProxy, Faults};
+use hibiscusladder_testkit::fault_proxy::{Answers, FaultProxy, Faults};
 use test_case::test_case;
 
 use self::{
-    history::History,
-    plan::{Fault, plan},
+    history::{History, MAX_RATE},
+    plan::{Fault, Link, plan},
 };
 use crate::fleet::{Fleet, keep_logs};
 
-/// Instances of a run.
-const INSTANCES: usize = 3;
+/// Instances of a small run, in which all connect to all members.
+const FEW_INSTANCES: usize = 3;
+/// Instances of a large run, in which two hold the connections to a member for all.
+const MANY_INSTANCES: usize = 14;
+/// Each third seed is a large run.
+const LARGE_EVERY: u64 = 3;
 /// Length of a run unless the environment sets another one.
 const LENGTH: Duration = Duration::from_secs(8);
 /// Time after the last fault until everything has to be served again.
@@ -34,6 +38,7 @@
 /// Guards against broken promises under overlapping faults; seeds that ever failed stay here.
 #[test_case(1; "first seed")]
 #[test_case(2; "second seed")]
+#[test_case(3; "large fleet")]
 fn soak_keeps_promises(seed: u64) {
     run(seed);
 }
@@ -58,16 +63,20 @@
 }
 
 fn run(seed: u64) {
-    let mut fleet = Fleet::start(INSTANCES);
-    let relays = insert_relays(&fleet);
+    let instances = if seed.is_multiple_of(LARGE_EVERY) { MANY_INSTANCES } else { FEW_INSTANCES };
+    let mut fleet = Fleet::start(instances);
+    let relays = Relays::insert(&fleet);
     let history = History::new(seed);
     let stop = Instant::now() + length();
-    let addresses: Vec<_> = fleet.gateways.iter().map(|gateway| gateway.callers).collect();
+    let addresses: Vec<_> = relays.callers.iter().map(FaultProxy::address).collect();
     thread::scope(|scope| {
         history.start_callers(scope, &addresses, stop + RECOVERY);
         let started = Instant::now();
-        for (at, fault) in plan(seed, length()) {
+        for (at, fault) in plan(seed, instances, length()) {
             thread::sleep((started + at).saturating_duration_since(Instant::now()));
+            if let Fault::Configure { rate, .. } = fault {
+                history.note_rate(rate);
+            }
             inject(&mut fleet, &relays, &fault);
         }
         thread::sleep(stop.saturating_duration_since(Instant::now()));
@@ -85,17 +94,35 @@
     }
 }
 
-/// Puts a relay in front of each member.
-fn insert_relays(fleet: &Fleet) -> Vec<FaultProxy> {
-    let relays = (0..3).map(|member| {
-        let relay = FaultProxy::start(fleet.standin.member_address(member)).expect("a relay");
-        fleet.standin.set_relay(member, relay.address());
-        relay
+/// Relays in front of the members and of the instances' addresses for callers.
+struct Relays {
+    members: Vec<FaultProxy>,
+    callers: Vec<FaultProxy>,
+}
+
+impl Relays {
+    fn insert(fleet: &Fleet) -> Self {
+        let members = (0..3).map(|member| {
+            let relay = FaultProxy::start(fleet.standin.member_address(member)).expect("a relay");
+            fleet.standin.set_relay(member, relay.address());
+            relay
+        });
+        let callers = fleet.gateways.iter();
+        let callers = callers.map(|gateway| FaultProxy::start(gateway.callers).expect("a relay"));
+        Self { members: members.collect(), callers: callers.collect() }
+    }
+}
+
+fn set_link(relay: &FaultProxy, link: Link) {
+    relay.set(match link {
+        Link::Whole => Faults::default(),
+        Link::Silent => Faults { silence: true, ..Faults::default() },
+        Link::Cut => Faults { cut: true, ..Faults::default() },
+        Link::OneWay => Faults { answers: Answers::Swallow, ..Faults::default() },
     });
-    relays.collect()
 }
 
-fn inject(fleet: &mut Fleet, relays: &[FaultProxy], fault: &Fault) {
+fn inject(fleet: &mut Fleet, relays: &Relays, fault: &Fault) {
     match fault {
         Fault::Kill(instance) => {
             fleet.gateways[*instance].process.kill().expect("the process was started here");
@@ -132,15 +159,22 @@
             let primary = fleet.standin.lock_group().primary();
             fleet.standin.lock_group().set_leaving(primary, true);
         }
-        Fault::Silence(member) => relays[*member].silence_open(),
-        Fault::Reset(member) => relays[*member].close_open(),
-        Fault::Cut { member, cut } => relays[*member].change(|faults| faults.cut = *cut),
-        Fault::Slow(member) => relays[*member].change(|faults| faults.delay = SLOW),
-        Fault::Configure(version) => fleet.standin.configure(*version, [200.0; 2], &[]),
+        Fault::Silence(member) => relays.members[*member].silence_open(),
+        Fault::Reset(member) => relays.members[*member].close_open(),
+        Fault::Cut { member, cut } => relays.members[*member].change(|faults| faults.cut = *cut),
+        Fault::Slow(member) => relays.members[*member].change(|faults| faults.delay = SLOW),
+        Fault::Mute { member, mute } => relays.members[*member].change(|faults| {
+            faults.answers = if *mute { Answers::Swallow } else { Answers::Pass };
+        }),
+        Fault::StoreLink { instance, link } => set_link(&fleet.gateways[*instance].store, *link),
+        Fault::CallerLink { instance, link } => set_link(&relays.callers[*instance], *link),
+        Fault::Configure { version, rate } => {
+            fleet.standin.configure(*version, [*rate, MAX_RATE], &[]);
+        }
     }
 }
 
-fn repair(fleet: &mut Fleet, relays: &[FaultProxy]) {
+fn repair(fleet: &mut Fleet, relays: &Relays) {
     fleet.standin.set_store(Default::default());
     for member in 0..3 {
         let mut group = fleet.standin.lock_group();
@@ -148,7 +182,9 @@
         group.set_lag(member, Duration::from_millis(10));
         group.set_leaving(member, false);
     }
-    relays.iter().for_each(|relay| relay.set(Faults::default()));
+    let links = relays.members.iter().chain(&relays.callers);
+    let stores = fleet.gateways.iter().map(|gateway| &gateway.store);
+    links.chain(stores).for_each(|relay| set_link(relay, Link::Whole));
     for instance in 0..fleet.gateways.len() {
         let process = &mut fleet.gateways[instance].process;
         process.thaw().ok();
--- a/hibiscusladder/tests/gateway/soak/plan.rs
+++ b/hibiscusladder/tests/gateway/soak/plan.rs
@@ -5,8 +5,6 @@
 use hibiscusladder_platform_standin::StoreFault;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-use super::INSTANCES;
-
 /// Members of the group.
 const MEMBERS: usize = 3;
 /// Faults that begin in ten seconds.
@@ -15,7 +13,7 @@
 const LASTS_MS: std::ops::Range<u64> = 300..3500;
 
 /// Something that is done to a run.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub(super) enum Fault {
     /// SIGKILL, and a new process.
     Kill(usize),
@@ -45,19 +43,41 @@
     Cut { member: usize, cut: bool },
     /// Connections to a member are slow.
     Slow(usize),
-    /// A new version of the configuration.
-    Configure(u64),
+    /// Nothing that a member answers arrives, though it gets what is sent.
+    Mute { member: usize, mute: bool },
+    /// One instance does not reach the store, or gets no answers from it.
+    StoreLink { instance: usize, link: Link },
+    /// The callers of one instance are cut off, or get no answers.
+    CallerLink { instance: usize, link: Link },
+    /// A new version of the configuration, in which the first workspace has this rate.
+    Configure { version: u64, rate: f64 },
+}
+
+/// What passes a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Link {
+    /// Everything.
+    Whole,
+    /// Nothing, without a sign.
+    Silent,
+    /// Nothing; connections are closed.
+    Cut,
+    /// Only what is sent, not what is answered.
+    OneWay,
 }
 
+/// Rates of the first workspace in operations a second; the lowest is below what its callers send.
+const RATES: [f64; 3] = [15.0, 40.0, 200.0];
+
 /// The faults of a run with their times, in order.
-pub(super) fn plan(seed: u64, length: Duration) -> Vec<(Duration, Fault)> {
+pub(super) fn plan(seed: u64, instances: usize, length: Duration) -> Vec<(Duration, Fault)> {
     let mut rng = StdRng::seed_from_u64(seed);
     let count = (length.as_secs() * FAULTS_PER_TEN_SECONDS).div_ceil(10);
     let mut plan = Vec::new();
     for number in 0..count {
         let at = length.mul_f64(rng.random_range(0.0..0.8));
         let end = at + Duration::from_millis(rng.random_range(LASTS_MS));
-        let (begin, ending) = fault(&mut rng, number);
+        let (begin, ending) = fault(&mut rng, instances, number);
         plan.push((at, begin));
         plan.extend(ending.map(|ending| (end, ending)));
     }
@@ -67,10 +87,11 @@
 }
 
 /// A fault, and what ends it.
-fn fault(rng: &mut StdRng, number: u64) -> (Fault, Option<Fault>) {
-    let instance = rng.random_range(0..INSTANCES);
+fn fault(rng: &mut StdRng, instances: usize, number: u64) -> (Fault, Option<Fault>) {
+    let instance = rng.random_range(0..instances);
     let member = rng.random_range(0..MEMBERS);
-    match rng.random_range(0..14) {
+    let link = [Link::Silent, Link::Cut, Link::OneWay][rng.random_range(0..3)];
+    match rng.random_range(0..17) {
         0 | 1 => (Fault::Kill(instance), None),
         2 => (Fault::Terminate(instance), Some(Fault::Restart(instance))),
         3 => (Fault::Freeze(instance), Some(Fault::Thaw(instance))),
@@ -83,7 +104,19 @@
         10 => (Fault::Silence(member), None),
         11 => (Fault::Reset(member), Some(Fault::Slow(member))),
         12 => (Fault::Cut { member, cut: true }, Some(Fault::Cut { member, cut: false })),
-        _ if number.is_multiple_of(2) => (Fault::Configure(10 + number), None),
+        13 => (Fault::Mute { member, mute: true }, Some(Fault::Mute { member, mute: false })),
+        14 => (
+            Fault::StoreLink { instance, link },
+            Some(Fault::StoreLink { instance, link: Link::Whole }),
+        ),
+        15 => (
+            Fault::CallerLink { instance, link },
+            Some(Fault::CallerLink { instance, link: Link::Whole }),
+        ),
+        _ if number.is_multiple_of(2) => {
+            let rate = RATES[rng.random_range(0..RATES.len())];
+            (Fault::Configure { version: 10 + number, rate }, None)
+        }
         _ => {
             let lag = Duration::from_millis(rng.random_range(100..2500));
             (Fault::Lag { member, lag }, None)
