fix(core): require all replicas as witnesses after a fence was seen or a process was started

A promotion releases the replicas from their hold. Until a replica knows the new primary it answers that it holds nothing, the old primary still answers as primary, and the two polls together counted as a proof of its office.

Change: after a fence was heard of or seen, and after a start, polls prove the office only when all other members answer that they hold nothing, since the promoted one would report the new term; an acknowledged commit, the news of another instance or the new term itself end the doubt. Proofs from before the fence stay as long as before. While in doubt, hubs poll all members. certain_until_needs_a_free_replica expected a proof while one replica held a higher term, which is such a case; it now requires that all hold nothing, and checks the time of the proof in addition.

--- a/crates/core/src/share/allotment.rs
+++ b/crates/core/src/share/allotment.rs
@@ -278,7 +278,7 @@
     }
 
     /// What to ask others for while `waiting` requests wait for tokens.
-    pub fn request(&self, waiting: u32, now: Instant) -> TokenRequest {
+    pub fn request(&self, waiting: usize, now: Instant) -> TokenRequest {
         let demand = self.demand.rate(now);
         if !self.depends_on_others() {
             let wanted = 1.0 + demand * KEPT_FOR.as_secs_f64();
@@ -290,7 +290,7 @@
             (missing.max(0.0) / REQUEST_STEP).ceil() * REQUEST_STEP
         };
         let stock = (demand * STOCK_FOR.as_secs_f64()).floor();
-        TokenRequest { wanted: missing(f64::from(waiting) + stock), least: missing(1.0) }
+        TokenRequest { wanted: missing(waiting as f64 + stock), least: missing(1.0) }
     }
 
     /// The instances that most likely have tokens to spare, the one with most first.
--- a/crates/core/src/sync_group/view.rs
+++ b/crates/core/src/sync_group/view.rs
@@ -59,8 +59,20 @@
     pub position: Option<LeaderPosition>,
 }
 
+/// A replacement of the primary that may have taken place without the knowledge of this instance.
+///
+/// A promotion releases the replicas. Until they know the new primary, they and the old one answer as if nothing had
+/// happened, so an answer of a single replica proves nothing.
+#[derive(Debug, Clone, Copy)]
+struct Doubt {
+    /// The highest term that the replicas were told to hold; unknown after a start.
+    term: Option<Term>,
+    /// When that was last seen.
+    since: Option<Instant>,
+}
+
 /// Answers of the members of one group, and what follows from them.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct GroupView {
     members: BTreeMap<MemberId, Member>,
     leader_term: Term,
@@ -69,12 +81,28 @@
     proved: Option<Instant>,
     /// Proofs that were asked for up to this time do not count, because a fence was confirmed then.
     proofs_after: Option<Instant>,
+    doubt: Option<Doubt>,
     /// Term that replicas are being told to hold, and until when that counts.
     fence: Option<(Term, Instant)>,
     /// Time up to which a replica that is gone may have received commits that no other replica has.
     lost_until: Option<Instant>,
 }
 
+impl Default for GroupView {
+    fn default() -> Self {
+        Self {
+            members: BTreeMap::new(),
+            leader_term: Term::default(),
+            positions: VecDeque::new(),
+            proved: None,
+            proofs_after: None,
+            doubt: Some(Doubt { term: None, since: None }),
+            fence: None,
+            lost_until: None,
+        }
+    }
+}
+
 impl GroupView {
     /// Sets the members of the group with the roles that they have published; what is known about others is forgotten.
     pub fn set_members<I>(&mut self, members: I)
@@ -115,6 +143,8 @@
         if status.role == Role::Primary {
             self.note_leader(status.term, LeaderPosition { sent, position: status.received });
         }
+        self.doubt_below(status.held, sent);
+        self.settle_doubt();
     }
 
     /// Records that `member` acknowledged a commit that was sent at `sent`, with its position.
@@ -123,6 +153,7 @@
     pub fn commit_acknowledged(&mut self, member: &MemberId, position: Position, sent: Instant) {
         self.lead(member, position.term, LeaderPosition { sent, position });
         self.prove(position.term, sent);
+        self.end_doubt(position.term, sent);
     }
 
     /// Records that the primary answered a request that was sent at `sent`, with its position.
@@ -147,6 +178,7 @@
         }
         if let Some(proved) = news.proved {
             self.prove(news.term, proved);
+            self.end_doubt(news.term, proved);
         }
     }
 
@@ -163,6 +195,7 @@
 
     /// Records that the replicas are being told to hold `term`, so that the leader gets no more writes for a while.
     pub fn fence(&mut self, term: Term, now: Instant) {
+        self.doubt_below(term, now);
         self.fence = Some((term, now.plus(FENCE_MEMORY)));
     }
 
@@ -178,6 +211,12 @@
         self.proved = None;
     }
 
+    /// Whether the primary may have been replaced without the knowledge of this instance, so that a single replica
+    /// cannot prove its office.
+    pub const fn is_in_doubt(&self) -> bool {
+        self.doubt.is_some()
+    }
+
     /// Records that a question was sent at `sent`.
     pub fn asked(&mut self, member: &MemberId, sent: Instant) {
         if let Some(state) = self.members.get_mut(member) {
@@ -279,6 +318,9 @@
 
     /// The earlier of the leader's latest answer and the latest answer of a replica that holds no higher term.
     fn polled_at(&self, leader: &Leader) -> Option<Instant> {
+        if self.doubt.is_some() {
+            return None;
+        }
         let (status, in_office) = self.members.get(&leader.member)?.latest.as_ref()?;
         let others = self.answers().filter(|(member, _, _)| **member != leader.member);
         let free = others.filter(|(_, status, _)| status.highest_term() <= leader.term);
@@ -316,6 +358,7 @@
         }
         if term > self.leader_term {
             self.leader_term = term;
+            self.doubt = self.doubt.filter(|doubt| doubt.term.is_none_or(|held| held > term));
             self.positions.clear();
             self.proved = None;
             self.lost_until = None;
@@ -339,6 +382,48 @@
         self.positions.push_back(position);
     }
 
+    /// Doubts the leader's office because replicas were told at `at` to hold `held`. Earlier proofs stay.
+    fn doubt_below(&mut self, held: Term, at: Instant) {
+        if held <= self.leader_term() {
+            return;
+        }
+        if self.doubt.is_none() {
+            self.proved = self.leader(at).and_then(|leader| self.proved_at(&leader));
+        }
+        let known = self.doubt.unwrap_or(Doubt { term: Some(held), since: None });
+        self.doubt = Some(Doubt {
+            term: known.term.map(|term| term.max(held)),
+            since: known.since.max(Some(at)),
+        });
+    }
+
+    /// Ends the doubt when the leader of `term` was proved to be in office by more than polls of this instance.
+    fn end_doubt(&mut self, term: Term, proved: Instant) {
+        if term == self.leader_term {
+            self.doubt = self.doubt.filter(|doubt| doubt.since >= Some(proved));
+        }
+    }
+
+    /// Ends the doubt when all other members answered that they hold nothing: the promoted one would have a new term.
+    fn settle_doubt(&mut self) {
+        let Some(doubt) = self.doubt else { return };
+        let term = self.leader_term();
+        let settled = |state: &Member| {
+            state.latest.as_ref().is_some_and(|(status, sent)| {
+                status.highest_term() <= term && Some(*sent) > doubt.since
+            })
+        };
+        let leads = |state: &Member| {
+            let status = state.latest.as_ref().map(|(status, _)| status);
+            status.is_some_and(|status| status.role == Role::Primary && status.term == term)
+        };
+        if self.members.values().any(leads)
+            && self.members.values().all(|state| leads(state) || settled(state))
+        {
+            self.doubt = None;
+        }
+    }
+
     fn prove(&mut self, term: Term, sent: Instant) {
         if term == self.leader_term && Some(sent) > self.proofs_after {
             self.proved = self.proved.max(Some(sent));
--- a/crates/core/tests/sync_group.rs
+++ b/crates/core/tests/sync_group.rs
@@ -50,16 +50,64 @@
     view.observe(&id("c"), status(Role::Replica, 1, position(1, 8), held), at(ms));
 }
 
+/// Guards against stale reads at a replaced primary: a promotion releases the replicas, and until they know the new
+/// primary they answer as if nothing had happened.
+#[test_case(true; "told of the fence")]
+#[test_case(false; "saw the fence")]
+fn certain_until_needs_all_replicas_after_a_fence(told: bool) {
+    let mut view = polled(0);
+    if told {
+        view.fence(Term(2), at(500));
+    } else {
+        view.observe(&id("c"), status(Role::Replica, 1, position(1, 9), 2), at(500));
+    }
+    view.observe(&id("a"), status(Role::Primary, 1, position(1, 9), 0), at(3000));
+    view.observe(&id("c"), status(Role::Replica, 1, position(1, 9), 0), at(3000));
+    let before = view.certain_until(at(3000));
+    assert!(before <= Some(at(500).plus(PROOF_WINDOW)), "{before:?}");
+    // No promotion took place if the other replica is free as well.
+    view.observe(&id("b"), status(Role::Replica, 1, position(1, 9), 0), at(3100));
+    assert_eq!(view.certain_until(at(3100)), Some(at(3000).plus(PROOF_WINDOW)));
+    // From then on one replica suffices again.
+    view.observe(&id("a"), status(Role::Primary, 1, position(1, 9), 0), at(4000));
+    view.observe(&id("c"), status(Role::Replica, 1, position(1, 9), 0), at(4000));
+    assert_eq!(view.certain_until(at(4000)), Some(at(4000).plus(PROOF_WINDOW)));
+}
+
+/// Guards against reads that stay refused after a fence, although an acknowledged commit shows the primary in office.
+#[test]
+fn commit_after_a_fence_proves_office() {
+    let mut view = polled(0);
+    view.fence(Term(2), at(500));
+    view.commit_acknowledged(&id("a"), position(1, 10), at(3000));
+    view.observe(&id("a"), status(Role::Primary, 1, position(1, 10), 0), at(4000));
+    view.observe(&id("c"), status(Role::Replica, 1, position(1, 10), 0), at(4000));
+    assert_eq!(view.certain_until(at(4000)), Some(at(4000).plus(PROOF_WINDOW)));
+}
+
+/// Guards against stale reads of a process that starts while a primary is replaced, and has not seen the fence.
+#[test]
+fn certain_until_needs_all_replicas_after_a_start() {
+    let mut view = group();
+    view.observe(&id("a"), status(Role::Primary, 1, position(1, 9), 0), at(100));
+    view.observe(&id("b"), status(Role::Replica, 1, position(1, 9), 0), at(100));
+    assert_eq!(view.certain_until(at(100)), None);
+    view.observe(&id("c"), status(Role::Replica, 1, position(1, 9), 0), at(100));
+    assert_eq!(view.certain_until(at(100)), Some(at(100).plus(PROOF_WINDOW)));
+}
+
 /// Guards against stale reads at a replaced primary: the word of the primary alone proves nothing.
 #[test]
 fn certain_until_needs_a_free_replica() {
     let mut view = group();
     view.observe(&id("a"), status(Role::Primary, 1, position(1, 9), 0), at(100));
     assert_eq!(view.certain_until(at(100)), None);
-    view.observe(&id("b"), status(Role::Replica, 1, position(1, 9), 2), at(100));
+    hold_all(&mut view, 2, 100);
     assert_eq!(view.certain_until(at(100)), None);
-    view.observe(&id("c"), status(Role::Replica, 1, position(1, 9), 0), at(150));
+    hold_all(&mut view, 0, 150);
     assert_eq!(view.certain_until(at(200)), Some(at(100).plus(PROOF_WINDOW)));
+    view.observe(&id("a"), status(Role::Primary, 1, position(1, 9), 0), at(900));
+    assert_eq!(view.certain_until(at(900)), Some(at(150).plus(PROOF_WINDOW)));
 }
 
 /// Guards against reads that go on at the old primary after a new one is known.
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -1,7 +1,6 @@
 //! Admission of operations against the rate and burst of their workspace.
 
 use std::{
-    cell::Cell,
     collections::{BTreeMap, HashMap},
     rc::Rc,
     time::Duration,
@@ -24,6 +23,7 @@
     model::{Code, Failure},
     node::Node,
     operation::NO_WORKSPACE,
+    tally::{Tally, TallyGuard},
 };
 
 /// Part of the target time of an operation for which it may wait for its allotment; a longer wait would make the
@@ -41,7 +41,7 @@
 /// Operations of a workspace that wait, and the tokens that were asked for.
 #[derive(Debug, Default)]
 struct Waiting {
-    operations: Rc<Cell<u32>>,
+    operations: Tally,
     asked: Instant,
     /// Tokens asked for since `asked` that have not come.
     outstanding: f64,
@@ -49,15 +49,6 @@
     round: usize,
 }
 
-/// Counts a waiting operation until it is dropped.
-struct WaitGuard(Rc<Cell<u32>>);
-
-impl Drop for WaitGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// A question for tokens.
 struct Question {
     /// Who is asked; empty when nothing is known yet of a workspace that was idle until now.
@@ -182,10 +173,8 @@
     }
 
     /// Counts an operation that waits, for as long as the returned guard lives.
-    fn wait(&mut self, workspace: &Workspace) -> WaitGuard {
-        let operations = &self.waiting.entry(workspace.clone()).or_default().operations;
-        operations.set(operations.get() + 1);
-        WaitGuard(operations.clone())
+    fn wait(&mut self, workspace: &Workspace) -> TallyGuard {
+        self.waiting.entry(workspace.clone()).or_default().operations.begin()
     }
 
     /// What to ask others for while operations of `workspace` wait, unless it was asked for a moment ago.
@@ -198,7 +187,7 @@
             waiting.outstanding = 0.0;
             waiting.round += 1;
         }
-        let mut request = allotment.request(waiting.operations.get(), now);
+        let mut request = allotment.request(waiting.operations.count(), now);
         let mut lenders = allotment.lenders(now);
         if allotment.depends_on_others() {
             // What comes beyond the need is lost, so one instance is asked at a time.
--- a/crates/gateway/src/channel.rs
+++ b/crates/gateway/src/channel.rs
@@ -11,10 +11,12 @@
 
 use crate::{
     adapter::{Order, Platform},
+    lease::Lease,
     metrics::{Counter, Stage},
     model::{Answer, Code, TransactionState},
     node::Node,
-    pool::{AcquireError, Lease, Pool, UseGuard, Values},
+    pool::{AcquireError, Pool, Values},
+    tally::TallyGuard,
     tunnel::{Call, Payload, Reply, RunCall, Tunnel},
 };
 
@@ -48,6 +50,16 @@
     }
 }
 
+impl From<AcquireError> for Attempt {
+    fn from(error: AcquireError) -> Self {
+        match error {
+            AcquireError::Exhausted => Self::NotRun(Code::TooMany),
+            AcquireError::Refused(failure) => Self::NotRun(failure.code),
+            AcquireError::Unreachable(_) => Self::Unreachable,
+        }
+    }
+}
+
 /// A statement with what it needs on a connection.
 #[derive(Debug, Clone, Copy)]
 pub struct Run<'a> {
@@ -84,7 +96,7 @@
     tunnel: Tunnel,
     workspace: Workspace,
     pool: Rc<Pool<P>>,
-    _in_use: UseGuard<P>,
+    _in_use: TallyGuard,
 }
 
 /// Opens a way to `member`.
@@ -129,14 +141,10 @@
     if pool.opened() > opened {
         node.metrics.count(Counter::MemberConnections, "opened");
     }
-    acquired.map(Channel::Local).map_err(|error| match error {
-        AcquireError::Exhausted => Attempt::NotRun(Code::TooMany),
-        AcquireError::Refused(failure) => Attempt::NotRun(failure.code),
-        AcquireError::Unreachable(_) => {
-            pool.note_trouble(node.now());
-            Attempt::Unreachable
-        }
-    })
+    if matches!(acquired, Err(AcquireError::Unreachable(_))) {
+        pool.note_trouble(node.now());
+    }
+    acquired.map(Channel::Local).map_err(Attempt::from)
 }
 
 async fn open_remote<P>(
@@ -178,14 +186,7 @@
     pub async fn rollback(self, request: Option<(Box<str>, Box<str>)>) {
         let ending = async {
             match self {
-                Self::Local(mut lease) => {
-                    let order = match &request {
-                        Some((id, text)) => Order::Forward { id, text, after: None },
-                        None => Order::Rollback,
-                    };
-                    // Without an answer the connection is closed, which rolls back as well.
-                    lease.exchange(order).await.err();
-                }
+                Self::Local(lease) => roll_back(lease, request).await,
                 Self::Remote(mut remote) => {
                     // As above; the holder closes the connection when the tunnel breaks.
                     remote.tunnel.call(&Call::Rollback { request }).await.err();
@@ -196,17 +197,30 @@
     }
 }
 
+/// Ends the transaction of a connection, with id and text of the caller's request if there was one.
+pub async fn roll_back<P>(mut lease: Lease<P>, request: Option<(Box<str>, Box<str>)>)
+where
+    P: Platform,
+{
+    let order = match &request {
+        Some((id, text)) => Order::Forward { id, text, after: None },
+        None => Order::Rollback,
+    };
+    // Without an answer the connection is closed, which rolls back as well.
+    lease.exchange(order).await.err();
+}
+
 /// Runs a statement on a connection of this instance.
 pub async fn run_local<P>(lease: &mut Lease<P>, run: Run<'_>) -> Attempt
 where
     P: Platform,
 {
     let until = BootClock.now().plus(run.limit);
-    if !matches!(within(run.limit, prepare(lease, &run)).await, Some(Ok(()))) {
+    let Some(Ok(name)) = within(run.limit, prepare(lease, &run)).await else {
         lease.pool().note_trouble(BootClock.now());
         return Attempt::Unreachable;
-    }
-    let sending = send(lease, &run);
+    };
+    let sending = send(lease, &run, name.as_deref());
     match within(until.since(BootClock.now()), sending).await {
         Some(Ok(answer)) => Attempt::Answered(answer),
         _ => {
@@ -216,30 +230,30 @@
     }
 }
 
-/// Brings the connection into the state that the statement needs.
-async fn prepare<P>(lease: &mut Lease<P>, run: &Run<'_>) -> std::io::Result<()>
+/// Brings the connection into the state that the statement needs, and returns the name of a prepared one.
+async fn prepare<P>(lease: &mut Lease<P>, run: &Run<'_>) -> std::io::Result<Option<Box<str>>>
 where
     P: Platform,
 {
     lease.set_values(run.values).await?;
-    if let Payload::Execute { access, shape, .. } = run.payload {
-        lease.prepare(*access, shape).await?;
+    match run.payload {
+        Payload::Text(_) => Ok(None),
+        Payload::Execute { access, shape, .. } => lease.prepare(*access, shape).await.map(Some),
     }
-    Ok(())
 }
 
-async fn send<P>(lease: &mut Lease<P>, run: &Run<'_>) -> std::io::Result<Answer>
+async fn send<P>(lease: &mut Lease<P>, run: &Run<'_>, name: Option<&str>) -> std::io::Result<Answer>
 where
     P: Platform,
 {
     let (id, after) = (run.id, run.after);
-    match run.payload {
-        Payload::Text(text) => lease.exchange(Order::Forward { id, text, after }).await,
-        Payload::Execute { access, shape, arguments } => {
-            let name = lease.prepare(*access, shape).await?;
-            lease.exchange(Order::Execute { id, name: &name, arguments, after }).await
+    let order = match run.payload {
+        Payload::Text(text) => Order::Forward { id, text, after },
+        Payload::Execute { arguments, .. } => {
+            Order::Execute { id, name: name.unwrap_or_default(), arguments, after }
         }
-    }
+    };
+    lease.exchange(order).await
 }
 
 impl<P> RemoteChannel<P>
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -166,6 +166,13 @@
     }
 }
 
+/// Adds the fields of the JSON object `more` to those of `fields`.
+pub fn extend(fields: &mut Value, more: Value) {
+    if let (Value::Object(fields), Value::Object(more)) = (fields, more) {
+        fields.extend(more);
+    }
+}
+
 /// Writes a line with the fields of the JSON object `fields`, unless the event has been written often in this second.
 pub fn note(event: Event, fields: Value) {
     let Some(logger) = LOGGER.get() else { return };
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -11,12 +11,12 @@
 use smol::net::{TcpListener, TcpStream};
 
 use crate::{
-    adapter::{Order, Platform},
-    channel::{Attempt, Run, run_local},
+    adapter::Platform,
+    channel::{Attempt, Run, roll_back, run_local},
+    lease::Lease,
     model::TransactionState,
     monitor,
     node::Node,
-    pool::{AcquireError, Lease},
     tunnel::{Call, FrameStream, RemoteStatus, Reply, RunCall, StatusOrder, position},
 };
 
@@ -54,7 +54,9 @@
         let reply = match call {
             Call::Run(call) => run(&node, &mut open, &call).await,
             Call::Rollback { request } => {
-                rollback(&mut open, request).await;
+                if let Some(lease) = open.take() {
+                    roll_back(lease, request).await;
+                }
                 Reply::NotRun(crate::model::Code::Aborted)
             }
             Call::Order { member, order } => {
@@ -92,13 +94,16 @@
         limit: until.since(node.now()),
         patience: Duration::ZERO,
     };
-    match run_local(&mut lease, run).await {
-        Attempt::Answered(answer) => {
-            if answer.state != TransactionState::Idle {
-                *open = Some(lease);
-            }
-            Reply::Answered(answer.into())
-        }
+    let attempt = run_local(&mut lease, run).await;
+    if matches!(&attempt, Attempt::Answered(answer) if answer.state != TransactionState::Idle) {
+        *open = Some(lease);
+    }
+    reply_of(attempt)
+}
+
+fn reply_of(attempt: Attempt) -> Reply {
+    match attempt {
+        Attempt::Answered(answer) => Reply::Answered(answer.into()),
         Attempt::NotRun(code) => Reply::NotRun(code),
         Attempt::Unreachable => Reply::Unreachable,
         Attempt::Broken => Reply::Broken,
@@ -116,11 +121,8 @@
     let pool = node.pool(&MemberId::new(&call.member)).ok_or(Reply::Unreachable)?;
     let until = now.plus(Duration::from_micros(call.patience));
     let workspace = Workspace::new(&call.workspace);
-    pool.acquire(&workspace, &call.values, until).await.map_err(|error| match error {
-        AcquireError::Exhausted => Reply::NotRun(crate::model::Code::TooMany),
-        AcquireError::Refused(failure) => Reply::NotRun(failure.code),
-        AcquireError::Unreachable(_) => Reply::Unreachable,
-    })
+    let acquired = pool.acquire(&workspace, &call.values, until).await;
+    acquired.map_err(|error| reply_of(error.into()))
 }
 
 fn is_refusing<P>(node: &Node<P>, now: Instant) -> bool
@@ -130,19 +132,6 @@
     node.stopping().is_some_and(|since| now.since(since) >= REFUSE_AFTER)
 }
 
-async fn rollback<P>(open: &mut Option<Lease<P>>, request: Option<(Box<str>, Box<str>)>)
-where
-    P: Platform,
-{
-    let Some(mut lease) = open.take() else { return };
-    let order = match &request {
-        Some((id, text)) => Order::Forward { id, text, after: None },
-        None => Order::Rollback,
-    };
-    // Without an answer the connection is closed, which rolls back as well.
-    lease.exchange(order).await.err();
-}
-
 async fn send_order<P>(
     node: &Rc<Node<P>>,
     member: &MemberId,
--- /dev/null
+++ b/crates/gateway/src/lease.rs
@@ -0,0 +1,193 @@
+//! One connection to a member, and its use.
+//!
+//! A connection is used again only after an answer that leaves it outside any transaction; in every other case it is
+//! closed, which rolls back.
+
+use std::{collections::BTreeSet, io, rc::Rc};
+
+use hibiscusladder_core::{
+    clock::{Clock, Instant},
+    name::Workspace,
+};
+use hibiscusladder_io::clock::BootClock;
+
+use crate::{
+    adapter::{Order, Platform, UpstreamPort},
+    gate::Permit,
+    model::{Access, Answer, TransactionState},
+    pool::{Pool, Values},
+    tally::TallyGuard,
+};
+
+/// A connection with what the member knows about it.
+pub(crate) struct Connection<P>
+where
+    P: Platform,
+{
+    pub(crate) port: P::Upstream,
+    pub(crate) workspace: Workspace,
+    pub(crate) values: Values,
+    prepared: BTreeSet<Box<str>>,
+    /// When the member last answered on it.
+    pub(crate) answered: Instant,
+}
+
+impl<P> Connection<P>
+where
+    P: Platform,
+{
+    /// A new connection, of which the member knows nothing but the workspace.
+    pub(crate) const fn new(port: P::Upstream, workspace: Workspace, now: Instant) -> Self {
+        let values = Values::new();
+        Self { port, workspace, values, prepared: BTreeSet::new(), answered: now }
+    }
+}
+
+/// A connection in use. Dropping it gives it back, or closes it when its state is not known.
+pub struct Lease<P>
+where
+    P: Platform,
+{
+    pool: Rc<Pool<P>>,
+    connection: Option<Connection<P>>,
+    /// Whether no answer is outstanding and no transaction is open.
+    clean: bool,
+    /// Given back after the first answer; the statements of a transaction do not wait for their turn.
+    permit: Option<Permit<P>>,
+    _in_use: TallyGuard,
+}
+
+impl<P> Lease<P>
+where
+    P: Platform,
+{
+    /// A connection of `pool` that is in use.
+    pub(crate) const fn new(
+        pool: Rc<Pool<P>>,
+        connection: Connection<P>,
+        in_use: TallyGuard,
+    ) -> Self {
+        Self { pool, connection: Some(connection), clean: true, permit: None, _in_use: in_use }
+    }
+
+    /// Keeps `permit` until the first answer that leaves a transaction open, or the end of the use.
+    pub(crate) fn with_permit(mut self, permit: Permit<P>) -> Self {
+        self.permit = Some(permit);
+        self
+    }
+
+    /// The pool that the connection belongs to.
+    pub const fn pool(&self) -> &Rc<Pool<P>> {
+        &self.pool
+    }
+
+    /// Makes the values of the connection those of the session.
+    ///
+    /// # Errors
+    ///
+    /// The connection cannot be used; the caller's statement was not sent.
+    pub async fn set_values(&mut self, values: &Values) -> io::Result<()> {
+        let connection = connection(&mut self.connection)?;
+        if connection.values == *values {
+            return Ok(());
+        }
+        if connection.values.keys().any(|name| !values.contains_key(name)) {
+            self.order(Order::Reset).await?;
+            let connection = connection_mut(&mut self.connection)?;
+            connection.values.clear();
+            connection.prepared.clear();
+        }
+        for (name, value) in values {
+            self.set_value(name, value).await?;
+        }
+        Ok(())
+    }
+
+    /// Sets one value on the connection.
+    ///
+    /// # Errors
+    ///
+    /// The connection cannot be used.
+    pub async fn set_value(&mut self, name: &str, value: &str) -> io::Result<()> {
+        let known = connection(&mut self.connection)?.values.get(name);
+        if known.is_some_and(|known| **known == *value) {
+            return Ok(());
+        }
+        self.order(Order::Set { name, value }).await?;
+        connection_mut(&mut self.connection)?.values.insert(name.into(), value.into());
+        Ok(())
+    }
+
+    /// Prepares a statement under the name that its shape has on all connections, and returns that name.
+    ///
+    /// # Errors
+    ///
+    /// The connection cannot be used.
+    pub async fn prepare(&mut self, access: Access, shape: &str) -> io::Result<Box<str>> {
+        let kind = if access == Access::Read { 'r' } else { 'w' };
+        let name: Box<str> = format!("{kind}{shape}").into();
+        if !connection(&mut self.connection)?.prepared.contains(&name) {
+            self.order(Order::Prepare { name: &name, access, shape }).await?;
+            connection_mut(&mut self.connection)?.prepared.insert(name.clone());
+        }
+        Ok(name)
+    }
+
+    /// Sends an order that has to succeed.
+    async fn order(&mut self, order: Order<'_>) -> io::Result<()> {
+        let answer = self.exchange(order).await?;
+        match answer.outcome {
+            Ok(_) => Ok(()),
+            Err(failure) => {
+                self.clean = false;
+                Err(io::Error::other(failure.to_string()))
+            }
+        }
+    }
+
+    /// Sends an order and reads the answer. If the future is dropped before that, the connection is closed.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke; the order may have run.
+    pub async fn exchange(&mut self, order: Order<'_>) -> io::Result<Answer> {
+        self.clean = false;
+        let started = BootClock.now();
+        let connection = connection_mut(&mut self.connection)?;
+        connection.port.send(order).await?;
+        let answer = connection.port.receive().await?;
+        connection.answered = BootClock.now();
+        self.clean = answer.state == TransactionState::Idle;
+        if matches!(order, Order::Forward { .. } | Order::Execute { .. }) {
+            let now = connection.answered;
+            self.pool.measure(now.since(started), now);
+            if !self.clean {
+                self.permit = None;
+            }
+        }
+        Ok(answer)
+    }
+}
+
+impl<P> Drop for Lease<P>
+where
+    P: Platform,
+{
+    fn drop(&mut self) {
+        self.pool.give_back(self.connection.take().filter(|_| self.clean));
+    }
+}
+
+fn connection<P>(slot: &mut Option<Connection<P>>) -> io::Result<&Connection<P>>
+where
+    P: Platform,
+{
+    connection_mut(slot).map(|connection| &*connection)
+}
+
+fn connection_mut<P>(slot: &mut Option<Connection<P>>) -> io::Result<&mut Connection<P>>
+where
+    P: Platform,
+{
+    slot.as_mut().ok_or_else(|| io::ErrorKind::NotConnected.into())
+}
--- a/crates/gateway/src/monitor.rs
+++ b/crates/gateway/src/monitor.rs
@@ -18,8 +18,9 @@
 use crate::{
     adapter::{Order, Platform, UpstreamPort},
     events::{self, Event},
+    lease::Lease,
     node::{GroupState, Node, PollState},
-    pool::{AcquireError, Lease, Pool, Values},
+    pool::{AcquireError, Pool, Values},
     tunnel::{self, Call, RemoteStatus, Reply, StatusOrder},
 };
 
@@ -79,6 +80,7 @@
         others.min_by_key(|member| view.silent_for(member, now)).cloned()
     });
     let is_hub = node.topology().is_hub(node.instance());
+    let in_doubt = view.is_in_doubt();
     let interval = |member: &MemberId| -> Duration {
         let leads = leader.as_ref().is_some_and(|leader| leader.member == *member);
         let silent = !view.silent_for(member, now).is_zero();
@@ -92,7 +94,7 @@
             DOUBTED_INTERVAL
         } else if view.status(member).is_none() || leader.is_none() {
             UNKNOWN_INTERVAL
-        } else if unproved && (leads || witness.as_ref() == Some(member)) {
+        } else if unproved && (leads || in_doubt || witness.as_ref() == Some(member)) {
             DOUBTED_INTERVAL
         } else if silent {
             SILENT_INTERVAL
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -33,6 +33,7 @@
     pool::{Pool, PoolLimits},
     roster::{Member, Roster},
     settings::Settings,
+    tally::{Tally, TallyGuard},
     tunnel::Tunnels,
 };
 
@@ -184,8 +185,7 @@
     executor: Rc<LocalExecutor<'static>>,
     stopping: Cell<Option<Instant>>,
     stop: Notify,
-    sessions: Cell<usize>,
-    session_ended: Notify,
+    sessions: Tally,
 }
 
 impl<P> Node<P>
@@ -226,8 +226,7 @@
             executor,
             stopping: Cell::new(None),
             stop: Notify::new(),
-            sessions: Cell::new(0),
-            session_ended: Notify::new(),
+            sessions: Tally::default(),
         })
     }
 
@@ -499,22 +498,21 @@
     }
 
     /// Counts a session, or a call of another instance, for as long as the returned guard lives.
-    pub fn session_started(self: &Rc<Self>) -> SessionGuard<P> {
-        self.sessions.set(self.sessions.get() + 1);
-        SessionGuard { node: self.clone() }
+    pub fn session_started(&self) -> TallyGuard {
+        self.sessions.begin()
     }
 
     /// Number of open sessions.
-    pub const fn sessions(&self) -> usize {
-        self.sessions.get()
+    pub fn sessions(&self) -> usize {
+        self.sessions.count()
     }
 
     /// Waits until no session is open, at most for `limit`.
     pub async fn sessions_ended(&self, limit: Duration) {
         let ended = async {
-            while self.sessions.get() > 0 {
-                let ended = self.session_ended.listen();
-                if self.sessions.get() > 0 {
+            while self.sessions() > 0 {
+                let ended = self.sessions.ended();
+                if self.sessions() > 0 {
                     ended.await;
                 }
             }
@@ -522,21 +520,3 @@
         within(limit, ended).await;
     }
 }
-
-/// Counts a session until it is dropped.
-pub struct SessionGuard<P>
-where
-    P: Platform,
-{
-    node: Rc<Node<P>>,
-}
-
-impl<P> Drop for SessionGuard<P>
-where
-    P: Platform,
-{
-    fn drop(&mut self) {
-        self.node.sessions.set(self.node.sessions.get() - 1);
-        self.node.session_ended.notify(usize::MAX);
-    }
-}
--- a/crates/gateway/src/operation.rs
+++ b/crates/gateway/src/operation.rs
@@ -1,6 +1,6 @@
 //! One caller's requests, in order: what each means in the present state of the session.
 
-use std::{collections::BTreeMap, rc::Rc};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use hibiscusladder_core::{
     clock::Instant,
@@ -26,6 +26,9 @@
 /// Name that members are told for a caller without a key, whom public routes serve.
 pub const NO_WORKSPACE: &str = "-";
 
+/// Time after which a caller is told to come back while there is no configuration; a new process has one by then.
+const CONFIGURATION_RETRY: Duration = Duration::from_millis(500);
+
 /// State of a session between two requests.
 pub struct Session<P>
 where
@@ -225,9 +228,7 @@
             "code": failure.code.as_str(), "reason": failure.detail,
             "version": self.node.version(),
         });
-        if let (Value::Object(fields), Value::Object(inputs)) = (&mut fields, inputs) {
-            fields.extend(inputs);
-        }
+        events::extend(&mut fields, inputs);
         events::note(Event::RequestRefused, fields);
     }
 
@@ -286,8 +287,8 @@
     P: Platform,
 {
     let Some(directory) = node.directory() else {
-        let after = std::time::Duration::from_millis(500);
-        return Err(Failure::retry_after(Code::Busy, "the instance has no configuration", after));
+        let reason = "the instance has no configuration";
+        return Err(Failure::retry_after(Code::Busy, reason, CONFIGURATION_RETRY));
     };
     let route = directory.routes.get(database).ok_or_else(|| {
         Failure::new(Code::NoDatabase, "no route has this name; check the name of the database")
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -5,7 +5,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     io,
     rc::Rc,
     time::Duration,
@@ -20,10 +20,12 @@
 use thiserror::Error;
 
 use crate::{
-    adapter::{ConnectError, Order, Platform, Target, UpstreamPort},
-    gate::{self, Gate, Permit},
-    model::{Access, Answer, Code, Failure, TransactionState},
+    adapter::{ConnectError, Platform, Target, UpstreamPort},
+    gate::{self, Gate},
+    lease::{Connection, Lease},
+    model::{Code, Failure},
     settings::Distance,
+    tally::{Tally, TallyGuard},
 };
 
 /// Longest time for opening a connection: two round trips between regions, and a busy member.
@@ -70,19 +72,6 @@
     Unreachable(io::Error),
 }
 
-/// A connection with what the member knows about it.
-struct Connection<P>
-where
-    P: Platform,
-{
-    port: P::Upstream,
-    workspace: Workspace,
-    values: Values,
-    prepared: BTreeSet<Box<str>>,
-    /// When the member last answered on it.
-    answered: Instant,
-}
-
 struct State<P>
 where
     P: Platform,
@@ -93,7 +82,6 @@
     full_until: Instant,
     service_s: f64,
     measured: Instant,
-    in_use: usize,
 }
 
 /// How many connections an instance may have to a member.
@@ -120,6 +108,7 @@
     distance: Distance,
     state: RefCell<State<P>>,
     released: Notify,
+    uses: Tally,
     closed: Cell<bool>,
     opened: Cell<u64>,
     /// Until when the member is taken to lag, and the pause after its next answer that says so.
@@ -146,7 +135,6 @@
             full_until: Instant::default(),
             service_s: ASSUMED_SERVICE_S,
             measured: BootClock.now(),
-            in_use: 0,
         };
         Rc::new(Self {
             target,
@@ -155,6 +143,7 @@
             distance,
             state: RefCell::new(state),
             released: Notify::new(),
+            uses: Tally::default(),
             closed: Cell::new(false),
             opened: Cell::new(0),
             lagging: Cell::new((Instant::default(), MIN_LAG_PAUSE)),
@@ -227,7 +216,7 @@
             OPENING_S + self.round_trip().as_secs_f64()
         };
         let trouble = if now < self.troubled_until.get() { TROUBLE_S } else { 0.0 };
-        let queue = service * (1.0 + state.in_use as f64);
+        let queue = service * (1.0 + self.uses.count() as f64);
         self.round_trip().as_secs_f64() + queue + opening + trouble
     }
 
@@ -249,9 +238,8 @@
     ) -> Result<Lease<P>, AcquireError> {
         let permit = gate::enter(self, workspace, until).await;
         let permit = permit.ok_or(AcquireError::Exhausted)?;
-        let mut lease = self.connect(workspace, values, until).await?;
-        lease.permit = Some(permit);
-        Ok(lease)
+        let lease = self.connect(workspace, values, until).await?;
+        Ok(lease.with_permit(permit))
     }
 
     /// Like [`acquire`](Self::acquire), whatever else runs at the member.
@@ -334,14 +322,26 @@
     }
 
     /// Counts a use of the member by way of another instance.
-    pub fn begin_use(self: &Rc<Self>) -> UseGuard<P> {
-        self.state.borrow_mut().in_use += 1;
-        UseGuard { pool: self.clone() }
+    pub fn begin_use(&self) -> TallyGuard {
+        self.uses.begin()
     }
 
     fn lease(self: &Rc<Self>, connection: Connection<P>) -> Lease<P> {
-        self.state.borrow_mut().in_use += 1;
-        Lease { pool: self.clone(), connection: Some(connection), clean: true, permit: None }
+        Lease::new(self.clone(), connection, self.uses.begin())
+    }
+
+    /// Takes a connection that was in use; `None` for one whose state is not known.
+    pub(crate) fn give_back(&self, connection: Option<Connection<P>>) {
+        let mut state = self.state.borrow_mut();
+        let fits = state.open <= state.limits.open
+            && state.idle.len() < state.limits.idle
+            && !self.closed.get();
+        match connection {
+            Some(connection) if fits => state.idle.push(connection),
+            _ => state.open -= 1,
+        }
+        drop(state);
+        self.released.notify(1);
     }
 
     /// Records how long a member took for a statement.
@@ -353,23 +353,6 @@
     }
 }
 
-/// Counts a use of a member until it is dropped.
-pub struct UseGuard<P>
-where
-    P: Platform,
-{
-    pool: Rc<Pool<P>>,
-}
-
-impl<P> Drop for UseGuard<P>
-where
-    P: Platform,
-{
-    fn drop(&mut self) {
-        self.pool.state.borrow_mut().in_use -= 1;
-    }
-}
-
 /// The reserved place of a connection that is being opened.
 struct Opening<P>
 where
@@ -395,14 +378,7 @@
         };
         self.reserved = false;
         self.pool.opened.set(self.pool.opened.get() + 1);
-        let connection = Connection {
-            port,
-            workspace: workspace.clone(),
-            values: Values::new(),
-            prepared: BTreeSet::new(),
-            answered: BootClock.now(),
-        };
-        Ok(self.pool.lease(connection))
+        Ok(self.pool.lease(Connection::new(port, workspace.clone(), BootClock.now())))
     }
 }
 
@@ -417,146 +393,3 @@
         }
     }
 }
-
-/// A connection in use. Dropping it gives it back, or closes it when its state is not known.
-pub struct Lease<P>
-where
-    P: Platform,
-{
-    pool: Rc<Pool<P>>,
-    connection: Option<Connection<P>>,
-    /// Whether no answer is outstanding and no transaction is open.
-    clean: bool,
-    /// Given back after the first answer; the statements of a transaction do not wait for their turn.
-    permit: Option<Permit<P>>,
-}
-
-impl<P> Lease<P>
-where
-    P: Platform,
-{
-    /// The pool that the connection belongs to.
-    pub const fn pool(&self) -> &Rc<Pool<P>> {
-        &self.pool
-    }
-
-    /// Makes the values of the connection those of the session.
-    ///
-    /// # Errors
-    ///
-    /// The connection cannot be used; the caller's statement was not sent.
-    pub async fn set_values(&mut self, values: &Values) -> io::Result<()> {
-        let connection = connection(&mut self.connection)?;
-        if connection.values == *values {
-            return Ok(());
-        }
-        if connection.values.keys().any(|name| !values.contains_key(name)) {
-            self.order(Order::Reset).await?;
-            let connection = connection_mut(&mut self.connection)?;
-            connection.values.clear();
-            connection.prepared.clear();
-        }
-        for (name, value) in values {
-            self.set_value(name, value).await?;
-        }
-        Ok(())
-    }
-
-    /// Sets one value on the connection.
-    ///
-    /// # Errors
-    ///
-    /// The connection cannot be used.
-    pub async fn set_value(&mut self, name: &str, value: &str) -> io::Result<()> {
-        let known = connection(&mut self.connection)?.values.get(name);
-        if known.is_some_and(|known| **known == *value) {
-            return Ok(());
-        }
-        self.order(Order::Set { name, value }).await?;
-        connection_mut(&mut self.connection)?.values.insert(name.into(), value.into());
-        Ok(())
-    }
-
-    /// Prepares a statement under the name that its shape has on all connections, and returns that name.
-    ///
-    /// # Errors
-    ///
-    /// The connection cannot be used.
-    pub async fn prepare(&mut self, access: Access, shape: &str) -> io::Result<Box<str>> {
-        let kind = if access == Access::Read { 'r' } else { 'w' };
-        let name: Box<str> = format!("{kind}{shape}").into();
-        if !connection(&mut self.connection)?.prepared.contains(&name) {
-            self.order(Order::Prepare { name: &name, access, shape }).await?;
-            connection_mut(&mut self.connection)?.prepared.insert(name.clone());
-        }
-        Ok(name)
-    }
-
-    /// Sends an order that has to succeed.
-    async fn order(&mut self, order: Order<'_>) -> io::Result<()> {
-        let answer = self.exchange(order).await?;
-        match answer.outcome {
-            Ok(_) => Ok(()),
-            Err(failure) => {
-                self.clean = false;
-                Err(io::Error::other(failure.to_string()))
-            }
-        }
-    }
-
-    /// Sends an order and reads the answer. If the future is dropped before that, the connection is closed.
-    ///
-    /// # Errors
-    ///
-    /// The connection broke; the order may have run.
-    pub async fn exchange(&mut self, order: Order<'_>) -> io::Result<Answer> {
-        self.clean = false;
-        let started = BootClock.now();
-        let connection = connection_mut(&mut self.connection)?;
-        connection.port.send(order).await?;
-        let answer = connection.port.receive().await?;
-        connection.answered = BootClock.now();
-        self.clean = answer.state == TransactionState::Idle;
-        if matches!(order, Order::Forward { .. } | Order::Execute { .. }) {
-            let now = connection.answered;
-            self.pool.measure(now.since(started), now);
-            if !self.clean {
-                self.permit = None;
-            }
-        }
-        Ok(answer)
-    }
-}
-
-impl<P> Drop for Lease<P>
-where
-    P: Platform,
-{
-    fn drop(&mut self) {
-        let mut state = self.pool.state.borrow_mut();
-        state.in_use -= 1;
-        let fits = state.open <= state.limits.open
-            && state.idle.len() < state.limits.idle
-            && !self.pool.closed.get();
-        match self.connection.take() {
-            Some(connection) if self.clean && fits => state.idle.push(connection),
-            _ => state.open -= 1,
-        }
-        drop(state);
-        self.pool.released.notify(1);
-    }
-}
-
-fn connection<P>(slot: &mut Option<Connection<P>>) -> io::Result<&Connection<P>>
-where
-    P: Platform,
-{
-    connection_mut(slot).map(|connection| &*connection)
-}
-
-fn connection_mut<P>(slot: &mut Option<Connection<P>>) -> io::Result<&mut Connection<P>>
-where
-    P: Platform,
-{
-    slot.as_mut().ok_or_else(|| io::ErrorKind::NotConnected.into())
-}
--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -10,7 +10,7 @@
     position::Position,
 };
 use hibiscusladder_io::clock::{sleep, within};
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::{
     adapter::Platform,
@@ -280,19 +280,26 @@
 where
     P: Platform,
 {
-    let term = node.group(&req.route.group).map(|state| state.view.borrow().leader_term().0);
-    events::note(
-        Event::RequestRefused,
-        json!({
-            "request": req.id, "workspace": req.workspace.as_str(), "group": req.route.group.as_str(),
-            "reason": reason, "term": term, "version": node.version(),
-            "waited_ms": crate::events::millis(node.now().since(req.arrived)),
-        }),
-    );
+    note_outcome(node, req, Event::RequestRefused, json!({ "reason": reason }));
     let failure = Failure::retry_after(Code::Busy, reason, RETRY_AFTER);
     Answer::failed(failure, TransactionState::Idle)
 }
 
+/// Notes the end of a request without success, with `inputs` and what is believed about its group.
+pub fn note_outcome<P>(node: &Node<P>, req: &Request, event: Event, inputs: Value)
+where
+    P: Platform,
+{
+    let term = node.group(&req.route.group).map(|state| state.view.borrow().leader_term().0);
+    let mut fields = json!({
+        "request": req.id, "workspace": req.workspace.as_str(), "group": req.route.group.as_str(),
+        "term": term, "version": node.version(),
+        "waited_ms": crate::events::millis(node.now().since(req.arrived)),
+    });
+    events::extend(&mut fields, inputs);
+    events::note(event, fields);
+}
+
 /// Waits until something has changed about the group of a request, or for a moment.
 pub async fn wait_for_change<P>(node: &Node<P>, req: &Request)
 where
--- a/crates/gateway/src/writes.rs
+++ b/crates/gateway/src/writes.rs
@@ -9,12 +9,12 @@
 use crate::{
     adapter::Platform,
     channel::{Attempt, is_idle},
-    events::{self, Event},
+    events::Event,
     model::{Answer, Code, Failure, TransactionState},
     node::Node,
     reads::{
         self, Floor, MEMBER_WAIT, Request, capacity_wait, doubting, longest_patience, note_answer,
-        note_retry, refuse, retry_pause, takes_work, wait_for_change,
+        note_outcome, note_retry, refuse, retry_pause, takes_work, wait_for_change,
     },
 };
 
@@ -147,13 +147,6 @@
 where
     P: Platform,
 {
-    let term = node.group(&req.route.group).map(|state| state.view.borrow().leader_term().0);
-    events::note(
-        Event::RequestUnknown,
-        json!({
-            "request": req.id, "workspace": req.workspace.as_str(), "group": req.route.group.as_str(),
-            "member": member.as_str(), "what": what, "term": term, "version": node.version(),
-            "waited_ms": crate::events::millis(node.now().since(req.arrived)),
-        }),
-    );
+    let inputs = json!({ "member": member.as_str(), "what": what });
+    note_outcome(node, req, Event::RequestUnknown, inputs);
 }
