test(proxy): announce the handover in hand_over_carries_buckets as a home does

It passed only when the successor had taken the lock at its start as well, before it knew of the other instance, and so had a lease of its own. Beside load it sometimes knew the other first: then it waited for a whole lease window, after which handed over buckets are void, as they have to be. Traced with a print of each lease event in passing and failing runs.

Change: the test announces, and the support acts on it as the control task does. The checks are as they were.

--- a/crates/proxy/tests/handover.rs
+++ b/crates/proxy/tests/handover.rs
@@ -35,6 +35,8 @@
     lease.handle(LeaseEvent::ConnectionLost, successor.node.now());
     let buckets = home.homes.hand_over(&member);
     assert!(home.homes.hand_over(&member).is_empty(), "buckets must be handed over once");
+    // The call of the home at its successor does both.
+    lease.announce_handover(successor.node.now());
     assert!(successor.homes.take_over(&member, &buckets));
     assert!(!lease.holds_lock(), "the buckets must arrive before the lease");
     home.node.start_drain();
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -433,6 +433,9 @@
     while !stop.load(Ordering::Acquire) {
         let lease = node.lease_or_new(member);
         if !paused() && node.is_home(&database, member) && !lease.holds_lock() {
+            if let Some(announced) = lease.take_handover() {
+                lease.handle(LeaseEvent::HandedOver, announced);
+            }
             lease.handle(LeaseEvent::Connected, node.now());
             lease.handle(LeaseEvent::LockTaken { sent: node.now() }, node.now());
         }
