fix(gateway): answer requests that wait before the process ends

Change: while a process is stopping, waits and time limits of statements end 250 ms before it does. Reads and writes that were not sent are refused then, a write that was sent is unknown.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -44,6 +44,11 @@
 /// Statements that a holder sends beyond its part of a member's slots, so that none is empty during a round trip.
 const SPARE_STATEMENTS: usize = 1;
 
+/// Time before the process is killed at which it ends by itself.
+const END_MARGIN: Duration = Duration::from_millis(600);
+/// Time before the process ends at which every request has its answer; two of the longest pauses between tries.
+const ANSWER_MARGIN: Duration = Duration::from_millis(250);
+
 /// Polls of one member.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct PollState {
@@ -487,6 +492,18 @@
         self.stopping.get()
     }
 
+    /// When the process ends at the latest, while it is stopping.
+    pub fn end(&self) -> Option<Instant> {
+        let grace = self.settings.grace.saturating_sub(END_MARGIN);
+        self.stopping.get().map(|since| since.plus(grace))
+    }
+
+    /// Time from now for which a request may be worked on that could take `longest`; less before the process ends.
+    pub fn time_for(&self, longest: Duration) -> Duration {
+        let left = |end: Instant| end.since(self.now()).saturating_sub(ANSWER_MARGIN);
+        self.end().map_or(longest, |end| longest.min(left(end)))
+    }
+
     /// Waits until the instance is stopping.
     pub async fn stopped(&self) {
         while self.stopping.get().is_none() {
--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -202,14 +202,13 @@
 where
     P: Platform,
 {
-    let until = req.arrived.plus(MEMBER_WAIT);
     let mut avoid: Vec<MemberId> = Vec::new();
     let mut offered = false;
     let mut busy = false;
     let mut patience = longest_patience(node, req).min(FIRST_PATIENCE);
     loop {
         let now = node.now();
-        if now >= until {
+        if is_over(node, req.arrived) {
             let reason = if offered { "no member answered" } else { "no member with recent data" };
             return refuse(node, req, reason);
         }
@@ -240,6 +239,15 @@
     }
 }
 
+/// Whether a request that began to wait at `since` has to get its final answer now.
+pub fn is_over<P>(node: &Node<P>, since: Instant) -> bool
+where
+    P: Platform,
+{
+    let left = MEMBER_WAIT.saturating_sub(node.now().since(since));
+    node.time_for(left).is_zero()
+}
+
 /// The final answer that an attempt gives, if it gives one.
 fn settle<P>(node: &Node<P>, req: &Request, attempt: Attempt, member: &MemberId) -> Option<Answer>
 where
@@ -365,7 +373,7 @@
 where
     P: Platform,
 {
-    let limit = req.route.statement_timeout;
+    let limit = node.time_for(req.route.statement_timeout);
     let mut channel = match open(node, req, &choice.member, patience).await {
         Ok(channel) => channel,
         Err(attempt) => return attempt,
@@ -427,7 +435,7 @@
 where
     P: Platform,
 {
-    let until = node.now().plus(patience.min(req.route.statement_timeout));
+    let until = node.now().plus(node.time_for(patience.min(req.route.statement_timeout)));
     let opened = channel::open(node, member, &req.workspace, &req.values, until).await;
     if matches!(opened, Err(Attempt::Unreachable)) {
         doubt(node, req, member);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -25,8 +25,6 @@
     sync,
 };
 
-/// Time before the process is killed at which it ends by itself.
-const END_MARGIN: Duration = Duration::from_millis(600);
 /// Shortest time from a request to stop until the process ends; new callers may come until then.
 const MIN_STOP: Duration = Duration::from_millis(3200);
 /// Pause after a connection could not be accepted.
@@ -153,9 +151,8 @@
     }
     events::note(Event::Stopping, json!({ "sessions": node.sessions() }));
     node.begin_stop();
-    let stopping = node.now();
-    let end = stopping.plus(node.settings.grace.saturating_sub(END_MARGIN));
     sleep(MIN_STOP).await;
+    let end = node.end().unwrap_or_default();
     node.sessions_ended(end.since(node.now())).await;
     events::note(Event::Stopped, json!({ "sessions": node.sessions() }));
     events::flush();
--- a/crates/gateway/src/transaction.rs
+++ b/crates/gateway/src/transaction.rs
@@ -14,8 +14,8 @@
     node::Node,
     pool::Values,
     reads::{
-        self, Choice, Floor, MEMBER_WAIT, Request, capacity_wait, choices, doubting,
-        longest_patience, note_answer, note_retry, retry_pause, wait_for_change,
+        self, Choice, Floor, Request, capacity_wait, choices, doubting, is_over, longest_patience,
+        note_answer, note_retry, retry_pause, wait_for_change,
     },
     tunnel::Payload,
     writes::{self, note_commit, note_unknown, note_write},
@@ -127,7 +127,7 @@
         id: &str,
         payload: &Payload,
     ) -> Attempt {
-        let limit = self.request.route.statement_timeout;
+        let limit = node.time_for(self.request.route.statement_timeout);
         let Some((member, channel)) = &mut self.channel else { return Attempt::Unreachable };
         let sent = node.now();
         let running = channel
@@ -177,10 +177,9 @@
             return Ok(());
         }
         let begun = node.now();
-        let until = begun.plus(MEMBER_WAIT);
         let mut busy = false;
         let mut avoid: Vec<MemberId> = Vec::new();
-        while node.now() < until {
+        while !is_over(node, begun) {
             let candidates = self.candidates(node);
             if candidates.is_empty() {
                 wait_for_change(node, &self.request).await;
@@ -233,7 +232,7 @@
         values: &Values,
         choice: &Choice,
     ) -> Result<Channel<P>, &'static str> {
-        let limit = self.request.route.statement_timeout;
+        let limit = node.time_for(self.request.route.statement_timeout);
         let patience = longest_patience(node, &self.request);
         let mut channel = reads::open(node, &self.request, &choice.member, patience)
             .await
--- a/crates/gateway/src/writes.rs
+++ b/crates/gateway/src/writes.rs
@@ -13,7 +13,7 @@
     model::{Answer, Code, Failure, TransactionState},
     node::Node,
     reads::{
-        self, Floor, MEMBER_WAIT, Request, capacity_wait, doubting, longest_patience, note_answer,
+        self, Floor, Request, capacity_wait, doubting, is_over, longest_patience, note_answer,
         note_outcome, note_retry, refuse, retry_pause, takes_work, wait_for_change,
     },
 };
@@ -39,13 +39,11 @@
 where
     P: Platform,
 {
-    let until = req.arrived.plus(MEMBER_WAIT);
     loop {
-        let now = node.now();
-        if now >= until {
+        if is_over(node, req.arrived) {
             return (refuse(node, req, "the database has no primary"), None);
         }
-        let Some(member) = primary(node, req, now) else {
+        let Some(member) = primary(node, req, node.now()) else {
             wait_for_change(node, req).await;
             continue;
         };
@@ -76,7 +74,7 @@
 where
     P: Platform,
 {
-    let limit = req.route.statement_timeout;
+    let limit = node.time_for(req.route.statement_timeout);
     let patience = longest_patience(node, req);
     let mut channel = match reads::open(node, req, member, patience).await {
         Ok(channel) => channel,
--- a/hibiscusladder/tests/gateway/path.rs
+++ b/hibiscusladder/tests/gateway/path.rs
@@ -75,6 +75,24 @@
     assert_eq!(foreign.count(), 0, "it belongs to no workspace");
 }
 
+/// Guards against requests that wait for a primary when their instance ends, and get no answer at all.
+#[test_case("WRITE a 1", &["BUSY", "UNKNOWN"]; "write that may have been sent")]
+#[test_case("READ a", &["BUSY"]; "read")]
+fn stop_answers_requests_that_wait(text: &str, answers: &[&str]) {
+    /// Idle sessions are closed by then, and the wait for a primary would outlast the process.
+    const LATE: Duration = Duration::from_millis(3000);
+    let mut fleet = Fleet::start(1);
+    fleet.standin.set_store(StoreFault::Silent);
+    fleet.standin.lock_group().set_up(0, false);
+    fleet.gateways[0].process.terminate().expect("the process runs");
+    thread::sleep(LATE);
+    let address = fleet.gateways[0].callers;
+    let mut session = open(address, PRIMARY_DATABASE, WORKSPACE).expect("the session opens");
+    let reply = session.query("late", text).expect("an answer before the process ends");
+    let code = reply.code().expect("there is no primary");
+    assert!(answers.contains(&code), "{code}");
+}
+
 /// Guards against bad input that is forwarded, gets no code, or touches other sessions.
 #[test_case("QUERY q1 PAUSE 9\r\n", "MALFORMED"; "order to a member")]
 #[test_case("QUERY - READ a\r\n", "MALFORMED"; "id of the gateway")]
