--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -334,7 +334,7 @@
 {
     let mut running = boxed_attempt(node, req, first, patience);
     let Some(second) = second else { return running.await };
-    // A request that waits for a slot is in good hands.
+    // A read that waits for a slot at a holder is not sent to a second member.
     let waits = if node.topology().is_flat() { Duration::ZERO } else { patience };
     if let Some(outcome) = within(HEDGE_AFTER + waits, &mut running).await {
         return outcome;
