--- a/hibiscusladder/tests/gateway/path.rs
+++ b/hibiscusladder/tests/gateway/path.rs
@@ -81,7 +81,7 @@
 fn stop_answers_requests_that_wait(text: &str, answers: &[&str]) {
     /// Idle sessions are closed by then, and the wait for a primary would outlast the process.
     const LATE: Duration = Duration::from_millis(3000);
-    let mut fleet = Fleet::start(1);
+    let fleet = Fleet::start(1);
     fleet.standin.set_store(StoreFault::Silent);
     fleet.standin.lock_group().set_up(0, false);
     fleet.gateways[0].process.terminate().expect("the process runs");
