--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod at_most_once;
 pub mod bucket;
+pub mod catch_up;
 pub mod clock;
 pub mod config;
 pub mod contract;
@@ -33,6 +34,7 @@
 pub mod read_route;
 pub mod request;
 pub mod retry;
+pub mod roster;
 pub mod session;
 pub mod share;
 pub mod sync_group;
--- a/crates/core/src/sync_group/failover.rs
+++ b/crates/core/src/sync_group/failover.rs
@@ -162,6 +162,14 @@
         }
     }
 
+    /// Since when all replicas are known to hold the term; `None` unless an attempt waits for proofs to expire.
+    pub const fn held_since(&self) -> Option<Instant> {
+        match self.stage {
+            Stage::Fencing { held_since, .. } => held_since,
+            _ => None,
+        }
+    }
+
     /// Member that an attempt promotes; `None` unless an attempt has reached this stage.
     pub const fn promoting(&self) -> Option<&MemberId> {
         match &self.stage {
--- a/crates/core/src/sync_group/view.rs
+++ b/crates/core/src/sync_group/view.rs
@@ -16,6 +16,8 @@
 const MAX_POSITIONS: usize = 64;
 /// Minimum time between two kept positions; 64 cover 3 s, which is longer than the largest age that a read allows.
 const POSITION_SPACING: Duration = Duration::from_millis(50);
+/// Time for which a member counts as unresponsive after another instance reported so; it covers two messages.
+const REPORT_TTL: Duration = Duration::from_millis(700);
 
 /// The primary of the highest term that is known.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,6 +38,19 @@
     latest: Option<(MemberStatus, Instant)>,
     /// Sending time of the first poll since the latest answer.
     unanswered_since: Option<Instant>,
+    /// Latest sending time of a request or poll that the member has answered.
+    answered: Option<Instant>,
+    /// Until when the member counts as unresponsive because another instance that polls it reported so.
+    reported_until: Option<Instant>,
+}
+
+impl Member {
+    /// Records that the member answered a request that was sent at `sent`.
+    fn record_answer(&mut self, sent: Instant) {
+        self.answered = self.answered.max(Some(sent));
+        self.unanswered_since = self.unanswered_since.filter(|since| *since > sent);
+        self.reported_until = self.reported_until.filter(|until| *until > sent.plus(REPORT_TTL));
+    }
 }
 
 /// Position that the leader had at or after `sent`.
@@ -139,7 +154,7 @@
     /// Records the answer to a poll that was sent at `sent`.
     pub fn observe(&mut self, member: &MemberId, status: MemberStatus, sent: Instant) {
         let Some(state) = self.members.get_mut(member) else { return };
-        state.unanswered_since = state.unanswered_since.filter(|since| *since > sent);
+        state.record_answer(sent);
         if state.latest.is_some_and(|(_, latest)| latest > sent) {
             return;
         }
@@ -167,7 +182,7 @@
     /// the member is the leader.
     pub fn answered(&mut self, member: &MemberId, position: Option<Position>, sent: Instant) {
         let Some(state) = self.members.get_mut(member) else { return };
-        state.unanswered_since = state.unanswered_since.filter(|since| *since > sent);
+        state.record_answer(sent);
         let is_leader = state.latest.is_some_and(|(status, _)| {
             status.role == Role::Primary && status.term == self.leader_term
         });
@@ -257,6 +272,24 @@
         since.map_or(Duration::ZERO, |since| now.since(since))
     }
 
+    /// Latest sending time of a request or poll that `member` has answered; `None` before the first.
+    pub fn answered_at(&self, member: &MemberId) -> Option<Instant> {
+        self.members.get(member)?.answered
+    }
+
+    /// Records that another instance, which polls `member`, gets no answers from it.
+    pub fn report_unresponsive(&mut self, member: &MemberId, now: Instant) {
+        if let Some(state) = self.members.get_mut(member) {
+            state.reported_until = Some(now.plus(REPORT_TTL));
+        }
+    }
+
+    /// Whether `member` has not answered a poll for `timeout`, here or at another instance that reported so.
+    pub fn is_unresponsive(&self, member: &MemberId, timeout: Duration, now: Instant) -> bool {
+        let reported = self.members.get(member).and_then(|state| state.reported_until);
+        reported.is_some_and(|until| now < until) || self.unanswered_for(member, now) >= timeout
+    }
+
     /// The highest known term that had a primary.
     pub fn leader_term(&self) -> Term {
         let terms = self.answers().map(|(_, status, _)| status.term);
@@ -345,7 +378,7 @@
 
     fn record_leader(&mut self, member: &MemberId, term: Term, position: LeaderPosition) {
         let Some(state) = self.members.get_mut(member) else { return };
-        state.unanswered_since = state.unanswered_since.filter(|since| *since > position.sent);
+        state.record_answer(position.sent);
         let is_known_primary = state
             .latest
             .is_some_and(|(status, _)| status.role == Role::Primary && status.term >= term);
--- a/crates/core/src/topology.rs
+++ b/crates/core/src/topology.rs
@@ -117,6 +117,16 @@
         })
     }
 
+    /// Whether `receiver` gets regular messages from `sender`: hubs exchange messages with all hubs, and with the other
+    /// instances of their region.
+    pub fn receives_from(&self, receiver: &InstanceId, sender: &InstanceId) -> bool {
+        if self.is_hub(receiver) && self.is_hub(sender) {
+            return true;
+        }
+        let region = |name| self.instances.get(name).map(|profile| &profile.region);
+        (self.is_hub(receiver) || self.is_hub(sender)) && region(receiver) == region(sender)
+    }
+
     /// The instances that connect to a member in `data_centre`, the preferred one first; `None` when all do.
     ///
     /// `max_connections` is the number of connections that the member accepts from all instances together.
--- a/crates/core/tests/topology.rs
+++ b/crates/core/tests/topology.rs
@@ -65,3 +65,19 @@
     let holders = topology.holders(&"m".into(), &"elsewhere".into(), 32);
     assert_eq!(holders.map(|holders| holders.len()), Some(HOLDERS_PER_MEMBER));
 }
+
+/// Guards against an instance that is taken for lost because its messages go to others.
+#[test]
+fn receives_from_follows_the_messages() {
+    let topology = Topology::new(fleet(60));
+    let hubs: Vec<&InstanceId> = topology.hubs().collect();
+    let followers = fleet(60).into_iter().filter(|profile| !topology.is_hub(&profile.name));
+    for follower in followers {
+        let regional: Vec<&InstanceId> = topology.regional_hubs(&follower.name).collect();
+        for hub in &hubs {
+            assert_eq!(topology.receives_from(hub, &follower.name), regional.contains(hub));
+            assert!(topology.receives_from(hub, hubs[0]));
+        }
+        assert!(!topology.receives_from(&follower.name, &"i-59".into()));
+    }
+}
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -7,6 +7,7 @@
 use hibiscusladder_core::{
     name::{DataCentre, Database, Group, InstanceId, MemberId, Workspace},
     position::{Position, Term},
+    roster::Freshness,
     sync_group::{MemberStatus, Role},
 };
 use smol::net::TcpStream;
@@ -317,8 +318,12 @@
 
 /// Client of the platform's store.
 pub trait Store: 'static {
-    /// Lists all objects of a collection.
-    fn list(&self, collection: Collection) -> impl Future<Output = Result<Listing, StoreError>>;
+    /// Lists all objects of a collection. A list of recent objects costs less than one of the current ones.
+    fn list(
+        &self,
+        collection: Collection,
+        freshness: Freshness,
+    ) -> impl Future<Output = Result<Listing, StoreError>>;
 
     /// Returns the changes of a collection since `revision`; waits until there is one, at most for `wait`.
     fn watch(
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -1,7 +1,7 @@
 //! Admission of operations against the rate and burst of their workspace.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
     time::Duration,
 };
@@ -78,6 +78,9 @@
         now: Instant,
     ) {
         self.allotments.retain(|workspace, _| limits.contains_key(workspace));
+        self.waiting.retain(|workspace, waiting| {
+            limits.contains_key(workspace) || waiting.operations.count() > 0
+        });
         for (workspace, limits) in limits {
             let limits = *limits;
             match self.allotments.get_mut(workspace) {
@@ -170,13 +173,24 @@
             .map_or(0.0, |allotment| allotment.transfer_requested(message.request(), now) as f32)
     }
 
-    /// Returns the demand of each workspace for a status message to `peer`, and removes the tokens that the
-    /// message transfers.
-    pub fn advertise(&mut self, peer: &InstanceId, now: Instant) -> Vec<Demand> {
-        let demands = self.allotments.iter_mut().filter_map(|(workspace, allotment)| {
+    /// Returns the demand of each workspace for a status message to `peer`, or of those in `demanded` only, and removes
+    /// the tokens that the message transfers.
+    pub fn advertise(
+        &mut self,
+        peer: &InstanceId,
+        demanded: Option<&BTreeSet<Box<str>>>,
+        now: Instant,
+    ) -> Vec<Demand> {
+        let is_demanded = |workspace: &Workspace| {
+            demanded.is_none_or(|demanded| demanded.contains(workspace.as_str()))
+        };
+        let allotments = self.allotments.iter_mut().filter(|(workspace, _)| is_demanded(workspace));
+        let demands = allotments.filter_map(|(workspace, allotment)| {
             let rate = allotment.advertised_demand(now);
             let total = allotment.total_demand(now);
-            if total < MIN_DEMAND {
+            // Accruing instances know the total; a dependent one has news about its own demand only.
+            let reported = if allotment.depends_on_others() { rate } else { total };
+            if reported < MIN_DEMAND {
                 return None;
             }
             let transfer = allotment.transfer_surplus(peer, now);
@@ -274,7 +288,7 @@
     let donor_request = node.admission.borrow_mut().donor_request(workspace, now);
     let Some(DonorRequest { mut donors, round, request }) = donor_request else { return };
     if donors.is_empty() {
-        donors = messenger::other_regional_hubs(node);
+        donors = node.own_hubs();
         let index = round % donors.len().max(1);
         donors.rotate_left(index);
         donors.truncate(1);
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -11,6 +11,7 @@
     clock::Instant,
     name::{Group, MemberId},
     position::Term,
+    roster::FleetRole,
     sync_group::{FailoverAction, Role, SUSPICION_TIMEOUT, Trigger},
 };
 use hibiscusladder_io::clock::sleep;
@@ -59,9 +60,14 @@
         if node.stopping_since().is_some() {
             return;
         }
+        // A failover of an instance that cannot know this one yet would not wait for its proofs to run out.
+        if !node.roster.borrow().is_registered() {
+            continue;
+        }
+        let role = node.role();
         for group in node.groups() {
-            monitor::send_due_polls(&node, &group, node.now());
-            if !node.topology().is_hub(node.instance()) {
+            monitor::send_due_polls(&node, &group, role, node.now());
+            if role != FleetRole::Hub {
                 continue;
             }
             let cx = contexts.entry(group.name.clone()).or_default();
@@ -83,18 +89,23 @@
     }
     let leaving = leaving_members(node, &group.name);
     let fence = group.failover.borrow().fence();
+    let held_since = group.failover.borrow().held_since();
     let actions = {
         let view = group.view.borrow();
         let mut failover = group.failover.borrow_mut();
-        let confirmed = fence.is_some_and(|(term, held)| {
+        let confirmed = fence.is_some_and(|(term, _)| {
             // Confirmations count only where every other instance is known and sends to this one: not before the
-            // registrations were read, and not in a larger fleet.
-            held && node.has_registrations()
+            // instances were listed after the hold, and not in a larger fleet.
+            held_since.is_some_and(|since| node.roster.borrow().is_listed_since(since))
                 && node.topology().is_flat()
                 && node.peers.borrow().all_confirmed(group.name.as_str(), term.0)
         });
         failover.step(&view, &leaving, confirmed, now)
     };
+    if held_since.is_none() && group.failover.borrow().held_since().is_some() {
+        node.roster.borrow_mut().list_now();
+        node.roster_changed.notify(usize::MAX);
+    }
     apply_fence(node, group, fence, now);
     for action in actions {
         execute_action(node, group, cx, action);
@@ -117,7 +128,7 @@
         }
     }
     if fence != before {
-        node.send_now.notify(usize::MAX);
+        node.announce();
         group.log_leader_change(None, now);
     }
 }
@@ -163,7 +174,11 @@
         }
     };
     let start_delay = CANDIDATE_DELAY * candidate_rank(node, group, now);
-    if now.since(since) < start_delay || !enough_suspect(node, group, trigger, now) {
+    // An instance that does not know the others cannot announce the failover to them.
+    if now.since(since) < start_delay
+        || !node.knows_fleet()
+        || !enough_suspect(node, group, trigger, now)
+    {
         return;
     }
     let started = group.failover.borrow_mut().start(trigger, &group.view.borrow(), now);
@@ -233,8 +248,8 @@
     u32::try_from(hub_rank).unwrap_or(u32::MAX).saturating_add(u32::from(claimant_lives))
 }
 
-/// Whether at least half of the live instances, this one included, suspect the primary. With three or more live
-/// instances, one that alone cannot reach the primary must not replace it.
+/// Whether at least half of the live hubs, this one included, suspect the primary. With three or more live hubs, one
+/// that alone cannot reach the primary must not replace it.
 fn enough_suspect<P>(node: &Node<P>, group: &GroupState, trigger: Trigger, now: Instant) -> bool
 where
     P: Platform,
@@ -243,9 +258,11 @@
         return true;
     }
     let term = group.view.borrow().leader_term().0;
+    let topology = node.topology();
     let peers = node.peers.borrow();
-    let live = 1 + peers.live(now).len();
-    let suspecting = 1 + peers.suspecting(group.name.as_str(), term, now);
+    let others = || topology.hubs().filter(|hub| *hub != node.instance());
+    let live = 1 + others().filter(|hub| peers.is_live(hub, now)).count();
+    let suspecting = 1 + peers.suspecting(others(), group.name.as_str(), term, now);
     2 * suspecting >= live
 }
 
--- a/crates/gateway/src/failover_claim.rs
+++ b/crates/gateway/src/failover_claim.rs
@@ -9,6 +9,7 @@
 use hibiscusladder_core::{
     clock::Instant,
     name::{Group, InstanceId},
+    roster::Freshness,
 };
 use serde::{Deserialize, Serialize};
 
@@ -160,7 +161,7 @@
 where
     P: Platform,
 {
-    let listed = node.store.list(Collection::FailoverClaims).await;
+    let listed = node.store.list(Collection::FailoverClaims, Freshness::Current).await;
     node.metrics.count(Counter::StoreCalls, if listed.is_ok() { "listed" } else { "list_failed" });
     let Listing { objects, .. } = listed?;
     let now = node.now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod peers;
 pub mod pool;
 pub mod reads;
+pub mod relay;
 pub mod serve;
 pub mod session;
 pub mod settings;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -138,6 +138,52 @@
     pub demands: Vec<Demand>,
 }
 
+/// Part of a status message that earlier versions do not have. It follows the [`Datagram`] in the same UDP payload, so
+/// that earlier versions ignore it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Extension {
+    /// List of the instances that the sender offers; `None` unless the sender is a hub with a complete list.
+    pub roster: Option<RosterVersion>,
+    /// Digest of the member entries that the sender has read; `None` unless the sender is a hub.
+    pub members: Option<u64>,
+    /// Members that are slow to answer the sender's requests, and that the receiver is to poll.
+    pub slow: Vec<Box<str>>,
+    /// Members that do not answer the sender's polls.
+    pub unresponsive: Vec<Box<str>>,
+}
+
+/// Version of a list of instances.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterVersion {
+    /// Revision of the store at which the list was read.
+    pub revision: u64,
+    /// Digest of the registrations, equal for equal lists.
+    pub digest: u64,
+}
+
+/// Encodes the payload of a UDP packet.
+///
+/// # Errors
+///
+/// The message cannot be encoded.
+pub fn encode(datagram: &Datagram, extension: &Extension) -> postcard::Result<Vec<u8>> {
+    let bytes = postcard::to_stdvec(datagram)?;
+    if *extension == Extension::default() {
+        return Ok(bytes);
+    }
+    postcard::to_extend(extension, bytes)
+}
+
+/// Decodes the payload of a UDP packet. An extension that cannot be decoded is left out.
+///
+/// # Errors
+///
+/// The payload does not begin with a [`Datagram`].
+pub fn decode(payload: &[u8]) -> postcard::Result<(Datagram, Extension)> {
+    let (datagram, rest) = postcard::take_from_bytes(payload)?;
+    Ok((datagram, postcard::from_bytes(rest).unwrap_or_default()))
+}
+
 /// Entry of an instance in the store, written as JSON.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -5,39 +5,35 @@
 //! of its receiver, which gives the receiver a time on its own clock before which the message was not sent. The
 //! receiver subtracts the ages from that time.
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use hibiscusladder_core::{
     clock::Instant,
     name::{InstanceId, MemberId, Workspace},
     position::{Lsn, Position, Term},
+    roster::FleetRole,
     share::TokenRequest,
     sync_group::{LeaderInfo, LeaderPosition},
 };
-use hibiscusladder_io::{clock::within, http::HttpClient};
-use http_body_util::Full;
-use hyper::Request;
+use hibiscusladder_io::clock::within;
 use serde_json::json;
 
 use crate::{
     adapter::Platform,
     events::{self, Event},
     message::{
-        Datagram, GroupInfo, LeaderEntry, Status, TokenRequestMessage, TokenTransferMessage,
+        self, Datagram, Extension, GroupInfo, LeaderEntry, Status, TokenRequestMessage,
+        TokenTransferMessage,
     },
     node::{GroupState, Node},
     peers::{SEND_INTERVAL, nanos},
-    snapshot::Snapshot,
-    status_page::SNAPSHOT_PATH,
+    relay::{self, MembersPage},
 };
 
 /// Largest datagram that can be received.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
-/// Time for which another instance has to have newer data before a hub acts on it; the hub's own watch of the store
-/// usually delivers the data earlier.
-const BEHIND_GRACE: Duration = Duration::from_millis(1000);
-/// Longest time for fetching the [`Snapshot`] of another instance.
-const SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time without an answer to a poll after which a hub reports a member as unresponsive.
+const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(300);
 
 fn micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
@@ -52,10 +48,10 @@
     loop {
         let Ok((length, address)) = node.datagrams.recv_from(&mut buf).await else { continue };
         // A datagram that cannot be decoded comes from another version or another program.
-        let Ok(datagram) = postcard::from_bytes::<Datagram>(&buf[..length]) else { continue };
+        let Ok((datagram, extension)) = message::decode(&buf[..length]) else { continue };
         let now = node.now();
         match datagram {
-            Datagram::Status(status) => handle_status(&node, &status, address, now),
+            Datagram::Status(status) => handle_status(&node, &status, &extension, address, now),
             Datagram::TokenRequest(message) => transfer_tokens(&node, &message, address, now),
             Datagram::TokenTransfer(transfer) => {
                 node.admission.borrow_mut().receive(&transfer, now)
@@ -64,44 +60,86 @@
     }
 }
 
-fn handle_status<P>(node: &Rc<Node<P>>, status: &Status, address: SocketAddr, now: Instant)
-where
+fn handle_status<P>(
+    node: &Rc<Node<P>>,
+    status: &Status,
+    extension: &Extension,
+    address: SocketAddr,
+    now: Instant,
+) where
     P: Platform,
 {
     let received = node.peers.borrow_mut().receive(status, address, now);
     let Some(received) = received else { return };
     let from = InstanceId::new(&status.from);
-    if received.is_new {
-        node.unknown_peers.notify(usize::MAX);
+    if received.is_unregistered {
+        node.roster.borrow_mut().request_list();
+        node.roster_changed.notify(usize::MAX);
     }
-    if received.regained || received.is_new {
+    if received.regained || received.is_unregistered {
         events::log(
             Event::PeerRegained,
-            json!({ "instance": from.as_str(), "new": received.is_new }),
+            json!({ "instance": from.as_str(), "new": received.is_unregistered }),
         );
     }
+    node.peers.borrow_mut().record_extension(&from, extension);
     let topology = node.topology();
     let is_hub = topology.is_hub(&from);
     node.admission.borrow_mut().record_peer(&from, &status.demands, is_hub, now);
-    // An instance that is no hub expects an answer to each of its messages.
-    let mut must_answer = !is_hub && topology.is_hub(node.instance());
-    for info in &status.groups {
-        if let Some(group) = node.group_named(&info.group) {
-            must_answer |= merge_group_info(&group, info, received.acknowledged, now);
+    // An instance that is no hub expects an answer to each of its messages, and one that was not live has to learn of
+    // fences at once.
+    let mut must_answer = !is_hub && topology.is_hub(node.instance())
+        || is_hub && (received.regained || received.is_unregistered);
+    // Until this instance is registered, a failover may not wait for its confirmation, so it uses no proofs.
+    if node.roster.borrow().is_registered() {
+        for info in &status.groups {
+            if let Some(group) = node.group_named(&info.group) {
+                must_answer |= merge_group_info(node, &group, info, received.acknowledged, now);
+            }
         }
     }
+    merge_extension(node, extension, is_hub, now);
+    if node.role() == FleetRole::Follower {
+        relay::catch_up(node, now);
+    }
     if must_answer {
-        send_to(node, &[from], now);
+        let demanded = status.demands.iter().map(|demand| demand.workspace.clone());
+        let demanded = (!is_hub).then(|| demanded.collect());
+        send_to(node, &from, demanded.as_ref(), now);
+    }
+}
+
+/// Requests the polls that the sender asks for, and records the members that do not answer polls of a hub.
+fn merge_extension<P>(node: &Node<P>, extension: &Extension, is_hub: bool, now: Instant)
+where
+    P: Platform,
+{
+    let group_of = |id: &MemberId| node.group(&node.member(id)?.record.group);
+    let polls_members = node.role() != FleetRole::Follower;
+    for id in extension.slow.iter().map(|id| MemberId::new(id)).filter(|_| polls_members) {
+        if let Some(group) = group_of(&id) {
+            group.request_poll(&id, now);
+        }
+    }
+    for id in extension.unresponsive.iter().map(|id| MemberId::new(id)).filter(|_| is_hub) {
+        if let Some(group) = group_of(&id).filter(|_| !polls_members) {
+            group.view.borrow_mut().report_unresponsive(&id, now);
+            group.notify();
+        }
     }
 }
 
 /// Merges the state of a group at another instance; returns whether a confirmation of its fence is due at once.
-fn merge_group_info(
+fn merge_group_info<P>(
+    node: &Node<P>,
     group: &GroupState,
     info: &GroupInfo,
     acknowledged: Option<Instant>,
     now: Instant,
-) -> bool {
+) -> bool
+where
+    P: Platform,
+{
     let mut view = group.view.borrow_mut();
     if let (Some(leader), Some(acknowledged)) = (&info.leader, acknowledged) {
         let at = |age: u64| {
@@ -117,14 +155,16 @@
             }),
         });
     }
-    if let Some(leader) = view.leader(now).filter(|leader| info.suspected == Some(leader.term.0)) {
-        group.request_poll(&leader.member);
-    }
+    let suspected = view.leader(now).filter(|leader| info.suspected == Some(leader.term.0));
     let Some((term, held)) = info.fence else {
         drop(view);
+        if let Some(leader) = suspected.filter(|_| node.role() != FleetRole::Follower) {
+            group.request_poll(&leader.member, now);
+        }
         group.log_leader_change(None, now);
         return false;
     };
+    let is_news = view.fenced_term(now).is_none_or(|known| known < Term(term));
     view.fence(Term(term), now);
     let confirms = held && group.confirmed.get() < term;
     if confirms {
@@ -132,6 +172,9 @@
         group.confirmed.set(term);
     }
     drop(view);
+    if is_news && node.role() == FleetRole::Hub && !node.topology().is_flat() {
+        node.announce();
+    }
     group.log_leader_change(None, now);
     confirms
 }
@@ -175,7 +218,18 @@
 where
     P: Platform,
 {
-    let Ok(bytes) = postcard::to_stdvec(datagram) else { return };
+    send_extended(node, address, datagram, &Extension::default());
+}
+
+fn send_extended<P>(
+    node: &Rc<Node<P>>,
+    address: SocketAddr,
+    datagram: &Datagram,
+    extension: &Extension,
+) where
+    P: Platform,
+{
+    let Ok(bytes) = message::encode(datagram, extension) else { return };
     let sender = node.clone();
     node.spawn(async move {
         // A lost datagram is not sent again. The next status message carries newer state, and tokens are requested
@@ -189,7 +243,6 @@
 where
     P: Platform,
 {
-    let mut behind_since = None;
     let mut round = 0;
     loop {
         within(SEND_INTERVAL, node.send_now.listen()).await;
@@ -198,25 +251,17 @@
             events::log(Event::PeerLost, json!({ "instance": unresponsive.as_str() }));
         }
         round += 1;
-        let receivers = receivers(&node, round);
-        send_to(&node, &receivers, now);
-        catch_up(&node, &mut behind_since, now);
+        let mut receivers = receivers(&node, round);
+        if node.take_urgent_news() {
+            receivers.extend(live_followers(&node, now));
+        }
+        for receiver in receivers {
+            send_to(&node, &receiver, None, now);
+        }
+        relay::catch_up(&node, now);
     }
 }
 
-/// The hubs in the region of this instance, without the instance itself.
-pub fn other_regional_hubs<P>(node: &Node<P>) -> Vec<InstanceId>
-where
-    P: Platform,
-{
-    let topology = node.topology();
-    topology
-        .regional_hubs(node.instance())
-        .filter(|name| *name != node.instance())
-        .cloned()
-        .collect()
-}
-
 /// The instances that get a message in this round: a hub sends to all other hubs, and an instance that is no hub to one
 /// hub of its region after the other. In a flat fleet, each instance sends to all others.
 fn receivers<P>(node: &Node<P>, round: usize) -> Vec<InstanceId>
@@ -231,62 +276,76 @@
     if topology.is_hub(own) {
         return topology.hubs().filter(|name| *name != own).cloned().collect();
     }
-    let hubs = other_regional_hubs(node);
+    let hubs = node.own_hubs();
     hubs.get(round % hubs.len().max(1)).cloned().into_iter().collect()
 }
 
-/// Renews the watches of the store when another instance has had newer data for the grace time.
-///
-/// A hub then also fetches the snapshot of an instance that has a newer configuration; an instance that is no hub
-/// fetches that of the live instance with the newest data.
-fn catch_up<P>(node: &Rc<Node<P>>, behind_since: &mut Option<Instant>, now: Instant)
+/// The live instances that get the state of the groups from this hub; none in a flat fleet, and for an instance that is
+/// no hub.
+fn live_followers<P>(node: &Node<P>, now: Instant) -> Vec<InstanceId>
 where
     P: Platform,
 {
-    let ahead = node.peers.borrow().ahead(node.version(), now);
-    let members_ahead = node.peers.borrow().members_ahead(node.members_revision(), now);
-    if ahead.is_none() && !members_ahead {
-        *behind_since = None;
-        return;
-    }
-    // A hub watches the store itself and usually receives a change at the same time as the other hubs.
-    let is_hub = node.topology().is_hub(node.instance());
-    let grace = if is_hub { BEHIND_GRACE } else { Duration::ZERO };
-    if now.since(*behind_since.get_or_insert(now)) < grace {
-        return;
-    }
-    *behind_since = Some(now);
-    node.renew_watches.notify(usize::MAX);
-    let ahead = if is_hub { ahead } else { node.peers.borrow().newest(now) };
-    if let Some(address) = ahead {
-        let fetcher = node.clone();
-        node.spawn(async move { fetch_snapshot(&fetcher, address).await });
+    let topology = node.topology();
+    if !topology.is_hub(node.instance()) {
+        return Vec::new();
     }
+    let mut live = node.peers.borrow().live(now);
+    live.retain(|name| !topology.is_hub(name));
+    live
+}
+
+/// Sends a status message to an instance, with the demand of the workspaces in `demanded` or of all.
+fn send_to<P>(
+    node: &Rc<Node<P>>,
+    name: &InstanceId,
+    demanded: Option<&BTreeSet<Box<str>>>,
+    now: Instant,
+) where
+    P: Platform,
+{
+    let latest = node.peers.borrow().latest_message(name);
+    let Some((address, acknowledged)) = latest else { return };
+    // A hub receives a fence from the instance that sets it; other instances receive it from their hubs.
+    let relays_fences = !node.topology().is_hub(name);
+    let status = Status {
+        from: node.instance().as_str().into(),
+        started: node.peers.borrow().started(),
+        sent: nanos(now),
+        acknowledged,
+        version: node.version(),
+        members_revision: node.members_revision(),
+        groups: group_infos(node, relays_fences, now),
+        demands: node.admission.borrow_mut().advertise(name, demanded, now),
+    };
+    send_extended(node, address, &Datagram::Status(status), &extension(node, relays_fences, now));
 }
 
-/// Sends a status message to the instances with the given names.
-fn send_to<P>(node: &Rc<Node<P>>, names: &[InstanceId], now: Instant)
+/// The extension of a message to a hub, or to another instance (`is_for_follower`).
+fn extension<P>(node: &Node<P>, is_for_follower: bool, now: Instant) -> Extension
 where
     P: Platform,
 {
-    let topology = node.topology();
-    for name in names {
-        let latest = node.peers.borrow().latest_message(name);
-        let Some((address, acknowledged)) = latest else { continue };
-        // A hub receives a fence from the instance that sets it; other instances receive it from their hubs.
-        let relays_fences = !topology.is_hub(name);
-        let status = Status {
-            from: node.instance().as_str().into(),
-            started: node.peers.borrow().started(),
-            sent: nanos(now),
-            acknowledged,
-            version: node.version(),
-            members_revision: node.members_revision(),
-            groups: group_infos(node, relays_fences, now),
-            demands: node.admission.borrow_mut().advertise(name, now),
-        };
-        send_datagram(node, address, &Datagram::Status(status));
+    let is_hub = node.role() == FleetRole::Hub;
+    let offers_roster = is_hub && node.knows_fleet();
+    let mut extension = Extension {
+        roster: offers_roster.then(|| node.roster_version()),
+        members: is_hub.then(|| MembersPage::capture(node).digest()),
+        ..Extension::default()
+    };
+    for group in node.groups() {
+        if !is_hub {
+            extension.slow.extend(group.take_slow().iter().map(|id| Box::from(id.as_str())));
+        } else if is_for_follower {
+            let view = group.view.borrow();
+            let unresponsive = view
+                .members()
+                .filter(|id| view.unanswered_for(id, now) >= UNRESPONSIVE_AFTER)
+                .map(|id| Box::from(id.as_str()));
+            extension.unresponsive.extend(unresponsive);
+        }
     }
+    extension
 }
 
 fn group_infos<P>(node: &Node<P>, relays_fences: bool, now: Instant) -> Vec<GroupInfo>
@@ -294,7 +353,11 @@
     P: Platform,
 {
     let groups = node.groups();
-    let info = groups.iter().map(|group| {
+    let is_follower = node.role() == FleetRole::Follower;
+    // Hubs know what a follower has only learned from them.
+    let is_news =
+        |group: &&Rc<GroupState>| !is_follower || group.has_answers_since(now, SEND_INTERVAL * 2);
+    let info = groups.iter().filter(is_news).map(|group| {
         let view = group.view.borrow();
         let leader = view.leader_info(now).map(|info| LeaderEntry {
             member: info.member.as_str().into(),
@@ -317,31 +380,3 @@
     });
     info.collect()
 }
-
-async fn fetch_snapshot<P>(node: &Rc<Node<P>>, address: SocketAddr)
-where
-    P: Platform,
-{
-    let fetched = within(SNAPSHOT_TIMEOUT, get_snapshot(address)).await;
-    match fetched {
-        Some(Ok(snapshot)) => snapshot.apply(node),
-        Some(Err(error)) => log_fetch_failure(address, &error.to_string()),
-        None => log_fetch_failure(address, "no answer in time"),
-    }
-}
-
-fn log_fetch_failure(address: SocketAddr, reason: &str) {
-    let fields = json!({ "instance_address": address.to_string(), "reason": reason });
-    events::log(Event::PeerLost, fields);
-}
-
-async fn get_snapshot(address: SocketAddr) -> io::Result<Snapshot> {
-    let req = Request::get(SNAPSHOT_PATH)
-        .header(hyper::header::HOST, address.to_string())
-        .body(Full::default())
-        .map_err(io::Error::other)?;
-    let client = HttpClient::new(&address.to_string());
-    let answer = client.send(req, SNAPSHOT_TIMEOUT).await;
-    let answer = answer.map_err(hibiscusladder_io::http::HttpError::into_io)?;
-    postcard::from_bytes(answer.body()).map_err(io::Error::other)
-}
--- a/crates/gateway/src/monitor.rs
+++ b/crates/gateway/src/monitor.rs
@@ -2,7 +2,8 @@
 //!
 //! Each poll has a cost, so answers to callers' statements and messages of other instances replace polls where they
 //! carry the same information. In a flat fleet, one instance polls a primary without traffic; the others poll it only
-//! when no recent leadership proof has reached them. In a larger fleet, each hub polls.
+//! when no recent leadership proof has reached them. In a larger fleet, hubs poll, and other instances tell them which
+//! members are slow.
 
 use std::{io, rc::Rc, time::Duration};
 
@@ -11,6 +12,7 @@
     membership,
     name::{InstanceId, MemberId},
     position::Term,
+    roster::FleetRole,
     sync_group::{MemberStatus, PROOF_WINDOW, Role, SUSPICION_TIMEOUT},
 };
 use hibiscusladder_io::clock::within;
@@ -29,12 +31,14 @@
 const CONNECTION_WAIT: Duration = Duration::from_millis(200);
 /// Longest wait for the answer to a poll or another control command.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Age of the newest leadership proof at which the first-ranked instance of a flat fleet polls, or a hub of a larger
-/// fleet.
+/// Age of the newest leadership proof at which the first-ranked instance of a flat fleet polls, or the first-ranked hub
+/// of a region in a larger fleet.
 const FIRST_POLL_AGE: Duration = Duration::from_millis(350);
+/// Age at which the other hubs of a region poll. A proof of the first-ranked one reaches them with one message.
+const SECOND_POLL_AGE: Duration = Duration::from_millis(700);
 /// Age at which the other instances of a flat fleet poll. A proof reaches them with two messages of another instance.
 const OTHER_POLL_AGE: Duration = Duration::from_millis(900);
-/// Age at which an instance that is no hub polls. It receives proofs from hubs, each of which polls itself.
+/// Age at which an instance polls that is no hub and hears from none.
 const LAST_POLL_AGE: Duration = Duration::from_millis(1150);
 /// Step between the ages at which the other instances of a flat fleet poll, one after the other by rank.
 const POLL_AGE_STEP: Duration = Duration::from_millis(30);
@@ -51,13 +55,18 @@
 const REPLICA_INTERVAL: Duration = Duration::from_secs(6);
 
 /// Sends the polls of a group that are due.
-pub fn send_due_polls<P>(node: &Rc<Node<P>>, group: &Rc<GroupState>, now: Instant)
+///
+/// A follower sends none: hubs poll the members and send what they learn.
+pub fn send_due_polls<P>(node: &Rc<Node<P>>, group: &Rc<GroupState>, role: FleetRole, now: Instant)
 where
     P: Platform,
 {
-    let due = due_members(node, group, now);
-    group.poll_requested.borrow_mut().clear();
+    if role == FleetRole::Follower {
+        return;
+    }
+    let due = due_members(node, group, role, now);
     for member in due {
+        group.poll_requested.borrow_mut().remove(&member);
         let mut polls = group.polls.borrow_mut();
         let logged_lost = polls.get(&member).is_some_and(|last| last.logged_lost);
         polls.insert(member.clone(), PollState { sent: Some(now), running: true, logged_lost });
@@ -67,7 +76,12 @@
     }
 }
 
-fn due_members<P>(node: &Node<P>, group: &GroupState, now: Instant) -> Vec<MemberId>
+fn due_members<P>(
+    node: &Node<P>,
+    group: &GroupState,
+    role: FleetRole,
+    now: Instant,
+) -> Vec<MemberId>
 where
     P: Platform,
 {
@@ -83,13 +97,13 @@
         let others = view.members().filter(|member| **member != leader.member);
         others.min_by_key(|member| view.unanswered_for(member, now)).cloned()
     });
-    let is_hub = node.topology().is_hub(node.instance());
+    let is_hub = role == FleetRole::Hub;
     let uncertain = view.is_leader_uncertain();
     let interval = |member: &MemberId| -> Duration {
         let leads = leader.as_ref().is_some_and(|leader| leader.member == *member);
         let unresponsive = !view.unanswered_for(member, now).is_zero();
         if !is_hub && !poll_requested.contains(member) && !(leads && (unresponsive || proof_due)) {
-            // Hubs poll the member and send what they learn.
+            // Without a hub, the answers to requests show most of what polls would.
             return Duration::MAX;
         }
         if failover.promoting() == Some(member) {
@@ -122,8 +136,11 @@
 {
     let topology = node.topology();
     if !topology.is_flat() {
-        let is_hub = topology.is_hub(node.instance());
-        return if is_hub { FIRST_POLL_AGE } else { LAST_POLL_AGE };
+        return match topology.is_hub(node.instance()) {
+            true if regional_rank(node, group.name.as_str(), now) == 0 => FIRST_POLL_AGE,
+            true => SECOND_POLL_AGE,
+            false => LAST_POLL_AGE,
+        };
     }
     match hub_rank(node, group.name.as_str(), now) {
         0 => FIRST_POLL_AGE,
@@ -144,6 +161,18 @@
     hubs.filter(|name| membership::weight(&[key], name.as_str()) > own_weight).count()
 }
 
+/// Like [`hub_rank`], among the hubs of the region of this instance.
+fn regional_rank<P>(node: &Node<P>, key: &str, now: Instant) -> usize
+where
+    P: Platform,
+{
+    let own_weight = membership::weight(&[key], node.instance().as_str());
+    let topology = node.topology();
+    let peers = node.peers.borrow();
+    let live = topology.regional_hubs(node.instance()).filter(|hub| peers.is_live(hub, now));
+    live.filter(|hub| membership::weight(&[key], hub.as_str()) > own_weight).count()
+}
+
 async fn poll<P>(node: &Rc<Node<P>>, group: &GroupState, member: &MemberId)
 where
     P: Platform,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -8,18 +8,20 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use event_listener::Event as Notify;
 use hibiscusladder_core::{
     clock::{Clock, Instant},
     membership,
     name::{DataCentre, Group, InstanceId, MemberId, Workspace},
+    roster::{self, FleetRole, Roster},
     share::AllotmentPart,
     sync_group::{Failover, GroupView},
     topology::{HOLDERS_PER_MEMBER, Profile, Topology},
 };
 use hibiscusladder_io::clock::{BootClock, within};
 use serde_json::json;
-use smol::{LocalExecutor, net::UdpSocket};
+use smol::{LocalExecutor, lock::Semaphore, net::UdpSocket};
 
 use crate::{
     adapter::{Platform, Target},
@@ -29,10 +31,11 @@
     failover_claim::FailoverClaims,
     in_flight::{InFlight, InFlightGuard},
     member_table::{Member, MemberTable},
-    message::Registration,
+    message::{Registration, RosterVersion},
     metrics::Metrics,
     peers::Peers,
     pool::{Pool, PoolLimits},
+    relay::{PARALLEL_TRANSFERS, Progress, compress_directory},
     settings::Settings,
     tunnel::Tunnels,
 };
@@ -46,6 +49,10 @@
 /// Statements that a holder sends beyond its part of a member's slots, so that no slot is idle during a round trip.
 const EXTRA_STATEMENTS: usize = 1;
 
+/// Age of an answer up to which it shows that a member responds.
+const ANSWER_EVIDENCE_AGE: Duration = Duration::from_millis(400);
+/// Time from the first list of the instances in which hubs count as live although no message has come.
+const HUB_GRACE: Duration = Duration::from_millis(1000);
 /// Time before the process is killed at which it ends by itself.
 const END_MARGIN: Duration = Duration::from_millis(600);
 /// Time before the end of the process at which every request has its answer; it covers two of the longest delays
@@ -81,6 +88,10 @@
     pub confirmed: Cell<u64>,
     /// Members for which a poll was requested since the polls of the group were last sent.
     pub poll_requested: RefCell<BTreeSet<MemberId>>,
+    /// Members whose answers were slow since the last message to a hub.
+    slow: RefCell<BTreeSet<MemberId>>,
+    /// When a member last answered a request of this instance; `None` before the first.
+    answered_at: Cell<Option<Instant>>,
     /// State of the polls by member.
     pub polls: RefCell<BTreeMap<MemberId, PollState>>,
     /// Member and term of the leader that was last logged, and whether it was fenced; `None` without a leader.
@@ -98,6 +109,8 @@
             leaderless_since: Cell::new(None),
             confirmed: Cell::new(0),
             poll_requested: RefCell::default(),
+            slow: RefCell::default(),
+            answered_at: Cell::new(None),
             polls: RefCell::default(),
             logged_leader: RefCell::default(),
             changed: Notify::new(),
@@ -133,10 +146,36 @@
 
     /// Requests a poll of a member with the next polls of the group; used when a request to the member has no answer, or
     /// when another instance suspects the member.
-    pub fn request_poll(&self, member: &MemberId) {
+    ///
+    /// A member that has answered another request lately is not polled.
+    pub fn request_poll(&self, member: &MemberId, now: Instant) {
+        let answered = self.view.borrow().answered_at(member);
+        if answered.is_some_and(|answered| now.since(answered) < ANSWER_EVIDENCE_AGE) {
+            return;
+        }
         self.poll_requested.borrow_mut().insert(member.clone());
     }
 
+    /// Records that a request to the member has no answer for a while, for the next message to a hub.
+    pub fn record_slow(&self, member: &MemberId) {
+        self.slow.borrow_mut().insert(member.clone());
+    }
+
+    /// Removes and returns the members that were recorded as slow.
+    pub fn take_slow(&self) -> BTreeSet<MemberId> {
+        self.slow.take()
+    }
+
+    /// Records that a member answered a request of this instance.
+    pub fn record_answer(&self, now: Instant) {
+        self.answered_at.set(Some(now));
+    }
+
+    /// Whether a member answered a request of this instance within `age`.
+    pub fn has_answers_since(&self, now: Instant, age: Duration) -> bool {
+        self.answered_at.get().is_some_and(|answered| now.since(answered) < age)
+    }
+
     /// Waits for a change of the group, at most for `limit`.
     pub async fn wait_for_change(&self, limit: Duration) {
         within(limit, self.changed.listen()).await;
@@ -181,15 +220,24 @@
     /// Idle tunnels to holders.
     pub tunnels: Tunnels,
     topology: RefCell<Rc<Topology>>,
-    registrations_listed: Cell<bool>,
+    /// Progress of this instance in registering and in listing the others.
+    pub roster: RefCell<Roster>,
+    roster_digest: Cell<u64>,
+    has_urgent_news: Cell<bool>,
     /// Whether the start-up tokens were granted.
     start_tokens_granted: Cell<bool>,
     /// Notified when messages have to be sent at once.
     pub send_now: Notify,
-    /// Notified when a message came from an instance that was unknown before.
-    pub unknown_peers: Notify,
+    /// Notified when the next step of the roster may have changed.
+    pub roster_changed: Notify,
     /// Notified when the watches of the store have to be renewed, because another instance has newer data.
     pub renew_watches: Notify,
+    /// Progress in catching up with newer data of other instances.
+    pub progress: RefCell<Progress>,
+    /// Permits for the transfers of pages to other instances.
+    pub transfers: Semaphore,
+    /// Version and compressed form of the configuration that was last sent to another instance.
+    compressed: RefCell<Option<(u64, Bytes)>>,
     members_revision: Cell<u64>,
     directory: RefCell<Option<Rc<Directory>>>,
     groups: RefCell<BTreeMap<Group, Rc<GroupState>>>,
@@ -215,6 +263,7 @@
         let now = BootClock.now();
         Rc::new(Self {
             peers: RefCell::new(Peers::new(settings.instance.clone(), now)),
+            progress: RefCell::new(Progress::new(&settings.instance)),
             settings,
             clock: BootClock,
             store,
@@ -226,11 +275,15 @@
             datagrams,
             tunnels: Tunnels::default(),
             topology: RefCell::default(),
-            registrations_listed: Cell::new(false),
+            roster: RefCell::default(),
+            roster_digest: Cell::new(0),
+            has_urgent_news: Cell::new(false),
             start_tokens_granted: Cell::new(false),
             send_now: Notify::new(),
-            unknown_peers: Notify::new(),
+            roster_changed: Notify::new(),
             renew_watches: Notify::new(),
+            transfers: Semaphore::new(PARALLEL_TRANSFERS),
+            compressed: RefCell::default(),
             members_revision: Cell::new(0),
             directory: RefCell::default(),
             groups: RefCell::default(),
@@ -265,6 +318,16 @@
         self.directory.borrow().as_ref().map_or(0, |directory| directory.version)
     }
 
+    /// The configuration in force in the form that other instances request; `None` before the first.
+    pub fn compressed_directory(&self) -> Option<Bytes> {
+        let directory = self.directory()?;
+        let mut compressed = self.compressed.borrow_mut();
+        if compressed.as_ref().is_none_or(|(version, _)| *version != directory.version) {
+            *compressed = Some((directory.version, compress_directory(&directory)?));
+        }
+        compressed.as_ref().map(|(_, body)| body.clone())
+    }
+
     /// Puts a configuration in force if its version is higher than that of the one in force. `source` is `store` or
     /// `instance`, for the log.
     pub fn apply_directory(&self, directory: Rc<Directory>, source: &'static str) {
@@ -286,6 +349,7 @@
         *self.directory.borrow_mut() = Some(directory);
         self.update_limits();
         self.update_groups();
+        self.announce();
     }
 
     /// State of a group; `None` when no configuration has named the group.
@@ -356,9 +420,9 @@
     pub fn update_limits(&self) {
         let topology = self.update_topology();
         let Some(directory) = self.directory() else { return };
-        // Until the registrations have been read, and while it is no hub, this instance accrues no tokens and receives
-        // them from others only.
-        let part = if self.registrations_listed.get() && topology.is_hub(self.instance()) {
+        // Until it knows the other instances, and while it is no hub, this instance accrues no tokens and receives them
+        // from others only.
+        let part = if self.role() == FleetRole::Hub && self.knows_fleet() {
             let hubs = topology.hubs().count().max(1);
             let sharing = topology.regional_hubs(self.instance()).count();
             AllotmentPart { rate: 1.0 / hubs as f64, sharing }
@@ -433,14 +497,87 @@
 
     /// Replaces the registrations of the instances, and updates the limits that depend on them.
     pub fn register(&self, registrations: &[(InstanceId, Registration)]) {
-        self.registrations_listed.set(true);
         self.peers.borrow_mut().register(registrations, self.now());
+        let encoded = postcard::to_stdvec(&self.registrations()).unwrap_or_default();
+        self.roster_digest.set(roster::digest(&encoded));
         self.update_limits();
+        let topology = self.topology();
+        let is_expected = |name: &InstanceId| topology.receives_from(self.instance(), name);
+        self.peers.borrow_mut().expect_messages(is_expected, self.now());
+        self.send_now.notify(usize::MAX);
+        self.roster_changed.notify(usize::MAX);
     }
 
-    /// Whether the registrations of the instances have been read.
-    pub const fn has_registrations(&self) -> bool {
-        self.registrations_listed.get()
+    /// Registrations of all instances that were read, and of this one, in the order of their names.
+    pub fn registrations(&self) -> BTreeMap<InstanceId, Registration> {
+        let peers = self.peers.borrow();
+        let others =
+            peers.registrations().map(|(name, registration)| (name.clone(), registration.clone()));
+        others.chain([(self.instance().clone(), self.registration())]).collect()
+    }
+
+    /// Version of the list of the instances at this instance.
+    pub fn roster_version(&self) -> RosterVersion {
+        RosterVersion {
+            revision: self.roster.borrow().revision(),
+            digest: self.roster_digest.get(),
+        }
+    }
+
+    /// Role of this instance in the fleet that it knows.
+    pub fn role(&self) -> FleetRole {
+        let topology = self.topology();
+        let now = self.now();
+        // Hubs that have just been listed have not answered yet, and at the first start of a fleet the list lacks those
+        // that register later.
+        let is_new = self.is_new(now);
+        if topology.is_hub(self.instance()) && (self.roster.borrow().is_settled() || !is_new) {
+            return FleetRole::Hub;
+        }
+        let peers = self.peers.borrow();
+        if is_new || topology.hubs().any(|hub| peers.is_live(hub, now)) {
+            FleetRole::Follower
+        } else {
+            FleetRole::Orphan
+        }
+    }
+
+    /// Whether the other instances were first listed just now, or not at all.
+    fn is_new(&self, now: Instant) -> bool {
+        let known_since = self.roster.borrow().known_since();
+        known_since.is_none_or(|since| now.since(since) < HUB_GRACE)
+    }
+
+    /// Whether the other instances are known well enough to decide for them or to share limits with them.
+    pub fn knows_fleet(&self) -> bool {
+        self.roster.borrow().is_complete(self.role())
+    }
+
+    /// Has messages sent at once, to the other hubs and from a hub to its followers: a fence or the configuration has
+    /// changed.
+    pub fn announce(&self) {
+        self.has_urgent_news.set(true);
+        self.send_now.notify(usize::MAX);
+    }
+
+    /// Whether [`announce`](Self::announce) was called since the last call of this method.
+    pub fn take_urgent_news(&self) -> bool {
+        self.has_urgent_news.take()
+    }
+
+    /// The instances that store tokens and state for this one: the hubs of its region, or all hubs while none of its
+    /// region is live. The instance itself is not among them.
+    pub fn own_hubs(&self) -> Vec<InstanceId> {
+        let topology = self.topology();
+        let others = |hub: &&InstanceId| *hub != self.instance();
+        let regional: Vec<InstanceId> =
+            topology.regional_hubs(self.instance()).filter(others).cloned().collect();
+        let now = self.now();
+        let peers = self.peers.borrow();
+        if self.is_new(now) || regional.iter().any(|hub| peers.is_live(hub, now)) {
+            return regional;
+        }
+        topology.hubs().filter(others).cloned().collect()
     }
 
     /// Registration of this instance.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,7 +4,7 @@
 
 use hibiscusladder_core::{clock::Instant, name::InstanceId};
 
-use crate::message::{GroupInfo, Registration, Status};
+use crate::message::{Extension, GroupInfo, Registration, RosterVersion, Status};
 
 /// Time between two rounds of messages.
 pub const SEND_INTERVAL: Duration = Duration::from_millis(250);
@@ -23,26 +23,39 @@
     /// `started` and `sent` of the latest message.
     latest_message: Option<(u64, u64)>,
     last_received: Option<Instant>,
-    added_at: Instant,
+    /// Since when this instance gets regular messages from the peer if both run; `None` while it gets none.
+    expected_since: Option<Instant>,
     version: u64,
     members_revision: u64,
     suspected: BTreeMap<Box<str>, u64>,
     confirmed: BTreeMap<Box<str>, u64>,
+    /// List of the instances that the peer offers.
+    roster: Option<RosterVersion>,
+    /// Digest of the member entries that the peer has read.
+    members_digest: Option<u64>,
+    /// Whether [`Peers::newly_unresponsive`] has returned the peer since its last message.
+    reported_lost: bool,
+    /// Whether [`Received::is_unregistered`] was set for the peer since it was last registered.
+    reported_unregistered: bool,
 }
 
 impl Peer {
-    const fn new(address: SocketAddr, now: Instant) -> Self {
+    const fn new(address: SocketAddr) -> Self {
         Self {
             address,
             registration: None,
             deprioritised_until: Instant::new(Duration::ZERO),
             latest_message: None,
             last_received: None,
-            added_at: now,
+            expected_since: None,
             version: 0,
             members_revision: 0,
             suspected: BTreeMap::new(),
             confirmed: BTreeMap::new(),
+            roster: None,
+            members_digest: None,
+            reported_lost: false,
+            reported_unregistered: false,
         }
     }
 
@@ -67,8 +80,8 @@
     pub acknowledged: Option<Instant>,
     /// Whether the sender was not live before, but had sent messages earlier.
     pub regained: bool,
-    /// Whether the sender was unknown before.
-    pub is_new: bool,
+    /// Whether the sender has no registration that was read; set for the first such message only.
+    pub is_unregistered: bool,
 }
 
 impl Peers {
@@ -82,16 +95,31 @@
         self.peers.retain(|name, peer| {
             peer.is_live(now) || listed.iter().any(|(listed, _)| listed == name)
         });
+        for peer in self.peers.values_mut() {
+            peer.registration = None;
+        }
         for (name, registration) in listed.iter().filter(|(name, _)| *name != self.own) {
             let peer = self.peers.entry(name.clone());
-            let peer = peer.or_insert_with(|| Peer::new(registration.address, now));
+            let peer = peer.or_insert_with(|| Peer::new(registration.address));
             peer.registration = Some(registration.clone());
+            peer.reported_unregistered = false;
             if !peer.is_live(now) {
                 peer.address = registration.address;
             }
         }
     }
 
+    /// Sets for each instance whether regular messages of it are expected.
+    pub fn expect_messages<F>(&mut self, is_expected: F, now: Instant)
+    where
+        F: Fn(&InstanceId) -> bool,
+    {
+        for (name, peer) in &mut self.peers {
+            peer.expected_since =
+                if is_expected(name) { peer.expected_since.or(Some(now)) } else { None };
+        }
+    }
+
     /// The registrations of the other instances that have been read from the store.
     pub fn registrations(&self) -> impl Iterator<Item = (&InstanceId, &Registration)> {
         self.peers.iter().filter_map(|(name, peer)| Some((name, peer.registration.as_ref()?)))
@@ -113,6 +141,11 @@
         addresses.collect()
     }
 
+    /// Number of instances whose regular messages are expected.
+    pub fn expected(&self) -> usize {
+        self.peers.values().filter(|peer| peer.expected_since.is_some()).count()
+    }
+
     /// Records that a holder did not answer.
     pub fn record_unreachable(&mut self, name: &InstanceId, now: Instant) {
         if let Some(peer) = self.peers.get_mut(name) {
@@ -141,20 +174,27 @@
         live.map(|(name, _)| name.clone()).collect()
     }
 
-    /// Instances that were added here, and sent their last message, at least `timeout` ago.
+    /// Whether the last message of an instance came within the timeout.
+    pub fn is_live(&self, name: &InstanceId, now: Instant) -> bool {
+        self.peers.get(name).is_some_and(|peer| peer.is_live(now))
+    }
+
+    /// Instances whose regular messages were expected, and none came, for at least `timeout`.
     pub fn unresponsive(&self, timeout: Duration, now: Instant) -> Vec<InstanceId> {
         let unresponsive = self.peers.iter().filter(|(_, peer)| {
-            now.since(
-                peer.last_received
-                    .map_or(peer.added_at, |last_received| last_received.max(peer.added_at)),
-            ) >= timeout
+            let since = peer.expected_since.map(|since| peer.last_received.max(Some(since)));
+            since.flatten().is_some_and(|since| now.since(since) >= timeout)
         });
         unresponsive.map(|(name, _)| name.clone()).collect()
     }
 
-    /// Number of live instances that suspect the group's primary of `term` or a later one.
-    pub fn suspecting(&self, group: &str, term: u64, now: Instant) -> usize {
-        let live = self.peers.values().filter(|peer| peer.is_live(now));
+    /// Number of the live instances among `names` that suspect the group's primary of `term` or a later one.
+    pub fn suspecting<'a, I>(&self, names: I, group: &str, term: u64, now: Instant) -> usize
+    where
+        I: IntoIterator<Item = &'a InstanceId>,
+    {
+        let peers = names.into_iter().filter_map(|name| self.peers.get(name));
+        let live = peers.filter(|peer| peer.is_live(now));
         live.filter(|peer| peer.suspected.get(group).is_some_and(|suspected| *suspected >= term))
             .count()
     }
@@ -179,12 +219,14 @@
         }
         let started = self.started;
         let name = InstanceId::new(&status.from);
-        let is_new = !self.peers.contains_key(&name);
-        let peer = self.peers.entry(name).or_insert_with(|| Peer::new(address, now));
+        let peer = self.peers.entry(name).or_insert_with(|| Peer::new(address));
         if peer.latest_message.is_some_and(|latest| latest >= (status.started, status.sent)) {
             return None;
         }
         let regained = !peer.is_live(now) && peer.last_received.is_some();
+        let is_unregistered = peer.registration.is_none() && !peer.reported_unregistered;
+        peer.reported_unregistered |= is_unregistered;
+        peer.reported_lost = false;
         peer.address = address;
         peer.latest_message = Some((status.started, status.sent));
         peer.last_received = Some(now);
@@ -195,7 +237,15 @@
             status.groups.iter().map(|info| (info.group.clone(), info.confirmed)).collect();
         let acknowledged = status.acknowledged.filter(|(process, _)| *process == started);
         let acknowledged = acknowledged.map(|(_, sent)| Instant::new(Duration::from_nanos(sent)));
-        Some(Received { acknowledged, regained, is_new })
+        Some(Received { acknowledged, regained, is_unregistered })
+    }
+
+    /// Records what the extension of a message says about the sender.
+    pub(crate) fn record_extension(&mut self, name: &InstanceId, extension: &Extension) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.roster = extension.roster;
+            peer.members_digest = extension.members;
+        }
     }
 
     /// Address for datagrams to an instance.
@@ -216,31 +266,53 @@
         self.started
     }
 
-    /// Address of the live instance with the newest configuration, if that is newer than `version`.
-    pub(crate) fn ahead(&self, version: u64, now: Instant) -> Option<SocketAddr> {
-        let ahead = self.peers.values().filter(|peer| peer.is_live(now) && peer.version > version);
-        ahead.max_by_key(|peer| peer.version).map(|peer| peer.address)
+    /// The live instances with the newest configuration, if that is newer than `version`.
+    pub(crate) fn ahead(&self, version: u64, now: Instant) -> Vec<InstanceId> {
+        let live = || self.peers.iter().filter(|(_, peer)| peer.is_live(now));
+        let newest = live().map(|(_, peer)| peer.version).max().unwrap_or(0);
+        let ahead = live().filter(|(_, peer)| peer.version == newest && newest > version);
+        ahead.map(|(name, _)| name.clone()).collect()
     }
 
-    /// Address of the live instance with the newest configuration and members.
-    pub(crate) fn newest(&self, now: Instant) -> Option<SocketAddr> {
-        let live = self.peers.values().filter(|peer| peer.is_live(now));
-        live.max_by_key(|peer| (peer.version, peer.members_revision)).map(|peer| peer.address)
+    /// Version of the newest list of instances that a live instance offers, with the name of that instance.
+    pub(crate) fn newest_roster(&self, now: Instant) -> Option<(RosterVersion, InstanceId)> {
+        let live = self.peers.iter().filter(|(_, peer)| peer.is_live(now));
+        let offered = live.filter_map(|(name, peer)| Some((peer.roster?, name.clone())));
+        offered.max_by_key(|(roster, _)| roster.revision)
     }
 
-    /// Whether a live instance has newer member entries than `revision`.
-    pub(crate) fn members_ahead(&self, revision: u64, now: Instant) -> bool {
-        self.peers.values().any(|peer| peer.is_live(now) && peer.members_revision > revision)
+    /// The live instances with the newest member entries, if these are newer than `revision`. With `digest`, also those
+    /// whose entries of the same revision differ from the ones with this digest: they have noticed the removal of a
+    /// member.
+    pub(crate) fn members_ahead(
+        &self,
+        revision: u64,
+        digest: Option<u64>,
+        now: Instant,
+    ) -> Vec<InstanceId> {
+        let live = || self.peers.iter().filter(|(_, peer)| peer.is_live(now));
+        let newest = live().map(|(_, peer)| peer.members_revision).max().unwrap_or(0);
+        let differs = |peer: &Peer| {
+            peer.members_revision == revision
+                && digest.is_some()
+                && peer.members_digest.is_some_and(|other| Some(other) != digest)
+        };
+        let ahead = live().filter(|(_, peer)| {
+            peer.members_revision == newest && (newest > revision || differs(peer))
+        });
+        ahead.map(|(name, _)| name.clone()).collect()
     }
 
-    /// Instances whose timeout ended within the last send interval.
-    pub(crate) fn newly_unresponsive(&mut self, now: Instant) -> Vec<InstanceId> {
-        let newly_unresponsive = self.peers.iter().filter(|(_, peer)| {
-            let elapsed =
-                peer.last_received.map_or(Duration::ZERO, |last_received| now.since(last_received));
-            elapsed >= PEER_TIMEOUT && elapsed < PEER_TIMEOUT + SEND_INTERVAL
-        });
-        newly_unresponsive.map(|(name, _)| name.clone()).collect()
+    /// Instances that were live and no longer are; each is returned once.
+    pub fn newly_unresponsive(&mut self, now: Instant) -> Vec<InstanceId> {
+        let mut lost = Vec::new();
+        for (name, peer) in &mut self.peers {
+            if peer.last_received.is_some() && !peer.is_live(now) && !peer.reported_lost {
+                peer.reported_lost = true;
+                lost.push(name.clone());
+            }
+        }
+        lost
     }
 }
 
--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -8,6 +8,7 @@
     membership,
     name::{MemberId, Workspace},
     position::Position,
+    roster::FleetRole,
 };
 use hibiscusladder_io::clock::{sleep, within};
 use serde_json::{Value, json};
@@ -128,7 +129,7 @@
         let proven = view.leader_proven_until(now).is_some_and(|until| oldest < until);
         let has_commit =
             own_commit.is_none_or(|own_commit| own_commit.position.term <= leader.term);
-        let reachable = view.unanswered_for(&leader.member, now) < REPLICA_TIMEOUT;
+        let reachable = !view.is_unresponsive(&leader.member, REPLICA_TIMEOUT, now);
         if proven && has_commit && reachable && accepts_work(node, &leader.member, true, now) {
             push_candidate(node, req, &mut candidates, &leader.member, None, true);
         }
@@ -147,7 +148,7 @@
             let lag = view.status(member).map_or(Duration::ZERO, |status| status.lag);
             let is_leader = leader.as_ref().is_some_and(|leader| leader.member == *member);
             let applied = lag <= now.since(newest);
-            let reachable = view.unanswered_for(member, now) < REPLICA_TIMEOUT;
+            let reachable = !view.is_unresponsive(member, REPLICA_TIMEOUT, now);
             if !is_leader && applied && reachable && accepts_work(node, member, false, now) {
                 push_candidate(node, req, &mut candidates, member, Some(after), false);
             }
@@ -499,7 +500,11 @@
     P: Platform,
 {
     if let Some(group) = node.group(&req.route.group) {
-        group.request_poll(member);
+        if node.role() == FleetRole::Follower {
+            group.record_slow(member);
+        } else {
+            group.request_poll(member, node.now());
+        }
     }
 }
 
@@ -515,5 +520,6 @@
 {
     if let Some(group) = node.group(&req.route.group) {
         group.view.borrow_mut().answered(member, position, sent);
+        group.record_answer(node.now());
     }
 }
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,278 @@
+//! Pages with state of the store that hubs send to followers: the configuration, the members, and the instances.
+
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use hibiscusladder_core::{
+    catch_up::{CatchUp, Source, TRANSFER_TIMEOUT},
+    clock::Instant,
+    name::{InstanceId, MemberId},
+    roster::{self, FleetRole},
+};
+use hibiscusladder_io::http::{HttpClient, HttpError};
+use http_body_util::Full;
+use hyper::Request;
+use miniz_oxide::{deflate::compress_to_vec, inflate::decompress_to_vec_with_limit};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::{
+    adapter::Platform,
+    directory::Directory,
+    events::{self, Event},
+    message::Registration,
+    node::Node,
+    snapshot::MemberEntry,
+    sync,
+};
+
+/// Path of the configuration, compressed.
+pub const DIRECTORY_PATH: &str = "/configuration";
+/// Path of the [`MembersPage`].
+pub const MEMBERS_PATH: &str = "/members";
+/// Path of the [`RosterPage`].
+pub const ROSTER_PATH: &str = "/instances";
+/// Transfers of pages that an instance serves at the same time; others wait.
+pub const PARALLEL_TRANSFERS: usize = 8;
+/// Level of the compression, which trades time for size.
+const COMPRESSION_LEVEL: u8 = 6;
+/// Largest size of a configuration.
+const MAX_DIRECTORY_BYTES: usize = 16 << 20;
+/// Time for which other instances have to have newer data before a hub acts on it; the hub's own watch of the store
+/// usually delivers the data earlier.
+const HUB_GRACE: Duration = Duration::from_millis(1000);
+
+/// The members, as a hub sends them to an instance that does not watch them.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct MembersPage {
+    /// Revision of the newest entry.
+    revision: u64,
+    members: Vec<MemberEntry>,
+}
+
+impl MembersPage {
+    /// Captures the members that this instance has read and that are not missing.
+    pub fn capture<P>(node: &Node<P>) -> Self
+    where
+        P: Platform,
+    {
+        let members = node.members.borrow();
+        let listed = members.iter().filter(|(_, member)| member.lapsed_since.is_none());
+        let members = listed.map(|(id, member)| MemberEntry::new(id, &member.record)).collect();
+        Self { revision: node.members_revision(), members }
+    }
+
+    /// Applies the entries, unless this instance knows newer ones.
+    pub fn apply<P>(self, node: &Rc<Node<P>>)
+    where
+        P: Platform,
+    {
+        if self.revision < node.members_revision() {
+            return;
+        }
+        node.record_members_revision(self.revision);
+        let now = node.now();
+        let listed: Vec<MemberId> = self.members.iter().map(|entry| entry.id.clone()).collect();
+        for entry in self.members {
+            let (id, record) = entry.into_record();
+            sync::apply_member(node, id, record, now);
+        }
+        node.members.borrow_mut().lapse_others(&listed, now);
+    }
+
+    /// Digest of the page, equal for equal members.
+    pub fn digest(&self) -> u64 {
+        roster::digest(&postcard::to_stdvec(&self.members).unwrap_or_default())
+    }
+}
+
+/// The instances, as a hub sends them to an instance that does not list them.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RosterPage {
+    /// Revision of the store at which the list was read.
+    revision: u64,
+    instances: Vec<(InstanceId, Registration)>,
+}
+
+impl RosterPage {
+    /// Captures the list of this instance; `None` before it is complete.
+    pub fn capture<P>(node: &Node<P>) -> Option<Self>
+    where
+        P: Platform,
+    {
+        node.knows_fleet().then(|| Self {
+            revision: node.roster_version().revision,
+            instances: node.registrations().into_iter().collect(),
+        })
+    }
+
+    /// Replaces the list of this instance, unless it has a newer one.
+    pub fn apply<P>(self, node: &Node<P>)
+    where
+        P: Platform,
+    {
+        if self.revision <= node.roster_version().revision {
+            return;
+        }
+        let own = (node.instance().clone(), node.registration());
+        let has_own = self.instances.contains(&own);
+        node.roster.borrow_mut().relayed(has_own, self.revision, node.now());
+        node.register(&self.instances);
+    }
+}
+
+/// Compresses a configuration for [`DIRECTORY_PATH`]; `None` if it cannot be encoded.
+pub fn compress_directory(directory: &Directory) -> Option<Bytes> {
+    let encoded = postcard::to_stdvec(directory).ok()?;
+    Some(compress_to_vec(&encoded, COMPRESSION_LEVEL).into())
+}
+
+/// Decodes a configuration from [`DIRECTORY_PATH`].
+///
+/// # Errors
+///
+/// The bytes are no compressed configuration, or a larger one than 16 MiB.
+pub fn decompress_directory(compressed: &[u8]) -> io::Result<Directory> {
+    let encoded = decompress_to_vec_with_limit(compressed, MAX_DIRECTORY_BYTES);
+    let encoded = encoded.map_err(|error| io::Error::other(error.to_string()))?;
+    postcard::from_bytes(&encoded).map_err(io::Error::other)
+}
+
+/// Progress of an instance in catching up with newer data of others.
+#[derive(Debug)]
+pub struct Progress {
+    directory: CatchUp,
+    members: CatchUp,
+}
+
+impl Progress {
+    /// Creates the progress of an instance that is up to date.
+    pub fn new(own: &InstanceId) -> Self {
+        Self { directory: CatchUp::new(own.clone()), members: CatchUp::new(own.clone()) }
+    }
+
+    const fn of(&mut self, page: Page) -> &mut CatchUp {
+        match page {
+            Page::Directory => &mut self.directory,
+            Page::Members => &mut self.members,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Page {
+    Directory,
+    Members,
+}
+
+/// Gets the configuration and the members from instances that have newer ones, or from the store.
+///
+/// A hub watches the store itself, and does so anew when other instances have had newer data for a while.
+pub fn catch_up<P>(node: &Rc<Node<P>>, now: Instant)
+where
+    P: Platform,
+{
+    let is_hub = node.role() == FleetRole::Hub;
+    let directory = node.peers.borrow().ahead(node.version(), now);
+    catch_up_page(node, Page::Directory, &directory, is_hub, now);
+    let digest = (!is_hub).then(|| MembersPage::capture(node).digest());
+    let members = node.peers.borrow().members_ahead(node.members_revision(), digest, now);
+    catch_up_page(node, Page::Members, &members, is_hub, now);
+}
+
+/// Gets a page if any instance has a newer one, as those in `sources` do.
+fn catch_up_page<P>(
+    node: &Rc<Node<P>>,
+    page: Page,
+    sources: &[InstanceId],
+    is_hub: bool,
+    now: Instant,
+) where
+    P: Platform,
+{
+    let mut progress = node.progress.borrow_mut();
+    let catch_up = progress.of(page);
+    if sources.is_empty() {
+        catch_up.caught_up();
+        return;
+    }
+    if catch_up.lag(now) < if is_hub { HUB_GRACE } else { Duration::ZERO } {
+        return;
+    }
+    if !catch_up.has_asked() {
+        node.renew_watches.notify(usize::MAX);
+    }
+    let Some(source) = catch_up.next_source(sources, now) else { return };
+    drop(progress);
+    let fetcher = node.clone();
+    node.spawn(async move {
+        let is_fetched = match (&source, page) {
+            (Source::Store, _) => sync::list_now(&fetcher, page == Page::Directory).await.is_ok(),
+            (Source::Instance(name), Page::Directory) => fetch_directory(&fetcher, name).await,
+            (Source::Instance(name), Page::Members) => fetch_members(&fetcher, name).await,
+        };
+        let mut progress = fetcher.progress.borrow_mut();
+        let catch_up = progress.of(page);
+        if is_fetched { catch_up.finished() } else { catch_up.failed() }
+    });
+}
+
+async fn fetch_directory<P>(node: &Node<P>, from: &InstanceId) -> bool
+where
+    P: Platform,
+{
+    let decode = decompress_directory;
+    let Some(directory) = fetch(node, from, DIRECTORY_PATH, decode).await else { return false };
+    node.apply_directory(Rc::new(directory), "instance");
+    true
+}
+
+async fn fetch_members<P>(node: &Rc<Node<P>>, from: &InstanceId) -> bool
+where
+    P: Platform,
+{
+    let decode = |body: &[u8]| postcard::from_bytes::<MembersPage>(body).map_err(io::Error::other);
+    let Some(page) = fetch(node, from, MEMBERS_PATH, decode).await else { return false };
+    page.apply(node);
+    true
+}
+
+/// Gets the list of the instances from another instance.
+pub async fn fetch_roster<P>(node: &Node<P>, from: &InstanceId)
+where
+    P: Platform,
+{
+    let decode = |body: &[u8]| postcard::from_bytes::<RosterPage>(body).map_err(io::Error::other);
+    if let Some(page) = fetch(node, from, ROSTER_PATH, decode).await {
+        page.apply(node);
+    }
+}
+
+/// Gets a page of another instance; a failure is logged.
+async fn fetch<P, T, F>(node: &Node<P>, from: &InstanceId, path: &str, decode: F) -> Option<T>
+where
+    P: Platform,
+    F: Fn(&[u8]) -> io::Result<T>,
+{
+    let address = node.peers.borrow().address(from)?;
+    let body = get(address, path).await;
+    let fetched = body.and_then(|body| decode(&body));
+    if let Err(error) = &fetched {
+        let reason = error.to_string();
+        events::log(Event::PeerLost, json!({ "instance": from.as_str(), "reason": reason }));
+    }
+    fetched.ok()
+}
+
+async fn get(address: SocketAddr, path: &str) -> io::Result<Bytes> {
+    let req = Request::get(path)
+        .header(hyper::header::HOST, address.to_string())
+        .body(Full::default())
+        .map_err(io::Error::other)?;
+    let answer = HttpClient::new(&address.to_string()).send(req, TRANSFER_TIMEOUT).await;
+    let answer = answer.map_err(HttpError::into_io)?;
+    if !answer.status().is_success() {
+        return Err(io::Error::other(format!("status {}", answer.status())));
+    }
+    Ok(answer.into_body())
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -96,11 +96,11 @@
     node.spawn(holder::serve(node.clone(), tunnels));
     node.spawn(status_page::serve(node.clone(), readiness, Page::Readiness));
     node.spawn(status_page::serve(node.clone(), metrics, Page::Metrics));
-    node.spawn(status_page::serve(node.clone(), snapshots, Page::Snapshot));
+    node.spawn(status_page::serve(node.clone(), snapshots, Page::State));
     for collection in [Collection::Configuration, Collection::Members] {
         node.spawn(sync::follow(node.clone(), collection));
     }
-    node.spawn(sync::register(node.clone()));
+    node.spawn(sync::maintain_roster(node.clone()));
     node.spawn(sync::expire_members(node.clone()));
     node.spawn(messenger::receive_all(node.clone()));
     node.spawn(messenger::send_all(node.clone()));
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -1,7 +1,6 @@
-//! Configuration, members and instances, as one instance sends them to another that does not watch the store or lags
-//! behind it.
+//! Configuration, members and instances in one page, which instances of earlier versions request.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::net::SocketAddr;
 
 use hibiscusladder_core::{
     name::{DataCentre, Group, InstanceId, MemberId},
@@ -14,7 +13,6 @@
     directory::Directory,
     message::Registration,
     node::Node,
-    sync,
 };
 
 /// State of the store as one instance knows it, encoded by position.
@@ -27,9 +25,10 @@
     revision: u64,
 }
 
+/// Entry of a member, as instances send it to each other.
 #[derive(Debug, Serialize, Deserialize)]
-struct MemberEntry {
-    id: MemberId,
+pub(crate) struct MemberEntry {
+    pub(crate) id: MemberId,
     group: Group,
     address: SocketAddr,
     data_centre: DataCentre,
@@ -49,39 +48,13 @@
         let members = node.members.borrow();
         let listed = members.iter().filter(|(_, member)| member.lapsed_since.is_none());
         let members = listed.map(|(id, member)| MemberEntry::new(id, &member.record)).collect();
-        let peers = node.peers.borrow();
-        let others =
-            peers.registrations().map(|(name, registration)| (name.clone(), registration.clone()));
-        let own = (node.instance().clone(), node.registration());
-        let instances = others.chain([own]).collect();
+        let instances = node.registrations().into_iter().collect();
         Some(Self { directory, members, instances, revision: node.members_revision() })
     }
-
-    /// Applies the parts that are newer than what this instance knows.
-    pub fn apply<P>(self, node: &Rc<Node<P>>)
-    where
-        P: Platform,
-    {
-        if !node.has_registrations() {
-            node.register(&self.instances);
-        }
-        node.apply_directory(Rc::new(self.directory), "instance");
-        if self.revision <= node.members_revision() {
-            return;
-        }
-        node.record_members_revision(self.revision);
-        let now = node.now();
-        let listed: Vec<MemberId> = self.members.iter().map(|entry| entry.id.clone()).collect();
-        for entry in self.members {
-            let (id, record) = entry.into_record();
-            sync::apply_member(node, id, record, now);
-        }
-        node.members.borrow_mut().lapse_others(&listed, now);
-    }
 }
 
 impl MemberEntry {
-    fn new(id: &MemberId, record: &MemberRecord) -> Self {
+    pub(crate) fn new(id: &MemberId, record: &MemberRecord) -> Self {
         Self {
             id: id.clone(),
             group: record.group.clone(),
@@ -94,7 +67,7 @@
         }
     }
 
-    fn into_record(self) -> (MemberId, MemberRecord) {
+    pub(crate) fn into_record(self) -> (MemberId, MemberRecord) {
         let role = |primary| if primary { Role::Primary } else { Role::Replica };
         let record = MemberRecord {
             group: self.group,
--- a/crates/gateway/src/status_page.rs
+++ b/crates/gateway/src/status_page.rs
@@ -3,13 +3,22 @@
 use std::{convert::Infallible, rc::Rc};
 
 use bytes::Bytes;
-use hibiscusladder_io::clock::sleep;
+use hibiscusladder_core::catch_up::TRANSFER_TIMEOUT;
+use hibiscusladder_io::clock::{sleep, within};
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming, service::service_fn};
+use serde::Serialize;
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::FuturesIo;
 
-use crate::{adapter::Platform, events, node::Node, peers::SEND_INTERVAL, snapshot::Snapshot};
+use crate::{
+    adapter::Platform,
+    events,
+    node::Node,
+    peers::SEND_INTERVAL,
+    relay::{DIRECTORY_PATH, MEMBERS_PATH, MembersPage, ROSTER_PATH, RosterPage},
+    snapshot::Snapshot,
+};
 
 /// Path of the [`Snapshot`] for other instances.
 pub const SNAPSHOT_PATH: &str = "/directory";
@@ -21,8 +30,8 @@
 pub enum Page {
     /// Whether the instance is ready for new callers, at any path.
     Readiness,
-    /// The [`Snapshot`] for other instances.
-    Snapshot,
+    /// State of the store for other instances: a [`Snapshot`], or a page of [`crate::relay`].
+    State,
     /// Metrics in the text format of Prometheus.
     Metrics,
 }
@@ -48,13 +57,21 @@
 where
     P: Platform,
 {
+    let server = node.clone();
     let service = service_fn(move |req: Request<Incoming>| {
-        let answer = answer(&node, page, req.uri().path());
+        let answer = answer(&server, page, req.uri().path());
         async move { Ok::<_, Infallible>(answer) }
     });
     let connection = hyper::server::conn::http1::Builder::new();
+    let serving = connection.serve_connection(FuturesIo::new(stream), service);
     // An error affects only this connection; the client can send its request again.
-    let _ = connection.serve_connection(FuturesIo::new(stream), service).await;
+    if page != Page::State {
+        let _ = serving.await;
+        return;
+    }
+    // Transfers that all share the link at once would all be late.
+    let _transfer = node.transfers.acquire().await;
+    let _ = within(TRANSFER_TIMEOUT, serving).await;
 }
 
 fn answer<P>(node: &Node<P>, page: Page, path: &str) -> Response<Full<Bytes>>
@@ -64,9 +81,14 @@
     match page {
         Page::Readiness if is_ready(node) => reply(StatusCode::OK, Bytes::new()),
         Page::Readiness => reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
-        Page::Snapshot if path == SNAPSHOT_PATH => snapshot(node),
+        Page::State if path == SNAPSHOT_PATH => encoded(Snapshot::capture(node)),
+        Page::State if path == ROSTER_PATH => encoded(RosterPage::capture(node)),
+        Page::State if path == MEMBERS_PATH => encoded(Some(MembersPage::capture(node))),
+        Page::State if path == DIRECTORY_PATH => {
+            node.compressed_directory().map_or_else(unavailable, |body| reply(StatusCode::OK, body))
+        }
         Page::Metrics if path == METRICS_PATH => metrics(node),
-        Page::Snapshot | Page::Metrics => reply(StatusCode::NOT_FOUND, Bytes::new()),
+        Page::State | Page::Metrics => reply(StatusCode::NOT_FOUND, Bytes::new()),
     }
 }
 
@@ -78,17 +100,21 @@
     node.stopping_since().is_none() && node.directory().is_some()
 }
 
-fn snapshot<P>(node: &Node<P>) -> Response<Full<Bytes>>
+/// Answers with the state in `postcard` encoding, or that it is not known yet.
+fn encoded<T>(state: Option<T>) -> Response<Full<Bytes>>
 where
-    P: Platform,
+    T: Serialize,
 {
-    let body = Snapshot::capture(node).and_then(|snapshot| postcard::to_stdvec(&snapshot).ok());
-    match body {
+    match state.and_then(|state| postcard::to_stdvec(&state).ok()) {
         Some(body) => reply(StatusCode::OK, Bytes::from(body)),
-        None => reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+        None => unavailable(),
     }
 }
 
+fn unavailable() -> Response<Full<Bytes>> {
+    reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new())
+}
+
 fn metrics<P>(node: &Node<P>) -> Response<Full<Bytes>>
 where
     P: Platform,
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -5,6 +5,7 @@
 use hibiscusladder_core::{
     clock::Instant,
     name::{InstanceId, MemberId},
+    roster::{FleetRole, Freshness, Listed, Step},
 };
 use hibiscusladder_io::clock::{sleep, within};
 use serde_json::json;
@@ -18,23 +19,19 @@
     metrics::Counter,
     monitor::hub_rank,
     node::Node,
+    relay,
 };
 
 /// Delay after the first failed call; it doubles with each further failure.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Longest delay between calls while they fail.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(1000);
-/// Time from the first listing of the instances to the second; instances that start at the same time have registered by
-/// then.
-const SECOND_LIST_DELAY: Duration = Duration::from_millis(900);
-/// Time between two listings of the instances; a message of an unknown instance causes one earlier.
-const LIST_INTERVAL: Duration = Duration::from_secs(25);
 /// Time without a message after which another instance's registration is removed.
 const ABANDONED_AFTER: Duration = Duration::from_secs(60);
 /// Number of instances with short watches, so that one of them soon notices when a watch is no longer answered.
 const SHORT_WATCHERS: usize = 2;
-/// Time between two checks whether an instance that is no hub still receives messages from a hub.
-const HUB_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two checks of the role of this instance, and of newer lists at its hubs.
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest wait of a short watch for a change.
 const SHORT_WATCH: Duration = Duration::from_secs(2);
 /// Longest wait of the other watches for a change; each call to the store has a cost.
@@ -43,6 +40,8 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Lists a collection and watches its changes for as long as the process runs.
+///
+/// An instance that gets the collection from its hubs lists it at its start only.
 pub async fn follow<P>(node: Rc<Node<P>>, collection: Collection)
 where
     P: Platform,
@@ -51,9 +50,9 @@
     let mut delay = MIN_RETRY_DELAY;
     let mut store_lost = false;
     loop {
-        if !is_watcher(&node) {
+        if !is_read_here(&node, collection) {
             revision = None;
-            sleep(HUB_CHECK_INTERVAL).await;
+            within(ROLE_CHECK_INTERVAL, node.roster_changed.listen()).await;
             continue;
         }
         let result = match revision {
@@ -83,37 +82,63 @@
     }
 }
 
-/// Whether this instance watches the store itself. Hubs do, and other instances after a start and while no hub is live.
-fn is_watcher<P>(node: &Node<P>) -> bool
+/// Whether this instance reads the collection from the store.
+///
+/// A follower gets both collections from its hubs. It lists the members at its start nevertheless: these are few, while
+/// a large configuration would fill the links between regions if all instances listed it at once.
+fn is_read_here<P>(node: &Node<P>, collection: Collection) -> bool
 where
     P: Platform,
 {
-    let topology = node.topology();
-    if !node.has_registrations() {
-        return true;
-    }
-    let live = node.peers.borrow().live(node.now());
-    topology.is_hub(node.instance()) || !live.iter().any(|name| topology.is_hub(name))
+    let is_first_list = collection == Collection::Members && node.members_revision() == 0;
+    is_first_list || node.role() != FleetRole::Follower
 }
 
 async fn list<P>(node: &Rc<Node<P>>, collection: Collection) -> Result<u64, StoreError>
 where
     P: Platform,
 {
-    let listed = node.store.list(collection).await;
-    node.metrics.count(Counter::StoreCalls, if listed.is_ok() { "listed" } else { "list_failed" });
-    let Listing { objects, revision } = listed?;
+    // A member that has left refuses connections, and the watch or the hubs soon correct the list. An old configuration
+    // may contain a withdrawn key.
+    let freshness = if collection == Collection::Members && node.members_revision() == 0 {
+        Freshness::Recent
+    } else {
+        Freshness::Current
+    };
+    let Listing { objects, revision } = call_list(node, collection, freshness).await?;
     let now = node.now();
     let members: Vec<MemberId> = objects.iter().map(|object| (*object.name).into()).collect();
     for object in objects {
         apply(node, collection, object, now);
     }
-    if collection == Collection::Members {
+    if collection == Collection::Members && freshness == Freshness::Current {
         node.members.borrow_mut().lapse_others(&members, now);
     }
     Ok(revision)
 }
 
+/// Lists the configuration or the members, for an instance that gets neither from others in time.
+pub async fn list_now<P>(node: &Rc<Node<P>>, is_directory: bool) -> Result<(), StoreError>
+where
+    P: Platform,
+{
+    let collection = if is_directory { Collection::Configuration } else { Collection::Members };
+    list(node, collection).await.map(|_| ())
+}
+
+async fn call_list<P>(
+    node: &Node<P>,
+    collection: Collection,
+    freshness: Freshness,
+) -> Result<Listing, StoreError>
+where
+    P: Platform,
+{
+    let listed = node.store.list(collection, freshness).await;
+    node.metrics.count(Counter::StoreCalls, if listed.is_ok() { "listed" } else { "list_failed" });
+    listed
+}
+
 async fn watch<P>(node: &Rc<Node<P>>, collection: Collection, since: u64) -> Result<u64, StoreError>
 where
     P: Platform,
@@ -134,6 +159,7 @@
     let now = node.now();
     for change in watched.changes {
         if change.deleted && collection == Collection::Members {
+            node.record_members_revision(change.object.revision);
             node.members.borrow_mut().lapse(&change.object.name, now);
         } else {
             apply(node, collection, change.object, now);
@@ -213,31 +239,42 @@
     }
 }
 
-/// Registers the instance and lists the other instances, for as long as the process runs.
-pub async fn register<P>(node: Rc<Node<P>>)
+/// Registers the instance and keeps the list of the others up to date, for as long as the process runs.
+pub async fn maintain_roster<P>(node: Rc<Node<P>>)
 where
     P: Platform,
 {
-    let mut delay = SECOND_LIST_DELAY;
+    // Revision of the entry under this instance's name, which an earlier process may have written.
+    let mut own_entry = None;
     loop {
-        match list_instances(&node).await {
-            Ok(()) => {
-                within(delay, node.unknown_peers.listen()).await;
-                delay = LIST_INTERVAL;
+        let changed = node.roster_changed.listen();
+        let step = node.roster.borrow().next_step(node.role(), node.now());
+        let result = match step {
+            Step::List(freshness) => list_instances(&node, freshness, &mut own_entry).await,
+            Step::Register => register_self(&node, &mut own_entry).await,
+            Step::Wait(due) => {
+                let left = due.map_or(ROLE_CHECK_INTERVAL, |due| due.since(node.now()));
+                within(left.min(ROLE_CHECK_INTERVAL), changed).await;
+                follow_roster(&node).await;
+                Ok(())
             }
-            Err(_) => sleep(MAX_RETRY_DELAY).await,
+        };
+        if result.is_err() {
+            node.roster.borrow_mut().failed(node.now());
         }
     }
 }
 
-async fn list_instances<P>(node: &Rc<Node<P>>) -> Result<(), StoreError>
+async fn list_instances<P>(
+    node: &Rc<Node<P>>,
+    freshness: Freshness,
+    own_entry: &mut Option<u64>,
+) -> Result<(), StoreError>
 where
     P: Platform,
 {
-    let listed = node.store.list(Collection::Instances).await;
-    node.metrics.count(Counter::StoreCalls, if listed.is_ok() { "listed" } else { "list_failed" });
-    let Listing { objects, .. } = listed?;
-    let now = node.now();
+    let sent = node.now();
+    let Listing { objects, revision } = call_list(node, Collection::Instances, freshness).await?;
     let registrations: Vec<(InstanceId, Registration)> = objects
         .iter()
         .filter_map(|object| {
@@ -247,38 +284,69 @@
             Some((InstanceId::new(&object.name), serde_json::from_str(text).ok()?))
         })
         .collect();
+    let name = node.instance();
+    let entry = objects.iter().find(|object| *object.name == *name.as_str());
+    *own_entry = entry.map(|entry| entry.revision);
+    let own = node.registration();
+    let has_own =
+        registrations.iter().any(|(listed, registration)| listed == name && *registration == own);
+    let listed = Listed { sent, freshness, has_own, revision };
+    node.roster.borrow_mut().listed(listed, node.now());
     node.register(&registrations);
-    register_self(node, &objects, &registrations).await?;
-    remove_abandoned(node, &objects, now).await
+    if node.role() == FleetRole::Hub && freshness == Freshness::Current {
+        remove_abandoned(node, &objects, node.now()).await?;
+    }
+    Ok(())
 }
 
-async fn register_self<P>(
-    node: &Node<P>,
-    objects: &[Object],
-    registrations: &[(InstanceId, Registration)],
-) -> Result<(), StoreError>
+async fn register_self<P>(node: &Rc<Node<P>>, own_entry: &mut Option<u64>) -> Result<(), StoreError>
 where
     P: Platform,
 {
-    let own = node.registration();
-    if registrations
-        .iter()
-        .any(|(name, registration)| name == node.instance() && *registration == own)
-    {
-        return Ok(());
-    }
-    let Ok(text) = serde_json::to_string(&own) else { return Ok(()) };
+    let Ok(text) = serde_json::to_string(&node.registration()) else { return Ok(()) };
     let name = node.instance().as_str();
-    let written = match objects.iter().find(|object| *object.name == *name) {
-        Some(entry) => node.store.replace(Collection::Instances, name, entry.revision, &text).await,
+    let written = match *own_entry {
+        Some(revision) => node.store.replace(Collection::Instances, name, revision, &text).await,
         None => node.store.create(Collection::Instances, name, &text).await,
     };
     node.metrics
         .count(Counter::StoreCalls, if written.is_ok() { "written" } else { "write_failed" });
-    written.map(|_| ())
+    match written {
+        Ok(revision) => {
+            node.roster.borrow_mut().registered(revision, node.now());
+            *own_entry = Some(revision);
+            node.roster_changed.notify(usize::MAX);
+            Ok(())
+        }
+        // The list was too old to have the entry, or a call without an answer has written it.
+        Err(StoreError::Conflict | StoreError::Missing) => {
+            list_instances(node, Freshness::Current, own_entry).await
+        }
+        Err(error) => Err(error),
+    }
+}
+
+/// Gets the list of the instances from a hub that has a newer one. A hub reads it from the store instead.
+async fn follow_roster<P>(node: &Rc<Node<P>>)
+where
+    P: Platform,
+{
+    let offered = node.peers.borrow().newest_roster(node.now());
+    let Some((offered, from)) = offered else { return };
+    let own = node.roster_version();
+    if offered.digest == own.digest || offered.revision <= own.revision {
+        return;
+    }
+    if node.role() == FleetRole::Hub {
+        node.roster.borrow_mut().request_list();
+    } else {
+        relay::fetch_roster(node, &from).await;
+    }
 }
 
 /// Removes registrations of instances that have sent no message for [`ABANDONED_AFTER`].
+///
+/// While most of the others seem to be silent, the fault is more likely here, and nothing is removed.
 async fn remove_abandoned<P>(
     node: &Node<P>,
     objects: &[Object],
@@ -288,6 +356,9 @@
     P: Platform,
 {
     let unresponsive = node.peers.borrow().unresponsive(ABANDONED_AFTER, now);
+    if 2 * unresponsive.len() > node.peers.borrow().expected() {
+        return Ok(());
+    }
     for object in objects {
         if unresponsive.iter().any(|name| name.as_str() == &*object.name) {
             node.store.remove(Collection::Instances, &object.name, object.revision).await?;
--- a/crates/gateway/src/writes.rs
+++ b/crates/gateway/src/writes.rs
@@ -30,7 +30,7 @@
     let group = node.group(&req.route.group)?;
     let view = group.view.borrow();
     let leader = view.leader(now)?;
-    let unresponsive = view.unanswered_for(&leader.member, now) >= PRIMARY_TIMEOUT;
+    let unresponsive = view.is_unresponsive(&leader.member, PRIMARY_TIMEOUT, now);
     let usable = !leader.fenced && !unresponsive && accepts_work(node, &leader.member, true, now);
     usable.then_some(leader.member)
 }
@@ -138,6 +138,7 @@
 {
     let (Some(group), Some(position)) = (node.group(&req.route.group), position) else { return };
     group.view.borrow_mut().commit_acknowledged(member, position, sent);
+    group.record_answer(node.now());
     group.log_leader_change(Some(member), node.now());
 }
 
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -96,3 +96,48 @@
     peers.register(&[], at(5000));
     assert!(peers.names().is_empty());
 }
+
+/// Guards against a hub that removes the registration of an instance which sends its messages to other hubs, or of one
+/// whose messages it has expected for a short time only.
+#[test]
+fn unresponsive_counts_from_the_first_expected_message() {
+    let timeout = Duration::from_secs(60);
+    let mut peers = Peers::new("a".into(), at(0));
+    peers.register(&[registration()], at(0));
+    assert!(peers.unresponsive(timeout, at(100_000)).is_empty(), "it sends to other hubs");
+    peers.expect_messages(|_| true, at(100_000));
+    peers.expect_messages(|_| true, at(130_000));
+    assert!(peers.unresponsive(timeout, at(159_000)).is_empty());
+    assert_eq!(peers.unresponsive(timeout, at(160_000)), [InstanceId::from("b")]);
+    peers.receive(&status(1, 1), address(), at(161_000));
+    assert!(peers.unresponsive(timeout, at(200_000)).is_empty());
+    peers.expect_messages(|_| false, at(300_000));
+    assert!(peers.unresponsive(timeout, at(300_000)).is_empty());
+}
+
+/// Guards against a lost instance that is reported twice, or not at all when the check is late.
+#[test]
+fn newly_unresponsive_reports_each_loss_once() {
+    let mut peers = Peers::new("a".into(), at(0));
+    peers.receive(&status(1, 1), address(), at(0));
+    assert!(peers.newly_unresponsive(at(900)).is_empty());
+    assert_eq!(peers.newly_unresponsive(at(7000)), [InstanceId::from("b")]);
+    assert!(peers.newly_unresponsive(at(7010)).is_empty());
+    peers.receive(&status(1, 2), address(), at(8000));
+    assert_eq!(peers.newly_unresponsive(at(9100)), [InstanceId::from("b")]);
+}
+
+/// Guards against a list of the store for each message of an instance that stays unregistered.
+#[test]
+fn receive_reports_an_unregistered_instance_once() {
+    let mut peers = Peers::new("a".into(), at(0));
+    let is_unregistered = |peers: &mut Peers, sent| {
+        peers.receive(&status(1, sent), address(), at(sent)).expect("newer").is_unregistered
+    };
+    assert!(is_unregistered(&mut peers, 1));
+    assert!(!is_unregistered(&mut peers, 2));
+    peers.register(&[registration()], at(3));
+    assert!(!is_unregistered(&mut peers, 4));
+    peers.register(&[], at(5));
+    assert!(is_unregistered(&mut peers, 6), "its registration was removed");
+}
--- a/crates/io/src/http.rs
+++ b/crates/io/src/http.rs
@@ -3,7 +3,10 @@
 use std::{
     fmt, io,
     pin::Pin,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -19,6 +22,9 @@
 /// Largest body of an answer, in bytes; a listing holds many objects of at most 1 MB each.
 const MAX_ANSWER_BYTES: usize = 256 << 20;
 
+/// Number of timeouts after which an exchange fails although parts of the answer arrive.
+const MAX_TIMEOUTS: usize = 4;
+
 type Driver = Pin<Box<dyn Future<Output = hyper::Result<()>> + Send>>;
 
 /// A connection and the future that does its I/O, which is polled only during a request and before the next one.
@@ -69,7 +75,8 @@
         &self.address
     }
 
-    /// Sends `req` and reads the whole answer within `timeout`, which includes the time to connect.
+    /// Sends `req` and reads the whole answer. The exchange fails when no connection is open, or no further part of the
+    /// answer comes, for `timeout`, and in any case after four times that.
     ///
     /// # Errors
     ///
@@ -80,7 +87,7 @@
         req: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, HttpError> {
-        let deadline = Timer::after(timeout);
+        let received = AtomicUsize::new(0);
         let mut connection = match self.acquire(timeout).await {
             Ok(connection) => connection,
             Err(error) => return Err(HttpError::NotSent(error)),
@@ -89,8 +96,12 @@
         let exchange = async {
             let answer = sender.send_request(req).await.map_err(io::Error::other)?;
             let (parts, body) = answer.into_parts();
-            let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-            let body = body.map_err(io::Error::other)?.to_bytes();
+            let body = Limited::new(body, MAX_ANSWER_BYTES);
+            let body = body.map_frame(|frame| {
+                received.fetch_add(1, Ordering::Relaxed);
+                frame
+            });
+            let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
             Ok(Response::from_parts(parts, body))
         };
         let drive = async {
@@ -100,7 +111,15 @@
             smol::future::pending().await
         };
         let timer = async {
-            deadline.await;
+            let mut received_before = 0;
+            for _ in 0..MAX_TIMEOUTS {
+                Timer::after(timeout).await;
+                let received = received.load(Ordering::Relaxed);
+                if received == received_before {
+                    break;
+                }
+                received_before = received;
+            }
             Err(io::Error::from(io::ErrorKind::TimedOut))
         };
         let answer = match exchange.or(drive).or(timer).await {
--- a/hibiscusladder/tests/gateway/fleet.rs
+++ b/hibiscusladder/tests/gateway/fleet.rs
@@ -54,7 +54,8 @@
         fleet
     }
 
-    fn add(&mut self, number: usize) {
+    /// Starts another instance and does not wait until it serves.
+    pub(crate) fn add(&mut self, number: usize) {
         let callers = loopback(free_port().expect("a port"));
         let readiness = loopback(free_port().expect("a port"));
         let name = format!("gateway-{number}");
--- a/hibiscusladder/tests/gateway/path.rs
+++ b/hibiscusladder/tests/gateway/path.rs
@@ -9,6 +9,7 @@
     BOUNDED_DATABASE, Caller, PRIMARY_DATABASE, PUBLIC_DATABASE, READ_YOUR_WRITES_DATABASE,
     StoreFault, WORKSPACES,
 };
+use hibiscusladder_testkit::fault_proxy::Faults;
 use test_case::test_case;
 
 use crate::fleet::{Fleet, open, query_once, save_logs};
@@ -227,6 +228,30 @@
     assert!((1..=number).all(|number| logged_writes.get(&format!("w{number}")) == Some(&1)));
 }
 
+/// Guards against an instance that replaces a primary before it knows the other instances: it announces the failover to
+/// nobody, and another instance goes on sending writes that cannot commit, so that their outcome stays unknown.
+#[test]
+fn leaving_primary_is_replaced_by_an_instance_that_just_started() {
+    /// Longer than an instance needs to read everything else from the store.
+    const LIST_DELAY: Duration = Duration::from_millis(1000);
+    let mut fleet = Fleet::start(1);
+    // The first instance does not see that the primary is leaving, so only the new one replaces it.
+    fleet.gateways[0].store_proxy.set(Faults { cut: true, ..Faults::default() });
+    fleet.standin.set_instance_list_delay(LIST_DELAY);
+    fleet.add(1);
+    fleet.standin.lock_group().set_leaving(0, true);
+    let address = fleet.gateways[0].callers;
+    let mut session = open(address, PRIMARY_DATABASE, WORKSPACE).expect("the session opens");
+    let since = Instant::now();
+    let mut number = 0;
+    while fleet.standin.lock_group().primary() == 0 || number < 50 {
+        number += 1;
+        let answer = session.query(&format!("w{number}"), "WRITE a 1").expect("an answer");
+        assert_eq!(answer.code(), None, "logs in {}", save_logs(&fleet, "just-started"));
+        assert!(since.elapsed() < FAILOVER_TIMEOUT, "the primary was not replaced");
+    }
+}
+
 /// Guards against requests that fail or wait while the store is not available.
 #[test_case(StoreFault::Busy; "busy")]
 #[test_case(StoreFault::Unresponsive; "unresponsive")]
