feat(gateway): contain panics, spread the holders of members by capacity

A panic in any task ended the process, since all tasks run on one executor. Each request ranked the candidates anew.

`tasks`: a panic ends its own task and is logged; tasks that run all the time are started again; what a failed task left as running expires. Holders are drawn in proportion to capacity, hubs left out, and kept with the pool. A pool follows the slots of its member's entry.

--- a/crates/core/src/catch_up.rs
+++ b/crates/core/src/catch_up.rs
@@ -28,6 +28,9 @@
 /// Longest time for one transfer, which may wait for others at the source.
 pub const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time after which a transfer that was not reported as ended counts as failed; its task may have ended by an error.
+const ABANDONED_AFTER: Duration = Duration::from_secs(10);
+
 /// Origin of newer data.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Source {
@@ -42,8 +45,8 @@
 pub struct CatchUp {
     own: InstanceId,
     behind_since: Option<Instant>,
-    /// Whether a transfer is running.
-    running: bool,
+    /// Start of the running transfer; `None` while there is none.
+    running_since: Option<Instant>,
     /// Whether a transfer was started since the instance fell behind.
     asked: bool,
     /// Number of failed transfers since the instance fell behind.
@@ -53,7 +56,7 @@
 impl CatchUp {
     /// Creates the state of the instance `own`, which is up to date.
     pub const fn new(own: InstanceId) -> Self {
-        Self { own, behind_since: None, running: false, asked: false, failures: 0 }
+        Self { own, behind_since: None, running_since: None, asked: false, failures: 0 }
     }
 
     /// Records that the instance is up to date.
@@ -79,10 +82,10 @@
     /// [`finished`](Self::finished) or [`failed`](Self::failed).
     pub fn next_source(&mut self, sources: &[InstanceId], now: Instant) -> Option<Source> {
         let lag = self.lag(now);
-        if self.running {
+        if self.running_since.is_some_and(|since| now.since(since) < ABANDONED_AFTER) {
             return None;
         }
-        self.running = true;
+        self.running_since = Some(now);
         self.asked = true;
         let is_store_due = lag >= STORE_FALLBACK && !self.failures.is_multiple_of(2);
         if is_store_due || sources.is_empty() {
@@ -96,12 +99,12 @@
 
     /// Records that the transfer has ended with data.
     pub const fn finished(&mut self) {
-        self.running = false;
+        self.running_since = None;
     }
 
     /// Records that the transfer has ended without data.
     pub const fn failed(&mut self) {
-        self.running = false;
+        self.running_since = None;
         self.failures += 1;
     }
 }
--- a/crates/core/src/topology.rs
+++ b/crates/core/src/topology.rs
@@ -36,6 +36,8 @@
 const HUBS_PER_REGION: usize = 2;
 /// Number of holders of the connections to a member; one of them may fail.
 pub const HOLDERS_PER_MEMBER: usize = 2;
+/// Capacity, in thousandths of a core, for each hash with which an instance competes for the members.
+const CAPACITY_PER_DRAW: u32 = 40;
 /// Number of connections per instance that a member has to accept, so that all instances of a flat fleet connect to it.
 const MIN_CONNECTIONS_PER_INSTANCE: usize = 2;
 
@@ -145,17 +147,29 @@
         if candidates.is_empty() {
             candidates = self.instances.values().collect();
         }
-        let ranked = by_capacity(member.as_str(), candidates);
-        Some(
-            ranked
-                .into_iter()
-                .take(HOLDERS_PER_MEMBER)
-                .map(|profile| profile.name.clone())
-                .collect(),
-        )
+        // Hubs already work for all instances of their region.
+        let others = candidates.iter().filter(|profile| !self.is_hub(&profile.name));
+        let others: Vec<&Profile> = others.copied().collect();
+        if others.len() >= HOLDERS_PER_MEMBER {
+            candidates = others;
+        }
+        candidates.sort_by_cached_key(|profile| std::cmp::Reverse(holder_weight(member, profile)));
+        candidates.truncate(HOLDERS_PER_MEMBER);
+        Some(candidates.into_iter().map(|profile| profile.name.clone()).collect())
     }
 }
 
+/// Weight of an instance as a holder of a member: the highest of several hashes, whose number grows with the capacity,
+/// so that instances hold members in proportion to their capacity.
+fn holder_weight(member: &MemberId, profile: &Profile) -> u64 {
+    let draws = (profile.capacity / CAPACITY_PER_DRAW).max(1);
+    let draws = (0..draws).map(|draw| {
+        let draw = draw.to_string();
+        membership::weight(&[member.as_str(), &draw], profile.name.as_str())
+    });
+    draws.max().unwrap_or(0)
+}
+
 /// The profiles in descending order of capacity; those of equal capacity in an order that depends on `key`.
 fn by_capacity<'a>(key: &str, mut profiles: Vec<&'a Profile>) -> Vec<&'a Profile> {
     profiles.sort_by_cached_key(|profile| {
--- a/crates/core/tests/catch_up.rs
+++ b/crates/core/tests/catch_up.rs
@@ -147,6 +147,16 @@
     panic!("the store was not asked");
 }
 
+/// Guards against an instance that never asks again because the task of a transfer ended by an error.
+#[test]
+fn next_source_after_an_abandoned_transfer() {
+    let mut catch_up = CatchUp::new("i-1".into());
+    let hubs = ["hub-1".into()];
+    assert!(catch_up.next_source(&hubs, Instant::default()).is_some());
+    assert!(catch_up.next_source(&hubs, Instant::new(Duration::from_secs(1))).is_none());
+    assert!(catch_up.next_source(&hubs, Instant::new(Duration::from_secs(11))).is_some());
+}
+
 /// Guards against an instance that asks the store at once although it fell behind just now, after an earlier lag.
 #[test]
 fn caught_up_starts_anew() {
--- a/crates/gateway/src/channel.rs
+++ b/crates/gateway/src/channel.rs
@@ -116,7 +116,7 @@
 {
     let pool = node.pool(member).ok_or(RunOutcome::Unreachable)?;
     let started = node.now();
-    let opened = match node.holders(&pool) {
+    let opened = match pool.holders() {
         Some(holders) if !holders.contains(node.instance()) => {
             open_remote(node, pool, workspace, &holders).await
         }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -2,6 +2,7 @@
 //! executes its steps.
 
 use std::{
+    cell::RefCell,
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
     time::Duration,
@@ -46,7 +47,19 @@
     fenced_since: Option<Instant>,
     demoted: BTreeMap<MemberId, Instant>,
     /// Members with a command that has not been answered.
-    unanswered: Rc<std::cell::RefCell<BTreeSet<MemberId>>>,
+    unanswered: Rc<RefCell<BTreeSet<MemberId>>>,
+}
+
+/// A command without an answer; it ends with its task, whatever the reason.
+struct Unanswered {
+    members: Rc<RefCell<BTreeSet<MemberId>>>,
+    member: MemberId,
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        self.members.borrow_mut().remove(&self.member);
+    }
 }
 
 /// Polls the members of all groups and, at hubs, evaluates the groups, until the instance begins to stop.
@@ -364,10 +377,11 @@
     if !cx.unanswered.borrow_mut().insert(member.clone()) {
         return;
     }
-    let (node, group, unanswered) = (node.clone(), group.clone(), cx.unanswered.clone());
+    let unanswered = Unanswered { members: cx.unanswered.clone(), member: member.clone() };
+    let (node, group) = (node.clone(), group.clone());
     node.clone().spawn(async move {
         let answered = monitor::send_control(&node, &group, &member, command).await;
-        unanswered.borrow_mut().remove(&member);
+        drop(unanswered);
         let outcome = match answered {
             Ok(status) => format!("received {}, holds {}", status.received, status.held),
             Err(error) => format!("no answer ({error:?})"),
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -81,6 +81,8 @@
     TransactionEnded,
     /// The gateway ended a session.
     SessionEnded,
+    /// A task panicked; the others go on.
+    TaskFailed,
 }
 
 impl Event {
@@ -110,6 +112,7 @@
             Self::RequestRetried => "request_retried",
             Self::TransactionEnded => "transaction_ended",
             Self::SessionEnded => "session_ended",
+            Self::TaskFailed => "task_failed",
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod snapshot;
 pub mod status_page;
 pub mod sync;
+pub mod tasks;
 pub mod transaction;
 pub mod tunnel;
 pub mod writes;
--- a/crates/gateway/src/monitor.rs
+++ b/crates/gateway/src/monitor.rs
@@ -29,6 +29,8 @@
 
 /// Longest wait for a connection for a poll.
 const CONNECTION_WAIT: Duration = Duration::from_millis(200);
+/// Time after which a poll no longer counts as running, for one whose task has failed.
+const POLL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Longest wait for the answer to a poll or another control command.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Age of the newest leadership proof at which the first-ranked instance of a flat fleet polls, or the first-ranked hub
@@ -124,7 +126,8 @@
         let last = polls.get(*member).copied().unwrap_or_default();
         let since_last_poll = last.sent.map_or(Duration::MAX, |sent| now.since(sent));
         let interval = interval(member);
-        !last.running && interval < Duration::MAX && since_last_poll >= interval
+        let running = last.running && since_last_poll < POLL_TIMEOUT;
+        !running && interval < Duration::MAX && since_last_poll >= interval
     });
     due.cloned().collect()
 }
@@ -221,7 +224,7 @@
     let pool = node.pool(member).ok_or(ControlError::NoConnection)?;
     let sent = node.now();
     group.view.borrow_mut().poll_sent(member, sent);
-    let exchanged = match node.holders(&pool) {
+    let exchanged = match pool.holders() {
         Some(holders) if !holders.contains(node.instance()) => {
             send_control_to_holder(node, member, &holders, command).await
         }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -37,6 +37,7 @@
     pool::{Pool, PoolLimits},
     relay::{PARALLEL_TRANSFERS, Progress, compress_directory},
     settings::Settings,
+    tasks::Tasks,
     tunnel::Tunnels,
 };
 
@@ -242,7 +243,7 @@
     directory: RefCell<Option<Rc<Directory>>>,
     groups: RefCell<BTreeMap<Group, Rc<GroupState>>>,
     pools: RefCell<BTreeMap<MemberId, Rc<Pool<P>>>>,
-    executor: Rc<LocalExecutor<'static>>,
+    tasks: Tasks,
     stopping: Cell<Option<Instant>>,
     stop: Notify,
     sessions: InFlight,
@@ -288,7 +289,7 @@
             directory: RefCell::default(),
             groups: RefCell::default(),
             pools: RefCell::default(),
-            executor,
+            tasks: Tasks::new(executor),
             stopping: Cell::new(None),
             stop: Notify::new(),
             sessions: InFlight::default(),
@@ -300,12 +301,22 @@
         self.clock.now()
     }
 
-    /// Runs `future` as a task of the instance's executor.
+    /// Runs `future` as a task of the instance.
     pub fn spawn<F>(&self, future: F)
     where
         F: Future<Output = ()> + 'static,
     {
-        self.executor.spawn(future).detach();
+        self.tasks.spawn(future);
+    }
+
+    /// Runs a task that `start` creates from this instance for as long as the process runs; `name` is for the log.
+    pub fn supervise<S, F>(self: &Rc<Self>, name: &'static str, start: S)
+    where
+        S: Fn(Rc<Self>) -> F + 'static,
+        F: Future<Output = ()> + 'static,
+    {
+        let node = self.clone();
+        self.tasks.supervise(name, move || start(node.clone()));
     }
 
     /// The configuration in force; `None` before the first.
@@ -392,12 +403,20 @@
         let target =
             Target { member: id.clone(), group: record.group.clone(), address: record.address };
         let distance = self.settings.distance(&record.data_centre);
-        let limits = self.pool_limits(&target, &record.data_centre);
-        let pool = Pool::new(target, record.data_centre, distance, limits);
+        let (limits, holders) = self.pool_limits(&target, &record.data_centre);
+        let pool = Pool::new(target, record.data_centre, distance, limits, holders);
         self.pools.borrow_mut().insert(id.clone(), pool.clone());
         Some(pool)
     }
 
+    /// Updates the limits of the pool of a member whose entry has changed.
+    pub fn update_pool(&self, id: &MemberId) {
+        if let Some(pool) = self.pools.borrow().get(id) {
+            let (limits, holders) = self.pool_limits(&pool.target, &pool.data_centre);
+            pool.set_limits(limits, holders);
+        }
+    }
+
     /// Removes the pool of a member that was removed or restarted, and closes its connections.
     pub fn drop_pool(&self, id: &MemberId) {
         if let Some(pool) = self.pools.borrow_mut().remove(id) {
@@ -443,7 +462,8 @@
         }
         drop(admission);
         for pool in self.pools.borrow().values() {
-            pool.set_limits(self.pool_limits(&pool.target, &pool.data_centre));
+            let (limits, holders) = self.pool_limits(&pool.target, &pool.data_centre);
+            pool.set_limits(limits, holders);
         }
     }
 
@@ -453,28 +473,28 @@
         limits.map_or(DEFAULT_MAX_CONNECTIONS, |limits| limits.max_connections)
     }
 
-    fn pool_limits(&self, target: &Target, data_centre: &DataCentre) -> PoolLimits {
+    /// Limits of this instance for connections to a member, and the holders of the member.
+    fn pool_limits(
+        &self,
+        target: &Target,
+        data_centre: &DataCentre,
+    ) -> (PoolLimits, Option<Rc<[InstanceId]>>) {
         let total = self.max_connections(&target.group);
         let member = &target.member;
         let topology = self.topology();
         let Some(holders) = topology.holders(member, data_centre, total) else {
             let open = total / topology.len().max(1);
-            return PoolLimits { open, idle: open, running: None };
+            return (PoolLimits { open, idle: open, running: None }, None);
         };
-        if !holders.contains(self.instance()) {
-            return PoolLimits { open: 0, idle: 0, running: None };
-        }
-        let open = (total / HOLDERS_PER_MEMBER).saturating_sub(RESERVED_CONNECTIONS).max(1);
-        let slots = self.member(member).map_or(1, |entry| entry.record.slots as usize);
-        let running = u32::try_from(slots.div_ceil(HOLDERS_PER_MEMBER) + EXTRA_STATEMENTS).ok();
-        PoolLimits { open, idle: open, running }
-    }
-
-    /// The instances that hold connections to a member; `None` when all instances connect to it.
-    pub fn holders(&self, pool: &Pool<P>) -> Option<Vec<InstanceId>> {
-        let target = &pool.target;
-        let total = self.max_connections(&target.group);
-        self.topology().holders(&target.member, &pool.data_centre, total)
+        let limits = if holders.contains(self.instance()) {
+            let open = (total / HOLDERS_PER_MEMBER).saturating_sub(RESERVED_CONNECTIONS).max(1);
+            let slots = self.member(member).map_or(1, |entry| entry.record.slots as usize);
+            let running = slots.div_ceil(HOLDERS_PER_MEMBER) + EXTRA_STATEMENTS;
+            PoolLimits { open, idle: open, running: u32::try_from(running).ok() }
+        } else {
+            PoolLimits { open: 0, idle: 0, running: None }
+        };
+        (limits, Some(holders.into()))
     }
 
     /// Addresses of holders for calls, in the order of their use. Each workspace prefers one holder, so that its
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -14,7 +14,7 @@
 use event_listener::Event as Notify;
 use hibiscusladder_core::{
     clock::{Clock, Instant},
-    name::{DataCentre, Workspace},
+    name::{DataCentre, InstanceId, Workspace},
 };
 use hibiscusladder_io::clock::{BootClock, within};
 use thiserror::Error;
@@ -110,6 +110,8 @@
     /// Data centre of the member.
     pub data_centre: DataCentre,
     pub(crate) slot_queue: SlotQueue<P>,
+    /// The instances that hold connections to the member, the preferred one first; `None` when all connect to it.
+    holders: RefCell<Option<Rc<[InstanceId]>>>,
     distance: Distance,
     state: RefCell<State<P>>,
     released: Notify,
@@ -132,6 +134,7 @@
         data_centre: DataCentre,
         distance: Distance,
         limits: PoolLimits,
+        holders: Option<Rc<[InstanceId]>>,
     ) -> Rc<Self> {
         let state = State {
             idle: Vec::new(),
@@ -145,6 +148,7 @@
             target,
             data_centre,
             slot_queue: SlotQueue::new(limits.running),
+            holders: RefCell::new(holders),
             distance,
             state: RefCell::new(state),
             released: Notify::new(),
@@ -156,8 +160,14 @@
         })
     }
 
-    /// Changes the limits. Connections in use beyond the new limits are closed when they are returned.
-    pub fn set_limits(&self, limits: PoolLimits) {
+    /// The instances that hold connections to the member, the preferred one first; `None` when all connect to it.
+    pub fn holders(&self) -> Option<Rc<[InstanceId]>> {
+        self.holders.borrow().clone()
+    }
+
+    /// Changes the limits and the holders. Connections in use beyond the new limits are closed when they are returned.
+    pub fn set_limits(&self, limits: PoolLimits, holders: Option<Rc<[InstanceId]>>) {
+        *self.holders.borrow_mut() = holders;
         self.state.borrow_mut().limits = limits;
         self.slot_queue.set_slots(limits.running);
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -84,7 +84,7 @@
     let readiness = listen(settings.readiness, "readiness").await?;
     let metrics = listen(settings.metrics, "metrics").await?;
     let tunnels = listen(settings.tunnels, "calls of other instances").await?;
-    let snapshots = listen(settings.peers, "other instances").await?;
+    let state = listen(settings.peers, "other instances").await?;
     events::log(
         Event::Started,
         json!({
@@ -92,19 +92,21 @@
             "callers": settings.callers.to_string(), "build": env!("CARGO_PKG_VERSION"),
         }),
     );
-    node.spawn(accept(node.clone(), callers));
-    node.spawn(holder::serve(node.clone(), tunnels));
-    node.spawn(status_page::serve(node.clone(), readiness, Page::Readiness));
-    node.spawn(status_page::serve(node.clone(), metrics, Page::Metrics));
-    node.spawn(status_page::serve(node.clone(), snapshots, Page::State));
+    node.supervise("callers", move |node| accept(node, callers.clone()));
+    node.supervise("tunnels", move |node| holder::serve(node, tunnels.clone()));
+    for (listener, page) in
+        [(readiness, Page::Readiness), (metrics, Page::Metrics), (state, Page::State)]
+    {
+        node.supervise("pages", move |node| status_page::serve(node, listener.clone(), page));
+    }
     for collection in [Collection::Configuration, Collection::Members] {
-        node.spawn(sync::follow(node.clone(), collection));
+        node.supervise(collection.as_str(), move |node| sync::follow(node, collection));
     }
-    node.spawn(sync::maintain_roster(node.clone()));
-    node.spawn(sync::expire_members(node.clone()));
-    node.spawn(messenger::receive_all(node.clone()));
-    node.spawn(messenger::send_all(node.clone()));
-    node.spawn(control::run(node.clone()));
+    node.supervise("roster", sync::maintain_roster);
+    node.supervise("expiry", sync::expire_members);
+    node.supervise("receiver", messenger::receive_all);
+    node.supervise("sender", messenger::send_all);
+    node.supervise("control", control::run);
     wait_for_end(&node, &mut signals).await;
     Ok(())
 }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -217,6 +217,7 @@
             group.view.borrow_mut().reset_member(&id);
         }
     }
+    node.update_pool(&id);
     node.update_groups();
 }
 
