fix(gateway): write the last log lines, keep accepted callers until answered

The process ended before the writer thread had the line `stopped`, so no log showed a regular end. Between the acceptance of a caller and the start of its task, a stopping process could end. A holder that was stopping refused calls and left their tunnels open, so that a later call could be on its way when the process ended, and a write that never ran was UNKNOWN.

A short wait after the flush; a caller counts from its acceptance; a stopping holder closes a tunnel after the answer.

The two races have no test of their own.

--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -63,11 +63,13 @@
                 Reply::Status(send_command(&node, &MemberId::new(&member), command).await)
             }
         };
+        // The other instance opens its next tunnel elsewhere, so that no call is on its way when the process ends.
+        let is_closing = is_refusing(&node, node.now()) && open_transaction.is_none();
         let sent = frames.send(&reply).await;
         if open_transaction.is_none() {
             guard = None;
         }
-        if sent.is_err() {
+        if sent.is_err() || is_closing {
             return;
         }
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -27,6 +27,8 @@
 
 /// Shortest time from the start of a stop to the end of the process; new callers may connect until then.
 const MIN_STOP_TIME: Duration = Duration::from_millis(3200);
+/// Time in which the thread that writes log lines writes the last ones before the process ends.
+const FLUSH_TIME: Duration = Duration::from_millis(20);
 /// Delay after a failure to accept a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -131,7 +133,9 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 number += 1;
-                node.spawn(session::serve(node.clone(), stream, number));
+                // The process does not end between the acceptance of a caller and the start of its task.
+                let guard = node.begin_session();
+                node.spawn(session::serve(node.clone(), stream, number, guard));
             }
             // File descriptors may be used up for a short time.
             Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
@@ -158,4 +162,5 @@
     node.wait_for_sessions(end.since(node.now())).await;
     events::log(Event::Stopped, json!({ "sessions": node.sessions() }));
     events::flush();
+    sleep(FLUSH_TIME).await;
 }
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -11,6 +11,7 @@
 use crate::{
     adapter::{CallerMessage, CallerPort, Handshake, Platform, PortError},
     events::{self, Event},
+    in_flight::InFlightGuard,
     metrics::Counter,
     model::{Code, Failure, TransactionState},
     node::Node,
@@ -32,12 +33,12 @@
 
 /// Serves a caller until it disconnects or the instance stops.
 ///
-/// `number` is the number of the connection, from which the jitter in the closing of idle sessions is derived.
-pub async fn serve<P>(node: Rc<Node<P>>, stream: TcpStream, number: u64)
+/// `number` is the number of the connection, from which the jitter in the closing of idle sessions is derived. The
+/// process does not end while `_guard` lives.
+pub async fn serve<P>(node: Rc<Node<P>>, stream: TcpStream, number: u64, _guard: InFlightGuard)
 where
     P: Platform,
 {
-    let _guard = node.begin_session();
     let mut port = P::Caller::new(stream);
     let Some(Ok(handshake)) = within(HANDSHAKE_TIMEOUT, port.read_handshake()).await else {
         return;
--- a/hibiscusladder/tests/gateway/path.rs
+++ b/hibiscusladder/tests/gateway/path.rs
@@ -12,7 +12,7 @@
 use hibiscusladder_testkit::fault_proxy::Faults;
 use test_case::test_case;
 
-use crate::fleet::{Fleet, open, query_once, save_logs};
+use crate::fleet::{Fleet, open, process_log, query_once, save_logs};
 
 const WORKSPACE: &str = WORKSPACES[0];
 /// Time within which a changed configuration has to be in force (`config_apply_ms` of the deployments).
@@ -293,6 +293,8 @@
     assert!(status.is_some_and(|status| status.success()), "{status:?}");
     let logged_writes = fleet.standin.lock_group().logged_writes();
     assert!((0..served).all(|number| logged_writes.get(&format!("w{number}")) == Some(&1)));
+    let log = process_log(&fleet.gateways[0]);
+    assert!(log.contains(r#""event":"stopped""#), "the last line of the log is missing: {log}");
 }
 
 /// Guards against keys in log lines.
