fix(gateway): finish a running failover before a planned stop

An instance claimed the failover of a leaving primary and was asked to stop 0.1 s later. It gave the failover up, with the replicas holding the next term: nobody could commit or promote until the term counted as orphaned, 7 s. An instance that started meanwhile counted the drain time from its own start, and sent requests to the leaving primary 7.9 s after it had announced to leave.

A stopping instance starts no failover and carries a running one to its end, which the process waits for. A member that is leaving in its first entry here has used half of its time.

Also: holders in small fleets where each instance has so few connections that reuse among the workspaces costs more than a hop (Topology::needs_holders, a cost model).

--- a/crates/core/src/topology.rs
+++ b/crates/core/src/topology.rs
@@ -7,7 +7,7 @@
 //! # Example
 //!
 //! ```
-//! use hibiscusladder_core::topology::{Profile, Topology};
+//! use hibiscusladder_core::topology::{Connections, Profile, Topology};
 //!
 //! let profile = |name: String| Profile {
 //!     name: name.as_str().into(),
@@ -17,13 +17,18 @@
 //! };
 //! let fleet = Topology::new((0..40).map(|number| profile(format!("i-{number}"))));
 //! assert_eq!(fleet.hubs().count(), 2);
-//! let holders = fleet.holders(&"m-1".into(), &"bern-nord".into(), 32).expect("a large fleet");
+//! let connections = Connections { accepted: 32, workspaces: 4 };
+//! let holders = fleet.holders(&"m-1".into(), &"bern-nord".into(), connections);
+//! let holders = holders.expect("a large fleet");
 //! assert_eq!(holders.len(), 2);
 //! let small = Topology::new((0..8).map(|number| profile(format!("i-{number}"))));
-//! assert!(small.holders(&"m-1".into(), &"bern-nord".into(), 16).is_none());
+//! assert!(small.holders(&"m-1".into(), &"bern-nord".into(), connections).is_none());
 //! ```
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use crate::{
     membership,
@@ -41,6 +46,20 @@
 /// Number of connections per instance that a member has to accept, so that all instances of a flat fleet connect to it.
 const MIN_CONNECTIONS_PER_INSTANCE: usize = 2;
 
+/// Time that a new connection occupies a slot of its member.
+const OPENING_TIME: Duration = Duration::from_millis(12);
+/// Time that a call through a holder takes longer, within a region.
+const HOP_TIME: Duration = Duration::from_millis(3);
+
+/// Connections to a member, and the workspaces that they are divided among.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Connections {
+    /// Connections that the member accepts from all instances together.
+    pub accepted: usize,
+    /// Number of workspaces; a connection serves one of them.
+    pub workspaces: usize,
+}
+
 /// Properties of an instance that decide its roles.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Profile {
@@ -129,17 +148,31 @@
         (self.is_hub(receiver) || self.is_hub(sender)) && region(receiver) == region(sender)
     }
 
-    /// The instances that connect to a member in `data_centre`, the preferred one first; `None` when all do.
+    /// Whether a few holders connect to a member for all instances.
     ///
-    /// `max_connections` is the number of connections that the member accepts from all instances together.
+    /// A connection belongs to one workspace. An instance with fewer connections than there are workspaces closes one
+    /// for another again and again, and each new one occupies a slot of the member. A call through a holder costs one
+    /// more hop instead.
+    pub fn needs_holders(&self, connections: Connections) -> bool {
+        if !self.is_flat() {
+            return true;
+        }
+        let own = connections.accepted / self.instances.len().max(1);
+        if own < MIN_CONNECTIONS_PER_INSTANCE {
+            return true;
+        }
+        let reused = (own as f64 / connections.workspaces.max(1) as f64).min(1.0);
+        OPENING_TIME.mul_f64(1.0 - reused) > HOP_TIME
+    }
+
+    /// The instances that connect to a member in `data_centre`, the preferred one first; `None` when all do.
     pub fn holders(
         &self,
         member: &MemberId,
         data_centre: &DataCentre,
-        max_connections: usize,
+        connections: Connections,
     ) -> Option<Vec<InstanceId>> {
-        if self.is_flat() && max_connections >= MIN_CONNECTIONS_PER_INSTANCE * self.instances.len()
-        {
+        if !self.needs_holders(connections) {
             return None;
         }
         let near = self.instances.values().filter(|profile| profile.data_centre == *data_centre);
--- a/crates/core/tests/topology.rs
+++ b/crates/core/tests/topology.rs
@@ -4,13 +4,17 @@
 
 use hibiscusladder_core::{
     name::InstanceId,
-    topology::{HOLDERS_PER_MEMBER, Profile, Topology},
+    topology::{Connections, HOLDERS_PER_MEMBER, Profile, Topology},
 };
 use test_case::test_case;
 
 const DATA_CENTRES: [(&str, &str); 4] =
     [("a-1", "region-a"), ("a-2", "region-a"), ("b-1", "region-b"), ("b-2", "region-b")];
 
+fn connections(accepted: usize, workspaces: usize) -> Connections {
+    Connections { accepted, workspaces }
+}
+
 fn fleet(count: usize) -> Vec<Profile> {
     let profile = |number: usize| {
         let (data_centre, region) = DATA_CENTRES[number % DATA_CENTRES.len()];
@@ -52,7 +56,9 @@
     for number in 0..members {
         let member = format!("m-{number}").as_str().into();
         let (data_centre, _) = DATA_CENTRES[number % DATA_CENTRES.len()];
-        let holders = topology.holders(&member, &data_centre.into(), 857).expect("a large fleet");
+        let holders = topology
+            .holders(&member, &data_centre.into(), connections(857, 190))
+            .expect("a large fleet");
         for holder in holders {
             *held.entry(holder).or_insert(0) += 1;
         }
@@ -94,7 +100,7 @@
         Topology::new(fleet(295).into_iter().filter(|profile| profile.name.as_str() != "i-100"));
     let holders = |topology: &Topology, number: usize| {
         let member = format!("m-{number}").as_str().into();
-        topology.holders(&member, &"a-1".into(), 857)
+        topology.holders(&member, &"a-1".into(), connections(857, 190))
     };
     for number in 0..200 {
         let (before, after) = (holders(&before, number), holders(&after, number));
@@ -107,7 +113,7 @@
 #[test]
 fn holders_of_an_unknown_data_centre() {
     let topology = Topology::new(fleet(60));
-    let holders = topology.holders(&"m".into(), &"elsewhere".into(), 32);
+    let holders = topology.holders(&"m".into(), &"elsewhere".into(), connections(32, 70));
     assert_eq!(holders.map(|holders| holders.len()), Some(HOLDERS_PER_MEMBER));
 }
 
@@ -126,3 +132,16 @@
         assert!(!topology.receives_from(&follower.name, &"i-59".into()));
     }
 }
+
+/// Guards against instances that open a connection for most requests, because each has fewer than there are workspaces,
+/// and against a needless hop where connections are reused anyway.
+#[test_case(8, 21, 8, true; "two connections for eight workspaces")]
+#[test_case(8, 16, 8, true; "as few as an instance can use")]
+#[test_case(8, 55, 8, false; "six connections for eight workspaces")]
+#[test_case(2, 24, 2, false; "one for each workspace and more")]
+#[test_case(8, 12, 1, true; "one connection, which polls use as well")]
+#[test_case(60, 857, 8, true; "a large fleet")]
+fn needs_holders_by_cost(instances: usize, accepted: usize, workspaces: usize, expected: bool) {
+    let topology = Topology::new(fleet(instances));
+    assert_eq!(topology.needs_holders(connections(accepted, workspaces)), expected);
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -63,14 +63,23 @@
 }
 
 /// Polls the members of all groups and, at hubs, evaluates the groups, until the instance begins to stop.
+///
+/// A failover that is running then is carried to its end: the replicas may hold the next term already, so that nobody
+/// else could commit or promote until the term counts as orphaned.
 pub async fn run<P>(node: Rc<Node<P>>)
 where
     P: Platform,
 {
     let mut contexts: BTreeMap<Group, FailoverContext> = BTreeMap::new();
+    // Keeps the process running while a failover runs.
+    let mut guard = None;
     loop {
         sleep(STEP_INTERVAL).await;
-        if node.stopping_since().is_some() {
+        let is_running = |group: &Rc<GroupState>| group.failover.borrow().is_running();
+        let any_running = node.groups().iter().any(is_running);
+        guard = any_running.then(|| guard.take().unwrap_or_else(|| node.begin_session()));
+        let is_stopping = node.stopping_since().is_some();
+        if is_stopping && !any_running {
             return;
         }
         // A failover of an instance that cannot know this one yet would not wait for its proofs to run out.
@@ -80,7 +89,7 @@
         let role = node.role();
         for group in node.groups() {
             monitor::send_due_polls(&node, &group, role, node.now());
-            if role != FleetRole::Hub {
+            if role != FleetRole::Hub || is_stopping && !is_running(&group) {
                 continue;
             }
             let cx = contexts.entry(group.name.clone()).or_default();
--- a/crates/gateway/src/member_table.rs
+++ b/crates/gateway/src/member_table.rs
@@ -21,11 +21,20 @@
     pub record: MemberRecord,
     /// When the entry first had the member as leaving; `None` while it is not leaving.
     pub leaving_since: Option<Instant>,
+    /// Whether the first entry here had the member as leaving already, so that it is unknown for how long it has been.
+    pub left_before: bool,
     /// When the entry was first missing; `None` while it is in the store.
     pub lapsed_since: Option<Instant>,
 }
 
 impl Member {
+    /// Whether a leaving primary may still get new work, for `limit` since it began to leave. Half of that counts as over
+    /// if this process may have started after it began.
+    pub fn is_within_drain(&self, limit: Duration, now: Instant) -> bool {
+        let limit = if self.left_before { limit / 2 } else { limit };
+        self.leaving_since.is_none_or(|since| now.since(since) < limit)
+    }
+
     /// Whether the member is not leaving, so that new work may be given to it.
     pub const fn is_active(&self) -> bool {
         self.leaving_since.is_none()
@@ -55,7 +64,7 @@
         let leaving = record.leaving;
         let Some(member) = self.members.get_mut(&id) else {
             let leaving_since = leaving.then_some(now);
-            let member = Member { record, leaving_since, lapsed_since: None };
+            let member = Member { record, leaving_since, left_before: leaving, lapsed_since: None };
             self.members.insert(id, member);
             return MemberChange::Updated;
         };
@@ -67,6 +76,7 @@
             && member.record.started_ms == record.started_ms
             && member.record.group == record.group;
         member.leaving_since = leaving.then(|| member.leaving_since.unwrap_or(now));
+        member.left_before &= leaving;
         member.record = record;
         if same_process { MemberChange::Updated } else { MemberChange::Restarted }
     }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -17,7 +17,7 @@
     roster::{self, FleetRole, Roster},
     share::AllotmentPart,
     sync_group::{Failover, GroupView},
-    topology::{HOLDERS_PER_MEMBER, Profile, Topology},
+    topology::{Connections, HOLDERS_PER_MEMBER, Profile, Topology},
 };
 use hibiscusladder_io::clock::{BootClock, within};
 use serde_json::json;
@@ -467,10 +467,20 @@
         }
     }
 
-    fn max_connections(&self, group: &Group) -> usize {
+    /// Connections of a member of the group, and the workspaces that use them.
+    fn connections(&self, group: &Group) -> Connections {
         let directory = self.directory();
-        let limits = directory.as_ref().and_then(|directory| directory.groups.get(group));
-        limits.map_or(DEFAULT_MAX_CONNECTIONS, |limits| limits.max_connections)
+        let directory = directory.as_ref();
+        let limits = directory.and_then(|directory| directory.groups.get(group));
+        Connections {
+            accepted: limits.map_or(DEFAULT_MAX_CONNECTIONS, |limits| limits.max_connections),
+            workspaces: directory.map_or(0, |directory| directory.workspaces.len()),
+        }
+    }
+
+    /// Whether a few holders connect to the members of the group for all instances.
+    pub fn uses_holders(&self, group: &Group) -> bool {
+        self.topology().needs_holders(self.connections(group))
     }
 
     /// Limits of this instance for connections to a member, and the holders of the member.
@@ -479,10 +489,11 @@
         target: &Target,
         data_centre: &DataCentre,
     ) -> (PoolLimits, Option<Rc<[InstanceId]>>) {
-        let total = self.max_connections(&target.group);
+        let connections = self.connections(&target.group);
+        let total = connections.accepted;
         let member = &target.member;
         let topology = self.topology();
-        let Some(holders) = topology.holders(member, data_centre, total) else {
+        let Some(holders) = topology.holders(member, data_centre, connections) else {
             let open = total / topology.len().max(1);
             return (PoolLimits { open, idle: open, running: None }, None);
         };
--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -165,7 +165,7 @@
 where
     P: Platform,
 {
-    if node.topology().is_flat() {
+    if !node.uses_holders(&req.route.group) {
         return;
     }
     let weight = |member: &MemberId| membership::weight(&[req.workspace.as_str()], member.as_str());
@@ -206,10 +206,8 @@
 {
     let (numerator, denominator) = DRAIN_FRACTION;
     let limit = node.settings.drain * numerator / denominator;
-    node.member(member).is_some_and(|entry| match entry.leaving_since {
-        None => true,
-        Some(since) => primary && now.since(since) < limit,
-    })
+    node.member(member)
+        .is_some_and(|entry| entry.is_active() || primary && entry.is_within_drain(limit, now))
 }
 
 /// The instant `by` before `at`.
@@ -246,7 +244,7 @@
             tried.clear();
             let first_round = connection_wait < max_connection_wait(node, req);
             connection_wait = max_connection_wait(node, req);
-            sleep(if first_round { RETRY_DELAY } else { retry_delay(node) }).await;
+            sleep(if first_round { RETRY_DELAY } else { retry_delay(node, req) }).await;
             continue;
         };
         had_candidates = true;
@@ -362,7 +360,8 @@
     let mut running = boxed_attempt(node, req, first, connection_wait);
     let Some(second) = second else { return running.await };
     // While a read may be waiting for a slot at a holder, it is not sent to a second member.
-    let slot_wait = if node.topology().is_flat() { Duration::ZERO } else { connection_wait };
+    let uses_holders = node.uses_holders(&req.route.group);
+    let slot_wait = if uses_holders { connection_wait } else { Duration::ZERO };
     if let Some(outcome) = within(HEDGE_AFTER + slot_wait, &mut running).await {
         return outcome;
     }
@@ -427,14 +426,14 @@
 
 /// Longest wait of one attempt for a connection to a busy member.
 ///
-/// In a flat fleet, an instance has few connections to a member, and one of them is soon returned. While a primary does
+/// Without holders, an instance has few connections to a member, and one of them is soon returned. While a primary does
 /// not answer, all of them are in use, and the request waits for the next primary.
 pub fn max_connection_wait<P>(node: &Node<P>, req: &Request) -> Duration
 where
     P: Platform,
 {
     let holder_wait = req.route.statement_timeout / CONNECTION_WAIT_DIVISOR;
-    if node.topology().is_flat() { MEMBER_WAIT } else { holder_wait }
+    if node.uses_holders(&req.route.group) { holder_wait } else { MEMBER_WAIT }
 }
 
 /// Time after its arrival at which a request is refused when no member has capacity for it.
@@ -442,15 +441,15 @@
 where
     P: Platform,
 {
-    if node.topology().is_flat() { MEMBER_WAIT } else { req.route.statement_timeout }
+    if node.uses_holders(&req.route.group) { req.route.statement_timeout } else { MEMBER_WAIT }
 }
 
 /// Delay before members without a free slot are tried again.
-pub fn retry_delay<P>(node: &Node<P>) -> Duration
+pub fn retry_delay<P>(node: &Node<P>, req: &Request) -> Duration
 where
     P: Platform,
 {
-    if node.topology().is_flat() { RETRY_DELAY } else { CAPACITY_RETRY_DELAY }
+    if node.uses_holders(&req.route.group) { CAPACITY_RETRY_DELAY } else { RETRY_DELAY }
 }
 
 /// Opens a channel to `member` for a request, and requests a poll of the member when it cannot be reached.
--- a/crates/gateway/src/transaction.rs
+++ b/crates/gateway/src/transaction.rs
@@ -204,7 +204,7 @@
                     break;
                 }
                 tried.clear();
-                sleep(retry_delay(node)).await;
+                sleep(retry_delay(node, &self.request)).await;
                 continue;
             };
             match self.begin_at(node, values, candidate).await {
--- a/crates/gateway/src/writes.rs
+++ b/crates/gateway/src/writes.rs
@@ -64,7 +64,7 @@
             RunOutcome::ConnectionLost => return (unknown_outcome(node, req, &member), None),
         }
         if busy {
-            sleep(retry_delay(node)).await;
+            sleep(retry_delay(node, req)).await;
         } else {
             wait_for_change(node, req).await;
         }
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -53,6 +53,24 @@
     assert_eq!(member_table.update(id(), record(81, 2, false), at(4)), MemberChange::Restarted);
 }
 
+/// Guards against a restarted instance that gives work to a leaving primary for the whole drain time once more.
+#[test]
+fn is_within_drain_after_a_restart() {
+    let limit = Duration::from_millis(5000);
+    let mut seen_leaving = MemberTable::default();
+    seen_leaving.update(id(), record(80, 1, false), at(0));
+    seen_leaving.update(id(), record(80, 1, true), at(1000));
+    let mut restarted = MemberTable::default();
+    restarted.update(id(), record(80, 1, true), at(1000));
+    let is_within = |table: &MemberTable, ms| {
+        table.get(&id()).is_some_and(|member| member.is_within_drain(limit, at(ms)))
+    };
+    assert!(is_within(&seen_leaving, 5900) && !is_within(&seen_leaving, 6000));
+    assert!(is_within(&restarted, 3400) && !is_within(&restarted, 3500));
+    restarted.update(id(), record(80, 1, false), at(4000));
+    assert!(is_within(&restarted, 90_000), "it stays");
+}
+
 /// Guards against a drain time that starts again with each entry of a leaving member.
 #[test]
 fn update_keeps_the_time_of_the_first_leaving_entry() {
--- a/hibiscusladder/tests/gateway/path.rs
+++ b/hibiscusladder/tests/gateway/path.rs
@@ -252,6 +252,25 @@
     }
 }
 
+/// Guards against a planned stop that gives up a failover after the replicas hold the next term, so that nobody can
+/// commit for seconds.
+#[test]
+fn stop_finishes_a_running_failover() {
+    let fleet = Fleet::start(1);
+    let gateway = &fleet.gateways[0];
+    fleet.standin.lock_group().set_leaving(0, true);
+    let until = Instant::now() + FAILOVER_TIMEOUT;
+    while !process_log(gateway).contains(r#""step":"claim""#) {
+        assert!(Instant::now() < until, "no failover was started");
+        thread::sleep(Duration::from_millis(10));
+    }
+    gateway.process.terminate().expect("the process runs");
+    while fleet.standin.lock_group().primary() == 0 {
+        assert!(Instant::now() < until, "logs in {}", save_logs(&fleet, "stopped-failover"));
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
 /// Guards against requests that fail or wait while the store is not available.
 #[test_case(StoreFault::Busy; "busy")]
 #[test_case(StoreFault::Unresponsive; "unresponsive")]
