refactor(gateway): split the state of groups and of the fleet from node.rs

Change: group_state.rs has the state of one group, node/fleet.rs what an instance knows of the others; moves only.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -11,7 +11,7 @@
 //! # Example
 //!
 //! ```
-//! use hibiscusladder_core::{clock::Instant, roster::{Freshness, Listed, FleetRole, Roster, Step}};
+//! use hibiscusladder_core::{clock::Instant, roster::{FleetRole, Freshness, Listed, Roster, Step}};
 //!
 //! let now = Instant::default();
 //! let mut roster = Roster::default();
@@ -47,7 +47,7 @@
     Recent,
 }
 
-/// FleetRole of the instance in the fleet that it knows.
+/// Role of the instance in the fleet that it knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FleetRole {
     /// The instance decides for others, and lists the registrations itself.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -22,9 +22,10 @@
     adapter::{Platform, Promoter},
     events::{self, Event},
     failover_claim,
+    group_state::GroupState,
     metrics::Counter,
     monitor,
-    node::{GroupState, Node},
+    node::Node,
     tunnel::ControlCommand,
 };
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod directory;
 pub mod events;
 pub mod failover_claim;
+pub mod group_state;
 pub mod holder;
 pub mod in_flight;
 pub mod lease;
--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -21,11 +21,12 @@
 use crate::{
     adapter::Platform,
     events::{self, Event},
+    group_state::GroupState,
     message::{
         self, Datagram, Extension, GroupInfo, LeaderEntry, Status, TokenRequestMessage,
         TokenTransferMessage,
     },
-    node::{GroupState, Node},
+    node::Node,
     peers::{SEND_INTERVAL, nanos},
     relay::{self, MembersPage},
 };
--- a/crates/gateway/src/monitor.rs
+++ b/crates/gateway/src/monitor.rs
@@ -21,8 +21,9 @@
 use crate::{
     adapter::{MemberCommand, Platform, UpstreamPort},
     events::{self, Event},
+    group_state::{GroupState, PollState},
     lease::Lease,
-    node::{GroupState, Node, PollState},
+    node::Node,
     pool::{AcquireError, Pool, Values},
     tunnel::{self, Call, ControlCommand, RemoteStatus, Reply},
 };
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,9 +1,10 @@
 //! State of one instance, shared by its tasks, which all run on one thread.
 
+mod fleet;
+
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
+    collections::BTreeMap,
     rc::Rc,
     time::Duration,
 };
@@ -12,12 +13,10 @@
 use event_listener::Event as Notify;
 use hibiscusladder_core::{
     clock::{Clock, Instant},
-    membership,
     name::{DataCentre, Group, InstanceId, MemberId, Workspace},
-    roster::{self, FleetRole, Roster},
+    roster::{FleetRole, Roster},
     share::AllotmentPart,
-    sync_group::{Failover, GroupView},
-    topology::{Connections, HOLDERS_PER_MEMBER, Profile, Topology},
+    topology::{Connections, HOLDERS_PER_MEMBER, Topology},
 };
 use hibiscusladder_io::clock::{BootClock, within};
 use serde_json::json;
@@ -29,9 +28,9 @@
     directory::Directory,
     events::{self, Event},
     failover_claim::FailoverClaims,
+    group_state::GroupState,
     in_flight::{InFlight, InFlightGuard},
     member_table::{Member, MemberTable},
-    message::{Registration, RosterVersion},
     metrics::Metrics,
     peers::Peers,
     pool::{Pool, PoolLimits},
@@ -50,149 +49,12 @@
 /// Statements that a holder sends beyond its part of a member's slots, so that no slot is idle during a round trip.
 const EXTRA_STATEMENTS: usize = 1;
 
-/// Age of an answer up to which it shows that a member responds.
-const ANSWER_EVIDENCE_AGE: Duration = Duration::from_millis(400);
-/// Time from the first list of the instances in which hubs count as live although no message has come.
-const HUB_GRACE: Duration = Duration::from_millis(1000);
 /// Time before the process is killed at which it ends by itself.
 const END_MARGIN: Duration = Duration::from_millis(600);
 /// Time before the end of the process at which every request has its answer; it covers two of the longest delays
 /// between attempts.
 const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 
-/// State of the polls of one member.
-#[derive(Debug, Default, Clone, Copy)]
-pub struct PollState {
-    /// When the latest poll was sent; `None` before the first.
-    pub sent: Option<Instant>,
-    /// Whether the latest poll is still running.
-    pub running: bool,
-    /// Whether the decision log last reported the member as lost.
-    pub logged_lost: bool,
-}
-
-/// State of one group.
-#[derive(Debug)]
-pub struct GroupState {
-    /// Name of the group, as in the configuration.
-    pub name: Group,
-    /// Latest answers of the members, and the leader that follows from them.
-    pub view: RefCell<GroupView>,
-    /// Failover that this instance carries out.
-    pub failover: RefCell<Failover>,
-    /// Number of consecutive writes without an answer, and when the first of them was recorded; `None` after a write
-    /// with an answer.
-    pub unanswered_writes: Cell<Option<(u32, Instant)>>,
-    /// Since when members answer but none of them leads; `None` while there is a leader or no answer.
-    pub leaderless_since: Cell<Option<Instant>>,
-    /// Highest fence term for which this instance has discarded its leadership proofs; 0 before the first.
-    pub confirmed: Cell<u64>,
-    /// Members for which a poll was requested since the polls of the group were last sent.
-    pub poll_requested: RefCell<BTreeSet<MemberId>>,
-    /// Members whose answers were slow since the last message to a hub.
-    slow: RefCell<BTreeSet<MemberId>>,
-    /// When a member last answered a request of this instance; `None` before the first.
-    answered_at: Cell<Option<Instant>>,
-    /// State of the polls by member.
-    pub polls: RefCell<BTreeMap<MemberId, PollState>>,
-    /// Member and term of the leader that was last logged, and whether it was fenced; `None` without a leader.
-    logged_leader: RefCell<Option<(MemberId, u64, bool)>>,
-    changed: Notify,
-}
-
-impl GroupState {
-    fn new(name: Group) -> Rc<Self> {
-        Rc::new(Self {
-            name,
-            view: RefCell::default(),
-            failover: RefCell::default(),
-            unanswered_writes: Cell::new(None),
-            leaderless_since: Cell::new(None),
-            confirmed: Cell::new(0),
-            poll_requested: RefCell::default(),
-            slow: RefCell::default(),
-            answered_at: Cell::new(None),
-            polls: RefCell::default(),
-            logged_leader: RefCell::default(),
-            changed: Notify::new(),
-        })
-    }
-
-    /// Wakes the tasks that wait for a change of the group.
-    pub fn notify(&self) {
-        self.changed.notify(usize::MAX);
-    }
-
-    /// Logs the leader if it has changed, and wakes the tasks that wait for a change.
-    ///
-    /// `answered_by` is the member whose answer may have changed the leader.
-    pub fn log_leader_change(&self, answered_by: Option<&MemberId>, now: Instant) {
-        let leader = self.view.borrow().leader(now);
-        let leader = leader.map(|leader| (leader.member, leader.term.0, leader.fenced));
-        if *self.logged_leader.borrow() != leader {
-            events::log(
-                Event::LeaderChanged,
-                json!({
-                    "group": self.name.as_str(),
-                    "leader": leader.as_ref().map(|(member, _, _)| member.as_str()),
-                    "term": leader.as_ref().map(|(_, term, _)| *term),
-                    "fenced": leader.as_ref().map(|(_, _, fenced)| *fenced),
-                    "answered_by": answered_by.map(MemberId::as_str),
-                }),
-            );
-            *self.logged_leader.borrow_mut() = leader;
-            self.notify();
-        }
-    }
-
-    /// Requests a poll of a member with the next polls of the group; used when a request to the member has no answer, or
-    /// when another instance suspects the member.
-    ///
-    /// A member that has answered another request lately is not polled.
-    pub fn request_poll(&self, member: &MemberId, now: Instant) {
-        let answered = self.view.borrow().answered_at(member);
-        if answered.is_some_and(|answered| now.since(answered) < ANSWER_EVIDENCE_AGE) {
-            return;
-        }
-        self.poll_requested.borrow_mut().insert(member.clone());
-    }
-
-    /// Records that a request to the member has no answer for a while, for the next message to a hub.
-    pub fn record_slow(&self, member: &MemberId) {
-        self.slow.borrow_mut().insert(member.clone());
-    }
-
-    /// Removes and returns the members that were recorded as slow.
-    pub fn take_slow(&self) -> BTreeSet<MemberId> {
-        self.slow.take()
-    }
-
-    /// Records that a member answered a request of this instance.
-    pub fn record_answer(&self, now: Instant) {
-        self.answered_at.set(Some(now));
-    }
-
-    /// Whether a member answered a request of this instance within `age`.
-    pub fn has_answers_since(&self, now: Instant, age: Duration) -> bool {
-        self.answered_at.get().is_some_and(|answered| now.since(answered) < age)
-    }
-
-    /// Waits for a change of the group, at most for `limit`.
-    pub async fn wait_for_change(&self, limit: Duration) {
-        within(limit, self.changed.listen()).await;
-    }
-
-    /// Records whether the primary answered a write.
-    pub fn record_write(&self, answered: bool, now: Instant) {
-        let unanswered_writes = self.unanswered_writes.get();
-        self.unanswered_writes.set(match unanswered_writes {
-            _ if answered => None,
-            Some((count, since)) => Some((count + 1, since)),
-            None => Some((1, now)),
-        });
-    }
-}
-
 /// State of one instance.
 pub struct Node<P>
 where
@@ -508,147 +370,6 @@
         (limits, Some(holders.into()))
     }
 
-    /// Addresses of holders for calls, in the order of their use. Each workspace prefers one holder, so that its
-    /// connections are reused.
-    pub fn holder_addresses(
-        &self,
-        holders: &[InstanceId],
-        workspace: &Workspace,
-    ) -> Vec<(InstanceId, SocketAddr)> {
-        let mut holders = holders.to_vec();
-        let first = membership::weight(&[], workspace.as_str()) % holders.len().max(1) as u64;
-        holders.rotate_left(usize::try_from(first).unwrap_or(0));
-        self.peers.borrow().tunnel_addresses(&holders, self.now())
-    }
-
-    /// Records that the holder with this tunnel address did not answer.
-    pub fn record_holder_unreachable(&self, address: SocketAddr) {
-        self.peers.borrow_mut().record_unreachable_at(address, self.now());
-    }
-
-    /// Replaces the registrations of the instances, and updates the limits that depend on them.
-    pub fn register(&self, registrations: &[(InstanceId, Registration)]) {
-        self.peers.borrow_mut().register(registrations, self.now());
-        let encoded = postcard::to_stdvec(&self.registrations()).unwrap_or_default();
-        self.roster_digest.set(roster::digest(&encoded));
-        self.update_limits();
-        let topology = self.topology();
-        let is_expected = |name: &InstanceId| topology.receives_from(self.instance(), name);
-        self.peers.borrow_mut().expect_messages(is_expected, self.now());
-        self.send_now.notify(usize::MAX);
-        self.roster_changed.notify(usize::MAX);
-    }
-
-    /// Registrations of all instances that were read, and of this one, in the order of their names.
-    pub fn registrations(&self) -> BTreeMap<InstanceId, Registration> {
-        let peers = self.peers.borrow();
-        let others =
-            peers.registrations().map(|(name, registration)| (name.clone(), registration.clone()));
-        others.chain([(self.instance().clone(), self.registration())]).collect()
-    }
-
-    /// Version of the list of the instances at this instance.
-    pub fn roster_version(&self) -> RosterVersion {
-        RosterVersion {
-            revision: self.roster.borrow().revision(),
-            digest: self.roster_digest.get(),
-        }
-    }
-
-    /// Role of this instance in the fleet that it knows.
-    pub fn role(&self) -> FleetRole {
-        let topology = self.topology();
-        let now = self.now();
-        // Hubs that have just been listed have not answered yet, and at the first start of a fleet the list lacks those
-        // that register later.
-        let is_new = self.is_new(now);
-        if topology.is_hub(self.instance()) && (self.roster.borrow().is_settled() || !is_new) {
-            return FleetRole::Hub;
-        }
-        let peers = self.peers.borrow();
-        if is_new || topology.hubs().any(|hub| peers.is_live(hub, now)) {
-            FleetRole::Follower
-        } else {
-            FleetRole::Orphan
-        }
-    }
-
-    /// Whether the other instances were first listed just now, or not at all.
-    fn is_new(&self, now: Instant) -> bool {
-        let known_since = self.roster.borrow().known_since();
-        known_since.is_none_or(|since| now.since(since) < HUB_GRACE)
-    }
-
-    /// Whether the other instances are known well enough to decide for them or to share limits with them.
-    pub fn knows_fleet(&self) -> bool {
-        self.roster.borrow().is_complete(self.role())
-    }
-
-    /// Has messages sent at once, to the other hubs and from a hub to its followers: a fence or the configuration has
-    /// changed.
-    pub fn announce(&self) {
-        self.has_urgent_news.set(true);
-        self.send_now.notify(usize::MAX);
-    }
-
-    /// Whether [`announce`](Self::announce) was called since the last call of this method.
-    pub fn take_urgent_news(&self) -> bool {
-        self.has_urgent_news.take()
-    }
-
-    /// The instances that store tokens and state for this one: the hubs of its region, or all hubs while none of its
-    /// region is live. The instance itself is not among them.
-    pub fn own_hubs(&self) -> Vec<InstanceId> {
-        let topology = self.topology();
-        let others = |hub: &&InstanceId| *hub != self.instance();
-        let regional: Vec<InstanceId> =
-            topology.regional_hubs(self.instance()).filter(others).cloned().collect();
-        let now = self.now();
-        let peers = self.peers.borrow();
-        if self.is_new(now) || regional.iter().any(|hub| peers.is_live(hub, now)) {
-            return regional;
-        }
-        topology.hubs().filter(others).cloned().collect()
-    }
-
-    /// Registration of this instance.
-    pub fn registration(&self) -> Registration {
-        Registration {
-            address: self.settings.peers,
-            tunnels: self.settings.tunnels,
-            data_centre: self.settings.data_centre.clone(),
-            capacity: self.settings.capacity,
-        }
-    }
-
-    /// Roles of the registered instances: hubs and holders.
-    pub fn topology(&self) -> Rc<Topology> {
-        self.topology.borrow().clone()
-    }
-
-    fn update_topology(&self) -> Rc<Topology> {
-        let region = |data_centre: &DataCentre| {
-            self.settings.regions.get(data_centre).cloned().unwrap_or_default()
-        };
-        let settings = &self.settings;
-        let own = Profile {
-            name: settings.instance.clone(),
-            data_centre: settings.data_centre.clone(),
-            region: region(&settings.data_centre),
-            capacity: settings.capacity,
-        };
-        let peers = self.peers.borrow();
-        let others = peers.registrations().map(|(name, peer)| Profile {
-            name: name.clone(),
-            data_centre: peer.data_centre.clone(),
-            region: region(&peer.data_centre),
-            capacity: peer.capacity,
-        });
-        let topology = Rc::new(Topology::new(others.chain([own])));
-        *self.topology.borrow_mut() = topology.clone();
-        topology
-    }
-
     /// A workspace for connections that serve no caller; `None` when none is configured.
     pub fn any_workspace(&self) -> Option<Workspace> {
         self.directory()?.workspaces.keys().next().cloned()
--- /dev/null
+++ b/crates/gateway/src/node/fleet.rs
@@ -0,0 +1,166 @@
+//! The fleet as an instance knows it: registrations, roles, and the instances that it depends on.
+
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use hibiscusladder_core::{
+    clock::Instant,
+    membership,
+    name::{DataCentre, InstanceId, Workspace},
+    roster::{self, FleetRole},
+    topology::{Profile, Topology},
+};
+
+use super::Node;
+use crate::{
+    adapter::Platform,
+    message::{Registration, RosterVersion},
+};
+
+/// Time from the first list of the instances in which hubs count as live although no message has come.
+const HUB_GRACE: Duration = Duration::from_millis(1000);
+
+impl<P> Node<P>
+where
+    P: Platform,
+{
+    /// Addresses of holders for calls, in the order of their use. Each workspace prefers one holder, so that its
+    /// connections are reused.
+    pub fn holder_addresses(
+        &self,
+        holders: &[InstanceId],
+        workspace: &Workspace,
+    ) -> Vec<(InstanceId, SocketAddr)> {
+        let mut holders = holders.to_vec();
+        let first = membership::weight(&[], workspace.as_str()) % holders.len().max(1) as u64;
+        holders.rotate_left(usize::try_from(first).unwrap_or(0));
+        self.peers.borrow().tunnel_addresses(&holders, self.now())
+    }
+
+    /// Records that the holder with this tunnel address did not answer.
+    pub fn record_holder_unreachable(&self, address: SocketAddr) {
+        self.peers.borrow_mut().record_unreachable_at(address, self.now());
+    }
+
+    /// Replaces the registrations of the instances, and updates the limits that depend on them.
+    pub fn register(&self, registrations: &[(InstanceId, Registration)]) {
+        self.peers.borrow_mut().register(registrations, self.now());
+        let encoded = postcard::to_stdvec(&self.registrations()).unwrap_or_default();
+        self.roster_digest.set(roster::digest(&encoded));
+        self.update_limits();
+        let topology = self.topology();
+        let is_expected = |name: &InstanceId| topology.receives_from(self.instance(), name);
+        self.peers.borrow_mut().expect_messages(is_expected, self.now());
+        self.send_now.notify(usize::MAX);
+        self.roster_changed.notify(usize::MAX);
+    }
+
+    /// Registrations of all instances that were read, and of this one, in the order of their names.
+    pub fn registrations(&self) -> BTreeMap<InstanceId, Registration> {
+        let peers = self.peers.borrow();
+        let others =
+            peers.registrations().map(|(name, registration)| (name.clone(), registration.clone()));
+        others.chain([(self.instance().clone(), self.registration())]).collect()
+    }
+
+    /// Version of the list of the instances at this instance.
+    pub fn roster_version(&self) -> RosterVersion {
+        RosterVersion {
+            revision: self.roster.borrow().revision(),
+            digest: self.roster_digest.get(),
+        }
+    }
+
+    /// Role of this instance in the fleet that it knows.
+    pub fn role(&self) -> FleetRole {
+        let topology = self.topology();
+        let now = self.now();
+        // Hubs that have just been listed have not answered yet, and at the first start of a fleet the list lacks those
+        // that register later.
+        let is_new = self.is_new(now);
+        if topology.is_hub(self.instance()) && (self.roster.borrow().is_settled() || !is_new) {
+            return FleetRole::Hub;
+        }
+        let peers = self.peers.borrow();
+        if is_new || topology.hubs().any(|hub| peers.is_live(hub, now)) {
+            FleetRole::Follower
+        } else {
+            FleetRole::Orphan
+        }
+    }
+
+    /// Whether the other instances were first listed just now, or not at all.
+    fn is_new(&self, now: Instant) -> bool {
+        let known_since = self.roster.borrow().known_since();
+        known_since.is_none_or(|since| now.since(since) < HUB_GRACE)
+    }
+
+    /// Whether the other instances are known well enough to decide for them or to share limits with them.
+    pub fn knows_fleet(&self) -> bool {
+        self.roster.borrow().is_complete(self.role())
+    }
+
+    /// Has messages sent at once, to the other hubs and from a hub to its followers: a fence or the configuration has
+    /// changed.
+    pub fn announce(&self) {
+        self.has_urgent_news.set(true);
+        self.send_now.notify(usize::MAX);
+    }
+
+    /// Whether [`announce`](Self::announce) was called since the last call of this method.
+    pub fn take_urgent_news(&self) -> bool {
+        self.has_urgent_news.take()
+    }
+
+    /// The instances that store tokens and state for this one: the hubs of its region, or all hubs while none of its
+    /// region is live. The instance itself is not among them.
+    pub fn own_hubs(&self) -> Vec<InstanceId> {
+        let topology = self.topology();
+        let others = |hub: &&InstanceId| *hub != self.instance();
+        let regional: Vec<InstanceId> =
+            topology.regional_hubs(self.instance()).filter(others).cloned().collect();
+        let now = self.now();
+        let peers = self.peers.borrow();
+        if self.is_new(now) || regional.iter().any(|hub| peers.is_live(hub, now)) {
+            return regional;
+        }
+        topology.hubs().filter(others).cloned().collect()
+    }
+
+    /// Registration of this instance.
+    pub fn registration(&self) -> Registration {
+        Registration {
+            address: self.settings.peers,
+            tunnels: self.settings.tunnels,
+            data_centre: self.settings.data_centre.clone(),
+            capacity: self.settings.capacity,
+        }
+    }
+
+    /// Roles of the registered instances: hubs and holders.
+    pub fn topology(&self) -> Rc<Topology> {
+        self.topology.borrow().clone()
+    }
+
+    pub(super) fn update_topology(&self) -> Rc<Topology> {
+        let region = |data_centre: &DataCentre| {
+            self.settings.regions.get(data_centre).cloned().unwrap_or_default()
+        };
+        let settings = &self.settings;
+        let own = Profile {
+            name: settings.instance.clone(),
+            data_centre: settings.data_centre.clone(),
+            region: region(&settings.data_centre),
+            capacity: settings.capacity,
+        };
+        let peers = self.peers.borrow();
+        let others = peers.registrations().map(|(name, peer)| Profile {
+            name: name.clone(),
+            data_centre: peer.data_centre.clone(),
+            region: region(&peer.data_centre),
+            capacity: peer.capacity,
+        });
+        let topology = Rc::new(Topology::new(others.chain([own])));
+        *self.topology.borrow_mut() = topology.clone();
+        topology
+    }
+}
