--- a/crates/gateway/src/group_state.rs
+++ b/crates/gateway/src/group_state.rs
@@ -134,7 +134,7 @@
     }
 
     /// Whether a member answered a request of this instance within `age`.
-    pub fn has_answers_since(&self, now: Instant, age: Duration) -> bool {
+    pub fn has_answers_within(&self, age: Duration, now: Instant) -> bool {
         self.answered_at.get().is_some_and(|answered| now.since(answered) < age)
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,9 +5,9 @@
 //! made in `hibiscusladder-core`.
 //!
 //! In a small fleet, called flat, all instances are hubs. In a larger one, a few instances of each region are hubs.
-//! Hubs watch the store, poll the members and send what they learn to the other instances. Where a member does not
-//! accept enough connections for all instances, a few of them, its holders, have the connections and run calls for the
-//! others.
+//! Hubs watch the store, poll the members and send what they learn to the other instances, their followers. Where a member
+//! does not accept enough connections for all instances to reuse theirs, a few of them, its holders, have the connections
+//! and run calls for the others.
 //!
 //! The path of a request is [`session`] → [`operation`] → [`reads`] or [`writes`] → [`pool`] → member.
 
--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -357,7 +357,7 @@
     let is_follower = node.role() == FleetRole::Follower;
     // Hubs know what a follower has only learned from them.
     let is_news =
-        |group: &&Rc<GroupState>| !is_follower || group.has_answers_since(now, SEND_INTERVAL * 2);
+        |group: &&Rc<GroupState>| !is_follower || group.has_answers_within(SEND_INTERVAL * 2, now);
     let info = groups.iter().filter(is_news).map(|group| {
         let view = group.view.borrow();
         let leader = view.leader_info(now).map(|info| LeaderEntry {
--- a/crates/gateway/src/node/fleet.rs
+++ b/crates/gateway/src/node/fleet.rs
@@ -17,7 +17,7 @@
 };
 
 /// Time from the first list of the instances in which hubs count as live although no message has come.
-const HUB_GRACE: Duration = Duration::from_millis(1000);
+const STARTING_TIME: Duration = Duration::from_millis(1000);
 
 impl<P> Node<P>
 where
@@ -76,12 +76,12 @@
         let now = self.now();
         // Hubs that have just been listed have not answered yet, and at the first start of a fleet the list lacks those
         // that register later.
-        let is_new = self.is_new(now);
-        if topology.is_hub(self.instance()) && (self.roster.borrow().is_settled() || !is_new) {
+        let is_starting = self.is_starting(now);
+        if topology.is_hub(self.instance()) && (self.roster.borrow().is_settled() || !is_starting) {
             return FleetRole::Hub;
         }
         let peers = self.peers.borrow();
-        if is_new || topology.hubs().any(|hub| peers.is_live(hub, now)) {
+        if is_starting || topology.hubs().any(|hub| peers.is_live(hub, now)) {
             FleetRole::Follower
         } else {
             FleetRole::Orphan
@@ -89,9 +89,9 @@
     }
 
     /// Whether the other instances were first listed just now, or not at all.
-    fn is_new(&self, now: Instant) -> bool {
+    fn is_starting(&self, now: Instant) -> bool {
         let known_since = self.roster.borrow().known_since();
-        known_since.is_none_or(|since| now.since(since) < HUB_GRACE)
+        known_since.is_none_or(|since| now.since(since) < STARTING_TIME)
     }
 
     /// Whether the other instances are known well enough to decide for them or to share limits with them.
@@ -120,7 +120,7 @@
             topology.regional_hubs(self.instance()).filter(others).cloned().collect();
         let now = self.now();
         let peers = self.peers.borrow();
-        if self.is_new(now) || regional.iter().any(|hub| peers.is_live(hub, now)) {
+        if self.is_starting(now) || regional.iter().any(|hub| peers.is_live(hub, now)) {
             return regional;
         }
         topology.hubs().filter(others).cloned().collect()
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -151,16 +151,17 @@
         Self { directory: CatchUp::new(own.clone()), members: CatchUp::new(own.clone()) }
     }
 
-    const fn of(&mut self, page: Page) -> &mut CatchUp {
+    const fn of(&mut self, page: PageKind) -> &mut CatchUp {
         match page {
-            Page::Directory => &mut self.directory,
-            Page::Members => &mut self.members,
+            PageKind::Directory => &mut self.directory,
+            PageKind::Members => &mut self.members,
         }
     }
 }
 
+/// Data that an instance may lag behind with.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Page {
+enum PageKind {
     Directory,
     Members,
 }
@@ -174,16 +175,16 @@
 {
     let is_hub = node.role() == FleetRole::Hub;
     let directory = node.peers.borrow().ahead(node.version(), now);
-    catch_up_page(node, Page::Directory, &directory, is_hub, now);
+    catch_up_page(node, PageKind::Directory, &directory, is_hub, now);
     let digest = (!is_hub).then(|| node.members_digest());
     let members = node.peers.borrow().members_ahead(node.members_revision(), digest, now);
-    catch_up_page(node, Page::Members, &members, is_hub, now);
+    catch_up_page(node, PageKind::Members, &members, is_hub, now);
 }
 
 /// Gets a page if any instance has a newer one, as those in `sources` do.
 fn catch_up_page<P>(
     node: &Rc<Node<P>>,
-    page: Page,
+    page: PageKind,
     sources: &[InstanceId],
     is_hub: bool,
     now: Instant,
@@ -207,9 +208,11 @@
     let fetcher = node.clone();
     node.spawn(async move {
         let is_fetched = match (&source, page) {
-            (Source::Store, _) => sync::list_now(&fetcher, page == Page::Directory).await.is_ok(),
-            (Source::Instance(name), Page::Directory) => fetch_directory(&fetcher, name).await,
-            (Source::Instance(name), Page::Members) => fetch_members(&fetcher, name).await,
+            (Source::Store, _) => {
+                sync::list_now(&fetcher, page == PageKind::Directory).await.is_ok()
+            }
+            (Source::Instance(name), PageKind::Directory) => fetch_directory(&fetcher, name).await,
+            (Source::Instance(name), PageKind::Members) => fetch_members(&fetcher, name).await,
         };
         let mut progress = fetcher.progress.borrow_mut();
         let catch_up = progress.of(page);
