fix(gateway): refuse transactions that a stop would end at once

BEGIN is refused with a time to return once the time for transactions is over. The first statement after the gateway has ended a transaction is answered ABORTED, a promise that nothing is kept.

Result. stop_refuses_late_transactions fails without the change and passes with it; the other tests of a stop pass.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -406,6 +406,13 @@
         self.stopping.get()
     }
 
+    /// Time that an open transaction has from now until the stop of the instance ends it; [`Duration::MAX`] while the
+    /// instance is not stopping.
+    pub fn transaction_time(&self) -> Duration {
+        let end = self.stopping.get().map(|since| since.plus(self.settings.grace / 2));
+        end.map_or(Duration::MAX, |end| end.since(self.now()))
+    }
+
     /// When the process ends at the latest; `None` while it is not stopping.
     pub fn stop_deadline(&self) -> Option<Instant> {
         let grace = self.settings.grace.saturating_sub(END_MARGIN);
--- a/crates/gateway/src/operation.rs
+++ b/crates/gateway/src/operation.rs
@@ -30,6 +30,9 @@
 /// then.
 const CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Time after which a caller may try again at another instance.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
+
 /// State of a session between two requests.
 pub struct Session<P>
 where
@@ -43,6 +46,8 @@
     last_commit: Option<LastCommit>,
     transaction: Option<Transaction<P>>,
     state: TransactionState,
+    /// Reason why the gateway ended the transaction, until the caller is told.
+    aborted: Option<&'static str>,
 }
 
 impl<P> Session<P>
@@ -60,6 +65,7 @@
             last_commit: None,
             transaction: None,
             state: TransactionState::Idle,
+            aborted: None,
         }
     }
 
@@ -101,6 +107,7 @@
         let Some(mut transaction) = self.transaction.take() else { return };
         transaction.start_rollback(&self.node, None);
         self.state = TransactionState::Failed;
+        self.aborted = Some(reason);
         events::log(
             Event::TransactionEnded,
             json!({
@@ -153,10 +160,17 @@
         transaction.run(&self.node, &self.values, &query.id, &payload, is_write).await
     }
 
-    fn handle_failed(&self, query: &Query) -> Answer {
+    fn handle_failed(&mut self, query: &Query) -> Answer {
+        let aborted = self.aborted.take();
         match &query.statement {
             Statement::Rollback => Answer::done(TransactionState::Idle),
             Statement::Commit => Answer::failed(rolled_back(), TransactionState::Idle),
+            // The caller does not know yet that the transaction has ended.
+            _ if aborted.is_some() => {
+                let reason = aborted.unwrap_or_default();
+                let failure = Failure::new(Code::Aborted, format!("rolled back: {reason}"));
+                Answer::failed(failure, TransactionState::Failed)
+            }
             _ => {
                 let detail = "the transaction has failed; send ROLLBACK";
                 let failure = Failure::new(Code::Malformed, detail);
@@ -166,6 +180,11 @@
     }
 
     async fn begin(&mut self, query: &Query, read_only: bool, arrived: Instant) -> Answer {
+        if self.node.transaction_time().is_zero() {
+            let reason = "the instance stops";
+            let failure = Failure::retry_after(Code::Busy, reason, STOPPING_RETRY_AFTER);
+            return Answer::failed(failure, TransactionState::Idle);
+        }
         let request = match self.admit(query, arrived).await {
             Ok(request) => request,
             Err(failure) => return Answer::failed(failure, TransactionState::Idle),
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -172,8 +172,7 @@
     let idle = node.directory().map_or(Duration::MAX, |directory| directory.transaction_idle);
     let half_grace = async {
         node.wait_for_stop().await;
-        let stopping_since = node.stopping_since().unwrap_or_default();
-        sleep(stopping_since.plus(node.settings.grace / 2).since(node.now())).await;
+        sleep(node.transaction_time()).await;
     };
     let reason = futures::select_biased! {
         message = port.next().fuse() => return message,
--- a/hibiscusladder/tests/gateway/path.rs
+++ b/hibiscusladder/tests/gateway/path.rs
@@ -98,6 +98,29 @@
     assert!(answers.contains(&code), "{code}");
 }
 
+/// Guards against a transaction that a stopping instance accepts and ends at once, so that the caller's next statement is
+/// refused as malformed.
+#[test]
+fn stop_refuses_late_transactions() {
+    /// More than half of the grace time, after which open transactions are ended.
+    const DELAY_AFTER_STOP: Duration = Duration::from_millis(3300);
+    let fleet = Fleet::start(2);
+    let address = fleet.gateways[0].callers;
+    let mut kept = open(address, PRIMARY_DATABASE, WORKSPACE).expect("the session opens");
+    assert_eq!(kept.query("b1", "BEGIN").expect("an answer").state, "T");
+    assert_eq!(kept.query("t1", "WRITE a 1").expect("an answer").code(), None);
+    fleet.gateways[0].process.terminate().expect("the process runs");
+    thread::sleep(DELAY_AFTER_STOP);
+    let mut late = open(address, PRIMARY_DATABASE, WORKSPACE).expect("the session opens");
+    let begin = late.query("b2", "BEGIN").expect("an answer");
+    assert_eq!((begin.code(), begin.state.as_str()), (Some("BUSY"), "I"));
+    // The open transaction was ended, and the caller learns of it as of a failure that it may repeat.
+    let next = kept.query("t2", "WRITE a 2").expect("an answer");
+    assert_eq!((next.code(), next.state.as_str()), (Some("ABORTED"), "E"));
+    assert_eq!(kept.query("t3", "WRITE a 3").expect("an answer").code(), Some("MALFORMED"));
+    assert_eq!(kept.query("r1", "ROLLBACK").expect("an answer").state, "I");
+}
+
 /// Guards against malformed input that is forwarded to a member, gets no error code, or affects other sessions.
 #[test_case("QUERY q1 PAUSE 9\r\n", "MALFORMED"; "command for a member")]
 #[test_case("QUERY - READ a\r\n", "MALFORMED"; "id of the gateway")]
