--- a/review/tools/src/failover.rs
+++ b/review/tools/src/failover.rs
@@ -127,12 +127,15 @@
         }
         record.write("m-0 is reachable for frontend-bern-nord-1 again");
         paths[0][0].set_cut(false);
-        while crashed_at.elapsed() < Duration::from_secs(6) {
+        while deaf_at.elapsed() < Duration::from_secs(6) {
             thread::sleep(Duration::from_millis(5));
         }
-        record.write(&format!("m-{other} receives again; m-{first} starts again with its log"));
-        let _ = deaf_at;
+        record.write(&format!("m-{other} receives again"));
         group.lock().members[other].deaf = false;
+        while crashed_at.elapsed() < Duration::from_secs(6) {
+            thread::sleep(Duration::from_millis(5));
+        }
+        record.write(&format!("m-{first} starts again with its log"));
         group.restart(first);
     }
     thread::sleep(Duration::from_secs(6));
