--- a/hibiscusladder/tests/gateway/fleet.rs
+++ b/hibiscusladder/tests/gateway/fleet.rs
@@ -9,7 +9,7 @@
 };
 
 use hibiscusladder_platform_standin::{
-    Caller, MEMBERS, NodeAddresses, Reply, Standin, WORKSPACES, node_file,
+    Caller, MEMBERS, NodeAddresses, Reply, Scale, Standin, WORKSPACES, node_file,
 };
 use hibiscusladder_testkit::{
     fault_proxy::{FaultProxy, Faults},
@@ -62,9 +62,14 @@
     /// Starts `count` instances in two data centres and waits until each serves. With `two_regions` the store and the
     /// members are far from every other instance.
     pub(crate) fn start_in(count: usize, two_regions: bool) -> Self {
-        let standin = Standin::start().expect("the stand-in starts");
+        Self::start_with(count, two_regions, Scale::default())
+    }
+
+    /// As [`start_in`](Self::start_in), with a stand-in of this size and timing.
+    pub(crate) fn start_with(count: usize, two_regions: bool, scale: Scale) -> Self {
+        let standin = Standin::start_with(scale).expect("the stand-in starts");
         let binary = Binary::new(env!("CARGO_BIN_EXE_hibiscusladder")).expect("a folder");
-        let member_proxies = (0..MEMBERS).map(|member| {
+        let member_proxies = (0..scale.groups * MEMBERS).map(|member| {
             let proxy = FaultProxy::start(standin.member_address(member)).expect("a fault proxy");
             standin.publish_address(member, proxy.address());
             proxy
--- a/hibiscusladder/tests/gateway/soak/history.rs
+++ b/hibiscusladder/tests/gateway/history.rs
@@ -12,21 +12,21 @@
 };
 
 use hibiscusladder_platform_standin::{
-    BOUNDED_DATABASE, Caller, ExecutedStatement, MAX_STALENESS, PRIMARY_DATABASE,
-    READ_YOUR_WRITES_DATABASE, Reply, WORKSPACES,
+    BOUNDED_DATABASE, Caller, ExecutedStatement, Group, MAX_STALENESS, PRIMARY_DATABASE,
+    READ_YOUR_WRITES_DATABASE, Reply, WORKSPACES, database_of,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::fleet::open;
 
-/// Number of callers in a run; each writes its own item.
+/// Number of callers of a group in a run; each writes its own item.
 const CALLERS: usize = 6;
 /// Longest pause of a caller between two operations, in milliseconds.
 const MAX_PAUSE_MS: u64 = 40;
 /// Consecutive failed operations after which a caller switches to another instance.
 const FAILURES_BEFORE_SWITCH: u32 = 3;
 /// Rate of the workspaces in operations per second unless a fault sets a lower one; the burst is as large.
-pub(super) const MAX_RATE: f64 = 200.0;
+pub(crate) const MAX_RATE: f64 = 200.0;
 /// Window over which operations are counted against a rate (`quota_window_s` of the deployments).
 const RATE_WINDOW: Duration = Duration::from_secs(5);
 /// Time within which a changed rate has to be in force (`config_apply_ms` of the deployments).
@@ -62,8 +62,10 @@
 
 /// Runs the callers and records what they observe.
 #[derive(Debug)]
-pub(super) struct History {
+pub(crate) struct History {
     seed: u64,
+    /// Number of groups; caller number `n` uses group `n` modulo this number.
+    groups: usize,
     observations: Mutex<Observations>,
     stopped: AtomicBool,
     /// Bit mask of the callers that succeeded since [`History::wait_until_served`] began.
@@ -71,30 +73,31 @@
 }
 
 impl History {
-    pub(super) fn new(seed: u64) -> Self {
+    pub(crate) fn new(seed: u64, groups: usize) -> Self {
         Self {
             seed,
+            groups,
             observations: Mutex::default(),
             stopped: AtomicBool::new(false),
             served: AtomicU64::new(0),
         }
     }
 
-    pub(super) fn start_callers<'scope, 'env>(
+    pub(crate) fn start_callers<'scope, 'env>(
         &'env self,
         scope: &'scope Scope<'scope, 'env>,
         addresses: &'env [SocketAddr],
         end: Instant,
     ) {
-        for caller in 0..CALLERS {
+        for caller in 0..CALLERS * self.groups {
             scope.spawn(move || self.run_caller(caller, addresses, end + Duration::from_secs(5)));
         }
     }
 
     /// Waits until every caller has succeeded; records a violation when one has not by `until`.
-    pub(super) fn wait_until_served(&self, until: Instant) {
+    pub(crate) fn wait_until_served(&self, until: Instant) {
         self.served.store(0, Ordering::SeqCst);
-        let all = (1_u64 << CALLERS) - 1;
+        let all = (1_u64 << (CALLERS * self.groups)) - 1;
         while self.served.load(Ordering::SeqCst) != all {
             if Instant::now() > until {
                 let served = self.served.load(Ordering::SeqCst);
@@ -108,11 +111,11 @@
     }
 
     /// Records a new rate of the first workspace; to be called before it is configured.
-    pub(super) fn record_rate(&self, rate: f64) {
+    pub(crate) fn record_rate(&self, rate: f64) {
         self.observations().rates.push((Instant::now(), rate));
     }
 
-    pub(super) fn stop(&self) {
+    pub(crate) fn stop(&self) {
         self.stopped.store(true, Ordering::SeqCst);
     }
 
@@ -137,13 +140,33 @@
         }
     }
 
-    /// Descriptions of all violated guarantees. `logged_writes` holds the number of writes in the primary's log by
-    /// request id, and `promotions` the generation numbers in the order of the promotions.
-    pub(super) fn violations(
+    /// Descriptions of all violated guarantees, from what the callers saw and what the groups have recorded.
+    pub(crate) fn violations_in<'a, I>(&self, groups: I) -> Vec<String>
+    where
+        I: IntoIterator<Item = MutexGuard<'a, Group>>,
+    {
+        let (mut logged_writes, mut executed) = (BTreeMap::new(), Vec::new());
+        let mut violations = Vec::new();
+        for group in groups {
+            logged_writes.extend(group.logged_writes());
+            executed.extend_from_slice(group.executed());
+            violations.extend(order_violation(group.promotions()));
+            let lost = group.lost_writes();
+            if !lost.is_empty() {
+                violations
+                    .push(format!("a member was promoted without acknowledged writes: {lost:?}"));
+            }
+        }
+        violations.extend(self.violations(&logged_writes, &executed));
+        violations
+    }
+
+    /// Descriptions of the violated guarantees of requests. `logged_writes` holds the number of writes in the primaries'
+    /// logs by request id.
+    fn violations(
         &self,
         logged_writes: &BTreeMap<String, usize>,
         executed: &[ExecutedStatement],
-        promotions: &[u64],
     ) -> Vec<String> {
         let observations = self.observations();
         let mut violations = observations.violations.clone();
@@ -167,13 +190,16 @@
             }
         }
         violations.extend(rate_violations(&observations.rates, executed));
-        if !promotions.is_sorted() {
-            violations.push(format!("generation numbers decreased: {promotions:?}"));
-        }
         violations
     }
 }
 
+/// Describes a decrease in the generation numbers of a group's promotions, in the order of their arrival.
+fn order_violation(promotions: &[u64]) -> Option<String> {
+    let text = || format!("generation numbers decreased: {promotions:?}");
+    (!promotions.is_sorted()).then(text)
+}
+
 /// Describes the first window in which the first workspace ran more operations than the highest rate permits that may
 /// have been in force; empty if there is none.
 fn rate_violations(rates: &[(Instant, f64)], executed: &[ExecutedStatement]) -> Vec<String> {
@@ -243,9 +269,10 @@
         rng: &mut StdRng,
     ) -> bool {
         let address = addresses[self.instance % addresses.len()];
+        let name = database_of(database, self.number % history.groups);
         let (mut session, last_written) = match self.sessions.remove(database) {
             Some(open) => open,
-            None => match open(address, database, self.workspace) {
+            None => match open(address, &name, self.workspace) {
                 Ok(session) => (session, 0),
                 Err(_) => return self.fail(),
             },
@@ -259,7 +286,9 @@
             self.write(history, &mut session, &id, in_transaction)
                 .map(|value| value.max(last_written))
         } else {
-            let other = format!("item{}", rng.random_range(0..CALLERS));
+            let other =
+                rng.random_range(0..CALLERS) * history.groups + self.number % history.groups;
+            let other = format!("item{other}");
             read(history, &mut session, database, &id, (&self.item, &other), last_written)
                 .map(|()| last_written)
         };
@@ -381,7 +410,7 @@
     promotions: &[u64],
     violations: usize,
 ) {
-    let history = History::new(0);
+    let history = History::new(0, 1);
     history.observations().write_outcomes.insert("w".to_owned(), outcome);
     history.observations().workspaces.insert("w".to_owned(), WORKSPACES[0]);
     let logged_writes = BTreeMap::from([("w".to_owned(), logged_writes)]);
@@ -392,7 +421,8 @@
         outside_transaction: true,
         at: Instant::now(),
     }];
-    assert_eq!(history.violations(&logged_writes, &executed, promotions).len(), violations);
+    let found = history.violations(&logged_writes, &executed);
+    assert_eq!(found.into_iter().chain(order_violation(promotions)).count(), violations);
 }
 
 /// Guards against a rate check that misses an excess, or that enforces a rate before it has to be in force.
--- a/hibiscusladder/tests/gateway/main.rs
+++ b/hibiscusladder/tests/gateway/main.rs
@@ -2,7 +2,9 @@
 
 mod fleet;
 mod foreign;
+mod history;
 mod path;
 mod promotion;
+mod returning;
 mod soak;
 mod stop;
--- a/hibiscusladder/tests/gateway/soak/mod.rs
+++ b/hibiscusladder/tests/gateway/soak/mod.rs
@@ -4,7 +4,6 @@
 //! The seed determines the plan of faults. `HIBISCUS_SOAK_SEEDS=FIRST..END` runs other seeds than the regression cases,
 //! and `HIBISCUS_SOAK_SECONDS` sets the length of a run.
 
-mod history;
 mod plan;
 
 use std::{
@@ -17,11 +16,11 @@
 use hibiscusladder_testkit::fault_proxy::{Answers, FaultProxy, Faults};
 use test_case::test_case;
 
-use self::{
+use self::plan::{Fault, Link, plan};
+use crate::{
+    fleet::{Fleet, process_log, save_logs},
     history::{History, MAX_RATE},
-    plan::{Fault, Link, plan},
 };
-use crate::fleet::{Fleet, process_log, save_logs};
 
 /// Number of instances in a small run, in which all instances connect to all members.
 const FEW_INSTANCES: usize = 3;
@@ -57,7 +56,8 @@
     }
 }
 
-fn parse_range(text: &str) -> Option<Range<u64>> {
+/// Range of seeds in the form `FIRST..END`.
+pub(crate) fn parse_range(text: &str) -> Option<Range<u64>> {
     let (first, end) = text.split_once("..")?;
     Some(first.parse().ok()?..end.parse().ok()?)
 }
@@ -71,7 +71,7 @@
     let instances = if seed.is_multiple_of(LARGE_EVERY) { MANY_INSTANCES } else { FEW_INSTANCES };
     let mut fleet = Fleet::start_in(instances, seed.is_multiple_of(TWO_REGIONS_EVERY));
     let proxies = FaultProxies::start(&fleet);
-    let history = History::new(seed);
+    let history = History::new(seed, 1);
     let stop = Instant::now() + run_time();
     let addresses: Vec<_> = proxies.callers.iter().map(FaultProxy::address).collect();
     thread::scope(|scope| {
@@ -89,15 +89,7 @@
         history.wait_until_served(Instant::now() + RECOVERY_TIMEOUT);
         history.stop();
     });
-    let logged_writes = fleet.standin.lock_group().logged_writes();
-    let executed = fleet.standin.lock_group().executed().to_vec();
-    let promotions = fleet.standin.lock_group().promotions().to_vec();
-    let mut violations = history.violations(&logged_writes, &executed, &promotions);
-    let lost_writes = fleet.standin.lock_group().lost_writes().clone();
-    if !lost_writes.is_empty() {
-        violations
-            .push(format!("a member was promoted without acknowledged writes: {lost_writes:?}"));
-    }
+    let violations = history.violations_in([fleet.standin.lock_group()]);
     if !violations.is_empty() {
         let logs = save_logs(&fleet, &format!("soak-{seed}"));
         panic!("seed {seed}, logs in {logs}:\n{}", violations.join("\n"));
