--- a/crates/core/src/sync_group.rs
+++ b/crates/core/src/sync_group.rs
@@ -44,6 +44,7 @@
 mod promotion_record;
 mod promotion_rule;
 mod status;
+mod trigger;
 mod view;
 
 use std::time::Duration;
@@ -53,11 +54,12 @@
         CLAIM_VALIDITY, ClaimGrant, MAX_PROMOTION_TIME, TAKEOVER_DELAY, may_take_over,
         next_generation,
     },
-    failover::{Failover, FailoverAction, GrantedClaim, Trigger},
+    failover::{Failover, FailoverAction, GrantedClaim},
     leader::{Leader, LeaderInfo, LeaderPosition},
     promotion_record::PromotionRecord,
     promotion_rule::{Demand, PromotionRule, Stop, Verdict},
     status::{MemberStatus, Role},
+    trigger::Trigger,
     view::GroupView,
 };
 
--- a/crates/core/src/sync_group/failover.rs
+++ b/crates/core/src/sync_group/failover.rs
@@ -4,7 +4,7 @@
 
 use super::{
     ClaimGrant, Demand, GroupView, MAX_PROMOTION_TIME, PROOF_WINDOW, PromotionRecord,
-    PromotionRule, SUSPICION_TIMEOUT, Stop, Verdict,
+    PromotionRule, SUSPICION_TIMEOUT, Stop, Trigger, Verdict,
 };
 use crate::{
     clock::{Instant, with_drift},
@@ -37,36 +37,6 @@
 /// Time after a failed attempt in which no new attempt starts.
 const RETRY_DELAY: Duration = Duration::from_millis(800);
 
-/// Reason for replacing a primary.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Trigger {
-    /// The primary answers no poll.
-    Silent,
-    /// The primary is going to stop.
-    Leaving,
-    /// The primary answers polls, but its commits do not complete.
-    Stalled,
-    /// Members hold a term for which no member was promoted.
-    Orphaned,
-}
-
-impl Trigger {
-    /// Whether the primary still answers, so that a failover need not begin before it can succeed.
-    pub const fn has_primary(self) -> bool {
-        matches!(self, Self::Leaving | Self::Stalled)
-    }
-
-    /// Name in log events.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Silent => "silent",
-            Self::Leaving => "leaving",
-            Self::Stalled => "stalled",
-            Self::Orphaned => "orphaned",
-        }
-    }
-}
-
 /// Claim that was granted for an attempt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GrantedClaim {
@@ -132,18 +102,38 @@
 enum Stage {
     Idle,
     Claiming,
-    Fencing {
-        rule: PromotionRule,
-        held_since: Option<Instant>,
-        /// Primary that is being demoted, and since when.
-        demoted: Option<(MemberId, Instant)>,
-    },
+    Fencing(Fencing),
     Recording(Promotion),
     Promoting(Promotion),
     /// The claim was not renewed; the next step ends the attempt.
     ClaimLost,
 }
 
+/// An attempt that waits until a member may be promoted.
+#[derive(Debug, Clone)]
+struct Fencing {
+    rule: PromotionRule,
+    /// Since when all members that have to hold the term are known to.
+    held_since: Option<Instant>,
+    /// Primary that is being demoted, and since when.
+    demoted: Option<(MemberId, Instant)>,
+}
+
+impl Fencing {
+    const fn new(rule: PromotionRule) -> Self {
+        Self { rule, held_since: None, demoted: None }
+    }
+
+    /// Records whether the primary has been demoted, or could not be for too long.
+    fn observe_stop(&mut self, view: &GroupView, now: Instant) {
+        let Some((member, since)) = &self.demoted else { return };
+        self.rule.observe_stop(view, member);
+        if self.rule.stop == Stop::Pending && now.since(*since) >= STOP_TIMEOUT {
+            self.rule.stop = Stop::Failed;
+        }
+    }
+}
+
 /// A promotion that is being recorded or requested.
 #[derive(Debug, Clone)]
 struct Promotion {
@@ -251,7 +241,7 @@
                 self.grant = Some(granted.grant);
                 self.repeats_term = granted.repeats_term;
                 self.is_renewing = false;
-                self.enter(Stage::Fencing { rule, held_since: None, demoted: None }, now);
+                self.enter(Stage::Fencing(Fencing::new(rule)), now);
             }
             None => {
                 self.backoff_until = now.plus(RETRY_DELAY);
@@ -286,8 +276,8 @@
     /// Term that the replicas have to hold, and whether all of them hold it; `None` unless an attempt runs whose claim
     /// was granted.
     pub const fn fence(&self) -> Option<(Term, bool)> {
-        match self.stage {
-            Stage::Fencing { held_since, .. } => Some((self.target_term, held_since.is_some())),
+        match &self.stage {
+            Stage::Fencing(fencing) => Some((self.target_term, fencing.held_since.is_some())),
             Stage::Recording(_) | Stage::Promoting(_) => Some((self.target_term, true)),
             Stage::Idle | Stage::Claiming | Stage::ClaimLost => None,
         }
@@ -295,8 +285,8 @@
 
     /// Since when all replicas are known to hold the term; `None` unless an attempt waits for proofs to expire.
     pub const fn held_since(&self) -> Option<Instant> {
-        match self.stage {
-            Stage::Fencing { held_since, .. } => held_since,
+        match &self.stage {
+            Stage::Fencing(fencing) => fencing.held_since,
             _ => None,
         }
     }
@@ -323,9 +313,7 @@
         match self.stage.clone() {
             Stage::Idle => Vec::new(),
             Stage::Claiming => self.step_claiming(view, now),
-            Stage::Fencing { rule, held_since, demoted } => {
-                self.step_fencing((rule, held_since, demoted), view, leaving, confirmed, now)
-            }
+            Stage::Fencing(fencing) => self.step_fencing(fencing, view, leaving, confirmed, now),
             Stage::Recording(promotion) => self.step_recording(promotion, view, now),
             Stage::ClaimLost => self.end(self.is_replaced(view, now), view, now),
             Stage::Promoting(promotion) => self.step_promoting(promotion, view, leaving, now),
@@ -345,11 +333,7 @@
 
     fn step_fencing(
         &mut self,
-        (mut rule, held_since, mut demoted): (
-            PromotionRule,
-            Option<Instant>,
-            Option<(MemberId, Instant)>,
-        ),
+        mut fencing: Fencing,
         view: &GroupView,
         leaving: &[MemberId],
         confirmed: bool,
@@ -373,17 +357,14 @@
         if self.trigger == Trigger::Leaving && now.since(self.stage_started) < QUIESCE_TIME {
             return Vec::new();
         }
-        if let Some((member, since)) = &demoted {
-            rule.observe_stop(view, member);
-            if rule.stop == Stop::Pending && now.since(*since) >= STOP_TIMEOUT {
-                rule.stop = Stop::Failed;
-            }
-        }
-        let (running, chosen) = match rule.verdict(view, leaving, now) {
+        fencing.observe_stop(view, now);
+        let (running, chosen) = match fencing.rule.verdict(view, leaving, now) {
             Verdict::Waiting(demands) => {
                 // A demoted primary proves nothing more, so the wait for its proofs goes on.
-                let held_since = held_since.filter(|_| matches!(rule.stop, Stop::Done(_)));
-                self.stage = Stage::Fencing { rule, held_since, demoted };
+                if !matches!(fencing.rule.stop, Stop::Done(_)) {
+                    fencing.held_since = None;
+                }
+                self.stage = Stage::Fencing(fencing);
                 if !self.is_command_due(COMMAND_RETRY_INTERVAL, now) {
                     return Vec::new();
                 }
@@ -394,15 +375,16 @@
             Verdict::Running(primary) => (Some(primary), None),
             Verdict::Candidate { member, position } => (None, Some((member, position))),
         };
-        let since = held_since.unwrap_or(now);
+        let since = *fencing.held_since.get_or_insert(now);
         let is_confirmed = confirmed && !self.repeats_term;
         let is_proven = is_confirmed || now.since(since) >= with_drift(PROOF_WINDOW);
         let mut actions = Vec::new();
         if let Some(member) = running.filter(|_| is_proven) {
-            demoted.get_or_insert((member.clone(), now));
+            fencing.demoted.get_or_insert((member.clone(), now));
             actions.extend(self.demote(member, now));
         }
-        self.stage = Stage::Fencing { rule: rule.clone(), held_since: Some(since), demoted };
+        let rule = fencing.rule.clone();
+        self.stage = Stage::Fencing(fencing);
         // Two writes of the claim at once would refuse each other.
         let Some((member, position)) = chosen.filter(|_| is_proven && !self.is_renewing) else {
             return actions;
@@ -478,10 +460,7 @@
         let is_permitted =
             matches!(verdict, Verdict::Candidate { member: best, .. } if best == member);
         if !is_permitted && promotion.requested.is_none() {
-            self.enter(
-                Stage::Fencing { rule: promotion.rule, held_since: None, demoted: None },
-                now,
-            );
+            self.enter(Stage::Fencing(Fencing::new(promotion.rule)), now);
             return self.step(view, leaving, false, now);
         }
         self.last_command = Some(now);
