test: versions of the soak's configurations grow with time; a commit behind a hold is no proof

Cause: the plan of a soak numbered its configurations in the order in which they were drawn. In a run of 60 s, a later one often had a lower version, which instances ignore as they must; the check took its rate for the one in force. The operator's versions grow with time.

Change: versions are given in order of time. Check, rates, times and bounds are as before.

--- a/crates/core/tests/sync_group.rs
+++ b/crates/core/tests/sync_group.rs
@@ -147,6 +147,18 @@
     assert!(view.refuses(Term(1), at(300).plus(BARRIER_TTL)), "replaced");
 }
 
+/// Guards against stale reads: a commit that a replaced primary acknowledges through a member that holds nothing is no proof
+/// that it still leads.
+#[test]
+fn commit_acknowledged_while_the_replicas_hold_proves_nothing() {
+    let mut view = polled(100);
+    view.fence(Term(2), at(300));
+    view.replicas_hold(Term(2), at(300));
+    view.commit_acknowledged(&id("a"), position(1, 10), at(400));
+    assert!(view.is_leader_uncertain());
+    assert_eq!(view.leader_proven_until(at(410)), None);
+}
+
 /// Guards against writes of an instance that has just started and may not know of a failover yet.
 #[test]
 fn leader_is_fenced_until_the_first_polls_are_answered() {
--- a/hibiscusladder/tests/gateway/soak/plan.rs
+++ b/hibiscusladder/tests/gateway/soak/plan.rs
@@ -77,6 +77,9 @@
 /// Rates of the first workspace in operations per second; the lowest is below the rate at which its callers send.
 const RATES: [f64; 3] = [15.0, 40.0, 200.0];
 
+/// Version of the first configuration that a run writes.
+const FIRST_VERSION: u64 = 10;
+
 /// Faults of a run with their times since its start, in order of time.
 pub(super) fn plan(seed: u64, instances: usize, run_time: Duration) -> Vec<(Duration, Fault)> {
     let mut rng = StdRng::seed_from_u64(seed);
@@ -91,6 +94,12 @@
     }
     plan.retain(|(at, _)| *at < run_time);
     plan.sort_by_key(|(at, _)| *at);
+    // As the operator's do, versions grow with time; instances ignore one that is older than theirs.
+    let configured = plan.iter_mut().filter_map(|(_, fault)| match fault {
+        Fault::Configure { version, .. } => Some(version),
+        _ => None,
+    });
+    configured.zip(FIRST_VERSION..).for_each(|(version, next)| *version = next);
     plan
 }
 
@@ -138,7 +147,7 @@
         ),
         _ if number.is_multiple_of(2) => {
             let rate = RATES[rng.random_range(0..RATES.len())];
-            (Fault::Configure { version: 10 + number, rate }, None)
+            (Fault::Configure { version: FIRST_VERSION, rate }, None)
         }
         _ => {
             let lag = Duration::from_millis(rng.random_range(100..2500));
