docs: what the simulation of failovers still assumes

That of send_command did not say what its time limits.

Change: comments only. RESTART_MS (members are down for 2 s at least) stays an assumption, and says so.

--- a/crates/core/tests/failover_simulation/world.rs
+++ b/crates/core/tests/failover_simulation/world.rs
@@ -20,9 +20,10 @@
 pub(crate) const STEP_MS: u64 = 10;
 /// Length of a run.
 pub(crate) const RUN_MS: u64 = 40_000;
-/// Shortest time for which a member is down, and time from its start until it receives the log of the primary. With shorter
-/// ones, a member could be back and receive commits while a promotion is taking effect, which no instance can prevent.
+/// Shortest time for which a member is down. After a shorter one it could be back without its hold before an instance notices
+/// that it was gone.
 pub(crate) const RESTART_MS: u64 = 2000;
+/// Time from the start of a member until it receives the log of the primary; shorter than a promotion takes.
 pub(crate) const START_MS: u64 = 100;
 /// Longest wait of a commit for a replica; its caller has given up then.
 pub(crate) const COMMIT_WAIT_MS: u64 = 3000;
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -395,8 +395,8 @@
     }
 }
 
-/// Sends a command unless an earlier one to the member is still unanswered. A command of a failover is sent only `until`
-/// its claim ends.
+/// Sends a command unless an earlier one to the member is still unanswered. It does not arrive after `until`, the end of
+/// the claim for a command of a failover.
 fn send_command<P>(
     node: &Rc<Node<P>>,
     group: &Rc<GroupState>,
