feat(gateway): versions with an era, message sections, and what routes and groups ask for

Cause: several parts that are built side by side need the same types: versions of a store that may be restored, parts of messages that earlier versions skip, and the priorities, home regions and limits of cold members of the configuration. Change: core::store_version; Sections at the end of a datagram, one for each feature; Route, Contract and GroupLimits have the new fields. Their encoding between instances changes, so the page of the configuration has a new path: an instance of another version gets 404 and reads the store. Result: no behaviour uses the new fields yet. Tests of core, gateway and platform pass.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod session;
 pub mod share;
 pub mod shutdown;
+pub mod store_version;
 pub mod sync_group;
 pub mod term_history;
 pub mod topology;
--- a/crates/core/src/name.rs
+++ b/crates/core/src/name.rs
@@ -80,6 +80,10 @@
     /// Names a data centre.
     DataCentre
 }
+name! {
+    /// Names a region, which has one or more data centres.
+    Region
+}
 name! {
     /// Names a workspace, the unit that contracts, keys, rates and fairness refer to.
     Workspace
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,13 +1,13 @@
 //! The configuration: routes, groups, workspaces and their keys.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     fmt,
     time::Duration,
 };
 
 use hibiscusladder_core::{
-    name::{Database, Group, Workspace},
+    name::{Database, Group, Region, Workspace},
     share::Limits,
 };
 use serde::{Deserialize, Serialize};
@@ -49,13 +49,28 @@
     pub target_latency: Duration,
     /// Whether callers without a valid key are served too.
     pub public: bool,
+    /// Urgency of its requests; 0 is the most urgent.
+    pub priority: u32,
+    /// Regions in which its requests may run; empty when all are allowed.
+    pub allowed_regions: BTreeSet<Region>,
 }
 
 /// Limits of a group's members.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct GroupLimits {
     /// Connections that a member accepts from all clients together.
     pub max_connections: usize,
+    /// Limit of a member that has just started; `None` when it takes requests as any other.
+    pub cold: Option<ColdLimit>,
+}
+
+/// Requests that a member may get while it is cold, because its start is not long ago.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ColdLimit {
+    /// Time from its start for which a member is cold.
+    pub duration: Duration,
+    /// Requests per second that a cold member may get from all instances together.
+    pub rate: f64,
 }
 
 /// One version of the whole configuration.
@@ -67,26 +82,31 @@
     pub routes: HashMap<Database, Route>,
     /// Groups by name.
     pub groups: BTreeMap<Group, GroupLimits>,
-    /// Rate and burst by workspace.
-    pub workspaces: BTreeMap<Workspace, RateLimits>,
+    /// Contracts by workspace.
+    pub workspaces: BTreeMap<Workspace, Contract>,
     /// Workspace of each key.
     pub keys: HashMap<Box<str>, Workspace>,
     /// Time after which an idle transaction may be ended.
     pub transaction_idle: Duration,
 }
 
-/// Rate and burst of a workspace over all instances, in operations.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct RateLimits {
+/// Contract of a workspace, which holds over all instances.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Contract {
     /// Operations per second.
     pub rate: f64,
     /// Operations that may be admitted at once.
     pub burst: f64,
+    /// Urgency of its requests; 0 is the most urgent.
+    pub priority: u32,
+    /// Regions in which its requests may run; empty when all are allowed.
+    pub allowed_regions: BTreeSet<Region>,
 }
 
-impl From<RateLimits> for Limits {
-    fn from(limits: RateLimits) -> Self {
-        Self { rate: limits.rate, capacity: limits.burst }
+impl Contract {
+    /// Rate and burst.
+    pub const fn limits(&self) -> Limits {
+        Limits { rate: self.rate, capacity: self.burst }
     }
 }
 
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -1,12 +1,12 @@
 //! Datagrams that instances exchange, encoded by `postcard`, and the registration of an instance.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use hibiscusladder_core::{
     name::{DataCentre, Workspace},
     share::TokenRequest,
 };
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 /// One message between two instances.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -153,6 +153,53 @@
     pub unresponsive: Vec<Box<str>>,
 }
 
+/// Kind of a [`Sections`] entry. Kinds keep their numbers from one version to the next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u32)]
+pub enum SectionKind {
+    /// Era of the store, and records of promotions.
+    Store = 1,
+    /// Evacuated data centres.
+    Evacuations = 2,
+    /// Pace of members.
+    Pace = 3,
+    /// Capacity of members that instances lend to each other.
+    Lending = 4,
+}
+
+/// Parts of a message that belong to one feature each, by [`SectionKind`]. They follow the [`Extension`]. A version that does
+/// not know a kind skips it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sections(BTreeMap<u32, Box<[u8]>>);
+
+impl Sections {
+    /// Whether there is no section.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Adds a section, in place of an earlier one of this kind.
+    ///
+    /// # Errors
+    ///
+    /// The section cannot be encoded.
+    pub fn insert<T>(&mut self, kind: SectionKind, section: &T) -> postcard::Result<()>
+    where
+        T: Serialize,
+    {
+        self.0.insert(kind as u32, postcard::to_stdvec(section)?.into());
+        Ok(())
+    }
+
+    /// The section of a kind; `None` when there is none, or when it cannot be decoded.
+    pub fn get<T>(&self, kind: SectionKind) -> Option<T>
+    where
+        T: DeserializeOwned,
+    {
+        postcard::from_bytes(self.0.get(&(kind as u32))?).ok()
+    }
+}
+
 /// Version of a list of instances.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RosterVersion {
@@ -167,22 +214,31 @@
 /// # Errors
 ///
 /// The message cannot be encoded.
-pub fn encode(datagram: &Datagram, extension: &Extension) -> postcard::Result<Vec<u8>> {
+pub fn encode(
+    datagram: &Datagram,
+    extension: &Extension,
+    sections: &Sections,
+) -> postcard::Result<Vec<u8>> {
     let bytes = postcard::to_stdvec(datagram)?;
-    if *extension == Extension::default() {
+    if *extension == Extension::default() && sections.is_empty() {
+        return Ok(bytes);
+    }
+    let bytes = postcard::to_extend(extension, bytes)?;
+    if sections.is_empty() {
         return Ok(bytes);
     }
-    postcard::to_extend(extension, bytes)
+    postcard::to_extend(sections, bytes)
 }
 
-/// Decodes the payload of a UDP packet. An extension that cannot be decoded is left out.
+/// Decodes the payload of a UDP packet. An extension or sections that cannot be decoded are left out.
 ///
 /// # Errors
 ///
 /// The payload does not begin with a [`Datagram`].
-pub fn decode(payload: &[u8]) -> postcard::Result<(Datagram, Extension)> {
+pub fn decode(payload: &[u8]) -> postcard::Result<(Datagram, Extension, Sections)> {
     let (datagram, rest) = postcard::take_from_bytes(payload)?;
-    Ok((datagram, postcard::from_bytes(rest).unwrap_or_default()))
+    let (extension, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
+    Ok((datagram, extension, postcard::from_bytes(rest).unwrap_or_default()))
 }
 
 /// Entry of an instance in the store, written as JSON.
--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -23,7 +23,7 @@
     events::{self, Event},
     group_state::GroupState,
     message::{
-        self, Datagram, Extension, GroupInfo, LeaderEntry, Status, TokenRequestMessage,
+        self, Datagram, Extension, GroupInfo, LeaderEntry, Sections, Status, TokenRequestMessage,
         TokenTransferMessage,
     },
     node::Node,
@@ -49,7 +49,7 @@
     loop {
         let Ok((length, address)) = node.datagrams.recv_from(&mut buf).await else { continue };
         // A datagram that cannot be decoded comes from another version or another program.
-        let Ok((datagram, extension)) = message::decode(&buf[..length]) else { continue };
+        let Ok((datagram, extension, _)) = message::decode(&buf[..length]) else { continue };
         let now = node.now();
         match datagram {
             Datagram::Status(status) => handle_status(&node, &status, &extension, address, now),
@@ -227,7 +227,7 @@
 where
     P: Platform,
 {
-    send_extended(node, address, datagram, &Extension::default());
+    send_extended(node, address, datagram, &Extension::default(), &Sections::default());
 }
 
 fn send_extended<P>(
@@ -235,10 +235,11 @@
     address: SocketAddr,
     datagram: &Datagram,
     extension: &Extension,
+    sections: &Sections,
 ) where
     P: Platform,
 {
-    let Ok(bytes) = message::encode(datagram, extension) else { return };
+    let Ok(bytes) = message::encode(datagram, extension, sections) else { return };
     let sender = node.clone();
     node.spawn(async move {
         // A lost datagram is not sent again. The next status message carries newer state, and tokens are requested
@@ -327,7 +328,8 @@
         groups: group_infos(node, relays_fences, now),
         demands: node.admission.borrow_mut().advertise(name, demanded, now),
     };
-    send_extended(node, address, &Datagram::Status(status), &extension(node, relays_fences, now));
+    let extension = extension(node, relays_fences, now);
+    send_extended(node, address, &Datagram::Status(status), &extension, &Sections::default());
 }
 
 /// The extension of a message to a hub, or to another instance (`is_for_follower`).
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -331,15 +331,15 @@
         } else {
             AllotmentPart::alone(0.0)
         };
-        let limits = directory.workspaces.iter().map(|(workspace, limits)| {
-            (workspace.clone(), self.settings.tolerance.enforced_limits((*limits).into()))
+        let limits = directory.workspaces.iter().map(|(workspace, contract)| {
+            (workspace.clone(), self.settings.tolerance.enforced_limits(contract.limits()))
         });
         let mut admission = self.admission.borrow_mut();
         admission.configure(&limits.collect(), part, self.now());
         if part.rate > 0.0 && !self.start_tokens_granted.replace(true) {
             let tolerance = self.settings.tolerance;
-            let tokens = directory.workspaces.iter().map(|(workspace, limits)| {
-                (workspace.clone(), tolerance.startup_tokens((*limits).into()))
+            let tokens = directory.workspaces.iter().map(|(workspace, contract)| {
+                (workspace.clone(), tolerance.startup_tokens(contract.limits()))
             });
             admission.grant(&tokens.collect(), self.now());
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -26,8 +26,9 @@
     sync,
 };
 
-/// Path of the configuration, compressed.
-pub const DIRECTORY_PATH: &str = "/configuration";
+/// Path of the configuration, compressed. The number rises when its encoding changes: an instance of another version gets
+/// status 404 and reads the store.
+pub const DIRECTORY_PATH: &str = "/configuration/2";
 /// Path of the [`MembersPage`].
 pub const MEMBERS_PATH: &str = "/members";
 /// Path of the [`RosterPage`].
--- a/crates/gateway/tests/message.rs
+++ b/crates/gateway/tests/message.rs
@@ -2,7 +2,7 @@
 
 use hibiscusladder_gateway::{
     directory::Directory,
-    message::{Datagram, Extension, RosterVersion, Status, decode, encode},
+    message::{Datagram, Extension, RosterVersion, SectionKind, Sections, Status, decode, encode},
     relay::{compress_directory, decompress_directory},
 };
 use test_case::test_case;
@@ -33,10 +33,11 @@
 /// Guards against a rolling upgrade in which instances do not understand each other's messages.
 #[test]
 fn decode_message_of_an_earlier_version() {
-    let (datagram, extension) = decode(&EARLIER_STATUS).expect("a message");
+    let (datagram, extension, sections) = decode(&EARLIER_STATUS).expect("a message");
     assert_eq!(datagram, Datagram::Status(status()));
-    assert_eq!(extension, Extension::default());
-    let payload = encode(&Datagram::Status(status()), &Extension::default()).expect("short");
+    assert_eq!((extension, sections), Default::default());
+    let payload = encode(&Datagram::Status(status()), &Extension::default(), &Sections::default());
+    let payload = payload.expect("short");
     assert_eq!(payload, EARLIER_STATUS, "an earlier version has to decode it");
 }
 
@@ -49,9 +50,16 @@
         slow: vec!["i-1".into()],
         unresponsive: vec!["i-2".into()],
     };
-    let payload = encode(&Datagram::Status(status()), &extension).expect("short");
-    assert!(payload.starts_with(&EARLIER_STATUS));
-    assert_eq!(decode(&payload).expect("a message"), (Datagram::Status(status()), extension));
+    let mut sections = Sections::default();
+    let plain = encode(&Datagram::Status(status()), &extension, &sections).expect("short");
+    assert!(plain.starts_with(&EARLIER_STATUS));
+    sections.insert(SectionKind::Pace, &[3_u8, 4]).expect("it can be encoded");
+    let payload = encode(&Datagram::Status(status()), &extension, &sections).expect("short");
+    assert!(payload.starts_with(&plain), "a version without sections decodes the rest");
+    let decoded = decode(&payload).expect("a message");
+    assert_eq!(decoded, (Datagram::Status(status()), extension, sections.clone()));
+    assert_eq!(sections.get(SectionKind::Pace), Some([3_u8, 4]));
+    assert_eq!(sections.get::<u64>(SectionKind::Lending), None);
 }
 
 /// Guards against a malformed packet that ends the process, or whose readable part is lost.
@@ -68,8 +76,9 @@
 fn decode_malformed_extension() {
     let mut payload = EARLIER_STATUS.to_vec();
     payload.extend([0xff; 12]);
-    let (datagram, extension) = decode(&payload).expect("a message");
+    let (datagram, extension, sections) = decode(&payload).expect("a message");
     assert_eq!((datagram, extension), (Datagram::Status(status()), Extension::default()));
+    assert!(sections.is_empty());
 }
 
 /// Guards against a configuration that is lost in transfer, and against bytes that are no configuration.
@@ -80,7 +89,7 @@
         routes: Default::default(),
         groups: [(
             "padron".into(),
-            hibiscusladder_gateway::directory::GroupLimits { max_connections: 24 },
+            hibiscusladder_gateway::directory::GroupLimits { max_connections: 24, cold: None },
         )]
         .into(),
         workspaces: Default::default(),
