--- a/crates/core/src/sync_group.rs
+++ b/crates/core/src/sync_group.rs
@@ -76,6 +76,9 @@
 /// of the messages that repeat the announcement.
 pub const FENCE_TTL: Duration = Duration::from_millis(1000);
 
+/// Time after which the owner of a failover gives up a command without an answer, and withdraws it if it has not been delivered.
+pub const COMMAND_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Longest time since an instance heard that the replicas hold a term for which it confirms this to others.
 const CONFIRMATION_AGE: Duration = Duration::from_millis(500);
 
--- a/crates/core/src/sync_group/failover.rs
+++ b/crates/core/src/sync_group/failover.rs
@@ -1,10 +1,16 @@
 //! State machine with which one instance replaces the primary of a group.
 
-use std::time::Duration;
+mod action;
+mod ending;
+mod stage;
 
+use std::{collections::BTreeSet, time::Duration};
+
+pub use self::action::{FailoverAction, GrantedClaim};
+use self::stage::{Demotion, Fencing, Promotion, Stage};
 use super::{
-    ClaimGrant, Demand, GroupView, MAX_PROMOTION_TIME, PROOF_WINDOW, PromotionRecord,
-    PromotionRule, SUSPICION_TIMEOUT, Stop, Trigger, Verdict,
+    COMMAND_TIMEOUT, ClaimGrant, Demand, GroupView, MAX_PROMOTION_TIME, PROOF_WINDOW,
+    PromotionRecord, PromotionRule, SUSPICION_TIMEOUT, Stop, Trigger, Verdict,
 };
 use crate::{
     clock::{Instant, with_drift},
@@ -28,6 +34,9 @@
 const FENCE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Like [`FENCE_TIMEOUT`], if the primary answers; the fence stops writes that it could have run.
 const ANSWERING_FENCE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after the last demote command after which an attempt that is given up no longer waits for an answer of the member: the
+/// command may take effect for a part of it, and polls show its effect in the rest.
+const SETTLE_TIMEOUT: Duration = COMMAND_TIMEOUT.saturating_add(SUSPICION_TIMEOUT);
 /// Longest time until a replaced primary that answers has been demoted.
 const STOP_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest time from the first promotion command until the new primary answers.
@@ -37,121 +46,6 @@
 /// Time after a failed attempt in which no new attempt starts.
 const RETRY_DELAY: Duration = Duration::from_millis(800);
 
-/// Claim that was granted for an attempt.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct GrantedClaim {
-    /// Generation number and end of the claim.
-    pub grant: ClaimGrant,
-    /// Whether an earlier claim was made for the same term or a later one. Other instances may have confirmed that term
-    /// for the earlier attempt, and have got new leadership proofs since.
-    pub repeats_term: bool,
-    /// Latest promotion that was recorded with a claim for the group; `None` when there was none.
-    pub latest: Option<PromotionRecord>,
-}
-
-/// Action that the owner of a [`Failover`] has to take.
-///
-/// Commands and promotions are sent only while [`Failover::grant`] is valid.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum FailoverAction {
-    /// Claim the failover of the group, and report the answer with [`Failover::claimed`].
-    Claim {
-        /// Term that the replicas are going to hold.
-        term: Term,
-    },
-    /// Command a replica to hold a term, so that it receives no log from primaries of lower terms.
-    Hold {
-        /// Replica that does not hold the term yet.
-        member: MemberId,
-        /// Term to hold; higher than all terms that were known when the attempt started.
-        term: Term,
-    },
-    /// Command a primary to become a replica.
-    Demote {
-        /// Member that reports itself as primary of the replaced term or an earlier one.
-        member: MemberId,
-        /// Higher term than that of the member.
-        term: Term,
-    },
-    /// Renew the claim, unless another instance has claimed meanwhile, and report the answer with
-    /// [`Failover::renewed`].
-    Renew {
-        /// Promotion to record with the claim; `None` to keep the latest one.
-        promotion: Option<PromotionRecord>,
-    },
-    /// Promote a replica to primary of the next term.
-    Promote {
-        /// The replica with the longest log.
-        member: MemberId,
-        /// The renewed claim.
-        grant: ClaimGrant,
-    },
-    /// Command a replica to receive the log of lower-term primaries again.
-    Resume {
-        /// Replica that still holds the term of the attempt.
-        member: MemberId,
-    },
-    /// The attempt ended.
-    Ended {
-        /// Whether a primary of a newer term answers.
-        replaced: bool,
-    },
-}
-
-#[derive(Debug, Clone)]
-enum Stage {
-    Idle,
-    Claiming,
-    Fencing(Fencing),
-    Recording(Promotion),
-    Promoting(Promotion),
-    /// The claim was not renewed; the next step ends the attempt.
-    ClaimLost,
-}
-
-/// An attempt that waits until a member may be promoted.
-#[derive(Debug, Clone)]
-struct Fencing {
-    rule: PromotionRule,
-    /// Since when all members that have to hold the term are known to.
-    held_since: Option<Instant>,
-    /// Primary that is being demoted, and since when.
-    demoted: Option<(MemberId, Instant)>,
-}
-
-impl Fencing {
-    const fn new(rule: PromotionRule) -> Self {
-        Self { rule, held_since: None, demoted: None }
-    }
-
-    /// Records whether the primary has been demoted, or could not be for too long.
-    fn observe_stop(&mut self, view: &GroupView, now: Instant) {
-        let Some((member, since)) = &self.demoted else { return };
-        self.rule.observe_stop(view, member);
-        if self.rule.stop == Stop::Pending && now.since(*since) >= STOP_TIMEOUT {
-            self.rule.stop = Stop::Failed;
-        }
-    }
-}
-
-/// A promotion that is being recorded or requested.
-#[derive(Debug, Clone)]
-struct Promotion {
-    rule: PromotionRule,
-    record: PromotionRecord,
-    /// When the promotion was first requested; `None` before.
-    requested: Option<Instant>,
-}
-
-impl From<(MemberId, Demand)> for FailoverAction {
-    fn from((member, demand): (MemberId, Demand)) -> Self {
-        match demand {
-            Demand::Hold(term) => Self::Hold { member, term },
-            Demand::Demote(term) => Self::Demote { member, term },
-        }
-    }
-}
-
 /// State machine of one instance's attempts to replace the primary of a group.
 ///
 /// The owner calls [`step`](Self::step) at least every 100 ms while an attempt runs.
@@ -173,8 +67,10 @@
     renewal_sent: Instant,
     stage_started: Instant,
     last_command: Option<Instant>,
-    /// When the replaced primary was last commanded to become a replica.
-    last_demoted: Option<Instant>,
+    /// Demotion of the replaced primary that this attempt has commanded.
+    demotion: Option<Demotion>,
+    /// Members that this attempt has commanded to hold the term.
+    commanded: BTreeSet<MemberId>,
     backoff_until: Instant,
 }
 
@@ -191,7 +87,8 @@
             renewal_sent: Instant::default(),
             stage_started: Instant::default(),
             last_command: None,
-            last_demoted: None,
+            demotion: None,
+            commanded: BTreeSet::new(),
             backoff_until: Instant::default(),
         }
     }
@@ -200,7 +97,12 @@
 impl Failover {
     /// Whether an attempt is running.
     pub const fn is_running(&self) -> bool {
-        !matches!(self.stage, Stage::Idle)
+        !matches!(self.stage, Stage::Idle | Stage::Releasing(_))
+    }
+
+    /// Whether no attempt is running, and no replica is being released after one.
+    pub const fn is_idle(&self) -> bool {
+        matches!(self.stage, Stage::Idle)
     }
 
     /// Starts an attempt unless one is running, the delay after a failed one has not passed, or a member that would have
@@ -220,6 +122,8 @@
         self.trigger = trigger;
         self.old_term = replaced;
         self.target_term = target;
+        self.demotion = None;
+        self.commanded.clear();
         self.enter(Stage::Claiming, now);
         true
     }
@@ -279,7 +183,9 @@
         match &self.stage {
             Stage::Fencing(fencing) => Some((self.target_term, fencing.held_since.is_some())),
             Stage::Recording(_) | Stage::Promoting(_) => Some((self.target_term, true)),
-            Stage::Idle | Stage::Claiming | Stage::ClaimLost => None,
+            // The primary may have been demoted, so that it must not get writes.
+            Stage::Settling(_) => Some((self.target_term, false)),
+            Stage::Idle | Stage::Claiming | Stage::ClaimLost | Stage::Releasing(_) => None,
         }
     }
 
@@ -315,6 +221,8 @@
             Stage::Claiming => self.step_claiming(view, now),
             Stage::Fencing(fencing) => self.step_fencing(fencing, view, leaving, confirmed, now),
             Stage::Recording(promotion) => self.step_recording(promotion, view, now),
+            Stage::Settling(rule) => self.step_settling(rule, view, leaving, confirmed, now),
+            Stage::Releasing(releasing) => self.step_releasing(releasing, view, now),
             Stage::ClaimLost => self.end(self.is_replaced(view, now), view, now),
             Stage::Promoting(promotion) => self.step_promoting(promotion, view, leaving, now),
         }
@@ -347,17 +255,19 @@
             FENCE_TIMEOUT
         };
         let is_late = now.since(self.stage_started) > longest;
-        if superseded || is_late || time_left < RELEASE_TIME {
+        if superseded || time_left < RELEASE_TIME {
             return self.end(superseded, view, now);
         }
-        let may_renew = now.since(self.renewal_sent) >= RENEW_RETRY_INTERVAL;
-        if time_left < RENEW_BEFORE && !self.is_renewing && may_renew {
-            return vec![self.renew(None, now)];
+        if is_late {
+            return self.give_up(fencing.rule, view, leaving, confirmed, now);
+        }
+        if let Some(renewal) = self.renew_if_due(now) {
+            return vec![renewal];
         }
         if self.trigger == Trigger::Leaving && now.since(self.stage_started) < QUIESCE_TIME {
             return Vec::new();
         }
-        fencing.observe_stop(view, now);
+        self.observe_demotion(&mut fencing.rule, view, now);
         let (running, chosen) = match fencing.rule.verdict(view, leaving, now) {
             Verdict::Waiting(demands) => {
                 // A demoted primary proves nothing more, so the wait for its proofs goes on.
@@ -368,10 +278,19 @@
                 if !self.is_command_due(COMMAND_RETRY_INTERVAL, now) {
                     return Vec::new();
                 }
+                let holds = demands.iter().filter(|(_, demand)| matches!(demand, Demand::Hold(_)));
+                self.commanded.extend(holds.map(|(member, _)| member.clone()));
                 return demands.into_iter().map(FailoverAction::from).collect();
             }
+            // Without this attempt, the group would have no primary: the demoted one may answer again.
+            Verdict::NoCandidate if matches!(fencing.rule.stop, Stop::Done(_)) => {
+                self.stage = Stage::Fencing(fencing);
+                return Vec::new();
+            }
             // The logs no longer change, so a later look would find no candidate either.
-            Verdict::NoCandidate => return self.end(false, view, now),
+            Verdict::NoCandidate => {
+                return self.give_up(fencing.rule, view, leaving, confirmed, now);
+            }
             Verdict::Running(primary) => (Some(primary), None),
             Verdict::Candidate { member, position } => (None, Some((member, position))),
         };
@@ -380,7 +299,6 @@
         let is_proven = is_confirmed || now.since(since) >= with_drift(PROOF_WINDOW);
         let mut actions = Vec::new();
         if let Some(member) = running.filter(|_| is_proven) {
-            fencing.demoted.get_or_insert((member.clone(), now));
             actions.extend(self.demote(member, now));
         }
         let rule = fencing.rule.clone();
@@ -411,6 +329,23 @@
         vec![self.renew(Some(promotion.record), now)]
     }
 
+    /// Renews the claim when it is about to end, unless that was tried a short time ago.
+    fn renew_if_due(&mut self, now: Instant) -> Option<FailoverAction> {
+        let time_left = self.grant.map_or(Duration::ZERO, |grant| grant.time_left(now));
+        let may_renew = now.since(self.renewal_sent) >= RENEW_RETRY_INTERVAL;
+        let is_due = time_left < RENEW_BEFORE && !self.is_renewing && may_renew;
+        is_due.then(|| self.renew(None, now))
+    }
+
+    /// Records in the rule whether the primary has been demoted, or could not be for too long.
+    fn observe_demotion(&self, rule: &mut PromotionRule, view: &GroupView, now: Instant) {
+        let Some(demotion) = &self.demotion else { return };
+        rule.observe_stop(view, &demotion.member);
+        if rule.stop == Stop::Pending && now.since(demotion.first) >= STOP_TIMEOUT {
+            rule.stop = Stop::Failed;
+        }
+    }
+
     const fn renew(&mut self, promotion: Option<PromotionRecord>, now: Instant) -> FailoverAction {
         self.is_renewing = true;
         self.renewal_sent = now;
@@ -471,21 +406,6 @@
         grant.map(|grant| FailoverAction::Promote { member, grant }).into_iter().collect()
     }
 
-    fn end(&mut self, replaced: bool, view: &GroupView, now: Instant) -> Vec<FailoverAction> {
-        if !replaced {
-            self.backoff_until = now.plus(RETRY_DELAY);
-        }
-        self.enter(Stage::Idle, now);
-        // After the end of the claim another instance may need the holds.
-        let is_valid = self.grant.is_some_and(|grant| grant.is_valid(now));
-        let holds = |member: &&MemberId| {
-            is_valid && view.status(member).is_some_and(|status| status.held >= self.target_term)
-        };
-        let held = view.members().filter(holds);
-        let resumed = held.map(|member| FailoverAction::Resume { member: member.clone() });
-        resumed.chain([FailoverAction::Ended { replaced }]).collect()
-    }
-
     fn has_answering_primary(&self, view: &GroupView, now: Instant) -> bool {
         let leader = view.leader(now);
         leader.is_some_and(|leader| view.unanswered_for(&leader.member, now) < SUSPICION_TIMEOUT)
@@ -504,13 +424,16 @@
     }
 
     /// Demotes the replaced primary, unless that was commanded a short time ago.
+    ///
+    /// The command names the term that follows the replaced one, so that it has no effect on a primary of a later term,
+    /// whenever it arrives.
     fn demote(&mut self, member: MemberId, now: Instant) -> Option<FailoverAction> {
-        let due = self.last_demoted.is_none_or(|last| now.since(last) >= COMMAND_RETRY_INTERVAL);
-        if !due {
-            return None;
+        match &mut self.demotion {
+            Some(demotion) if now.since(demotion.last) < COMMAND_RETRY_INTERVAL => return None,
+            Some(demotion) => demotion.last = now,
+            None => self.demotion = Some(Demotion::new(member.clone(), now)),
         }
-        self.last_demoted = Some(now);
-        Some(FailoverAction::Demote { member, term: self.target_term })
+        Some(FailoverAction::Demote { member, term: self.old_term.next() })
     }
 
     fn enter(&mut self, stage: Stage, now: Instant) {
--- /dev/null
+++ b/crates/core/src/sync_group/failover/ending.rs
@@ -0,0 +1,112 @@
+//! The end of an attempt: what it has commanded is undone, or followed up.
+
+use std::time::Duration;
+
+use super::{
+    COMMAND_RETRY_INTERVAL, Failover, FailoverAction, RELEASE_TIME, RETRY_DELAY, SETTLE_TIMEOUT,
+    stage::{DemotionOutcome, Fencing, Releasing, Stage},
+};
+use crate::{
+    clock::Instant,
+    name::MemberId,
+    sync_group::{GroupView, PromotionRule, Stop},
+};
+
+impl Failover {
+    /// Ends the attempt, unless a demotion that it has commanded may have taken effect or may still do so. A group whose only
+    /// primary was demoted would have none after the end of the attempt.
+    pub(super) fn give_up(
+        &mut self,
+        rule: PromotionRule,
+        view: &GroupView,
+        leaving: &[MemberId],
+        confirmed: bool,
+        now: Instant,
+    ) -> Vec<FailoverAction> {
+        if self.demotion.is_none() || matches!(rule.stop, Stop::Done(_)) {
+            return self.end(false, view, now);
+        }
+        self.enter(Stage::Settling(rule.clone()), now);
+        self.step_settling(rule, view, leaving, confirmed, now)
+    }
+
+    pub(super) fn step_settling(
+        &mut self,
+        mut rule: PromotionRule,
+        view: &GroupView,
+        leaving: &[MemberId],
+        confirmed: bool,
+        now: Instant,
+    ) -> Vec<FailoverAction> {
+        let superseded = self.is_replaced(view, now);
+        let time_left = self.grant.map_or(Duration::ZERO, |grant| grant.time_left(now));
+        let Some(demotion) = self.demotion.clone() else { return self.end(false, view, now) };
+        if superseded || time_left < RELEASE_TIME {
+            return self.end(superseded, view, now);
+        }
+        if let Some(renewal) = self.renew_if_due(now) {
+            return vec![renewal];
+        }
+        match demotion.outcome(view) {
+            DemotionOutcome::Done => {
+                rule.stop = Stop::Pending;
+                rule.observe_stop(view, &demotion.member);
+                self.enter(Stage::Fencing(Fencing::new(rule)), now);
+                self.step(view, leaving, confirmed, now)
+            }
+            DemotionOutcome::Unknown if now.since(demotion.last) < SETTLE_TIMEOUT => Vec::new(),
+            DemotionOutcome::Failed | DemotionOutcome::Unknown => self.end(false, view, now),
+        }
+    }
+
+    /// Releases the replicas until all of them have answered so. A lost answer may have hidden a hold, or a lost command a
+    /// release, and a replica that goes on holding the term receives nothing.
+    pub(super) fn step_releasing(
+        &mut self,
+        mut releasing: Releasing,
+        view: &GroupView,
+        now: Instant,
+    ) -> Vec<FailoverAction> {
+        releasing.observe(view, self.target_term);
+        // After the end of the claim another instance may need the holds.
+        let is_valid = self.grant.is_some_and(|grant| grant.is_valid(now));
+        if releasing.members.is_empty() || !is_valid || self.is_replaced(view, now) {
+            self.enter(Stage::Idle, now);
+            return Vec::new();
+        }
+        let mut actions = Vec::new();
+        for (member, released) in &mut releasing.members {
+            if released.is_none_or(|last| now.since(last) >= COMMAND_RETRY_INTERVAL) {
+                *released = Some(now);
+                actions.push(FailoverAction::Resume { member: member.clone() });
+            }
+        }
+        self.stage = Stage::Releasing(releasing);
+        actions
+    }
+
+    pub(super) fn end(
+        &mut self,
+        replaced: bool,
+        view: &GroupView,
+        now: Instant,
+    ) -> Vec<FailoverAction> {
+        let mut actions = Vec::new();
+        if replaced {
+            self.enter(Stage::Idle, now);
+        } else {
+            self.backoff_until = now.plus(RETRY_DELAY);
+            let may_hold = |member: &&MemberId| {
+                let held =
+                    view.status(member).is_some_and(|status| status.held >= self.target_term);
+                held || self.commanded.contains(*member)
+            };
+            let members = view.members().filter(may_hold).map(|member| (member.clone(), None));
+            let releasing = Releasing { members: members.collect() };
+            self.enter(Stage::Releasing(releasing.clone()), now);
+            actions = self.step_releasing(releasing, view, now);
+        }
+        actions.push(FailoverAction::Ended { replaced });
+        actions
+    }
+}
--- a/crates/core/src/sync_group/failover/stage.rs
+++ b/crates/core/src/sync_group/failover/stage.rs
@@ -1,54 +1,104 @@
 //! Stages of an attempt to replace a primary.
 
-use std::time::Duration;
-
 use crate::{
     clock::Instant,
     name::MemberId,
-    sync_group::{GroupView, PromotionRecord, PromotionRule, Stop},
+    position::Term,
+    sync_group::{COMMAND_TIMEOUT, GroupView, PromotionRecord, PromotionRule, Role},
 };
 
 #[derive(Debug, Clone)]
-enum Stage {
+pub(super) enum Stage {
     Idle,
     Claiming,
     Fencing(Fencing),
     Recording(Promotion),
     Promoting(Promotion),
+    /// The attempt is given up, and waits until it is known whether the primary was demoted.
+    Settling(PromotionRule),
+    /// The attempt has ended without a new primary, and the replicas are being released.
+    Releasing(Releasing),
     /// The claim was not renewed; the next step ends the attempt.
     ClaimLost,
 }
 
 /// An attempt that waits until a member may be promoted.
 #[derive(Debug, Clone)]
-struct Fencing {
-    rule: PromotionRule,
+pub(super) struct Fencing {
+    pub(super) rule: PromotionRule,
     /// Since when all members that have to hold the term are known to.
-    held_since: Option<Instant>,
-    /// Primary that is being demoted, and since when.
-    demoted: Option<(MemberId, Instant)>,
+    pub(super) held_since: Option<Instant>,
 }
 
 impl Fencing {
-    const fn new(rule: PromotionRule) -> Self {
-        Self { rule, held_since: None, demoted: None }
+    pub(super) const fn new(rule: PromotionRule) -> Self {
+        Self { rule, held_since: None }
     }
+}
+
+/// A promotion that is being recorded or requested.
+#[derive(Debug, Clone)]
+pub(super) struct Promotion {
+    pub(super) rule: PromotionRule,
+    pub(super) record: PromotionRecord,
+    /// When the promotion was first requested; `None` before.
+    pub(super) requested: Option<Instant>,
+}
+
+/// Demotion of the replaced primary that an attempt has commanded.
+#[derive(Debug, Clone)]
+pub(super) struct Demotion {
+    pub(super) member: MemberId,
+    /// When it was first commanded.
+    pub(super) first: Instant,
+    /// When it was last commanded.
+    pub(super) last: Instant,
+}
 
-    /// Records whether the primary has been demoted, or could not be for too long.
-    fn observe_stop(&mut self, view: &GroupView, now: Instant) {
-        let Some((member, since)) = &self.demoted else { return };
-        self.rule.observe_stop(view, member);
-        if self.rule.stop == Stop::Pending && now.since(*since) >= STOP_TIMEOUT {
-            self.rule.stop = Stop::Failed;
+/// Outcome of a demotion.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum DemotionOutcome {
+    /// The member answers as a replica.
+    Done,
+    /// The member answers as primary, and no command can take effect any more.
+    Failed,
+    /// A command may still take effect, or may have.
+    Unknown,
+}
+
+impl Demotion {
+    pub(super) const fn new(member: MemberId, now: Instant) -> Self {
+        Self { member, first: now, last: now }
+    }
+
+    /// What the latest answer of the member shows.
+    pub(super) fn outcome(&self, view: &GroupView) -> DemotionOutcome {
+        match view.answer(&self.member) {
+            Some((status, sent)) if status.role == Role::Replica && sent >= self.first => {
+                DemotionOutcome::Done
+            }
+            Some((_, sent)) if sent >= self.last.plus(COMMAND_TIMEOUT) => DemotionOutcome::Failed,
+            _ => DemotionOutcome::Unknown,
         }
     }
 }
 
-/// A promotion that is being recorded or requested.
+/// Replicas that an attempt has commanded to hold a term, and that it releases.
 #[derive(Debug, Clone)]
-struct Promotion {
-    rule: PromotionRule,
-    record: PromotionRecord,
-    /// When the promotion was first requested; `None` before.
-    requested: Option<Instant>,
+pub(super) struct Releasing {
+    /// Replicas that may still hold the term, and when they were last released; `None` before.
+    pub(super) members: Vec<(MemberId, Option<Instant>)>,
+}
+
+impl Releasing {
+    /// Leaves out the members that have answered after their release that they hold no term from `target` on.
+    pub(super) fn observe(&mut self, view: &GroupView, target: Term) {
+        self.members.retain(|(member, released)| {
+            let answer = view.answer(member);
+            let is_released = |released: Instant| {
+                answer.is_some_and(|(status, sent)| status.held < target && sent >= released)
+            };
+            view.contains(member) && !released.is_some_and(is_released)
+        });
+    }
 }
--- a/crates/core/src/sync_group/promotion_rule.rs
+++ b/crates/core/src/sync_group/promotion_rule.rs
@@ -159,6 +159,12 @@
     /// Whether a log up to `position` has every acknowledged commit that only members which are not listed had besides the
     /// replaced primary.
     fn covers_unlisted(&self, view: &GroupView, position: Position) -> bool {
+        // The log of a former primary of the term has all of them. It no longer changes: the member has become a replica.
+        let former = view.members().filter(|member| view.has_led(member, self.replaced));
+        let mut ended = former.filter_map(|member| view.status(member));
+        if let Some(status) = ended.find(|status| status.role == Role::Replica) {
+            return position >= status.received;
+        }
         let primary = match &self.stop {
             Stop::Done(stopped) => Some(stopped),
             Stop::Pending | Stop::Failed => self.replaced_primary(view),
--- a/crates/core/src/sync_group/view.rs
+++ b/crates/core/src/sync_group/view.rs
@@ -1,10 +1,13 @@
 //! View of a group at one instance, from polls, requests and other instances: members, leader and leadership proofs.
 
+mod proofs;
+
 use std::{
     collections::{BTreeMap, VecDeque},
     time::Duration,
 };
 
+use self::proofs::Uncertainty;
 use super::{
     BARRIER_TTL, CONFIRMATION_AGE, FENCE_TTL, Leader, LeaderInfo, LeaderPosition, MemberStatus,
     PROOF_WINDOW, Role, SUSPICION_TIMEOUT,
@@ -22,19 +25,6 @@
 /// Minimum time between two kept positions; 64 cover 3 s, which is longer than the largest age that a read allows.
 const POSITION_SPACING: Duration = Duration::from_millis(50);
 
-/// Possible replacement of the primary that this instance has not observed.
-///
-/// A promotion ends the hold of the replicas. Until they know the new primary, they and the old one answer polls as
-/// before the promotion, so the answer of a single replica proves nothing.
-#[derive(Debug, Clone, Copy)]
-struct Uncertainty {
-    /// Highest term that the replicas were commanded to hold; `None` after the start of the process, when it is
-    /// unknown.
-    term: Option<Term>,
-    /// Time at which a hold was last observed; `None` when the uncertainty dates from the start of the process.
-    hold_observed: Option<Instant>,
-}
-
 /// View of one group at one instance: status of the members, leader, its positions and leadership proofs.
 #[derive(Debug, Clone)]
 pub struct GroupView {
@@ -98,8 +88,11 @@
             self.earlier_departures.record(gone_since, &self.positions);
         }
         let leader_term = self.leader_term();
-        if previous.values().any(|state| !state.is_primary_of(leader_term)) {
-            self.departures.record(gone_since, &self.positions);
+        for (member, state) in previous {
+            if !state.is_primary_of(leader_term) {
+                let received = state.latest.map(|(status, _)| status.received);
+                self.departures.record_absent(member, received, gone_since, &self.positions);
+            }
         }
     }
 
@@ -118,15 +111,20 @@
     pub fn observe(&mut self, member: &MemberId, status: MemberStatus, sent: Instant) {
         let Some(state) = self.members.get_mut(member) else { return };
         state.record_answer(sent);
-        if state.latest.is_some_and(|(_, latest)| latest > sent) {
+        if state.latest.is_some_and(|(_, latest)| latest > sent) || state.is_outdated(&status, sent)
+        {
             return;
         }
         state.latest = Some((status, sent));
+        if status.role == Role::Primary {
+            state.led = state.led.max(Some((status.term, sent)));
+        }
         let lost_log =
             state.before_restart.take().filter(|(received, _)| status.received < *received);
         if let Some((_, until)) = lost_log {
-            self.departures.record(until, &self.positions);
+            self.departures.record_lost_log(until, &self.positions);
         }
+        self.departures.returned(member, status.received);
         if status.role == Role::Primary {
             self.record_leader_position(
                 status.term,
@@ -141,7 +139,7 @@
     ///
     /// A replica received the commit, so not all replicas held a higher term when it was sent.
     pub fn commit_acknowledged(&mut self, member: &MemberId, position: Position, sent: Instant) {
-        self.record_leader(member, position.term, LeaderPosition { sent, position });
+        self.record_leader(member, position.term, Some(sent), LeaderPosition { sent, position });
         self.record_proof(position.term, sent);
         self.end_uncertainty(position.term, sent);
     }
@@ -159,6 +157,14 @@
         }
     }
 
+    /// Records that `member` refused a request that was sent at `sent`, because it is not the primary.
+    pub fn refused_as_replica(&mut self, member: &MemberId, sent: Instant) {
+        if let Some(state) = self.members.get_mut(member) {
+            state.record_answer(sent);
+            state.refused = state.refused.max(Some(sent));
+        }
+    }
+
     /// Records the leader that another instance sent. The times in `info` have to be on the clock of this instance, and
     /// not later than the true ones.
     pub fn merge_leader_info(&mut self, info: &LeaderInfo) {
@@ -166,7 +172,7 @@
             return;
         }
         if let Some(position) = info.position {
-            self.record_leader(&info.member, info.term, position);
+            self.record_leader(&info.member, info.term, info.proof_sent, position);
         }
         if let Some(proof_sent) = info.proof_sent {
             self.record_proof(info.term, proof_sent);
@@ -235,12 +241,6 @@
         self.barrier.is_some_and(|(barrier, until)| term < barrier && at < until)
     }
 
-    /// Whether the primary may have been replaced without this instance having observed it, so that the answer of a
-    /// single replica does not prove its leadership.
-    pub const fn is_leader_uncertain(&self) -> bool {
-        self.uncertainty.is_some()
-    }
-
     /// Records that `member` was polled at `sent`.
     pub fn poll_sent(&mut self, member: &MemberId, sent: Instant) {
         if let Some(state) = self.members.get_mut(member) {
@@ -255,6 +255,17 @@
         }
     }
 
+    /// Whether the member is known to have led `term`.
+    pub(super) fn has_led(&self, member: &MemberId, term: Term) -> bool {
+        let led = self.members.get(member).and_then(|state| state.led);
+        led.is_some_and(|(led, _)| led == term)
+    }
+
+    /// Whether the member belongs to the group.
+    pub(super) fn contains(&self, member: &MemberId) -> bool {
+        self.members.contains_key(member)
+    }
+
     /// Members of the group, in the order of their identifiers.
     pub fn members(&self) -> impl Iterator<Item = &MemberId> {
         self.members.keys()
@@ -331,9 +342,13 @@
 
     /// The primary of the highest known term that had a primary; `None` until it is known.
     pub fn leader(&self, now: Instant) -> Option<Leader> {
+        let leads = |member: &MemberId, status: &MemberStatus| {
+            status.role == Role::Primary
+                && self.members.get(member).is_some_and(|state| !state.has_refused())
+        };
         let (member, status, _) = self
             .answers()
-            .filter(|(_, status, _)| status.role == Role::Primary)
+            .filter(|(member, status, _)| leads(member, status))
             .max_by_key(|(_, status, _)| status.term)?;
         let fenced = self.fence.is_some_and(|(term, until)| term > status.term && now < until)
             || self.is_behind_barrier(status.term, now)
@@ -355,50 +370,21 @@
         is_starting && self.members.values().any(is_awaited)
     }
 
-    /// Time up to which no other primary can have acknowledged a commit, exclusive; `None` without a leadership proof.
-    ///
-    /// A read may run at the leader if it arrived before this time.
-    pub fn leader_proven_until(&self, now: Instant) -> Option<Instant> {
-        let leader = self.leader(now)?;
-        self.latest_proof(&leader).map(|sent| sent.plus(PROOF_WINDOW))
-    }
-
-    /// A position that includes every commit acknowledged before `oldest`; `None` when no position or leadership proof
-    /// is recent enough.
-    ///
-    /// Of the known positions, the lowest is returned, because replicas have most likely reached it.
-    pub fn position_at(&self, oldest: Instant, now: Instant) -> Option<LeaderPosition> {
-        if self.leader_proven_until(now).is_none_or(|until| oldest >= until) {
-            return None;
-        }
-        self.positions.iter().find(|position| position.sent >= oldest).copied()
-    }
-
-    /// Sending time of the newest leadership proof.
-    fn latest_proof(&self, leader: &Leader) -> Option<Instant> {
-        let polled = self.poll_proof(leader).filter(|sent| Some(*sent) > self.proofs_discarded_at);
-        let recorded = self.proof_sent.filter(|_| leader.term == self.leader_term);
-        polled.max(recorded)
-    }
-
-    /// Sending time of the proof by polls: the earlier of the leader's latest answered poll and the latest answered
-    /// poll of a replica that holds no higher term. The leader of a group of one needs no replica.
-    fn poll_proof(&self, leader: &Leader) -> Option<Instant> {
-        if self.uncertainty.is_some() {
-            return None;
-        }
-        let (status, leader_sent) = self.members.get(&leader.member)?.latest.as_ref()?;
-        let others = self.answers().filter(|(member, _, _)| **member != leader.member);
-        let without_hold = others.filter(|(_, status, _)| status.highest_term() <= leader.term);
-        let replica_sent = without_hold.map(|(_, _, sent)| sent).max();
-        let is_only_member = self.members.len() == 1 && status.held <= leader.term;
-        let replica_sent = if is_only_member { Some(*leader_sent) } else { replica_sent };
-        replica_sent.map(|sent| sent.min(*leader_sent))
-    }
-
-    fn record_leader(&mut self, member: &MemberId, term: Term, position: LeaderPosition) {
+    /// Records that `member` leads `term`, as a request that was sent at `led_at` shows; `None` when nothing does but the
+    /// position.
+    fn record_leader(
+        &mut self,
+        member: &MemberId,
+        term: Term,
+        led_at: Option<Instant>,
+        position: LeaderPosition,
+    ) {
         let Some(state) = self.members.get_mut(member) else { return };
         state.record_answer(position.sent);
+        if state.contradicts(term, led_at) {
+            return;
+        }
+        state.led = state.led.max(led_at.map(|at| (term, at)));
         let is_known_primary = state
             .latest
             .is_some_and(|(status, _)| status.role == Role::Primary && status.term >= term);
@@ -457,61 +443,6 @@
         self.positions.push_back(position);
     }
 
-    /// Marks the leader as uncertain because replicas were commanded to hold `held`, observed at `at`. Earlier proofs
-    /// remain valid.
-    fn mark_uncertain(&mut self, held: Term, at: Instant) {
-        if held <= self.leader_term() {
-            return;
-        }
-        if self.uncertainty.is_none() {
-            self.proof_sent = self.leader(at).and_then(|leader| self.latest_proof(&leader));
-        }
-        let current =
-            self.uncertainty.unwrap_or(Uncertainty { term: Some(held), hold_observed: None });
-        self.uncertainty = Some(Uncertainty {
-            term: current.term.map(|term| term.max(held)),
-            hold_observed: current.hold_observed.max(Some(at)),
-        });
-    }
-
-    /// Ends the uncertainty when a commit or another instance proved the leadership for `term` with a request that was
-    /// sent after the last observed hold.
-    fn end_uncertainty(&mut self, term: Term, proof_sent: Instant) {
-        if term == self.leader_term && !self.is_behind_barrier(term, proof_sent) {
-            self.uncertainty = self
-                .uncertainty
-                .filter(|uncertainty| uncertainty.hold_observed >= Some(proof_sent));
-        }
-    }
-
-    /// Ends the uncertainty when all other members answered after the last observed hold that they hold no higher term:
-    /// a promoted member would have a new term.
-    fn resolve_uncertainty(&mut self) {
-        let Some(uncertainty) = self.uncertainty else { return };
-        let term = self.leader_term();
-        let holds_no_higher_term = |state: &Member| {
-            state.latest.as_ref().is_some_and(|(status, sent)| {
-                status.highest_term() <= term && Some(*sent) > uncertainty.hold_observed
-            })
-        };
-        let is_leader = |state: &Member| {
-            let status = state.latest.as_ref().map(|(status, _)| status);
-            status.is_some_and(|status| status.role == Role::Primary && status.term == term)
-        };
-        if self.members.values().any(is_leader)
-            && self.members.values().all(|state| is_leader(state) || holds_no_higher_term(state))
-        {
-            self.uncertainty = None;
-        }
-    }
-
-    fn record_proof(&mut self, term: Term, sent: Instant) {
-        let counts = Some(sent) > self.proofs_discarded_at && !self.is_behind_barrier(term, sent);
-        if term == self.leader_term && counts {
-            self.proof_sent = self.proof_sent.max(Some(sent));
-        }
-    }
-
     fn answers(&self) -> impl Iterator<Item = (&MemberId, &MemberStatus, Instant)> {
         self.members.iter().filter_map(|(member, state)| {
             state.latest.as_ref().map(|(status, sent)| (member, status, *sent))
--- a/crates/core/tests/failover.rs
+++ b/crates/core/tests/failover.rs
@@ -12,27 +12,9 @@
         may_take_over, next_generation,
     },
 };
-use support::{at, hold_all, id, polled, position, status};
+use support::{at, claimed, hold_all, id, polled, position, silent_primary, status};
 use test_case::test_case;
 
-/// As [`polled`], and the primary has not answered since.
-fn silent_primary(ms: u64) -> GroupView {
-    let mut view = polled(ms);
-    view.poll_sent(&id("a"), at(ms + 100));
-    view
-}
-
-fn claimed(trigger: Trigger, view: &GroupView, ms: u64) -> Failover {
-    let mut failover = Failover::default();
-    assert!(failover.start(trigger, view, at(ms)));
-    let claim = FailoverAction::Claim { term: view.highest_term().next() };
-    assert_eq!(failover.step(view, &[], false, at(ms)), [claim]);
-    let granted =
-        GrantedClaim { grant: ClaimGrant::new(7, at(ms)), repeats_term: false, latest: None };
-    failover.claimed(Some(granted), at(ms));
-    failover
-}
-
 /// Asserts that the next step promotes `member`, whose log ends at `end`, after the promotion was recorded.
 fn assert_promotes(
     failover: &mut Failover,
--- a/crates/core/tests/failover_simulation.rs
+++ b/crates/core/tests/failover_simulation.rs
@@ -12,8 +12,8 @@
 
 use world::World;
 
-/// Guards against acknowledged commits that a promoted member lacks, commits that a replaced primary acknowledges, and
-/// promotions with a lower generation after a higher one.
+/// Guards against acknowledged commits that a promoted member lacks, commits that a replaced primary acknowledges,
+/// promotions with a lower generation after a higher one, and groups that stay without a primary after the last fault.
 ///
 /// `HIBISCUS_FAILOVER_SEEDS` sets the number of seeds.
 #[test]
--- a/crates/core/tests/failover_simulation/instances.rs
+++ b/crates/core/tests/failover_simulation/instances.rs
@@ -4,6 +4,7 @@
 
 use hibiscusladder_core::{
     name::MemberId,
+    position::Term,
     sync_group::{
         Failover, FailoverAction, GroupView, Role, SUSPICION_TIMEOUT, Trigger, may_take_over,
     },
@@ -13,11 +14,16 @@
 use crate::{
     members::Member,
     world::{
-        Claim, Command, ENTRY_MS, INSTANCES, LAPSE_MS, LIST_MS, MEMBERS, Message, World, at, id,
-        number as number_of,
+        COMMAND_MS, Claim, Command, ENTRY_MS, FAULTS_MS, INSTANCES, LAPSE_MS, LIST_MS, MEMBERS,
+        Message, NEWS_MS, World, at, id, number as number_of,
     },
 };
 
+/// Delay between the starts of two instances that are next to each other in the order of candidates.
+const CANDIDATE_MS: u64 = 700;
+/// Time after which a term that members hold without a primary counts as orphaned.
+const ORPHANED_MS: u64 = 5000;
+
 #[derive(Debug, Clone)]
 pub(crate) struct Instance {
     pub(crate) view: GroupView,
@@ -32,6 +38,11 @@
     /// Whether this process made the claim that it has seen last.
     pub(crate) is_own: bool,
     pub(crate) started: u64,
+    /// Reason to replace the primary, and since when there is one.
+    suspected: Option<(Trigger, u64)>,
+    /// Term of the leader, and since when it has been fenced.
+    fenced_since: Option<(Term, u64)>,
+    leaderless_since: Option<u64>,
 }
 
 impl Instance {
@@ -47,7 +58,35 @@
             seen: None,
             is_own: false,
             started: now,
+            suspected: None,
+            fenced_since: None,
+            leaderless_since: None,
+        }
+    }
+}
+
+impl Instance {
+    /// Reason to replace the primary, as the gateway derives it from its view.
+    fn trigger(&mut self, leaving: &[MemberId], now: u64) -> Option<Trigger> {
+        let leader = self.view.leader(at(now));
+        let fenced = leader.as_ref().filter(|leader| leader.fenced).map(|leader| leader.term);
+        self.fenced_since = fenced.map(|term| {
+            let since = self.fenced_since.filter(|(fenced, _)| *fenced == term);
+            since.unwrap_or((term, now))
+        });
+        let leaderless_since = self.leaderless_since.take();
+        if let Some((_, since)) = self.fenced_since {
+            return (now >= since + ORPHANED_MS).then_some(Trigger::Orphaned);
+        }
+        let Some(leader) = leader else {
+            let since = *self.leaderless_since.insert(leaderless_since.unwrap_or(now));
+            return (at(now).since(at(since)) >= SUSPICION_TIMEOUT).then_some(Trigger::Silent);
+        };
+        if leaving.contains(&leader.member) {
+            return Some(Trigger::Leaving);
         }
+        let is_silent = self.view.unanswered_for(&leader.member, at(now)) >= SUSPICION_TIMEOUT;
+        is_silent.then_some(Trigger::Silent)
     }
 }
 
@@ -60,9 +99,10 @@
             if now >= instance.polled[member] + 300 {
                 instance.polled[member] = now;
                 instance.view.poll_sent(&id(member), at(now));
-                self.command(number, member, Command::Status);
+                self.command(number, member, Command::Status, u64::MAX);
             }
         }
+        self.send_news(number);
         if !(now + 30 * number as u64).is_multiple_of(100) {
             return;
         }
@@ -89,6 +129,27 @@
         }
     }
 
+    /// Sends the other instances what this one knows of the leader. Some messages are lost.
+    fn send_news(&mut self, number: usize) {
+        if !(self.now + 80 * number as u64).is_multiple_of(NEWS_MS) {
+            return;
+        }
+        let Some(info) = self.instances[number].view.leader_info(at(self.now)) else { return };
+        for to in (0..INSTANCES).filter(|other| *other != number) {
+            if self.rng.random_bool(0.2) {
+                continue;
+            }
+            // The receiver knows only a time before which the message was not sent.
+            let older = Duration::from_millis(self.rng.random_range(0..NEWS_MS));
+            let mut info = info.clone();
+            info.proof_sent = info.proof_sent.map(|sent| sent.minus(older));
+            if let Some(position) = &mut info.position {
+                position.sent = position.sent.minus(older);
+            }
+            self.send(Message::News { to, info });
+        }
+    }
+
     fn list_members(&mut self, number: usize) {
         let now = self.now;
         let is_listed = |member: &Member| {
@@ -114,19 +175,23 @@
         if now < instance.started + 1000 || instance.failover.is_running() {
             return;
         }
-        let view = &instance.view;
-        let trigger = match view.leader(at(now)) {
-            None => Some(Trigger::Silent),
-            Some(leader) if leader.fenced => {
-                self.rng.random_bool(0.02).then_some(Trigger::Orphaned)
-            }
-            Some(leader) if view.unanswered_for(&leader.member, at(now)) >= SUSPICION_TIMEOUT => {
-                Some(Trigger::Silent)
-            }
-            Some(leader) if leaving.contains(&leader.member) => Some(Trigger::Leaving),
-            Some(_) => self.rng.random_bool(0.004).then_some(Trigger::Stalled),
+        let trigger = instance.trigger(leaving, now).or_else(|| {
+            // Writes without an answer, whatever the reason.
+            let is_stalled = now < FAULTS_MS && self.rng.random_bool(0.004);
+            is_stalled.then_some(Trigger::Stalled)
+        });
+        let Some(trigger) = trigger else {
+            instance.suspected = None;
+            return;
+        };
+        let since = match instance.suspected {
+            Some((suspected, since)) if suspected == trigger => since,
+            _ => now,
         };
-        if let Some(trigger) = trigger {
+        instance.suspected = Some((trigger, since));
+        // The latest claimant does not have to wait until its own claim has ended.
+        let rank = if instance.is_own { 0 } else { number as u64 };
+        if trigger == Trigger::Stalled || now >= since + CANDIDATE_MS * rank {
             instance.failover.start(trigger, &instance.view, at(now));
         }
     }
@@ -145,20 +210,27 @@
         };
         let replaced: Vec<usize> = (0..MEMBERS).filter(is_replaced).collect();
         for member in replaced {
-            self.command(number, member, Command::Demote(leader.term.0));
+            self.command(number, member, Command::Demote(leader.term.0), u64::MAX);
         }
     }
 
-    fn command(&mut self, from: usize, member: usize, command: Command) {
+    /// Sends a command, which is withdrawn at `until` if it has not been delivered.
+    fn command(&mut self, from: usize, member: usize, command: Command, until: u64) {
         let sent = self.now;
         self.instances[from].view.poll_sent(&id(member), at(sent));
-        self.send(Message::ToMember { from, member, command, sent });
+        let until = until.min(sent + COMMAND_MS);
+        // A command may wait for a connection to the member.
+        let is_late = !matches!(command, Command::Status) && self.rng.random_bool(0.2);
+        let delay = self.rng.random_range(if is_late { 60..COMMAND_MS } else { 1..60 });
+        self.send_at(sent + delay, Message::ToMember { from, member, command, sent, until });
     }
 
     fn execute(&mut self, number: usize, action: FailoverAction) {
         let now = self.now;
         let grant = self.instances[number].failover.grant();
         let may_act = grant.is_some_and(|grant| grant.is_valid(at(now)));
+        let until = grant.map_or(0, |grant| grant.until.since_origin().as_millis());
+        let until = u64::try_from(until).unwrap_or(u64::MAX);
         match action {
             FailoverAction::Claim { .. } => {
                 let seen = self.instances[number].seen.clone();
@@ -182,13 +254,13 @@
                 self.send(Message::ToStore { from, revision, promotion, renews: true, sent: now });
             }
             FailoverAction::Hold { member, term } if may_act => {
-                self.command(number, number_of(&member), Command::Hold(term.0));
+                self.command(number, number_of(&member), Command::Hold(term.0), until);
             }
             FailoverAction::Resume { member } if may_act => {
-                self.command(number, number_of(&member), Command::Resume);
+                self.command(number, number_of(&member), Command::Resume, until);
             }
-            FailoverAction::Demote { member, term } => {
-                self.command(number, number_of(&member), Command::Demote(term.0));
+            FailoverAction::Demote { member, term } if may_act => {
+                self.command(number, number_of(&member), Command::Demote(term.0), until);
             }
             FailoverAction::Promote { member, grant } if grant.is_valid(at(now)) => {
                 let member = number_of(&member);
@@ -196,6 +268,7 @@
                 self.send(Message::ToPlatform { member, generation });
             }
             FailoverAction::Hold { .. }
+            | FailoverAction::Demote { .. }
             | FailoverAction::Resume { .. }
             | FailoverAction::Promote { .. }
             | FailoverAction::Ended { .. } => {}
--- a/crates/core/tests/failover_simulation/members.rs
+++ b/crates/core/tests/failover_simulation/members.rs
@@ -47,6 +47,12 @@
         Position::new(Term(term), Lsn(self.log.len() as u64))
     }
 
+    /// Role, term, log and hold, for a report.
+    pub(crate) fn describe(&self) -> String {
+        let (role, term, held) = (self.role, self.term, self.held);
+        format!("{role:?} of term {term} with {} that holds {held}", self.received())
+    }
+
     pub(crate) fn status(&self) -> MemberStatus {
         MemberStatus {
             role: self.role,
--- a/crates/core/tests/failover_simulation/world.rs
+++ b/crates/core/tests/failover_simulation/world.rs
@@ -5,7 +5,7 @@
 use hibiscusladder_core::{
     clock::Instant,
     name::MemberId,
-    sync_group::{ClaimGrant, GrantedClaim, MemberStatus, PromotionRecord, Role},
+    sync_group::{ClaimGrant, GrantedClaim, LeaderInfo, MemberStatus, PromotionRecord, Role},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -18,8 +18,17 @@
 pub(crate) const INSTANCES: usize = 3;
 /// Time between two steps of the simulation.
 pub(crate) const STEP_MS: u64 = 10;
-/// Length of a run.
-pub(crate) const RUN_MS: u64 = 40_000;
+/// Time in which faults begin.
+pub(crate) const FAULTS_MS: u64 = 40_000;
+/// Time after the end of the last fault within which a group has a primary that acknowledges commits.
+pub(crate) const RECOVERY_MS: u64 = 12_000;
+/// Time for which commits are observed after that.
+const OBSERVED_MS: u64 = 2000;
+/// Interval at which instances send each other what they know of the leader, and the time by which the receiver may take
+/// it for older than it is.
+pub(crate) const NEWS_MS: u64 = 250;
+/// Time after which a command without an answer is given up and withdrawn.
+pub(crate) const COMMAND_MS: u64 = 700;
 /// Shortest time for which a member is down. After a shorter one it could be back without its hold before an instance notices
 /// that it was gone.
 pub(crate) const RESTART_MS: u64 = 2000;
@@ -71,6 +80,13 @@
         member: usize,
         command: Command,
         sent: u64,
+        /// Time at which the command is withdrawn unless it has been delivered.
+        until: u64,
+    },
+    /// What an instance knows of the leader.
+    News {
+        to: usize,
+        info: LeaderInfo,
     },
     FromMember {
         to: usize,
@@ -162,17 +178,43 @@
     }
 
     pub(crate) fn run(&mut self) {
-        while self.now < RUN_MS {
+        while self.now < FAULTS_MS {
             self.now += STEP_MS;
             self.inject_fault();
-            self.restart_members();
-            self.deliver();
-            self.replicate();
-            self.write();
-            for instance in 0..INSTANCES {
-                if self.now >= self.instances[instance].paused_until {
-                    self.step_instance(instance);
-                }
+            self.step();
+        }
+        self.members.iter_mut().for_each(|member| member.leaving = false);
+        let members = self.members.iter().flat_map(|member| [member.down_until, member.deaf_until]);
+        let instances = self.instances.iter().flat_map(|instance| {
+            let own = [instance.paused_until, instance.cut_from_store];
+            own.into_iter().chain(instance.cut_from_member)
+        });
+        let calm_since = members.chain(instances).fold(FAULTS_MS, u64::max);
+        self.run_until(calm_since + RECOVERY_MS);
+        let acknowledged = self.acknowledged.len();
+        self.run_until(self.now + OBSERVED_MS);
+        if self.acknowledged.len() == acknowledged {
+            let members: Vec<String> = self.members.iter().map(Member::describe).collect();
+            let members = members.join(", ");
+            self.violations.push(format!("no commits after the end of the faults: {members}"));
+        }
+    }
+
+    fn run_until(&mut self, end: u64) {
+        while self.now < end {
+            self.now += STEP_MS;
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.restart_members();
+        self.deliver();
+        self.replicate();
+        self.write();
+        for instance in 0..INSTANCES {
+            if self.now >= self.instances[instance].paused_until {
+                self.step_instance(instance);
             }
         }
     }
@@ -250,9 +292,10 @@
     fn handle(&mut self, message: Message) {
         let now = self.now;
         match message {
-            Message::ToMember { from, member, command, sent } => {
+            Message::ToMember { from, member, command, sent, until } => {
                 let state = &mut self.members[member];
-                if !state.is_running(now) || now < self.instances[from].cut_from_member[member] {
+                let is_cut = now < self.instances[from].cut_from_member[member];
+                if !state.is_running(now) || is_cut || now >= until {
                     return;
                 }
                 match command {
@@ -341,6 +384,12 @@
                 }
             }
             Message::Promotion { member } => self.promote(member),
+            Message::News { to, info } => {
+                let instance = &mut self.instances[to];
+                if now >= instance.paused_until {
+                    instance.view.merge_leader_info(&info);
+                }
+            }
             Message::Acknowledgement { to, member, commits } => {
                 let instance = &self.instances[to];
                 if now < instance.paused_until {
--- a/crates/core/tests/support/sync_group.rs
+++ b/crates/core/tests/support/sync_group.rs
@@ -1,4 +1,6 @@
-//! A group of three members and what they answer.
+//! A group of three members and what they answer, and an attempt to replace its primary.
+
+#![allow(dead_code, reason = "each test file uses a part of the support")]
 
 use std::time::Duration;
 
@@ -6,7 +8,9 @@
     clock::Instant,
     name::MemberId,
     position::{Lsn, Position, Term},
-    sync_group::{GroupView, MemberStatus, Role},
+    sync_group::{
+        ClaimGrant, Failover, FailoverAction, GrantedClaim, GroupView, MemberStatus, Role, Trigger,
+    },
 };
 
 pub(crate) fn at(ms: u64) -> Instant {
@@ -45,3 +49,22 @@
     view.observe(&id("b"), status(Role::Replica, 1, position(1, 9), held), at(ms));
     view.observe(&id("c"), status(Role::Replica, 1, position(1, 8), held), at(ms));
 }
+
+/// As [`polled`], and the primary has not answered since.
+pub(crate) fn silent_primary(ms: u64) -> GroupView {
+    let mut view = polled(ms);
+    view.poll_sent(&id("a"), at(ms + 100));
+    view
+}
+
+/// An attempt whose claim was granted at `ms`.
+pub(crate) fn claimed(trigger: Trigger, view: &GroupView, ms: u64) -> Failover {
+    let mut failover = Failover::default();
+    assert!(failover.start(trigger, view, at(ms)));
+    let claim = FailoverAction::Claim { term: view.highest_term().next() };
+    assert_eq!(failover.step(view, &[], false, at(ms)), [claim]);
+    let granted =
+        GrantedClaim { grant: ClaimGrant::new(7, at(ms)), repeats_term: false, latest: None };
+    failover.claimed(Some(granted), at(ms));
+    failover
+}
--- a/crates/core/tests/sync_group.rs
+++ b/crates/core/tests/sync_group.rs
@@ -216,3 +216,44 @@
     let info = view.leader_info(at(220)).expect("b leads");
     assert_eq!(info.position.map(|leader_position| leader_position.position), Some(position(2, 1)));
 }
+
+fn leader_info(proof_ms: Option<u64>, position_ms: u64) -> LeaderInfo {
+    let position = LeaderPosition { sent: at(position_ms), position: position(1, 9) };
+    let proof_sent = proof_ms.map(at);
+    LeaderInfo { member: id("a"), term: Term(1), proof_sent, position: Some(position) }
+}
+
+/// Guards against a group that nobody knows to be without a primary: the member says that it is a replica now, and older
+/// information of other instances, or their answers of the replica to reads, would make it the leader again.
+#[test_case(leader_info(Some(900), 950), false; "older proof")]
+#[test_case(leader_info(None, 1200), false; "newer position without a proof")]
+#[test_case(leader_info(Some(1100), 1100), true; "newer proof")]
+fn merge_leader_info_after_the_member_became_a_replica(info: LeaderInfo, leads: bool) {
+    let mut view = polled(500);
+    view.observe(&id("a"), status(Role::Replica, 1, position(1, 9), 0), at(1000));
+    view.merge_leader_info(&info);
+    assert_eq!(view.leader(at(1300)).is_some(), leads);
+}
+
+/// Guards against an old answer of a member that overrules later evidence that it leads.
+#[test]
+fn observe_answer_older_than_an_acknowledged_commit() {
+    let mut view = group();
+    view.commit_acknowledged(&id("a"), position(1, 9), at(1000));
+    view.observe(&id("a"), status(Role::Replica, 1, position(1, 8), 0), at(900));
+    assert!(view.leader(at(1300)).is_some());
+    view.observe(&id("a"), status(Role::Replica, 1, position(1, 9), 0), at(1100));
+    assert_eq!(view.leader(at(1300)), None);
+}
+
+/// Guards against writes that go on to a member that refuses them as a replica, at an instance that polls no members.
+#[test]
+fn refused_as_replica_ends_the_leadership() {
+    let mut view = polled(500);
+    view.refused_as_replica(&id("a"), at(1000));
+    assert_eq!(view.leader(at(1010)), None);
+    view.merge_leader_info(&leader_info(Some(900), 950));
+    assert_eq!(view.leader(at(1020)), None);
+    view.observe(&id("a"), status(Role::Primary, 1, position(1, 9), 0), at(1100));
+    assert!(view.leader(at(1110)).is_some(), "it was restarted");
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -14,7 +14,8 @@
     position::Term,
     roster::FleetRole,
     sync_group::{
-        ClaimGrant, FailoverAction, MemberStatus, PromotionRecord, Role, SUSPICION_TIMEOUT, Trigger,
+        COMMAND_TIMEOUT, ClaimGrant, FailoverAction, MemberStatus, PromotionRecord, Role,
+        SUSPICION_TIMEOUT, Trigger,
     },
 };
 use hibiscusladder_io::clock::within;
@@ -79,7 +80,7 @@
     let mut guard = None;
     loop {
         within(STEP_INTERVAL, node.evaluate_now.listen()).await;
-        let is_running = |group: &Rc<GroupState>| group.failover.borrow().is_running();
+        let is_running = |group: &Rc<GroupState>| !group.failover.borrow().is_idle();
         let any_running = node.groups().iter().any(is_running);
         guard = any_running.then(|| guard.take().unwrap_or_else(|| node.begin_session()));
         let is_stopping = node.stopping_since().is_some();
@@ -396,7 +397,7 @@
 }
 
 /// Sends a command unless an earlier one to the member is still unanswered. It does not arrive after `until`, the end of
-/// the claim for a command of a failover.
+/// the claim for a command of a failover, nor later than [`COMMAND_TIMEOUT`] from now.
 fn send_command<P>(
     node: &Rc<Node<P>>,
     group: &Rc<GroupState>,
@@ -412,20 +413,13 @@
     }
     let unanswered = Unanswered { members: cx.unanswered.clone(), member: member.clone() };
     let (node, group) = (node.clone(), group.clone());
+    let longest = node.now().plus(COMMAND_TIMEOUT);
+    let until = Some(until.map_or(longest, |until| until.min(longest)));
     node.clone().spawn(async move {
         let answered = monitor::send_control(&node, &group, &member, command, until).await;
         drop(unanswered);
         log_step(&group, command, &member, &answered);
         node.evaluate_now.notify(usize::MAX);
-        let is_late = matches!(command, ControlCommand::Hold(_))
-            && answered.is_ok()
-            && !group.failover.borrow().is_running();
-        if is_late {
-            // The attempt has ended meanwhile, and released the replicas without this one.
-            let resume = ControlCommand::Resume;
-            let released = monitor::send_control(&node, &group, &member, resume, until).await;
-            log_step(&group, resume, &member, &released);
-        }
     });
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -232,6 +232,22 @@
     }
 }
 
+/// Records that `member` refused a request that was sent at `sent` because it is not the primary, and requests a poll of it.
+/// Nothing else does where hubs still take it for the primary.
+pub fn record_read_only<P>(node: &Node<P>, req: &Request, member: &MemberId, sent: Instant)
+where
+    P: Platform,
+{
+    let Some(group) = node.group(&req.route.group) else { return };
+    group.view.borrow_mut().refused_as_replica(member, sent);
+    group.log_leader_change(Some(member), node.now());
+    if node.role() == FleetRole::Follower {
+        group.record_slow(member);
+    } else {
+        group.poll_requested.borrow_mut().insert(member.clone());
+    }
+}
+
 /// Records that `member` answered a request that was sent at `sent`.
 pub fn record_answer<P>(
     node: &Node<P>,
--- a/crates/gateway/src/transaction.rs
+++ b/crates/gateway/src/transaction.rs
@@ -16,7 +16,7 @@
     reads::{Candidate, read_candidates},
     request::{
         self, LastCommit, Request, capacity_wait, is_past_deadline, max_connection_wait,
-        poll_if_slow, record_answer, record_retry, retry_delay, wait_for_change,
+        poll_if_slow, record_answer, record_read_only, record_retry, retry_delay, wait_for_change,
     },
     tunnel::Payload,
     writes::{self, log_unknown, record_commit, record_write},
@@ -148,8 +148,11 @@
             },
         );
         let outcome = poll_if_slow(node, &self.request, member, running).await;
-        if matches!(outcome, RunOutcome::Answered(_)) {
+        if let RunOutcome::Answered(answer) = &outcome {
             record_answer(node, &self.request, member, None, sent);
+            if answer.code() == Some(Code::ReadOnly) {
+                record_read_only(node, &self.request, member, sent);
+            }
         }
         outcome
     }
@@ -259,12 +262,18 @@
             values,
             ..self.request.statement_run(candidate.after, limit, connection_wait)
         };
+        let sent = node.now();
         let running = channel.run(node, run);
         match poll_if_slow(node, &self.request, &candidate.member, running).await {
             RunOutcome::Answered(answer) => match answer.outcome {
                 Ok(_) if answer.state == TransactionState::Open => Ok(channel),
                 Ok(_) => Err("not_begun"),
-                Err(failure) => Err(failure.code.as_str()),
+                Err(failure) => {
+                    if failure.code == Code::ReadOnly {
+                        record_read_only(node, &self.request, &candidate.member, sent);
+                    }
+                    Err(failure.code.as_str())
+                }
             },
             outcome => Err(cause_of(&outcome)),
         }
--- a/crates/gateway/src/writes.rs
+++ b/crates/gateway/src/writes.rs
@@ -15,8 +15,8 @@
     reads::accepts_work,
     request::{
         self, LastCommit, Request, capacity_wait, is_past_deadline, log_outcome,
-        max_connection_wait, poll_if_slow, record_answer, record_retry, refuse, retry_delay,
-        wait_for_change,
+        max_connection_wait, poll_if_slow, record_answer, record_read_only, record_retry, refuse,
+        retry_delay, wait_for_change,
     },
 };
 
@@ -95,6 +95,9 @@
             } else {
                 record_answer(node, req, member, None, sent);
             }
+            if answer.code() == Some(Code::ReadOnly) {
+                record_read_only(node, req, member, sent);
+            }
             match answer.code() {
                 Some(code) if code.is_safe_to_retry() || code == Code::NoStatement => {
                     RunOutcome::NotRun(code)
