fix(core): example of the ordered queue

Cause: the documentation test of queue::ordered did not compile, which the tests that were run for did not include. Change: the type of the priority is stated.

--- a/crates/core/src/queue/ordered.rs
+++ b/crates/core/src/queue/ordered.rs
@@ -22,7 +22,7 @@
 //! let limit = now.plus(Duration::from_secs(4));
 //! let club = Workspace::new("club");
 //! let mut queue = OrderedQueue::new(1);
-//! let request = |priority, target_ms| {
+//! let request = |priority: u32, target_ms| {
 //!     let target = Some(Duration::from_millis(target_ms));
 //!     let kind = WorkKind(priority.into());
 //!     let urgency = Urgency { priority, kind, arrived: now, target, limit };
