--- a/crates/core/src/queue/ordered/urgency.rs
+++ b/crates/core/src/queue/ordered/urgency.rs
@@ -6,8 +6,6 @@
 
 /// Number of priorities that are told apart; higher numbers count as the last one.
 pub(super) const PRIORITIES: usize = 8;
-/// Divisors of the time between arrival and limit that give the shortest and the longest time kept for running.
-const RUN_TIME_DIVISORS: (u32, u32) = (4, 2);
 
 /// Kind of work. Requests of one kind take about the same time, such as the reads of one route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -29,15 +27,10 @@
 }
 
 impl Urgency {
-    /// Latest time at which the request may start so that it can end within its limit.
-    ///
-    /// A quarter of the time between arrival and limit is kept for running, because a write that is cut off has an unknown
-    /// outcome. Long expected service times get up to half of it.
+    /// Latest time at which a request that takes `service` may start. Half of the time between arrival and limit is kept for
+    /// it at most, so that a wrong estimate does not refuse all requests of a kind.
     pub(super) fn latest_start(&self, service: Duration) -> Instant {
-        let whole = self.limit.since(self.arrived);
-        let (shortest, longest) = RUN_TIME_DIVISORS;
-        let kept = service.clamp(whole / shortest, whole / longest);
-        self.limit.minus(kept)
+        self.limit.minus(service.min(self.limit.since(self.arrived) / 2))
     }
 }
 
--- a/crates/core/src/queue/ordered/waiting.rs
+++ b/crates/core/src/queue/ordered/waiting.rs
@@ -144,7 +144,8 @@
     pub(super) fn into_late(mut self) -> Self {
         let priority = self.stream.level.priority;
         self.stream = Stream { level: Level { late: true, priority }, target: Duration::ZERO };
-        self.order = self.start_by;
+        // One attempt may have less time than another, so the limit of the request counts.
+        self.order = self.urgency.map_or(self.start_by, |urgency| urgency.limit);
         self.late_at = None;
         self
     }
--- a/crates/core/src/share/allotment.rs
+++ b/crates/core/src/share/allotment.rs
@@ -153,6 +153,21 @@
         taken.map_err(|wait| if self.depends_on_others() { self.time_per_token(now) } else { wait })
     }
 
+    /// Counts a request in the demand that lets others go first, and returns the time after which to try it with
+    /// [`retry_admit`](Self::retry_admit).
+    pub fn defer(&mut self, now: Instant) -> Duration {
+        self.demand.record(1.0, now);
+        if self.depends_on_others() {
+            self.resize_bucket(now);
+        }
+        self.time_per_token(now)
+    }
+
+    /// Tokens per second that come to this instance when the rate is divided in proportion to the demand.
+    pub fn token_rate(&self, now: Instant) -> f64 {
+        1.0 / self.time_per_token(now).as_secs_f64()
+    }
+
     /// Time in which one token accrues for this instance when the rate is divided in proportion to the demand.
     fn time_per_token(&self, now: Instant) -> Duration {
         let demand = self.demand.rate(now);
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -14,6 +14,7 @@
 };
 use hibiscusladder_io::clock::within;
 use serde_json::{Value, json};
+use smol::future::FutureExt;
 
 use crate::{
     adapter::Platform,
@@ -24,6 +25,7 @@
     model::{Code, Failure},
     node::Node,
     operation::NO_WORKSPACE,
+    refusal::RefusedRequest,
 };
 
 /// Divisor of an operation's target latency that gives its longest wait for tokens; a longer wait would make the
@@ -35,9 +37,8 @@
 const REQUEST_INTERVAL: Duration = Duration::from_millis(30);
 /// Largest number of instances that get a request at once, if tokens accrue at this instance too.
 const MAX_DONORS: usize = 3;
-/// Shortest and longest time after which a refused caller may try again.
-const RETRY_AFTER_RANGE: (Duration, Duration) =
-    (Duration::from_millis(100), Duration::from_secs(5));
+/// Least and largest weight of a workspace in relation to the mean.
+const WEIGHT_RANGE: (f64, f64) = (0.125, 8.0);
 
 /// Waiting operations of a workspace, and the tokens that were requested for them.
 #[derive(Debug, Default)]
@@ -48,6 +49,28 @@
     outstanding: f64,
     /// Number of the round of requests; each round goes to the next donor.
     round: usize,
+    /// Places of the waiting operations, with a notification for each that it has become the first.
+    places: BTreeMap<Place, Rc<Notify>>,
+    next_number: u64,
+}
+
+/// Place of an operation among those that wait for tokens of its workspace: by priority, by the time at which its target passes,
+/// and by arrival.
+type Place = (u32, Instant, u64);
+
+/// An operation that is to be admitted.
+#[derive(Debug, Clone, Copy)]
+pub struct Operation<'a> {
+    /// Id of the caller's request.
+    pub id: &'a str,
+    /// Workspace whose tokens it needs.
+    pub workspace: &'a Workspace,
+    /// Priority of its route.
+    pub priority: u32,
+    /// Time within which it is to be answered.
+    pub target_latency: Duration,
+    /// Time from its arrival after which an answer is of no more use.
+    pub limit: Duration,
 }
 
 /// A request for tokens, with its receivers.
@@ -65,6 +88,8 @@
 pub struct Admission {
     allotments: HashMap<Workspace, Allotment>,
     waiting: HashMap<Workspace, Waiting>,
+    /// Mean rate of all workspaces; 0 before the first configuration.
+    mean_rate: f64,
     /// Notified when tokens may have arrived.
     changed: Rc<Notify>,
 }
@@ -77,6 +102,8 @@
         part: AllotmentPart,
         now: Instant,
     ) {
+        let rates: f64 = limits.values().map(|limits| limits.rate).sum();
+        self.mean_rate = rates / limits.len().max(1) as f64;
         self.allotments.retain(|workspace, _| limits.contains_key(workspace));
         self.waiting.retain(|workspace, waiting| {
             limits.contains_key(workspace) || waiting.operations.count() > 0
@@ -111,6 +138,38 @@
         admitted.map_err(Some)
     }
 
+    /// Weight of a workspace among those that wait for the same slots: its rate in relation to the mean rate.
+    pub fn fair_weight(&self, workspace: &Workspace) -> f64 {
+        let Some(allotment) = self.allotments.get(workspace) else { return 1.0 };
+        let (least, largest) = WEIGHT_RANGE;
+        let weight = allotment.limits().rate / self.mean_rate;
+        if weight.is_finite() { weight.clamp(least, largest) } else { 1.0 }
+    }
+
+    /// Tokens of a workspace per second that come to this instance.
+    fn token_rate(&self, workspace: &Workspace, now: Instant) -> f64 {
+        self.allotments.get(workspace).map_or(0.0, |allotment| allotment.token_rate(now))
+    }
+
+    /// Whether an operation may take a token now: it is the first in the order, or there are tokens for all that wait. `place` is
+    /// `None` for one that has just arrived.
+    fn is_in_turn(
+        &self,
+        workspace: &Workspace,
+        place: Option<&Place>,
+        arriving: Place,
+        now: Instant,
+    ) -> bool {
+        let Some(waiting) = self.waiting.get(workspace) else { return true };
+        let Some((first, _)) = waiting.places.first_key_value() else { return true };
+        let is_first = place.map_or(arriving < *first, |place| place == first);
+        is_first
+            || self
+                .allotments
+                .get(workspace)
+                .is_some_and(|allotment| allotment.level(now) >= waiting.places.len() as f64 + 1.0)
+    }
+
     /// Adds this instance's part of `tokens`, which all instances together get for each workspace.
     pub fn grant(&mut self, tokens: &BTreeMap<Workspace, f64>, now: Instant) {
         for (workspace, tokens) in tokens {
@@ -199,6 +258,34 @@
         demands.collect()
     }
 
+    /// Counts an operation that lets others go first; returns the time after which to try it.
+    fn defer(&mut self, workspace: &Workspace, now: Instant) -> Result<(), Option<Duration>> {
+        let allotment = self.allotments.get_mut(workspace).ok_or(None)?;
+        Err(Some(allotment.defer(now)))
+    }
+
+    /// Number of the next operation that waits for tokens of `workspace`.
+    fn next_number(&mut self, workspace: &Workspace) -> u64 {
+        let Some(waiting) = self.waiting.get_mut(workspace) else { return 0 };
+        waiting.next_number += 1;
+        waiting.next_number
+    }
+
+    /// Gives a waiting operation its place; the returned value is notified when it becomes the first.
+    fn take_place(&mut self, workspace: &Workspace, place: Place) -> Rc<Notify> {
+        let waiting = self.waiting.entry(workspace.clone()).or_default();
+        waiting.places.entry(place).or_default().clone()
+    }
+
+    /// Frees a place, and notifies the operation that is the first now.
+    fn leave_place(&mut self, workspace: &Workspace, place: &Place) {
+        let Some(waiting) = self.waiting.get_mut(workspace) else { return };
+        waiting.places.remove(place);
+        if let Some((_, first)) = waiting.places.first_key_value() {
+            first.notify(usize::MAX);
+        }
+    }
+
     /// Counts a waiting operation for as long as the returned guard lives.
     fn begin_wait(&mut self, workspace: &Workspace) -> InFlightGuard {
         self.waiting.entry(workspace.clone()).or_default().operations.begin()
@@ -234,52 +321,123 @@
     }
 }
 
-/// Admits an operation of `workspace`, which may wait for tokens for a fraction of `target_latency`, and no longer than a
-/// stop of the instance allows.
+/// Admits an operation, which may wait for tokens for a fraction of its target latency, and no longer than a stop of the instance
+/// allows.
 ///
-/// A caller without a valid key belongs to no workspace, so no contract limits its operations.
+/// With priorities, the operations of a workspace take its tokens in the order of their urgency, and one that has just arrived
+/// does not go before those that wait. A caller without a valid key belongs to no workspace, so no contract limits its
+/// operations.
 ///
 /// # Errors
 ///
 /// The refusal, with the time after which the caller may try again.
-pub async fn admit<P>(
-    node: &Rc<Node<P>>,
-    workspace: &Workspace,
-    target_latency: Duration,
-) -> Result<(), Failure>
+pub async fn admit<P>(node: &Rc<Node<P>>, operation: &Operation<'_>) -> Result<(), Failure>
 where
     P: Platform,
 {
+    let workspace = operation.workspace;
     if workspace.as_str() == NO_WORKSPACE {
         return Ok(());
     }
     let arrived = node.now();
-    let longest = target_latency / WAIT_DIVISOR;
+    let longest = operation.target_latency / WAIT_DIVISOR;
     let changed = node.admission.borrow().changed.clone();
-    let mut waiting = None;
+    let mut waiting: Option<WaitingPlace<P>> = None;
     loop {
         let tokens = changed.listen();
         let now = node.now();
-        let is_first = waiting.is_none();
-        let wait = match node.admission.borrow_mut().try_admit(workspace, is_first, now) {
+        let wait = match try_in_turn(node, operation, waiting.as_ref(), now) {
             Ok(()) => {
                 node.metrics.time(Stage::Admission, now.since(arrived));
                 return Ok(());
             }
             Err(wait) => wait.unwrap_or(Duration::MAX),
         };
-        let left = node.limit_to_deadline(longest.saturating_sub(now.since(arrived)));
+        let used = now.since(arrived);
+        let left = node.limit_to_deadline(longest.saturating_sub(used));
         if left.is_zero() {
-            let (shortest, longest) = RETRY_AFTER_RANGE;
-            return Err(Failure::retry_after(
-                Code::Busy,
-                "the workspace is at the limit of its contract",
-                wait.clamp(shortest, longest),
-            ));
+            let rate = node.admission.borrow().token_rate(workspace, now);
+            let refused = RefusedRequest {
+                id: operation.id,
+                priority: operation.priority,
+                used,
+                limit: operation.limit,
+            };
+            let after = node.refusals.for_tokens(&refused, workspace, wait, rate, now);
+            let reason = "the workspace is at the limit of its contract";
+            return Err(Failure::retry_after(Code::Busy, reason, after));
         }
-        waiting.get_or_insert_with(|| node.admission.borrow_mut().begin_wait(workspace));
+        let waiting = waiting.get_or_insert_with(|| WaitingPlace::new(node, operation, now));
         request_tokens(node, workspace, now);
-        within(wait.min(REQUEST_INTERVAL).min(left), tokens).await;
+        let wait = wait.min(REQUEST_INTERVAL).min(left);
+        within(wait, tokens.or(waiting.first.listen())).await;
+    }
+}
+
+/// Takes a token, unless others go first.
+fn try_in_turn<P>(
+    node: &Node<P>,
+    operation: &Operation<'_>,
+    waiting: Option<&WaitingPlace<P>>,
+    now: Instant,
+) -> Result<(), Option<Duration>>
+where
+    P: Platform,
+{
+    let workspace = operation.workspace;
+    let mut admission = node.admission.borrow_mut();
+    let place = waiting.and_then(|waiting| waiting.place.as_ref());
+    let arriving = (operation.priority, now.plus(operation.target_latency), u64::MAX);
+    let is_first_try = waiting.is_none();
+    if !node.settings.priorities || admission.is_in_turn(workspace, place, arriving, now) {
+        return admission.try_admit(workspace, is_first_try, now);
+    }
+    if is_first_try {
+        return admission.defer(workspace, now);
+    }
+    let rate = admission.token_rate(workspace, now);
+    Err(Duration::try_from_secs_f64(1.0 / rate).ok())
+}
+
+/// An operation that waits for tokens, with its place among those of its workspace.
+struct WaitingPlace<P>
+where
+    P: Platform,
+{
+    node: Rc<Node<P>>,
+    workspace: Workspace,
+    /// `None` without priorities.
+    place: Option<Place>,
+    /// Notified when the operation has become the first.
+    first: Rc<Notify>,
+    _counted: InFlightGuard,
+}
+
+impl<P> WaitingPlace<P>
+where
+    P: Platform,
+{
+    fn new(node: &Rc<Node<P>>, operation: &Operation<'_>, now: Instant) -> Self {
+        let workspace = operation.workspace;
+        let mut admission = node.admission.borrow_mut();
+        let counted = admission.begin_wait(workspace);
+        let until = now.plus(operation.target_latency);
+        let place = (operation.priority, until, admission.next_number(workspace));
+        let place = node.settings.priorities.then_some(place);
+        let first = place.map(|place| admission.take_place(workspace, place)).unwrap_or_default();
+        let (node, workspace) = (node.clone(), workspace.clone());
+        Self { node: node.clone(), workspace, place, first, _counted: counted }
+    }
+}
+
+impl<P> Drop for WaitingPlace<P>
+where
+    P: Platform,
+{
+    fn drop(&mut self) {
+        if let Some(place) = &self.place {
+            self.node.admission.borrow_mut().leave_place(&self.workspace, place);
+        }
     }
 }
 
--- a/crates/gateway/src/channel.rs
+++ b/crates/gateway/src/channel.rs
@@ -8,20 +8,25 @@
     position::Position,
 };
 use hibiscusladder_io::clock::{BootClock, within};
+use smol::future::FutureExt;
 
 use crate::{
     adapter::{MemberCommand, Platform},
     in_flight::InFlightGuard,
     lease::Lease,
+    message::{SectionKind, Sections},
     metrics::{Counter, Stage},
     model::{Answer, Code, TransactionState},
     node::Node,
     pool::{AcquireError, Pool, Values},
     tunnel::{Call, Payload, Reply, RunCall, Tunnel},
+    urgency::{self, CallUrgency, NoSlot, SlotRequest},
 };
 
 /// Time beyond the limit of a statement for which the gateway waits for the reply of a holder.
 const REPLY_MARGIN: Duration = Duration::from_millis(60);
+/// Longest time between two checks whether a member is still the primary; a change of the leader is noticed at once.
+const LEADER_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest wait for the answer to a rollback. At its end the connection is closed, which rolls back as well.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -32,6 +37,8 @@
     Answered(Answer),
     /// The member did not run the statement, for the reason of the code.
     NotRun(Code),
+    /// The order of requests gave the statement no slot in time. It was not sent.
+    NoSlot(NoSlot),
     /// The member cannot be reached. The statement was not sent.
     Unreachable,
     /// The statement was sent, but no complete answer came; it may have run.
@@ -44,16 +51,29 @@
         let code = match self {
             Self::NotRun(code) => Some(*code),
             Self::Answered(answer) => answer.code(),
+            Self::NoSlot(_) => Some(Code::Busy),
             Self::Unreachable | Self::ConnectionLost => None,
         };
         matches!(code, Some(Code::Busy | Code::TooMany))
     }
 }
 
+impl RunOutcome {
+    /// The refusal by the order of requests, if this is one.
+    pub const fn no_slot(&self) -> Option<NoSlot> {
+        match self {
+            Self::NoSlot(no_slot) => Some(*no_slot),
+            _ => None,
+        }
+    }
+}
+
 impl From<AcquireError> for RunOutcome {
     fn from(error: AcquireError) -> Self {
         match error {
             AcquireError::Exhausted => Self::NotRun(Code::TooMany),
+            AcquireError::NoSlot(no_slot) => Self::NoSlot(no_slot),
+            AcquireError::Replaced => Self::NotRun(Code::ReadOnly),
             AcquireError::Refused(failure) => Self::NotRun(failure.code),
             AcquireError::Unreachable(_) => Self::Unreachable,
         }
@@ -75,6 +95,23 @@
     pub limit: Duration,
     /// Longest wait of a holder for a connection to the member.
     pub connection_wait: Duration,
+    /// Urgency in the queue of a holder; `None` within a transaction, or without priorities.
+    pub urgency: Option<CallUrgency>,
+}
+
+/// What a channel is opened for.
+#[derive(Debug, Clone, Copy)]
+pub struct ChannelRequest<'a> {
+    /// Id of the caller's request.
+    pub id: &'a str,
+    /// Workspace that the request runs for.
+    pub workspace: &'a Workspace,
+    /// Values of the caller's session.
+    pub values: &'a Values,
+    /// Urgency of the request; `None` without priorities.
+    pub urgency: Option<CallUrgency>,
+    /// Time until which the request waits for a connection of this instance.
+    pub until: Instant,
 }
 
 /// A channel to a member, in use by one operation or transaction.
@@ -103,13 +140,11 @@
 ///
 /// # Errors
 ///
-/// The outcome of the attempt when no channel can be opened until `until`.
+/// The outcome of the attempt when no channel can be opened in time.
 pub async fn open<P>(
     node: &Node<P>,
     member: &MemberId,
-    workspace: &Workspace,
-    values: &Values,
-    until: Instant,
+    request: &ChannelRequest<'_>,
 ) -> Result<Channel<P>, RunOutcome>
 where
     P: Platform,
@@ -118,9 +153,9 @@
     let started = node.now();
     let opened = match pool.holders() {
         Some(holders) if !holders.contains(node.instance()) => {
-            open_remote(node, pool, workspace, &holders).await
+            open_remote(node, pool, request.workspace, &holders).await
         }
-        _ => open_local(node, &pool, workspace, values, until).await,
+        _ => open_local(node, &pool, request).await,
     };
     node.metrics.time(Stage::Connection, node.now().since(started));
     opened
@@ -129,15 +164,20 @@
 async fn open_local<P>(
     node: &Node<P>,
     pool: &Rc<Pool<P>>,
-    workspace: &Workspace,
-    values: &Values,
-    until: Instant,
+    request: &ChannelRequest<'_>,
 ) -> Result<Channel<P>, RunOutcome>
 where
     P: Platform,
 {
     let opened = pool.opened();
-    let acquired = pool.acquire(workspace, values, until).await;
+    let slot = SlotRequest {
+        workspace: request.workspace,
+        contract: node.contract_share(request.workspace),
+        urgency: request.urgency,
+        jitter: urgency::jitter(request.id),
+        until: request.until,
+    };
+    let acquired = acquire(node, pool, &slot, request.values).await;
     if pool.opened() > opened {
         node.metrics.count(Counter::MemberConnections, "opened");
     }
@@ -147,6 +187,59 @@
     acquired.map(Channel::Local).map_err(RunOutcome::from)
 }
 
+/// Waits for a slot and a connection of this instance. A request that needs the primary does not wait for a former one.
+///
+/// # Errors
+///
+/// There is no slot or connection in time, or another member is the primary. No statement has run.
+pub async fn acquire<P>(
+    node: &Node<P>,
+    pool: &Rc<Pool<P>>,
+    request: &SlotRequest<'_>,
+    values: &Values,
+) -> Result<Lease<P>, AcquireError>
+where
+    P: Platform,
+{
+    let acquired = match request.urgency {
+        Some(urgency) if urgency.needs_primary => {
+            let replaced = async {
+                until_replaced(node, pool).await;
+                Err(AcquireError::Replaced)
+            };
+            pool.acquire(request, values).or(replaced).await
+        }
+        _ => pool.acquire(request, values).await,
+    };
+    if let Some(urgency) = request.urgency {
+        match &acquired {
+            Ok(lease) => node.metrics.time_slot_wait(urgency.priority, lease.slot_wait()),
+            Err(AcquireError::NoSlot(no_slot)) => {
+                node.metrics.count_no_slot(urgency.priority, no_slot.is_expected);
+            }
+            Err(_) => {}
+        }
+    }
+    acquired
+}
+
+/// Waits until another member than that of `pool` is the primary of its group.
+async fn until_replaced<P>(node: &Node<P>, pool: &Pool<P>)
+where
+    P: Platform,
+{
+    let Some(group) = node.group(&pool.target.group) else {
+        return smol::future::pending().await;
+    };
+    loop {
+        let leader = group.view.borrow().leader(node.now());
+        if leader.is_some_and(|leader| leader.member != pool.target.member && !leader.fenced) {
+            return;
+        }
+        group.wait_for_change(LEADER_CHECK_INTERVAL).await;
+    }
+}
+
 async fn open_remote<P>(
     node: &Node<P>,
     pool: Rc<Pool<P>>,
@@ -287,15 +380,29 @@
             limit: u64::try_from(run.limit.as_micros()).unwrap_or(u64::MAX),
             connection_wait: u64::try_from(run.connection_wait.as_micros()).unwrap_or(u64::MAX),
         });
+        let mut sections = Sections::default();
+        if let Some(urgency) = &run.urgency {
+            // Numbers cannot fail to be encoded.
+            let _ = sections.insert(SectionKind::Urgency, urgency);
+        }
         let started = node.now();
-        let reply = within(run.limit + REPLY_MARGIN, self.tunnel.call(&call)).await;
-        match reply {
+        let calling = self.tunnel.call_with(&call, &sections);
+        let reply = within(run.limit + REPLY_MARGIN, calling).await;
+        let no_slot = match &reply {
+            Some(Ok((Reply::NotRun(_), sections))) if run.urgency.is_some() => {
+                sections.get(SectionKind::NoSlot)
+            }
+            _ => None,
+        };
+        match reply.map(|reply| reply.map(|(reply, _)| reply)) {
             Some(Ok(Reply::Answered(answer))) => {
                 let now = node.now();
                 self.pool.record_service_time(now.since(started), now);
                 RunOutcome::Answered(answer.into())
             }
-            Some(Ok(Reply::NotRun(code))) => RunOutcome::NotRun(code),
+            Some(Ok(Reply::NotRun(code))) => {
+                no_slot.map_or(RunOutcome::NotRun(code), RunOutcome::NoSlot)
+            }
             Some(Ok(Reply::Unreachable)) => {
                 // The holder cannot reach the member, or is stopping. The next attempt uses another holder.
                 node.record_holder_unreachable(self.tunnel.address());
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -14,13 +14,15 @@
 
 use crate::{
     adapter::Platform,
-    channel::{RunOutcome, StatementRun, roll_back, run_local},
+    channel::{self, RunOutcome, StatementRun, roll_back, run_local},
     lease::Lease,
     listener,
-    model::TransactionState,
+    message::{SectionKind, Sections},
+    model::{Code, TransactionState},
     monitor,
     node::Node,
     tunnel::{Call, ControlCommand, FrameStream, RemoteStatus, Reply, RunCall, position},
+    urgency::{self, CallUrgency, SlotRequest},
 };
 
 /// Time from the start of a stop after which new work is refused, so that it goes to another holder.
@@ -56,15 +58,25 @@
         };
         // The other instance has closed the tunnel or has failed, or this one takes no new calls. Dropping the lease
         // rolls an open transaction back.
-        let Ok(call) = frames.receive::<Call>().or(closing).await else { return };
+        let Ok((call, sections)) = frames.receive::<Call>().or(closing).await else { return };
         guard.get_or_insert_with(|| node.begin_session());
+        let mut reply_sections = Sections::default();
         let reply = match call {
-            Call::Run(call) => run_statement(&node, &frames, &mut open_transaction, &call).await,
+            Call::Run(call) => {
+                let urgency = sections.get(SectionKind::Urgency);
+                let outcome =
+                    run_statement(&node, &frames, &mut open_transaction, &call, urgency).await;
+                if let RunOutcome::NoSlot(no_slot) = &outcome {
+                    // A number cannot fail to be encoded.
+                    let _ = reply_sections.insert(SectionKind::NoSlot, no_slot);
+                }
+                to_reply(outcome)
+            }
             Call::Rollback { request } => {
                 if let Some(lease) = open_transaction.take() {
                     roll_back(lease, request).await;
                 }
-                Reply::NotRun(crate::model::Code::Aborted)
+                Reply::NotRun(Code::Aborted)
             }
             Call::Control { member, command } => {
                 Reply::Status(send_command(&node, &frames, &MemberId::new(&member), command).await)
@@ -72,7 +84,7 @@
         };
         // The other instance opens its next tunnel elsewhere, so that no call is on its way when the process ends.
         let is_closing = is_refusing(&node, node.now()) && open_transaction.is_none();
-        let sent = frames.send(&reply).await;
+        let sent = frames.send(&reply, &reply_sections).await;
         if open_transaction.is_none() {
             guard = None;
         }
@@ -88,7 +100,8 @@
     frames: &FrameStream,
     open_transaction: &mut Option<Lease<P>>,
     call: &RunCall,
-) -> Reply
+    urgency: Option<CallUrgency>,
+) -> RunOutcome
 where
     P: Platform,
 {
@@ -96,13 +109,13 @@
     let until = node.now().plus(limit);
     let mut lease = match open_transaction.take() {
         Some(lease) => lease,
-        None => match acquire(node, call).await {
+        None => match acquire(node, call, urgency).await {
             Ok(lease) => lease,
-            Err(reply) => return reply,
+            Err(outcome) => return outcome,
         },
     };
     if frames.is_stale() {
-        return Reply::Unreachable;
+        return RunOutcome::Unreachable;
     }
     let run = StatementRun {
         id: &call.id,
@@ -111,36 +124,48 @@
         after: call.after.map(position),
         limit: until.since(node.now()),
         connection_wait: Duration::ZERO,
+        urgency: None,
     };
     let outcome = run_local(&mut lease, run).await;
     if matches!(&outcome, RunOutcome::Answered(answer) if answer.state != TransactionState::Idle) {
         *open_transaction = Some(lease);
     }
-    to_reply(outcome)
+    outcome
 }
 
 fn to_reply(outcome: RunOutcome) -> Reply {
     match outcome {
         RunOutcome::Answered(answer) => Reply::Answered(answer.into()),
         RunOutcome::NotRun(code) => Reply::NotRun(code),
+        // An earlier version sees the code only.
+        RunOutcome::NoSlot(_) => Reply::NotRun(Code::TooMany),
         RunOutcome::Unreachable => Reply::Unreachable,
         RunOutcome::ConnectionLost => Reply::ConnectionLost,
     }
 }
 
-async fn acquire<P>(node: &Rc<Node<P>>, call: &RunCall) -> Result<Lease<P>, Reply>
+async fn acquire<P>(
+    node: &Rc<Node<P>>,
+    call: &RunCall,
+    urgency: Option<CallUrgency>,
+) -> Result<Lease<P>, RunOutcome>
 where
     P: Platform,
 {
     let now = node.now();
     if is_refusing(node, now) {
-        return Err(Reply::Unreachable);
+        return Err(RunOutcome::Unreachable);
     }
-    let pool = node.pool(&MemberId::new(&call.member)).ok_or(Reply::Unreachable)?;
-    let until = now.plus(Duration::from_micros(call.connection_wait));
+    let pool = node.pool(&MemberId::new(&call.member)).ok_or(RunOutcome::Unreachable)?;
     let workspace = Workspace::new(&call.workspace);
-    let acquired = pool.acquire(&workspace, &call.values, until).await;
-    acquired.map_err(|error| to_reply(error.into()))
+    let request = SlotRequest {
+        workspace: &workspace,
+        contract: node.contract_share(&workspace),
+        urgency: urgency.filter(|_| node.settings.priorities),
+        jitter: urgency::jitter(&call.id),
+        until: now.plus(Duration::from_micros(call.connection_wait)),
+    };
+    channel::acquire(node, &pool, &request, &call.values).await.map_err(RunOutcome::from)
 }
 
 fn is_refusing<P>(node: &Node<P>, now: Instant) -> bool
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -3,7 +3,7 @@
 //! A connection is reused only after an answer that leaves it outside any transaction. In every other case it is
 //! closed, which rolls the transaction back.
 
-use std::{collections::BTreeSet, io, rc::Rc};
+use std::{collections::BTreeSet, io, rc::Rc, time::Duration};
 
 use hibiscusladder_core::{
     clock::{Clock, Instant},
@@ -16,7 +16,7 @@
     in_flight::InFlightGuard,
     model::{Access, Answer, TransactionState},
     pool::{Pool, Values},
-    slot_queue::Permit,
+    slot_queue::{KeptConnection, Permit, Permits},
 };
 
 /// A connection with its session state at the member.
@@ -55,6 +55,10 @@
     reusable: bool,
     /// Released after the first answer that leaves a transaction open, whose further statements need no slot.
     permit: Option<Permit<P>>,
+    /// Counts the connection of an open transaction, which has no slot.
+    kept: Option<KeptConnection<P>>,
+    /// Right of a transaction to keep the connection.
+    transaction: Option<Permit<P>>,
     _in_use: InFlightGuard,
 }
 
@@ -68,15 +72,29 @@
         connection: Connection<P>,
         in_use: InFlightGuard,
     ) -> Self {
-        Self { pool, connection: Some(connection), reusable: true, permit: None, _in_use: in_use }
+        Self {
+            pool,
+            connection: Some(connection),
+            reusable: true,
+            permit: None,
+            kept: None,
+            transaction: None,
+            _in_use: in_use,
+        }
     }
 
-    /// Keeps `permit` until the first answer that leaves a transaction open, or the end of the use.
-    pub(crate) fn with_permit(mut self, permit: Permit<P>) -> Self {
-        self.permit = Some(permit);
+    /// Keeps the slot until the first answer that leaves a transaction open, or the end of the use.
+    pub(crate) fn with_permits(mut self, permits: Permits<P>) -> Self {
+        self.permit = Some(permits.slot);
+        self.transaction = permits.transaction;
         self
     }
 
+    /// Time for which the request waited for its slot; zero once the slot is free.
+    pub fn slot_wait(&self) -> Duration {
+        self.permit.as_ref().map_or(Duration::ZERO, Permit::waited)
+    }
+
     /// The pool that the connection belongs to.
     pub const fn pool(&self) -> &Rc<Pool<P>> {
         &self.pool
@@ -163,7 +181,8 @@
         if matches!(command, MemberCommand::Forward { .. } | MemberCommand::Execute { .. }) {
             let now = connection.last_answered;
             self.pool.record_service_time(now.since(started), now);
-            if !self.reusable {
+            if !self.reusable && self.permit.is_some() {
+                self.kept = Some(KeptConnection::new(self.pool.clone()));
                 self.permit = None;
             }
         }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -165,10 +165,14 @@
     Pace = 3,
     /// Capacity of members that instances lend to each other.
     Lending = 4,
+    /// Urgency of the request of a call.
+    Urgency = 16,
+    /// Expected wait and retry delay of a call that got no slot.
+    NoSlot = 17,
 }
 
-/// Parts of a message that belong to one feature each, by [`SectionKind`]. They follow the [`Extension`]. A version that does
-/// not know a kind skips it.
+/// Parts of a message that belong to one feature each, by [`SectionKind`]. They follow the [`Extension`] of a datagram, or the
+/// call or reply in a frame of a tunnel. A version that does not know a kind skips it.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sections(BTreeMap<u32, Box<[u8]>>);
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -10,6 +10,9 @@
 /// Upper bounds of the histogram buckets, in milliseconds.
 const BUCKET_BOUNDS_MS: [u64; 12] = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000];
 
+/// Number of priorities with values of their own; higher ones count as the last.
+const PRIORITIES: usize = 4;
+
 /// Kind of a counter.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Counter {
@@ -74,10 +77,41 @@
     sum: Duration,
 }
 
+impl Histogram {
+    fn record(&mut self, took: Duration) {
+        self.count += 1;
+        self.sum += took;
+        for (bound, bucket) in BUCKET_BOUNDS_MS.iter().zip(&mut self.buckets) {
+            if took <= Duration::from_millis(*bound) {
+                *bucket += 1;
+            }
+        }
+    }
+
+    /// Writes buckets, sum and count with `label`, which is a name and a quoted value.
+    fn write<W>(&self, out: &mut W, metric: &str, label: &str) -> fmt::Result
+    where
+        W: Write,
+    {
+        for (bound, bucket) in BUCKET_BOUNDS_MS.iter().zip(self.buckets) {
+            let bound = Duration::from_millis(*bound).as_secs_f64();
+            writeln!(out, "{metric}_bucket{{{label},le=\"{bound}\"}} {bucket}")?;
+        }
+        let (count, sum) = (self.count, self.sum.as_secs_f64());
+        writeln!(out, "{metric}_bucket{{{label},le=\"+Inf\"}} {count}")?;
+        writeln!(out, "{metric}_sum{{{label}}} {sum}")?;
+        writeln!(out, "{metric}_count{{{label}}} {count}")
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     counters: BTreeMap<(Counter, &'static str), u64>,
     histograms: BTreeMap<Stage, Histogram>,
+    /// Waits for a slot, by priority.
+    slot_waits: [Histogram; PRIORITIES],
+    /// Requests without a slot, by priority and by whether they were refused before their time had passed.
+    no_slots: [[u64; 2]; PRIORITIES],
 }
 
 /// Counters and histograms of one instance.
@@ -94,15 +128,18 @@
 
     /// Records the duration of a stage.
     pub fn time(&self, stage: Stage, took: Duration) {
+        self.state.borrow_mut().histograms.entry(stage).or_default().record(took);
+    }
+
+    /// Records the wait of a request for a slot.
+    pub fn time_slot_wait(&self, priority: u32, waited: Duration) {
+        self.state.borrow_mut().slot_waits[priority_index(priority)].record(waited);
+    }
+
+    /// Counts a request that got no slot; `is_expected` tells whether it was refused before its time had passed.
+    pub fn count_no_slot(&self, priority: u32, is_expected: bool) {
         let mut state = self.state.borrow_mut();
-        let histogram = state.histograms.entry(stage).or_default();
-        histogram.count += 1;
-        histogram.sum += took;
-        for (bound, bucket) in BUCKET_BOUNDS_MS.iter().zip(&mut histogram.buckets) {
-            if took <= Duration::from_millis(*bound) {
-                *bucket += 1;
-            }
-        }
+        state.no_slots[priority_index(priority)][usize::from(is_expected)] += 1;
     }
 
     /// Writes all counters and histograms in the text format of Prometheus.
@@ -119,19 +156,29 @@
             writeln!(out, "hibiscus_{}{{kind=\"{label}\"}} {value}", counter.as_str())?;
         }
         for (stage, histogram) in &state.histograms {
-            let name = stage.as_str();
-            for (bound, bucket) in BUCKET_BOUNDS_MS.iter().zip(histogram.buckets) {
-                let bound = Duration::from_millis(*bound).as_secs_f64();
-                writeln!(
-                    out,
-                    "hibiscus_stage_seconds_bucket{{stage=\"{name}\",le=\"{bound}\"}} {bucket}"
-                )?;
+            let label = format!("stage=\"{}\"", stage.as_str());
+            histogram.write(out, "hibiscus_stage_seconds", &label)?;
+        }
+        for (priority, histogram) in state.slot_waits.iter().enumerate() {
+            if histogram.count > 0 {
+                let label = format!("priority=\"{priority}\"");
+                histogram.write(out, "hibiscus_slot_wait_seconds", &label)?;
+            }
+        }
+        for (priority, counts) in state.no_slots.iter().enumerate() {
+            for (reason, count) in ["expired", "expected"].iter().zip(counts) {
+                if *count > 0 {
+                    writeln!(
+                        out,
+                        "hibiscus_no_slot_total{{priority=\"{priority}\",reason=\"{reason}\"}} {count}"
+                    )?;
+                }
             }
-            let (count, sum) = (histogram.count, histogram.sum.as_secs_f64());
-            writeln!(out, "hibiscus_stage_seconds_bucket{{stage=\"{name}\",le=\"+Inf\"}} {count}")?;
-            writeln!(out, "hibiscus_stage_seconds_sum{{stage=\"{name}\"}} {sum}")?;
-            writeln!(out, "hibiscus_stage_seconds_count{{stage=\"{name}\"}} {count}")?;
         }
         Ok(())
     }
 }
+
+fn priority_index(priority: u32) -> usize {
+    usize::try_from(priority).unwrap_or(usize::MAX).min(PRIORITIES - 1)
+}
--- a/crates/gateway/src/monitor.rs
+++ b/crates/gateway/src/monitor.rs
@@ -361,6 +361,6 @@
     match pool.connect(&workspace, &Values::new(), until).await {
         Ok(lease) => Ok(lease),
         Err(AcquireError::Unreachable(error)) => Err(ControlError::Failed(error)),
-        Err(AcquireError::Exhausted | AcquireError::Refused(_)) => Err(ControlError::NoConnection),
+        Err(_) => Err(ControlError::NoConnection),
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -7,6 +7,7 @@
     cell::{Cell, RefCell},
     collections::BTreeMap,
     rc::Rc,
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -35,6 +36,7 @@
     metrics::Metrics,
     peers::Peers,
     pool::{Pool, PoolLimits},
+    refusal::Refusals,
     relay::{MembersPage, PARALLEL_TRANSFERS, Progress, compress_directory},
     settings::Settings,
     tasks::Tasks,
@@ -47,6 +49,8 @@
 /// Connections of a holder's part that it does not open. The connections of a process that has just ended still count
 /// at the member.
 const RESERVED_CONNECTIONS: usize = 1;
+/// Service time of a group without a pool.
+const UNKNOWN_SERVICE_TIME: Duration = Duration::from_millis(12);
 /// Statements that a holder sends beyond its part of a member's slots, so that no slot is idle during a round trip.
 const EXTRA_STATEMENTS: usize = 1;
 
@@ -69,6 +73,8 @@
     pub members: RefCell<MemberTable>,
     /// Allotments of the workspaces.
     pub admission: RefCell<Admission>,
+    /// Retry delays of refused callers.
+    pub refusals: Refusals,
     /// State of the other instances.
     pub peers: RefCell<Peers>,
     /// Failover claims that this instance has read or made.
@@ -130,6 +136,7 @@
         Rc::new(Self {
             peers: RefCell::new(Peers::new(settings.instance.clone(), now)),
             progress: RefCell::new(Progress::new(&settings.instance)),
+            refusals: Refusals::new(settings.return_times, now),
             settings,
             clock: BootClock,
             store,
@@ -286,11 +293,40 @@
             Target { member: id.clone(), group: record.group.clone(), address: record.address };
         let distance = self.settings.distance(&record.data_centre);
         let (limits, holders) = self.pool_limits(&target, &record.data_centre);
-        let pool = Pool::new(target, record.data_centre, distance, limits, holders);
+        let with_priorities = self.settings.priorities;
+        let pool =
+            Pool::new(target, record.data_centre, distance, limits, holders, with_priorities);
         self.pools.borrow_mut().insert(id.clone(), pool.clone());
         Some(pool)
     }
 
+    /// Weight of a workspace among those that wait for the same slots, and its priority.
+    pub fn contract_share(&self, workspace: &Workspace) -> (f64, u32) {
+        let directory = self.directory.borrow();
+        let contract = directory.as_ref().and_then(|known| known.workspaces.get(workspace));
+        let weight = self.admission.borrow().fair_weight(workspace);
+        (weight, contract.map_or(0, |contract| contract.priority))
+    }
+
+    /// Service time of a statement at the members of a group, as far as this instance knows it.
+    pub fn service_time(&self, group: &Group) -> Duration {
+        let pools = self.pools.borrow();
+        let times = pools.values().filter(|pool| pool.target.group == *group);
+        times.map(|pool| pool.service_time()).max().unwrap_or(UNKNOWN_SERVICE_TIME)
+    }
+
+    /// Number of statements that one member of a group runs at once; 1 while none is known.
+    pub fn slots(&self, group: &Group) -> u32 {
+        let members = self.members.borrow();
+        let slots = members.in_group(group).map(|(_, member)| member.record.slots);
+        slots.max().unwrap_or(1).max(1)
+    }
+
+    /// Number of requests that wait for slots or connections of this instance.
+    pub fn waiting_requests(&self) -> usize {
+        self.pools.borrow().values().map(|pool| pool.waiting()).sum()
+    }
+
     /// Updates the limits of the pool of a member whose entry has changed.
     pub fn update_pool(&self, id: &MemberId) {
         if let Some(pool) = self.pools.borrow().get(id) {
--- a/crates/gateway/src/operation.rs
+++ b/crates/gateway/src/operation.rs
@@ -5,6 +5,7 @@
 use hibiscusladder_core::{
     clock::Instant,
     name::{Database, Workspace},
+    return_time::Cause,
 };
 use serde_json::{Value, json};
 
@@ -18,22 +19,17 @@
     node::Node,
     pool::Values,
     reads,
+    refusal::RefusedRequest,
     request::{LastCommit, Request},
     transaction::Transaction,
     tunnel::Payload,
+    urgency::{MIN_LIMIT, request_limit},
     writes,
 };
 
 /// Workspace name that is sent to members for callers without a valid key, whom only public routes serve.
 pub const NO_WORKSPACE: &str = "-";
 
-/// Time after which a caller may try again while there is no configuration; a new process usually has one by
-/// then.
-const CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(500);
-
-/// Time after which a caller may try again at another instance.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
-
 /// State of a session between two requests.
 pub struct Session<P>
 where
@@ -75,13 +71,13 @@
         self.state
     }
 
-    /// Route and workspace of the caller under the configuration in force.
+    /// Route and workspace of the caller of the request `id` under the configuration in force.
     ///
     /// # Errors
     ///
     /// The instance has no configuration, the database has no route, or no workspace has the key.
-    pub fn authorise(&self) -> Result<(Rc<Route>, Workspace), Failure> {
-        authorise(&self.node, &self.database, &self.key)
+    pub fn authorise(&self, id: &str) -> Result<(Rc<Route>, Workspace), Failure> {
+        authorise(&self.node, &self.database, &self.key, id)
     }
 
     /// Answers a request that arrived at `arrived`.
@@ -183,7 +179,9 @@
     async fn begin(&mut self, query: &Query, read_only: bool, arrived: Instant) -> Answer {
         if self.node.transaction_time().is_zero() {
             let reason = "the instance stops";
-            let failure = Failure::retry_after(Code::Busy, reason, STOPPING_RETRY_AFTER);
+            let refused = unknown_route(&query.id);
+            let after = self.node.refusals.for_stop(&refused, self.node.now());
+            let failure = Failure::retry_after(Code::Busy, reason, after);
             return Answer::failed(failure, TransactionState::Idle);
         }
         let request = match self.admit(query, arrived).await {
@@ -224,13 +222,24 @@
 
     /// Authorises an operation and admits it against the limits of its workspace.
     async fn admit(&self, query: &Query, arrived: Instant) -> Result<Request, Failure> {
-        let (route, workspace) = self.authorise().inspect_err(|failure| {
+        let (route, workspace) = self.authorise(&query.id).inspect_err(|failure| {
             self.log_refusal(query, failure, json!({}));
         })?;
-        if let Err(failure) = admission::admit(&self.node, &workspace, route.target_latency).await {
+        let operation = admission::Operation {
+            id: &query.id,
+            workspace: &workspace,
+            priority: route.priority,
+            target_latency: route.target_latency,
+            limit: request_limit(route.statement_timeout),
+        };
+        if let Err(failure) = admission::admit(&self.node, &operation).await {
             let allotment_fields =
                 self.node.admission.borrow().allotment_fields(&workspace, self.node.now());
-            self.log_refusal(query, &failure, json!({ "allotment": allotment_fields }));
+            let inputs = json!({
+                "allotment": allotment_fields, "priority": route.priority,
+                "cause": Cause::Tokens.as_str(),
+            });
+            self.log_refusal(query, &failure, inputs);
             return Err(failure);
         }
         Ok(Request {
@@ -296,7 +305,7 @@
     }
 }
 
-/// Route and workspace for a caller that requests `database` and presents `key`.
+/// Route and workspace for a caller that requests `database` and presents `key`. `id` spreads the retry delays of callers.
 ///
 /// # Errors
 ///
@@ -305,13 +314,15 @@
     node: &Node<P>,
     database: &Database,
     key: &str,
+    id: &str,
 ) -> Result<(Rc<Route>, Workspace), Failure>
 where
     P: Platform,
 {
     let Some(directory) = node.directory() else {
         let reason = "the instance has no configuration";
-        return Err(Failure::retry_after(Code::Busy, reason, CONFIGURATION_RETRY_AFTER));
+        let after = node.refusals.for_start(&unknown_route(id), node.now());
+        return Err(Failure::retry_after(Code::Busy, reason, after));
     };
     let route = directory.routes.get(database).ok_or_else(|| {
         Failure::new(Code::NoDatabase, "no route has this name; check the name of the database")
@@ -329,6 +340,11 @@
     Ok((Rc::new(route.clone()), workspace))
 }
 
+/// A request whose route is not known.
+const fn unknown_route(id: &str) -> RefusedRequest<'_> {
+    RefusedRequest { id, priority: 0, used: Duration::ZERO, limit: MIN_LIMIT }
+}
+
 fn unknown_statement() -> Failure {
     Failure::new(Code::NoStatement, "no statement has this name; prepare it first")
 }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -26,6 +26,7 @@
     model::{Code, Failure},
     settings::Distance,
     slot_queue::{self, SlotQueue},
+    urgency::{NoSlot, SlotRequest},
 };
 
 /// Longest time for opening a connection; it covers two round trips between regions and a busy member.
@@ -65,6 +66,12 @@
     /// All connections or slots stayed in use until the time limit.
     #[error("all connections to the member are in use")]
     Exhausted,
+    /// The order of requests gives the request no slot in time.
+    #[error("the member has no slot for the request in time")]
+    NoSlot(NoSlot),
+    /// The request needs a primary, and the member has been replaced.
+    #[error("the member is no longer the primary")]
+    Replaced,
     /// The member refused the connection.
     #[error("the member refused the connection ({0})")]
     Refused(Failure),
@@ -135,6 +142,7 @@
         distance: Distance,
         limits: PoolLimits,
         holders: Option<Rc<[InstanceId]>>,
+        with_priorities: bool,
     ) -> Rc<Self> {
         let state = State {
             idle: Vec::new(),
@@ -147,7 +155,7 @@
         Rc::new(Self {
             target,
             data_centre,
-            slot_queue: SlotQueue::new(limits.running),
+            slot_queue: SlotQueue::new(limits, with_priorities),
             holders: RefCell::new(holders),
             distance,
             state: RefCell::new(state),
@@ -169,7 +177,7 @@
     pub fn set_limits(&self, limits: PoolLimits, holders: Option<Rc<[InstanceId]>>) {
         *self.holders.borrow_mut() = holders;
         self.state.borrow_mut().limits = limits;
-        self.slot_queue.set_slots(limits.running);
+        self.slot_queue.set_limits(limits);
     }
 
     /// Whether a connection of `workspace` is idle.
@@ -236,26 +244,32 @@
         self.round_trip().as_secs_f64() + queue + opening + penalty
     }
 
-    fn round_trip(&self) -> Duration {
+    /// Assumed duration of a round trip to the member.
+    pub fn round_trip(&self) -> Duration {
         let assumed = ASSUMED_ROUND_TRIP.iter().find(|(distance, _)| *distance == self.distance);
         assumed.map_or(Duration::ZERO, |(_, round_trip)| *round_trip)
     }
 
-    /// Waits for a slot and a connection for a statement of `workspace`, if possible one that has `values` already.
+    /// Waits for a slot and a connection for a statement, if possible one that has `values` already.
     ///
     /// # Errors
     ///
-    /// No slot or connection is available until `until`. No statement has run.
+    /// No slot or connection is available in time. No statement has run.
     pub async fn acquire(
         self: &Rc<Self>,
-        workspace: &Workspace,
+        request: &SlotRequest<'_>,
         values: &Values,
-        until: Instant,
     ) -> Result<Lease<P>, AcquireError> {
-        let permit = slot_queue::acquire(self, workspace, until).await;
-        let permit = permit.ok_or(AcquireError::Exhausted)?;
-        let lease = self.connect(workspace, values, until).await?;
-        Ok(lease.with_permit(permit))
+        let permits = slot_queue::acquire(self, request).await;
+        let permits = permits
+            .map_err(|no_slot| no_slot.map_or(AcquireError::Exhausted, AcquireError::NoSlot))?;
+        let lease = self.connect(request.workspace, values, request.until).await?;
+        Ok(lease.with_permits(permits))
+    }
+
+    /// Number of requests that wait for a slot or a connection here.
+    pub fn waiting(&self) -> usize {
+        self.slot_queue.waiting()
     }
 
     /// Like [`acquire`](Self::acquire), but without waiting for a slot.
@@ -365,6 +379,11 @@
         self.released.notify(1);
     }
 
+    /// Mean service time of a statement, without the round trip.
+    pub fn service_time(&self) -> Duration {
+        Duration::try_from_secs_f64(self.state.borrow().service_s).unwrap_or_default()
+    }
+
     /// Records the time from sending a statement to its answer; a round trip is subtracted.
     pub fn record_service_time(&self, service: Duration, now: Instant) {
         let mut state = self.state.borrow_mut();
--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -3,7 +3,9 @@
 use std::{rc::Rc, time::Duration};
 
 use futures::{FutureExt, future::LocalBoxFuture};
-use hibiscusladder_core::{clock::Instant, membership, name::MemberId, position::Position};
+use hibiscusladder_core::{
+    clock::Instant, membership, name::MemberId, position::Position, return_time::Cause,
+};
 use hibiscusladder_io::clock::{sleep, within};
 
 use crate::{
@@ -14,9 +16,11 @@
     node::Node,
     pool::OPENING_COST_S,
     request::{
-        self, RETRY_DELAY, Request, capacity_wait, is_past_deadline, max_connection_wait,
-        poll_if_slow, record_answer, record_retry, refuse, retry_delay, wait_for_change,
+        self, Attempt, Purpose, RETRY_DELAY, Request, capacity_wait, hedge_slot_wait,
+        is_past_deadline, max_connection_wait, poll_if_slow, record_answer, record_retry, refuse,
+        retry_delay, wait_for_change,
     },
+    urgency::{NoSlot, Work},
 };
 
 /// Longest wait for a busy member in the first round, after which another member is tried; about the time of a few
@@ -141,6 +145,34 @@
         .is_some_and(|entry| entry.is_active() || primary && entry.is_within_drain(limit, now))
 }
 
+/// What the members have answered in one round of attempts.
+#[derive(Debug, Default)]
+pub struct Round {
+    /// The refusal of a queue with the shortest delay.
+    no_slot: Option<NoSlot>,
+    /// Whether a member has failed for another reason than a refusal that was known in advance.
+    may_succeed: bool,
+}
+
+impl Round {
+    /// Records the outcome of an attempt.
+    pub fn record(&mut self, outcome: &RunOutcome) {
+        let Some(no_slot) = outcome.no_slot().filter(|no_slot| no_slot.is_expected) else {
+            self.may_succeed = true;
+            return;
+        };
+        let is_shorter = |known: NoSlot| no_slot.return_after < known.return_after;
+        if self.no_slot.is_none_or(is_shorter) {
+            self.no_slot = Some(no_slot);
+        }
+    }
+
+    /// The refusal of the caller, when no member has a slot for its request within its limit.
+    pub fn refusal(&self) -> Option<NoSlot> {
+        self.no_slot.filter(|_| !self.may_succeed)
+    }
+}
+
 /// Runs a single read, and tries other members when one fails.
 pub async fn run<P>(node: &Rc<Node<P>>, req: &Rc<Request>) -> Answer
 where
@@ -149,13 +181,14 @@
     let mut tried: Vec<MemberId> = Vec::new();
     let mut had_candidates = false;
     let mut busy = false;
-    let mut connection_wait = max_connection_wait(node, req).min(FIRST_CONNECTION_WAIT);
+    let mut round = Round::default();
+    let mut is_first_round = true;
     loop {
         let now = node.now();
-        if is_past_deadline(node, req.arrived) {
+        if is_past_deadline(node, req, req.arrived) {
             let reason =
                 if had_candidates { "no member answered" } else { "no member with recent data" };
-            return refuse(node, req, reason);
+            return refuse(node, req, reason, Cause::Failover, None);
         }
         let mut candidates = read_candidates(node, req);
         if candidates.is_empty() {
@@ -164,19 +197,26 @@
         }
         candidates.retain(|candidate| !tried.contains(&candidate.member));
         let Some(candidate) = candidates.first() else {
-            if busy && now.since(req.arrived) >= capacity_wait(node, req) {
-                return refuse(node, req, "the members are at capacity");
+            let round = std::mem::take(&mut round);
+            let refusal = round.refusal().filter(|_| !is_first_round);
+            if refusal.is_some() || busy && now.since(req.arrived) >= capacity_wait(node, req) {
+                let reason = "the members are at capacity";
+                return refuse(node, req, reason, Cause::Capacity, refusal);
             }
             tried.clear();
-            let first_round = connection_wait < max_connection_wait(node, req);
-            connection_wait = max_connection_wait(node, req);
-            sleep(if first_round { RETRY_DELAY } else { retry_delay(node, req) }).await;
+            sleep(if is_first_round { RETRY_DELAY } else { retry_delay(node, req) }).await;
+            is_first_round = false;
             continue;
         };
+        let longest = max_connection_wait(node, req);
+        let connection_wait =
+            if is_first_round { longest.min(FIRST_CONNECTION_WAIT) } else { longest };
         had_candidates = true;
         let second = candidates.get(1);
-        let (outcome, member) = attempt_hedged(node, req, candidate, second, connection_wait).await;
+        let wait = (connection_wait, !is_first_round);
+        let (outcome, member) = attempt_hedged(node, req, candidate, second, wait).await;
         busy = outcome.is_busy();
+        round.record(&outcome);
         if let Some(answer) = final_answer(node, req, outcome, &member) {
             return answer;
         }
@@ -200,6 +240,7 @@
             _ => return Some(answer),
         },
         RunOutcome::NotRun(code) => code.as_str(),
+        RunOutcome::NoSlot(_) => "no_slot",
         RunOutcome::Unreachable => "unreachable",
         RunOutcome::ConnectionLost => "broken",
     };
@@ -221,21 +262,20 @@
     req: &Rc<Request>,
     first: &Candidate,
     second: Option<&Candidate>,
-    connection_wait: Duration,
+    wait: (Duration, bool),
 ) -> MemberOutcome
 where
     P: Platform,
 {
-    let mut running = boxed_attempt(node, req, first, connection_wait);
+    let mut running = boxed_attempt(node, req, first, wait);
     let Some(second) = second else { return running.await };
     // While a read may be waiting for a slot at a holder, it is not sent to a second member.
-    let uses_holders = node.uses_holders(&req.route.group);
-    let slot_wait = if uses_holders { connection_wait } else { Duration::ZERO };
+    let slot_wait = hedge_slot_wait(node, req, wait.0);
     if let Some(outcome) = within(HEDGE_AFTER + slot_wait, &mut running).await {
         return outcome;
     }
     record_retry(node, &req.id, "slow", &first.member);
-    let hedge = boxed_attempt(node, req, second, connection_wait);
+    let hedge = boxed_attempt(node, req, second, wait);
     let (outcome, other) = match futures::future::select(running, hedge).await {
         futures::future::Either::Left(ended) | futures::future::Either::Right(ended) => ended,
     };
@@ -251,14 +291,24 @@
     node: &Rc<Node<P>>,
     req: &Rc<Request>,
     candidate: &Candidate,
-    connection_wait: Duration,
+    wait: (Duration, bool),
 ) -> LocalBoxFuture<'static, MemberOutcome>
 where
     P: Platform,
 {
     let (node, req, candidate) = (node.clone(), req.clone(), candidate.clone());
     async move {
-        let outcome = try_member(&node, &req, &candidate, connection_wait).await;
+        let (connection_wait, is_final) = wait;
+        let purpose = Purpose {
+            member: &candidate.member,
+            work: Work::Read,
+            needs_primary: candidate.primary,
+            since: req.arrived,
+            connection_wait,
+            is_final,
+        };
+        let attempt = request::attempt(&node, &req, &purpose);
+        let outcome = try_member(&node, &req, &candidate, &attempt).await;
         (outcome, candidate.member)
     }
     .boxed_local()
@@ -268,18 +318,18 @@
     node: &Node<P>,
     req: &Request,
     candidate: &Candidate,
-    connection_wait: Duration,
+    attempt: &Attempt,
 ) -> RunOutcome
 where
     P: Platform,
 {
-    let mut channel = match request::open(node, req, &candidate.member, connection_wait).await {
+    let mut channel = match request::open(node, req, &candidate.member, attempt).await {
         Ok(channel) => channel,
         Err(outcome) => return outcome,
     };
     let limit = node.limit_to_deadline(req.route.statement_timeout);
     let sent = node.now();
-    let running = channel.run(node, req.statement_run(candidate.after, limit, connection_wait));
+    let running = channel.run(node, req.statement_run(candidate.after, limit, attempt));
     match poll_if_slow(node, req, &candidate.member, running).await {
         RunOutcome::Answered(answer) if is_idle(&answer) => {
             record_answer(node, req, &candidate.member, answer.position, sent);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,6 +6,7 @@
     clock::Instant,
     name::{MemberId, Workspace},
     position::Position,
+    return_time::Cause,
     roster::FleetRole,
 };
 use hibiscusladder_io::clock::{sleep, within};
@@ -13,18 +14,23 @@
 
 use crate::{
     adapter::Platform,
-    channel::{self, Channel, RunOutcome, StatementRun},
+    channel::{self, Channel, ChannelRequest, RunOutcome, StatementRun},
     directory::Route,
     events::{self, Event},
     metrics::Counter,
     model::{Answer, Code, Failure, TransactionState},
     node::Node,
     pool::Values,
+    refusal::{Delay, RefusedRequest},
     tunnel::Payload,
+    urgency::{CallUrgency, NoSlot, Work, micros, request_limit, work_kind},
 };
 
-/// Longest time for which a request may wait for a member that can run it.
-pub const MEMBER_WAIT: Duration = Duration::from_millis(4500);
+/// Longest time for which a request may wait for a member that can run it, unless its limit is much longer.
+const MEMBER_WAIT: Duration = Duration::from_millis(4500);
+/// Part of a limit, as numerator and denominator, for which a request waits; the rest is left for running it, since a write that
+/// is cut off has an unknown outcome.
+const WAIT_PART: (u32, u32) = (3, 4);
 /// Divisor of a statement's time limit that gives its longest wait for a slot of a holder; the rest of the limit is
 /// left for running it.
 const CONNECTION_WAIT_DIVISOR: u32 = 2;
@@ -34,8 +40,6 @@
 pub const RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Delay before holders without a free slot are tried again; several statements end meanwhile.
 const CAPACITY_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Time after which a refused caller may try again; about half the duration of a failover.
-const RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Longest wait for a change of the group while no member can run a request.
 const CHANGE_WAIT: Duration = Duration::from_millis(100);
 
@@ -68,13 +72,13 @@
 }
 
 impl Request {
-    /// The request's statement with time limits: `limit` for running it, and `connection_wait` for a holder's wait for
+    /// The request's statement with time limits: `limit` for running it, and that of `attempt` for a holder's wait for
     /// a connection.
     pub fn statement_run(
         &self,
         after: Option<Position>,
         limit: Duration,
-        connection_wait: Duration,
+        attempt: &Attempt,
     ) -> StatementRun<'_> {
         StatementRun {
             id: &self.id,
@@ -82,20 +86,85 @@
             values: &self.values,
             after,
             limit,
-            connection_wait,
+            connection_wait: attempt.connection_wait,
+            urgency: attempt.urgency,
         }
     }
 }
 
+/// One attempt to run a request at a member.
+#[derive(Debug, Clone, Copy)]
+pub struct Attempt {
+    /// Longest wait for a connection to the member.
+    pub connection_wait: Duration,
+    /// Urgency in the queue of the member; `None` without priorities.
+    pub urgency: Option<CallUrgency>,
+}
+
+/// What an attempt is made for.
+#[derive(Debug, Clone, Copy)]
+pub struct Purpose<'a> {
+    /// Member that is to run the request.
+    pub member: &'a MemberId,
+    /// Work that the request does there.
+    pub work: Work,
+    /// Whether the request may run at a primary only.
+    pub needs_primary: bool,
+    /// Time from which the target and the limit of the request count.
+    pub since: Instant,
+    /// Longest wait for a connection to the member.
+    pub connection_wait: Duration,
+    /// Whether the caller is refused when there is no slot in that time.
+    pub is_final: bool,
+}
+
+/// An attempt to run a request.
+pub fn attempt<P>(node: &Node<P>, req: &Request, purpose: &Purpose<'_>) -> Attempt
+where
+    P: Platform,
+{
+    let Purpose { member, work, connection_wait, .. } = *purpose;
+    if !node.settings.priorities {
+        return Attempt { connection_wait, urgency: None };
+    }
+    let used = node.now().since(purpose.since);
+    let left = request_limit(req.route.statement_timeout).saturating_sub(used);
+    // The answer has a way to go.
+    let round_trip = node.pool(member).map_or(Duration::ZERO, |pool| pool.round_trip());
+    let urgency = CallUrgency {
+        priority: req.route.priority,
+        kind: work_kind(&req.route.database, work),
+        target: micros(req.route.target_latency.saturating_sub(round_trip)),
+        used: micros(used),
+        left: micros(left),
+        begins_transaction: work == Work::Begin,
+        needs_primary: purpose.needs_primary,
+        is_final: purpose.is_final,
+    };
+    Attempt { connection_wait: connection_wait.min(left), urgency: Some(urgency) }
+}
+
 /// Whether a request that has waited since `since` has to be refused now, because its wait or the instance ends.
-pub fn is_past_deadline<P>(node: &Node<P>, since: Instant) -> bool
+pub fn is_past_deadline<P>(node: &Node<P>, req: &Request, since: Instant) -> bool
 where
     P: Platform,
 {
-    let left = MEMBER_WAIT.saturating_sub(node.now().since(since));
+    let left = member_wait(node, req).saturating_sub(node.now().since(since));
     node.limit_to_deadline(left).is_zero()
 }
 
+/// Longest time for which a request may wait for a member that can run it.
+fn member_wait<P>(node: &Node<P>, req: &Request) -> Duration
+where
+    P: Platform,
+{
+    if !node.settings.priorities {
+        return MEMBER_WAIT;
+    }
+    let (numerator, denominator) = WAIT_PART;
+    MEMBER_WAIT.max(request_limit(req.route.statement_timeout) * numerator / denominator)
+}
+
 /// Logs and counts that a request is sent again.
 pub fn record_retry<P>(node: &Node<P>, id: &str, cause: &'static str, member: &MemberId)
 where
@@ -108,16 +177,66 @@
     );
 }
 
-/// Refuses a request that did not run, with the time after which the caller may try again.
-pub fn refuse<P>(node: &Node<P>, req: &Request, reason: &'static str) -> Answer
+/// Refuses a request that did not run, with the time after which the caller may try again. `no_slot` is the refusal of a
+/// member's queue, if one is the reason.
+pub fn refuse<P>(
+    node: &Node<P>,
+    req: &Request,
+    reason: &'static str,
+    cause: Cause,
+    no_slot: Option<NoSlot>,
+) -> Answer
 where
     P: Platform,
 {
-    log_outcome(node, req, Event::RequestRefused, json!({ "reason": reason }));
-    let failure = Failure::retry_after(Code::Busy, reason, RETRY_AFTER);
+    let delay = retry_delay_of(node, req, cause, no_slot);
+    log_outcome(node, req, Event::RequestRefused, refusal_fields(req, reason, delay, no_slot));
+    let failure = Failure::retry_after(Code::Busy, reason, delay.after);
     Answer::failed(failure, TransactionState::Idle)
 }
 
+/// Fields of the log line of a refusal.
+pub fn refusal_fields(req: &Request, reason: &str, delay: Delay, no_slot: Option<NoSlot>) -> Value {
+    json!({
+        "reason": reason, "cause": delay.cause.as_str(), "priority": req.route.priority,
+        "retry_after_ms": events::millis(delay.after),
+        "expected_wait_ms": no_slot.filter(|no_slot| no_slot.is_expected).map(|no_slot| no_slot.wait / 1000),
+    })
+}
+
+/// Time after which the caller of a refused request may try again.
+pub fn retry_delay_of<P>(
+    node: &Node<P>,
+    req: &Request,
+    cause: Cause,
+    no_slot: Option<NoSlot>,
+) -> Delay
+where
+    P: Platform,
+{
+    let now = node.now();
+    let refused = RefusedRequest {
+        id: &req.id,
+        priority: req.route.priority,
+        used: now.since(req.arrived),
+        limit: request_limit(req.route.statement_timeout),
+    };
+    let service = node.service_time(&req.route.group);
+    let after = match cause {
+        Cause::Failover => {
+            // Each instance refuses callers for the same primary.
+            let instances = u32::try_from(node.topology().len()).unwrap_or(u32::MAX);
+            let part = service.saturating_mul(instances) / node.slots(&req.route.group);
+            node.refusals.for_failover(&refused, &req.route.group, part, now)
+        }
+        _ => {
+            let booked = no_slot.map(|no_slot| no_slot.return_after());
+            node.refusals.for_capacity(&refused, booked, service)
+        }
+    };
+    Delay { cause, after }
+}
+
 /// Logs the end of a request without success, with the fields of `inputs` and the state that the decision was based on.
 pub fn log_outcome<P>(node: &Node<P>, req: &Request, event: Event, inputs: Value)
 where
@@ -152,6 +271,10 @@
 where
     P: Platform,
 {
+    if node.settings.priorities {
+        let (numerator, denominator) = WAIT_PART;
+        return req.route.statement_timeout * numerator / denominator;
+    }
     let holder_wait = req.route.statement_timeout / CONNECTION_WAIT_DIVISOR;
     if node.uses_holders(&req.route.group) { holder_wait } else { MEMBER_WAIT }
 }
@@ -161,9 +284,21 @@
 where
     P: Platform,
 {
+    if node.settings.priorities {
+        return request_limit(req.route.statement_timeout);
+    }
     if node.uses_holders(&req.route.group) { req.route.statement_timeout } else { MEMBER_WAIT }
 }
 
+/// Time after which a read that waits for a slot of a holder may be sent to a second member as well.
+pub fn hedge_slot_wait<P>(node: &Node<P>, req: &Request, connection_wait: Duration) -> Duration
+where
+    P: Platform,
+{
+    let longest = req.route.statement_timeout / CONNECTION_WAIT_DIVISOR;
+    if node.uses_holders(&req.route.group) { connection_wait.min(longest) } else { Duration::ZERO }
+}
+
 /// Delay before members without a free slot are tried again.
 pub fn retry_delay<P>(node: &Node<P>, req: &Request) -> Duration
 where
@@ -181,14 +316,20 @@
     node: &Node<P>,
     req: &Request,
     member: &MemberId,
-    connection_wait: Duration,
+    attempt: &Attempt,
 ) -> Result<Channel<P>, RunOutcome>
 where
     P: Platform,
 {
-    let until =
-        node.now().plus(node.limit_to_deadline(connection_wait.min(req.route.statement_timeout)));
-    let opening = channel::open(node, member, &req.workspace, &req.values, until);
+    let connection_wait = attempt.connection_wait.min(req.route.statement_timeout);
+    let request = ChannelRequest {
+        id: &req.id,
+        workspace: &req.workspace,
+        values: &req.values,
+        urgency: attempt.urgency,
+        until: node.now().plus(node.limit_to_deadline(connection_wait)),
+    };
+    let opening = channel::open(node, member, &request);
     // Pinned here, so that the future of each session has room for it once only.
     let opening = std::pin::pin!(opening);
     let opened = node.until_deadline(opening).await;
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -80,7 +80,9 @@
         }
     };
     within(node.limit_to_deadline(CONFIGURATION_WAIT), configured).await;
-    authorise(node, &handshake.database, &handshake.key).map(|_| ())
+    // A caller that opens a session has no request yet, so its time of arrival spreads the delays.
+    let id = node.now().since_origin().as_nanos().to_string();
+    authorise(node, &handshake.database, &handshake.key, &id).map(|_| ())
 }
 
 async fn reject_message<C>(port: &mut C, error: &PortError)
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -34,6 +34,10 @@
     pub drain: Duration,
     /// Margin by which a workspace may exceed its limits.
     pub tolerance: Tolerance,
+    /// Whether requests that wait for the same capacity are ordered by urgency.
+    pub priorities: bool,
+    /// Whether refused callers are told a time that follows from the expected wait.
+    pub return_times: bool,
 }
 
 /// Margin by which the operations of a workspace may exceed its limits, over all instances together.
--- a/crates/gateway/src/status_page.rs
+++ b/crates/gateway/src/status_page.rs
@@ -120,10 +120,14 @@
     P: Platform,
 {
     let mut text = format!(
-        "hibiscus_configuration_version {}\nhibiscus_sessions {}\nhibiscus_log_lines_dropped_total {}\n",
+        "hibiscus_configuration_version {}\nhibiscus_sessions {}\nhibiscus_log_lines_dropped_total {}\n\
+         hibiscus_priorities_enabled {}\nhibiscus_return_times_enabled {}\nhibiscus_waiting_requests {}\n",
         node.version(),
         node.sessions(),
         events::dropped(),
+        u8::from(node.settings.priorities),
+        u8::from(node.settings.return_times),
+        node.waiting_requests(),
     );
     match node.metrics.write(&mut text) {
         Ok(()) => reply(StatusCode::OK, Bytes::from(text)),
--- a/crates/gateway/src/transaction.rs
+++ b/crates/gateway/src/transaction.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use hibiscusladder_core::name::MemberId;
+use hibiscusladder_core::{clock::Instant, name::MemberId, return_time::Cause};
 use hibiscusladder_io::clock::sleep;
 use serde_json::json;
 
@@ -13,17 +13,19 @@
     model::{Answer, Code, Failure, Query, TransactionState},
     node::Node,
     pool::Values,
-    reads::{Candidate, read_candidates},
+    reads::{Candidate, Round, read_candidates},
     request::{
-        self, LastCommit, Request, capacity_wait, is_past_deadline, max_connection_wait,
-        poll_if_slow, record_answer, record_retry, retry_delay, wait_for_change,
+        self, LastCommit, Purpose, Request, capacity_wait, is_past_deadline, max_connection_wait,
+        poll_if_slow, record_answer, record_retry, refusal_fields, retry_delay, retry_delay_of,
+        wait_for_change,
     },
     tunnel::Payload,
+    urgency::Work,
     writes::{self, log_unknown, record_commit, record_write},
 };
 
 /// Causes of a failed begin which show that the member responds but has no capacity.
-const BUSY_CAUSES: [&str; 2] = [Code::Busy.as_str(), Code::TooMany.as_str()];
+const BUSY_CAUSES: [&str; 3] = [Code::Busy.as_str(), Code::TooMany.as_str(), "no_slot"];
 
 /// A transaction that the caller has begun.
 pub struct Transaction<P>
@@ -145,6 +147,7 @@
                 after: None,
                 limit,
                 connection_wait: Duration::ZERO,
+                urgency: None,
             },
         );
         let outcome = poll_if_slow(node, &self.request, member, running).await;
@@ -181,7 +184,8 @@
         aborted(reason)
     }
 
-    /// Begins the transaction at a member, unless it has begun already.
+    /// Begins the transaction at a member, unless it has begun already. The caller's pause before the first statement does not
+    /// count as time that the request has used.
     async fn begin(
         &mut self,
         node: &Rc<Node<P>>,
@@ -193,8 +197,11 @@
         }
         let started = node.now();
         let mut busy = false;
+        let mut cause = Cause::Failover;
+        let mut refusal = None;
+        let mut round = Round::default();
         let mut tried: Vec<MemberId> = Vec::new();
-        while !is_past_deadline(node, started) {
+        while !is_past_deadline(node, &self.request, started) {
             let candidates = self.candidates(node);
             if candidates.is_empty() {
                 wait_for_change(node, &self.request).await;
@@ -203,34 +210,42 @@
             let Some(candidate) =
                 candidates.iter().find(|candidate| !tried.contains(&candidate.member))
             else {
-                if busy && node.now().since(started) >= capacity_wait(node, &self.request) {
+                refusal = std::mem::take(&mut round).refusal();
+                let used = node.now().since(started);
+                if refusal.is_some() || busy && used >= capacity_wait(node, &self.request) {
+                    cause = Cause::Capacity;
                     break;
                 }
                 tried.clear();
                 sleep(retry_delay(node, &self.request)).await;
                 continue;
             };
-            match self.begin_at(node, values, candidate).await {
+            match self.begin_at(node, values, candidate, started).await {
                 Ok(channel) => {
                     self.channel = Some((candidate.member.clone(), channel));
                     return Ok(());
                 }
-                Err(cause) => {
+                Err(outcome) => {
+                    round.record(&outcome);
+                    let cause = cause_of(&outcome);
                     busy = BUSY_CAUSES.contains(&cause);
                     record_retry(node, id, cause, &candidate.member);
                 }
             }
             tried.push(candidate.member.clone());
         }
-        events::log(
-            Event::RequestRefused,
-            json!({
-                "request": id, "workspace": self.request.workspace.as_str(),
-                "group": self.request.route.group.as_str(), "reason": "no member to begin at",
-                "version": node.version(),
-            }),
-        );
-        Err(aborted("no member could begin the transaction; try again in 500 ms"))
+        let delay = retry_delay_of(node, &self.request, cause, refusal);
+        let mut fields = json!({
+            "request": id, "workspace": self.request.workspace.as_str(),
+            "group": self.request.route.group.as_str(), "version": node.version(),
+        });
+        let reason = "no member to begin at";
+        events::extend(&mut fields, refusal_fields(&self.request, reason, delay, refusal));
+        events::log(Event::RequestRefused, fields);
+        let after = delay.after.as_millis().max(1);
+        let detail =
+            format!("rolled back: no member could begin the transaction; try again in {after} ms");
+        Err(Failure::new(Code::Aborted, detail))
     }
 
     fn candidates(&self, node: &Node<P>) -> Vec<Candidate> {
@@ -249,32 +264,39 @@
         node: &Rc<Node<P>>,
         values: &Values,
         candidate: &Candidate,
-    ) -> Result<Channel<P>, &'static str> {
-        let connection_wait = max_connection_wait(node, &self.request);
-        let mut channel = request::open(node, &self.request, &candidate.member, connection_wait)
-            .await
-            .map_err(|outcome| cause_of(&outcome))?;
-        let limit = node.limit_to_deadline(self.request.route.statement_timeout);
-        let run = StatementRun {
-            values,
-            ..self.request.statement_run(candidate.after, limit, connection_wait)
+        started: Instant,
+    ) -> Result<Channel<P>, RunOutcome> {
+        let member = &candidate.member;
+        let purpose = Purpose {
+            member,
+            work: Work::Begin,
+            needs_primary: candidate.primary,
+            since: started,
+            connection_wait: max_connection_wait(node, &self.request),
+            is_final: true,
         };
+        let attempt = request::attempt(node, &self.request, &purpose);
+        let mut channel = request::open(node, &self.request, member, &attempt).await?;
+        let limit = node.limit_to_deadline(self.request.route.statement_timeout);
+        let run =
+            StatementRun { values, ..self.request.statement_run(candidate.after, limit, &attempt) };
         let running = channel.run(node, run);
         match poll_if_slow(node, &self.request, &candidate.member, running).await {
-            RunOutcome::Answered(answer) => match answer.outcome {
-                Ok(_) if answer.state == TransactionState::Open => Ok(channel),
-                Ok(_) => Err("not_begun"),
-                Err(failure) => Err(failure.code.as_str()),
-            },
-            outcome => Err(cause_of(&outcome)),
+            RunOutcome::Answered(answer)
+                if answer.outcome.is_ok() && answer.state == TransactionState::Open =>
+            {
+                Ok(channel)
+            }
+            outcome => Err(outcome),
         }
     }
 }
 
-const fn cause_of(outcome: &RunOutcome) -> &'static str {
+fn cause_of(outcome: &RunOutcome) -> &'static str {
     match outcome {
-        RunOutcome::Answered(_) => "answered",
+        RunOutcome::Answered(answer) => answer.code().map_or("not_begun", Code::as_str),
         RunOutcome::NotRun(code) => code.as_str(),
+        RunOutcome::NoSlot(_) => "no_slot",
         RunOutcome::Unreachable => "unreachable",
         RunOutcome::ConnectionLost => "broken",
     }
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -1,7 +1,7 @@
 //! Calls from one instance to another that holds the connections to a member.
 //!
-//! A tunnel is a TCP connection that carries frames of a length and a `postcard` body, for one call at a time. A
-//! transaction keeps its tunnel. When a tunnel is lost, the holder closes the connection to the member, which rolls the
+//! A tunnel is a TCP connection that carries frames of a length and a `postcard` body, for one call at a time. The body may
+//! be followed by [`Sections`], which earlier versions ignore. A transaction keeps its tunnel. When a tunnel is lost, the holder closes the connection to the member, which rolls the
 //! transaction back.
 
 use std::{cell::RefCell, collections::BTreeMap, io, net::SocketAddr, rc::Rc, time::Duration};
@@ -11,7 +11,10 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use smol::net::TcpStream;
 
-use crate::model::{Access, Code, Failure, TransactionState};
+use crate::{
+    message::Sections,
+    model::{Access, Code, Failure, TransactionState},
+};
 
 /// Longest body of a frame: a caller's message with the values of its session, or an answer.
 const MAX_FRAME_BYTES: usize = 4 << 20;
@@ -184,29 +187,31 @@
         Self { stream }
     }
 
-    /// Sends a frame.
+    /// Sends a frame with a message and its sections.
     ///
     /// # Errors
     ///
     /// The connection was lost.
-    pub async fn send<T>(&mut self, message: &T) -> io::Result<()>
+    pub async fn send<T>(&mut self, message: &T, sections: &Sections) -> io::Result<()>
     where
         T: Serialize,
     {
-        let frame =
-            postcard::to_extend(message, vec![0; LENGTH_BYTES]).map_err(io::Error::other)?;
+        let frame = vec![0; LENGTH_BYTES];
+        let mut frame = postcard::to_extend(message, frame).map_err(io::Error::other)?;
+        if !sections.is_empty() {
+            frame = postcard::to_extend(sections, frame).map_err(io::Error::other)?;
+        }
         let length = u32::try_from(frame.len() - LENGTH_BYTES).map_err(io::Error::other)?;
-        let mut frame = frame;
         frame[..LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
         self.stream.write_all(&frame).await
     }
 
-    /// Reads a frame.
+    /// Reads a frame. Sections that cannot be decoded are left out.
     ///
     /// # Errors
     ///
-    /// The connection was lost, the frame is too long, or its body does not decode.
-    pub async fn receive<T>(&mut self) -> io::Result<T>
+    /// The connection was lost, the frame is too long, or its message does not decode.
+    pub async fn receive<T>(&mut self) -> io::Result<(T, Sections)>
     where
         T: DeserializeOwned,
     {
@@ -218,7 +223,8 @@
         }
         let mut body = vec![0; length];
         self.stream.read_exact(&mut body).await?;
-        postcard::from_bytes(&body).map_err(io::Error::other)
+        let (message, rest) = postcard::take_from_bytes(&body).map_err(io::Error::other)?;
+        Ok((message, postcard::from_bytes(rest).unwrap_or_default()))
     }
 
     /// Whether the other end has closed the connection or sent bytes that no call is waiting for.
@@ -289,15 +295,29 @@
     ///
     /// The tunnel was lost; the call may have run.
     pub async fn call(&mut self, call: &Call) -> io::Result<Reply> {
+        let (reply, _) = self.call_with(call, &Sections::default()).await?;
+        Ok(reply)
+    }
+
+    /// Like [`call`](Self::call), with sections of the call and of the reply.
+    ///
+    /// # Errors
+    ///
+    /// As for [`call`](Self::call).
+    pub async fn call_with(
+        &mut self,
+        call: &Call,
+        sections: &Sections,
+    ) -> io::Result<(Reply, Sections)> {
         self.reusable = false;
         let stream = self.stream.as_mut().ok_or(io::ErrorKind::NotConnected)?;
-        stream.send(call).await?;
-        let reply: Reply = stream.receive().await?;
+        stream.send(call, sections).await?;
+        let (reply, sections) = stream.receive::<Reply>().await?;
         self.reusable = match &reply {
             Reply::Answered(answer) => answer.state == TransactionState::Idle,
             _ => true,
         };
-        Ok(reply)
+        Ok((reply, sections))
     }
 }
 
--- a/crates/gateway/src/writes.rs
+++ b/crates/gateway/src/writes.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use hibiscusladder_core::{clock::Instant, name::MemberId, position::Position};
+use hibiscusladder_core::{clock::Instant, name::MemberId, position::Position, return_time::Cause};
 use hibiscusladder_io::clock::sleep;
 use serde_json::json;
 
@@ -14,10 +14,11 @@
     node::Node,
     reads::accepts_work,
     request::{
-        self, LastCommit, Request, capacity_wait, is_past_deadline, log_outcome,
+        self, LastCommit, Purpose, Request, capacity_wait, is_past_deadline, log_outcome,
         max_connection_wait, poll_if_slow, record_answer, record_retry, refuse, retry_delay,
         wait_for_change,
     },
+    urgency::Work,
 };
 
 /// Time since the first unanswered poll after which a primary gets no new writes.
@@ -42,8 +43,9 @@
     P: Platform,
 {
     loop {
-        if is_past_deadline(node, req.arrived) {
-            return (refuse(node, req, "the database has no primary"), None);
+        if is_past_deadline(node, req, req.arrived) {
+            let reason = "the database has no primary";
+            return (refuse(node, req, reason, Cause::Failover, None), None);
         }
         let Some(member) = primary(node, req, node.now()) else {
             wait_for_change(node, req).await;
@@ -51,10 +53,18 @@
         };
         let outcome = try_member(node, req, &member).await;
         let busy = outcome.is_busy();
-        if busy && node.now().since(req.arrived) >= capacity_wait(node, req) {
-            return (refuse(node, req, "the primary is at capacity"), None);
+        let no_slot = outcome.no_slot();
+        let is_hopeless = no_slot.is_some_and(|no_slot| no_slot.is_expected);
+        if is_hopeless || busy && node.now().since(req.arrived) >= capacity_wait(node, req) {
+            let reason = "the primary is at capacity";
+            return (refuse(node, req, reason, Cause::Capacity, no_slot), None);
         }
         match outcome {
+            RunOutcome::NoSlot(_) => {
+                // The limit of the request is longer than that of one attempt. Its place follows from its arrival.
+                record_retry(node, &req.id, "no_slot", &member);
+                continue;
+            }
             RunOutcome::Answered(answer) => {
                 let position = answer.position.filter(|_| answer.outcome.is_ok());
                 let last_commit = position.map(|position| LastCommit { position, at: node.now() });
@@ -76,14 +86,22 @@
 where
     P: Platform,
 {
-    let connection_wait = max_connection_wait(node, req);
-    let mut channel = match request::open(node, req, member, connection_wait).await {
+    let purpose = Purpose {
+        member,
+        work: Work::Write,
+        needs_primary: true,
+        since: req.arrived,
+        connection_wait: max_connection_wait(node, req),
+        is_final: true,
+    };
+    let attempt = request::attempt(node, req, &purpose);
+    let mut channel = match request::open(node, req, member, &attempt).await {
         Ok(channel) => channel,
         Err(outcome) => return outcome,
     };
     let limit = node.limit_to_deadline(req.route.statement_timeout);
     let sent = node.now();
-    let running = channel.run(node, req.statement_run(None, limit, connection_wait));
+    let running = channel.run(node, req.statement_run(None, limit, &attempt));
     let outcome = poll_if_slow(node, req, member, running).await;
     match outcome {
         RunOutcome::Answered(answer) if is_idle(&answer) => {
--- a/hibiscusladder/tests/gateway/main.rs
+++ b/hibiscusladder/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod foreign;
 mod history;
+mod order;
 mod path;
 mod promotion;
 mod returning;
