--- a/crates/core/src/queue/ordered.rs
+++ b/crates/core/src/queue/ordered.rs
@@ -51,7 +51,7 @@
     backlog::{Backlog, Capacity, Usage},
     guarantee::{Guarantee, guaranteed_part},
     index::Index,
-    service_times::{ServiceTimes, seconds},
+    service_times::{ServiceTimes, bounded, seconds},
     urgency::{Level, index_of},
     waiting::{Timers, Waiting},
     workspace::{Flow, Tag},
@@ -79,6 +79,8 @@
     /// Kind of work; `None` without urgency.
     kind: Option<WorkKind>,
     started: Instant,
+    /// Expected cost, in seconds of slot time.
+    cost_s: f64,
     /// Slot time charged so far, in seconds.
     charged: f64,
 }
@@ -202,6 +204,7 @@
             level,
             kind: waiting.kind(),
             started: now,
+            cost_s,
             charged: cost_s,
         };
         self.running.insert(ticket, running);
@@ -216,12 +219,14 @@
         let Some(running) = self.running.remove(&ticket) else { return };
         let used = now.since(running.started);
         let used_s = used.as_secs_f64();
-        self.usage.record(running.level, used_s, now);
+        // A statement that hung does not show what the next ones leave to others.
+        let usual_s = bounded(used_s, running.cost_s);
+        self.usage.record(running.level, usual_s, now);
         if let Some(kind) = running.kind {
             self.service_times.record(kind, used);
         }
         self.update(&running.workspace, |flow| {
-            flow.usage.record(running.level, used_s, now);
+            flow.usage.record(running.level, usual_s, now);
             flow.finish(running.charged, used_s, running.kind.is_none());
         });
         self.reset_if_idle();
--- a/crates/core/src/queue/ordered/service_times.rs
+++ b/crates/core/src/queue/ordered/service_times.rs
@@ -26,12 +26,8 @@
 impl Estimate {
     const INITIAL: Self = Self { mean_s: INITIAL_MEAN_S, deviation_s: 0.0 };
 
-    fn bounded(&self, sample_s: f64) -> f64 {
-        sample_s.min((self.mean_s * MAX_GROWTH).max(MIN_BOUND_S))
-    }
-
     fn record(&mut self, sample_s: f64) {
-        let sample_s = self.bounded(sample_s);
+        let sample_s = bounded(sample_s, self.mean_s);
         let error = sample_s - self.mean_s;
         self.mean_s += SAMPLE_WEIGHT * error;
         self.deviation_s += SAMPLE_WEIGHT * (error.abs() - self.deviation_s);
@@ -56,7 +52,7 @@
         let used = used.as_secs_f64();
         if self.kinds.len() < MAX_KINDS || self.kinds.contains_key(&kind) {
             // The first sample of a kind replaces the estimate over all kinds.
-            let first = Estimate { mean_s: self.all.bounded(used), deviation_s: 0.0 };
+            let first = Estimate { mean_s: bounded(used, self.all.mean_s), deviation_s: 0.0 };
             self.kinds.entry(kind).or_insert(first).record(used);
         }
         self.all.record(used);
@@ -78,6 +74,11 @@
     }
 }
 
+/// A sample of a service time, in seconds, with its bound in relation to the mean.
+pub(super) fn bounded(sample_s: f64, mean_s: f64) -> f64 {
+    sample_s.min((mean_s * MAX_GROWTH).max(MIN_BOUND_S))
+}
+
 /// A duration of `seconds`, at most [`Duration::MAX`].
 pub(super) fn seconds(seconds: f64) -> Duration {
     Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(Duration::MAX)
--- a/crates/core/src/return_time.rs
+++ b/crates/core/src/return_time.rs
@@ -126,11 +126,13 @@
         let priority = usize::try_from(refusal.priority).unwrap_or(usize::MAX).min(PRIORITIES - 1);
         let start = now.plus(expected_wait).max(self.next[priority]);
         let delay = start.since(now);
-        if delay > latest {
+        if delay >= latest {
             return latest.mul_f64(f64::midpoint(1.0, jitter));
         }
+        // A calendar that is full is free again later, also when the capacity was none for a moment.
+        let end = now.plus(latest);
         for next in &mut self.next[priority..] {
-            *next = (*next).max(start).plus(spacing);
+            *next = (*next).max(start).plus(spacing).min(end.max(*next));
         }
         let spread = (delay / JITTER_DIVISOR).max(spacing);
         (delay + spread.mul_f64(jitter)).min(latest)
--- a/crates/core/tests/return_time.rs
+++ b/crates/core/tests/return_time.rs
@@ -55,6 +55,11 @@
     let delays = [0.0, 0.5, 1.0].map(|jitter| times.book(&refusal(0, 9000, jitter), now));
     assert_eq!(delays, [ms(2000), ms(3000), ms(4000)]);
     assert_eq!(times.book(&refusal(0, 100, 0.0), now), ms(100));
+    // A capacity that was none for a moment.
+    let none = Refusal { spacing: Duration::MAX, ..refusal(0, 100, 0.0) };
+    times.book(&none, now);
+    assert_eq!(times.book(&refusal(0, 100, 0.0), now), ms(2000));
+    assert_eq!(times.book(&refusal(0, 100, 0.0), now.plus(ms(5000))), ms(100));
 }
 
 /// Guards against retries at a fixed interval during a long failover, and against a delay of zero.
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -26,6 +26,7 @@
     node::Node,
     operation::NO_WORKSPACE,
     refusal::RefusedRequest,
+    token_order::{TokenOrder, TokenPlace},
 };
 
 /// Divisor of an operation's target latency that gives its longest wait for tokens; a longer wait would make the
@@ -49,15 +50,10 @@
     outstanding: f64,
     /// Number of the round of requests; each round goes to the next donor.
     round: usize,
-    /// Places of the waiting operations, with a notification for each that it has become the first.
-    places: BTreeMap<Place, Rc<Notify>>,
-    next_number: u64,
+    /// Order in which the waiting operations take tokens; empty without priorities.
+    order: TokenOrder,
 }
 
-/// Place of an operation among those that wait for tokens of its workspace: by priority, by the time at which its target passes,
-/// and by arrival.
-type Place = (u32, Instant, u64);
-
 /// An operation that is to be admitted.
 #[derive(Debug, Clone, Copy)]
 pub struct Operation<'a> {
@@ -151,23 +147,21 @@
         self.allotments.get(workspace).map_or(0.0, |allotment| allotment.token_rate(now))
     }
 
-    /// Whether an operation may take a token now: it is the first in the order, or there are tokens for all that wait. `place` is
-    /// `None` for one that has just arrived.
+    /// Whether an operation may take a token now; `place` is `None` for one that has just arrived.
     fn is_in_turn(
         &self,
-        workspace: &Workspace,
-        place: Option<&Place>,
-        arriving: Place,
+        operation: &Operation<'_>,
+        place: Option<&TokenPlace>,
         now: Instant,
     ) -> bool {
-        let Some(waiting) = self.waiting.get(workspace) else { return true };
-        let Some((first, _)) = waiting.places.first_key_value() else { return true };
-        let is_first = place.map_or(arriving < *first, |place| place == first);
-        is_first
-            || self
-                .allotments
-                .get(workspace)
-                .is_some_and(|allotment| allotment.level(now) >= waiting.places.len() as f64 + 1.0)
+        let Some(waiting) = self.waiting.get(operation.workspace) else { return true };
+        let allotment = self.allotments.get(operation.workspace);
+        let tokens = allotment.map_or(0.0, |allotment| allotment.level(now));
+        let target = now.plus(operation.target_latency);
+        place.map_or_else(
+            || waiting.order.may_pass(operation.priority, target, tokens),
+            |place| waiting.order.is_in_turn(place, tokens),
+        )
     }
 
     /// Adds this instance's part of `tokens`, which all instances together get for each workspace.
@@ -264,28 +258,6 @@
         Err(Some(allotment.defer(now)))
     }
 
-    /// Number of the next operation that waits for tokens of `workspace`.
-    fn next_number(&mut self, workspace: &Workspace) -> u64 {
-        let Some(waiting) = self.waiting.get_mut(workspace) else { return 0 };
-        waiting.next_number += 1;
-        waiting.next_number
-    }
-
-    /// Gives a waiting operation its place; the returned value is notified when it becomes the first.
-    fn take_place(&mut self, workspace: &Workspace, place: Place) -> Rc<Notify> {
-        let waiting = self.waiting.entry(workspace.clone()).or_default();
-        waiting.places.entry(place).or_default().clone()
-    }
-
-    /// Frees a place, and notifies the operation that is the first now.
-    fn leave_place(&mut self, workspace: &Workspace, place: &Place) {
-        let Some(waiting) = self.waiting.get_mut(workspace) else { return };
-        waiting.places.remove(place);
-        if let Some((_, first)) = waiting.places.first_key_value() {
-            first.notify(usize::MAX);
-        }
-    }
-
     /// Counts a waiting operation for as long as the returned guard lives.
     fn begin_wait(&mut self, workspace: &Workspace) -> InFlightGuard {
         self.waiting.entry(workspace.clone()).or_default().operations.begin()
@@ -387,9 +359,8 @@
     let workspace = operation.workspace;
     let mut admission = node.admission.borrow_mut();
     let place = waiting.and_then(|waiting| waiting.place.as_ref());
-    let arriving = (operation.priority, now.plus(operation.target_latency), u64::MAX);
     let is_first_try = waiting.is_none();
-    if !node.settings.priorities || admission.is_in_turn(workspace, place, arriving, now) {
+    if !node.settings.priorities || admission.is_in_turn(operation, place, now) {
         return admission.try_admit(workspace, is_first_try, now);
     }
     if is_first_try {
@@ -407,7 +378,7 @@
     node: Rc<Node<P>>,
     workspace: Workspace,
     /// `None` without priorities.
-    place: Option<Place>,
+    place: Option<TokenPlace>,
     /// Notified when the operation has become the first.
     first: Rc<Notify>,
     _counted: InFlightGuard,
@@ -421,10 +392,13 @@
         let workspace = operation.workspace;
         let mut admission = node.admission.borrow_mut();
         let counted = admission.begin_wait(workspace);
-        let until = now.plus(operation.target_latency);
-        let place = (operation.priority, until, admission.next_number(workspace));
-        let place = node.settings.priorities.then_some(place);
-        let first = place.map(|place| admission.take_place(workspace, place)).unwrap_or_default();
+        let target = now.plus(operation.target_latency);
+        let order = admission.waiting.get_mut(workspace).map(|waiting| &mut waiting.order);
+        let entered = order
+            .filter(|_| node.settings.priorities)
+            .map(|order| order.enter(operation.priority, target));
+        let (place, first) =
+            entered.map_or_else(Default::default, |(place, first)| (Some(place), first));
         let (node, workspace) = (node.clone(), workspace.clone());
         Self { node: node.clone(), workspace, place, first, _counted: counted }
     }
@@ -435,8 +409,9 @@
     P: Platform,
 {
     fn drop(&mut self) {
-        if let Some(place) = &self.place {
-            self.node.admission.borrow_mut().leave_place(&self.workspace, place);
+        let Some(place) = &self.place else { return };
+        if let Some(waiting) = self.node.admission.borrow_mut().waiting.get_mut(&self.workspace) {
+            waiting.order.leave(place);
         }
     }
 }
--- a/crates/gateway/src/channel.rs
+++ b/crates/gateway/src/channel.rs
@@ -223,7 +223,8 @@
     acquired
 }
 
-/// Waits until another member than that of `pool` is the primary of its group.
+/// Waits until this instance learns that another member than that of `pool` has become the primary of its group. What it
+/// knew before does not count, because the instance of the caller may know more.
 async fn until_replaced<P>(node: &Node<P>, pool: &Pool<P>)
 where
     P: Platform,
@@ -231,9 +232,13 @@
     let Some(group) = node.group(&pool.target.group) else {
         return smol::future::pending().await;
     };
+    let known_term = group.view.borrow().leader_term();
     loop {
         let leader = group.view.borrow().leader(node.now());
-        if leader.is_some_and(|leader| leader.member != pool.target.member && !leader.fenced) {
+        let is_replaced = leader.is_some_and(|leader| {
+            leader.term > known_term && leader.member != pool.target.member && !leader.fenced
+        });
+        if is_replaced {
             return;
         }
         group.wait_for_change(LEADER_CHECK_INTERVAL).await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod status_page;
 pub mod sync;
 pub mod tasks;
+pub mod token_order;
 pub mod transaction;
 pub mod tunnel;
 pub mod urgency;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -189,7 +189,7 @@
 where
     P: Platform,
 {
-    let delay = retry_delay_of(node, req, cause, no_slot);
+    let delay = return_delay(node, req, cause, no_slot);
     log_outcome(node, req, Event::RequestRefused, refusal_fields(req, reason, delay, no_slot));
     let failure = Failure::retry_after(Code::Busy, reason, delay.after);
     Answer::failed(failure, TransactionState::Idle)
@@ -205,7 +205,7 @@
 }
 
 /// Time after which the caller of a refused request may try again.
-pub fn retry_delay_of<P>(
+pub fn return_delay<P>(
     node: &Node<P>,
     req: &Request,
     cause: Cause,
--- a/crates/gateway/src/slot_queue.rs
+++ b/crates/gateway/src/slot_queue.rs
@@ -275,10 +275,11 @@
     let Some(order) = pool.slot_queue.order(line) else { return Err(None) };
     let (sender, granted) = oneshot::channel();
     let now = BootClock.now();
-    let id = order.borrow_mut().push(request, sender, now)?;
-    // Frees the place of a request whose caller has left, or whose time has passed.
-    let _place = Place { pool, line, id };
+    let pushed = order.borrow_mut().push(request, sender, now);
+    // Others may have been refused for this request.
     grant(pool, line);
+    // Frees the place of a request whose caller has left, or whose time has passed.
+    let _place = Place { pool, line, id: pushed? };
     match within(request.until.since(now), granted).await {
         Some(Ok(granted)) => granted.map_err(Some),
         Some(Err(_)) | None => Err(order.borrow_mut().expired(request, now, BootClock.now())),
--- a/crates/gateway/src/transaction.rs
+++ b/crates/gateway/src/transaction.rs
@@ -16,7 +16,7 @@
     reads::{Candidate, Round, read_candidates},
     request::{
         self, LastCommit, Purpose, Request, capacity_wait, is_past_deadline, max_connection_wait,
-        poll_if_slow, record_answer, record_retry, refusal_fields, retry_delay, retry_delay_of,
+        poll_if_slow, record_answer, record_retry, refusal_fields, retry_delay, return_delay,
         wait_for_change,
     },
     tunnel::Payload,
@@ -234,7 +234,7 @@
             }
             tried.push(candidate.member.clone());
         }
-        let delay = retry_delay_of(node, &self.request, cause, refusal);
+        let delay = return_delay(node, &self.request, cause, refusal);
         let mut fields = json!({
             "request": id, "workspace": self.request.workspace.as_str(),
             "group": self.request.route.group.as_str(), "version": node.version(),
--- a/crates/gateway/tests/urgency.rs
+++ b/crates/gateway/tests/urgency.rs
@@ -2,12 +2,13 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use futures::{AsyncReadExt, AsyncWriteExt};
+use futures::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use hibiscusladder_core::{clock::Instant, name::Workspace};
 use hibiscusladder_gateway::{
     message::{SectionKind, Sections},
     refusal::{Refusals, RefusedRequest},
     slot_order::SlotOrder,
+    token_order::TokenOrder,
     tunnel::{Call, FrameStream, Payload, RunCall},
     urgency::{CallUrgency, SlotRequest, Work, jitter, work_kind},
 };
@@ -186,3 +187,20 @@
     assert_ne!(kind("ledger", Work::Read), kind("ledger", Work::Write));
     assert_ne!(kind("ledger", Work::Begin), kind("album", Work::Begin));
 }
+
+/// Guards against a caller that returns and takes a token before those that waited, and against one that waits although there are
+/// enough for all.
+#[test]
+fn token_order_serves_those_that_wait_first() {
+    let mut order = TokenOrder::default();
+    assert!(order.may_pass(1, at(1000), 0.0));
+    let (first, _) = order.enter(1, at(1000));
+    let (second, notified) = order.enter(1, at(1100));
+    assert!(order.is_in_turn(&first, 1.0) && !order.is_in_turn(&second, 1.0));
+    assert!(!order.may_pass(1, at(1200), 1.0), "one that returns");
+    assert!(order.may_pass(0, at(1200), 1.0), "one that is more urgent");
+    assert!(order.may_pass(1, at(1200), 3.0), "tokens for all");
+    let becomes_first = notified.listen();
+    order.leave(&first);
+    assert!(becomes_first.now_or_never().is_some() && order.is_in_turn(&second, 1.0));
+}
--- a/hibiscusladder/tests/gateway/order.rs
+++ b/hibiscusladder/tests/gateway/order.rs
@@ -124,3 +124,74 @@
     assert!(times.iter().all(|time| (200..=4000).contains(time)), "{times:?}");
     assert!(process_log(&fleet.gateways[0]).contains("request_refused"));
 }
+
+/// Guards against writes that wait for a connection to a silent primary, and stay there when another one was promoted.
+#[test]
+fn waiting_writes_follow_the_primary() {
+    /// Connections of an instance to a member.
+    const CONNECTIONS: usize = 8;
+    /// Writes would wait three quarters of it at the former primary.
+    const TIMEOUT: Duration = Duration::from_secs(20);
+    const FAILOVER_TIMEOUT: Duration = Duration::from_secs(12);
+    let fleet = Fleet::start(INSTANCES);
+    fleet.standin.set_statement_timeout(TIMEOUT);
+    fleet.standin.configure(9, [2000.0; 2], &[]);
+    fleet.standin.lock_group().set_statement_time(Duration::from_millis(100));
+    thread::sleep(Duration::from_secs(2));
+    let address = fleet.gateways[0].callers;
+    let write = |id: String| {
+        let began = Instant::now();
+        let answer = query_once(address, PRIMARY_DATABASE, WORKSPACES[0], &id, "WRITE a 1");
+        answer.is_ok_and(|reply| reply.outcome.is_ok()) && began.elapsed() < FAILOVER_TIMEOUT
+    };
+    let write_all = |name: &str| -> usize {
+        thread::scope(|scope| {
+            let writers: Vec<_> = (0..2 * CONNECTIONS)
+                .map(|number| scope.spawn(move || write(format!("{name}-{number}"))))
+                .collect();
+            writers.into_iter().filter_map(|writer| writer.join().ok()).filter(|ok| *ok).count()
+        })
+    };
+    // Opens the connections, which keep the slots when the primary is silent.
+    assert_eq!(write_all("open"), 2 * CONNECTIONS);
+    fleet.member_proxies[0].change(|faults| faults.blackhole = true);
+    let served = write_all("wait");
+    assert!(served >= CONNECTIONS, "{served}, logs in {}", save_logs(&fleet, "follow"));
+}
+
+/// Guards against transactions that keep all connections of an instance during the pauses of their callers.
+#[test]
+fn open_transactions_leave_connections_to_others() {
+    /// More than the connections of an instance to a member.
+    const TRANSACTIONS: usize = 12;
+    /// Shorter than the time after which an idle transaction is ended.
+    const PAUSE: Duration = Duration::from_millis(2500);
+    let fleet = Fleet::start(INSTANCES);
+    let address = fleet.gateways[0].callers;
+    let times: Vec<io::Result<Duration>> = thread::scope(|scope| {
+        for number in 0..TRANSACTIONS {
+            scope.spawn(move || {
+                let mut session =
+                    open(address, PRIMARY_DATABASE, WORKSPACES[0]).expect("the session opens");
+                // Some have to wait, and are refused in the end.
+                session.query(&format!("b{number}"), "BEGIN").ok();
+                session.query(&format!("t{number}"), "WRITE a 1").ok();
+                thread::sleep(PAUSE);
+            });
+        }
+        thread::sleep(Duration::from_millis(700));
+        let single = |number| {
+            let began = Instant::now();
+            let id = format!("single-{number}");
+            let answer = query_once(address, PRIMARY_DATABASE, WORKSPACES[1], &id, "WRITE b 1")?;
+            answer.outcome.map_err(|(code, _)| io::Error::other(code))?;
+            Ok(began.elapsed())
+        };
+        (0..3).map(single).collect()
+    });
+    let is_quick = |time: &io::Result<Duration>| {
+        time.as_ref().is_ok_and(|time| *time < Duration::from_millis(500))
+    };
+    let logs = save_logs(&fleet, "transactions");
+    assert!(times.iter().all(is_quick), "{times:?}, logs in {logs}");
+}
