fix(core): widely spaced priorities keep their order

Cause: all priorities above 7 counted as equal, so routes with priorities such as 0, 10 and 50 had two classes. Change: priority::class maps numbers to eight classes with ranges that grow.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod outcome;
 pub mod position;
 pub mod prelude;
+mod priority;
 pub mod promotion;
 pub mod queue;
 pub mod quorum;
--- a/crates/core/src/queue/ordered.rs
+++ b/crates/core/src/queue/ordered.rs
@@ -52,7 +52,7 @@
     guarantee::{Guarantee, guaranteed_part},
     index::Index,
     service_times::{ServiceTimes, bounded, seconds},
-    urgency::{Level, index_of},
+    urgency::Level,
     waiting::{Timers, Waiting},
     workspace::{Flow, Tag},
 };
@@ -64,7 +64,7 @@
     fair::{Started, Ticket},
     flow::INITIAL_COST_S,
 };
-use crate::{clock::Instant, name::Workspace};
+use crate::{clock::Instant, name::Workspace, priority};
 
 /// Slot time by which a workspace may get ahead of its fair share for the sake of urgent requests. It covers a burst of some
 /// dozen requests; a workspace that floods is ahead by it only once.
@@ -149,7 +149,8 @@
         self.flows.entry(name.clone()).or_insert_with(|| Flow::new(virtual_time, INITIAL_COST_S));
         self.update(name, |flow| {
             flow.weight = new.weight;
-            flow.offset = PRIORITY_STEP.as_secs_f64() * index_of(new.workspace_priority) as f64;
+            flow.offset =
+                PRIORITY_STEP.as_secs_f64() * priority::class(new.workspace_priority) as f64;
             if !flow.is_waiting() {
                 flow.tag = flow.tag.max(virtual_time);
             }
@@ -252,14 +253,14 @@
 
     /// Time in which all waiting requests of the priority and of higher ones have started, late ones included.
     pub fn clearing_time(&self, priority: u32, now: Instant) -> Duration {
-        let level = Level { late: false, priority: index_of(priority) };
+        let level = Level { late: false, priority: priority::class(priority) };
         let slots = self.capacity().slots_for(level, now);
         seconds(self.backlog.up_to_priority(level.priority) / slots)
     }
 
     /// Time that one more request of a kind takes of the capacity that all others leave to late requests of its priority.
     pub fn spacing(&self, priority: u32, kind: WorkKind, now: Instant) -> Duration {
-        let level = Level { late: true, priority: index_of(priority) };
+        let level = Level { late: true, priority: priority::class(priority) };
         seconds(self.service_times.mean_s(kind) / self.capacity().slots_for(level, now))
     }
 
--- a/crates/core/src/queue/ordered/backlog.rs
+++ b/crates/core/src/queue/ordered/backlog.rs
@@ -4,9 +4,9 @@
 
 use super::{
     service_times::seconds,
-    urgency::{Level, PRIORITIES, Stream},
+    urgency::{Level, Stream},
 };
-use crate::clock::Instant;
+use crate::{clock::Instant, priority::CLASSES};
 
 /// Least part of the capacity that is expected for late requests of the highest priority.
 const MIN_LEFT: f64 = 1.0 / 64.0;
@@ -60,18 +60,18 @@
 
     /// Number of priorities with waiting requests, without the highest one.
     pub(super) fn lower_priorities(&self) -> usize {
-        let mut waiting = [false; PRIORITIES];
+        let mut waiting = [false; CLASSES];
         self.0.keys().for_each(|stream| waiting[stream.level.priority] = true);
         waiting[1..].iter().filter(|waiting| **waiting).count()
     }
 
-    /// Number of requests with the given index of a priority, and their work.
+    /// Number of requests of a class of priorities, and their work.
     pub(super) fn of_priority(&self, priority: usize) -> (usize, f64) {
         let streams = self.0.iter().filter(|(stream, _)| stream.level.priority == priority);
         streams.fold((0, 0.0), |(count, cost), (_, sum)| (count + sum.count, cost + sum.cost_s))
     }
 
-    /// Work of all priorities up to the given index, late or not.
+    /// Work of all priorities up to the given class, late or not.
     pub(super) fn up_to_priority(&self, priority: usize) -> f64 {
         let streams = self.0.iter().filter(|(stream, _)| stream.level.priority <= priority);
         streams.map(|(_, sum)| sum.cost_s).sum()
--- a/crates/core/src/queue/ordered/guarantee.rs
+++ b/crates/core/src/queue/ordered/guarantee.rs
@@ -1,6 +1,7 @@
 //! The part of the slot time that keeps lower priorities from starving.
 
-use super::{backlog::Backlog, urgency::PRIORITIES};
+use super::backlog::Backlog;
+use crate::priority::CLASSES;
 
 /// Slot time that lower priorities are owed together for each unit that higher ones get while they wait.
 const GUARANTEED_PART: f64 = 0.25;
@@ -15,7 +16,7 @@
 /// While requests of a lower priority wait, they are owed [`GUARANTEED_PART`] of the slot time that higher ones get.
 #[derive(Debug, Default)]
 pub(super) struct Guarantee {
-    owed_s: [f64; PRIORITIES],
+    owed_s: [f64; CLASSES],
 }
 
 impl Guarantee {
@@ -23,8 +24,8 @@
     pub(super) fn record_start(&mut self, priority: usize, cost_s: f64, backlog: &Backlog) {
         self.owed_s[priority] = (self.owed_s[priority] - cost_s).max(0.0);
         let is_waiting = |lower: &usize| backlog.of_priority(*lower).0 > 0;
-        let waiting = (priority + 1..PRIORITIES).filter(is_waiting).count();
-        for lower in 0..PRIORITIES {
+        let waiting = (priority + 1..CLASSES).filter(is_waiting).count();
+        for lower in 0..CLASSES {
             if !is_waiting(&lower) {
                 // A priority without waiting requests gains no credit for later.
                 self.owed_s[lower] = 0.0;
@@ -36,7 +37,7 @@
 
     /// The priority whose next request is paid for by what it is owed; the most urgent of several.
     pub(super) fn due(&self, backlog: &Backlog) -> Option<usize> {
-        (1..PRIORITIES).find(|priority| {
+        (1..CLASSES).find(|priority| {
             let owed_s = self.owed_s[*priority];
             if owed_s <= 0.0 {
                 return false;
--- a/crates/core/src/queue/ordered/urgency.rs
+++ b/crates/core/src/queue/ordered/urgency.rs
@@ -2,10 +2,7 @@
 
 use std::time::Duration;
 
-use crate::clock::Instant;
-
-/// Number of priorities that are told apart; higher numbers count as the last one.
-pub(super) const PRIORITIES: usize = 8;
+use crate::{clock::Instant, priority::CLASSES};
 
 /// Kind of work. Requests of one kind take about the same time, such as the reads of one route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -34,27 +31,22 @@
     }
 }
 
-/// Index of a priority in tables of [`PRIORITIES`] entries.
-pub(super) fn index_of(priority: u32) -> usize {
-    usize::try_from(priority).unwrap_or(usize::MAX).min(PRIORITIES - 1)
-}
-
 /// Level of a request; the lowest one goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Level {
     /// Whether the request can no longer meet its target.
     pub(super) late: bool,
-    /// Index of the priority.
+    /// Class of the priority.
     pub(super) priority: usize,
 }
 
 impl Level {
     /// Number of levels.
-    pub(super) const COUNT: usize = 2 * PRIORITIES;
+    pub(super) const COUNT: usize = 2 * CLASSES;
 
     /// Position among all levels.
     pub(super) const fn index(self) -> usize {
-        if self.late { PRIORITIES + self.priority } else { self.priority }
+        if self.late { CLASSES + self.priority } else { self.priority }
     }
 }
 
--- a/crates/core/src/queue/ordered/waiting.rs
+++ b/crates/core/src/queue/ordered/waiting.rs
@@ -6,10 +6,10 @@
 
 use super::{
     service_times::seconds,
-    urgency::{Level, Stream, Urgency, WorkKind, index_of},
+    urgency::{Level, Stream, Urgency, WorkKind},
     workspace::Place,
 };
-use crate::{clock::Instant, name::Workspace};
+use crate::{clock::Instant, name::Workspace, priority};
 
 /// Target by which requests without one are ordered among others; they never count as late.
 const ASSUMED_TARGET: Duration = Duration::from_secs(1);
@@ -119,7 +119,7 @@
         let start_by = new.urgency.map_or(new.start_by, |urgency| {
             new.start_by.min(urgency.latest_start(seconds(cost_s)))
         });
-        let priority = new.urgency.map_or(0, |urgency| index_of(urgency.priority));
+        let priority = new.urgency.map_or(0, |urgency| priority::class(urgency.priority));
         let arrived = new.urgency.map_or(now, |urgency| urgency.arrived);
         // A target that the service time alone exceeds would make each request of its kind late.
         let target = new.urgency.and_then(|urgency| urgency.target).filter(|time| *time > needed);
--- a/crates/core/src/return_time.rs
+++ b/crates/core/src/return_time.rs
@@ -30,10 +30,11 @@
 
 use std::time::Duration;
 
-use crate::clock::Instant;
+use crate::{
+    clock::Instant,
+    priority::{self, CLASSES},
+};
 
-/// Number of priorities that are told apart; higher numbers count as the last one.
-const PRIORITIES: usize = 8;
 /// Expected time without a primary: suspicion after 0.8 s, holds, proofs that run out after 1.3 s, and the promotion.
 const EXPECTED_FAILOVER: Duration = Duration::from_secs(3);
 /// Divisor of the time that a failover has taken which gives its least expected rest.
@@ -113,7 +114,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct ReturnTimes {
     /// Time from which the next caller may return, by priority.
-    next: [Instant; PRIORITIES],
+    next: [Instant; CLASSES],
 }
 
 impl ReturnTimes {
@@ -123,7 +124,7 @@
     pub fn book(&mut self, refusal: &Refusal, now: Instant) -> Duration {
         let Refusal { expected_wait, spacing, latest, .. } = *refusal;
         let jitter = if refusal.jitter.is_nan() { 0.0 } else { refusal.jitter.clamp(0.0, 1.0) };
-        let priority = usize::try_from(refusal.priority).unwrap_or(usize::MAX).min(PRIORITIES - 1);
+        let priority = priority::class(refusal.priority);
         let start = now.plus(expected_wait).max(self.next[priority]);
         let delay = start.since(now);
         if delay >= latest {
--- a/crates/core/tests/ordered_queue.rs
+++ b/crates/core/tests/ordered_queue.rs
@@ -60,6 +60,18 @@
     assert_eq!(served, expected);
 }
 
+/// Guards against widely spaced priorities that count as equal.
+#[test]
+fn pop_tells_widely_spaced_priorities_apart() {
+    let mut queue = OrderedQueue::new(1);
+    for priority in [u32::MAX, 50, 0, 10, 5, 1] {
+        push(&mut queue, "w", urgency(priority, 0, 0), priority, 0);
+    }
+    let mut now = 0;
+    // With 1 ms each, the guaranteed part does not pay for a request.
+    assert_eq!(serve(&mut queue, 6, 1, &mut now), [0, 1, 5, 10, 50, u32::MAX]);
+}
+
 /// Guards against a caller that was sent away and is served before one that waited: it counts from its new arrival, and one that
 /// was sent to another holder from its first.
 #[test]
