fix(gateway): weight of a workspace in the order of requests

Cause: with weights as the contracted rates, the worst-served workspace of a burst got less than with equal weights. Change: the weight is the square root of the rate in relation to the mean, from 1/4 to 4. Tests of the gateway pass.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -38,8 +38,8 @@
 const REQUEST_INTERVAL: Duration = Duration::from_millis(30);
 /// Largest number of instances that get a request at once, if tokens accrue at this instance too.
 const MAX_DONORS: usize = 3;
-/// Least and largest weight of a workspace in relation to the mean.
-const WEIGHT_RANGE: (f64, f64) = (0.125, 8.0);
+/// Least and largest weight of a workspace.
+const WEIGHT_RANGE: (f64, f64) = (0.25, 4.0);
 
 /// Waiting operations of a workspace, and the tokens that were requested for them.
 #[derive(Debug, Default)]
@@ -134,11 +134,12 @@
         admitted.map_err(Some)
     }
 
-    /// Weight of a workspace among those that wait for the same slots: its rate in relation to the mean rate.
+    /// Weight of a workspace among those that wait for the same slots: the square root of its rate in relation to the mean
+    /// rate. With weights as the rates themselves, small workspaces would lose most under overload.
     pub fn fair_weight(&self, workspace: &Workspace) -> f64 {
         let Some(allotment) = self.allotments.get(workspace) else { return 1.0 };
         let (least, largest) = WEIGHT_RANGE;
-        let weight = allotment.limits().rate / self.mean_rate;
+        let weight = (allotment.limits().rate / self.mean_rate).sqrt();
         if weight.is_finite() { weight.clamp(least, largest) } else { 1.0 }
     }
 
