--- a/crates/core/src/sync_group/failover/action.rs
+++ b/crates/core/src/sync_group/failover/action.rs
@@ -18,12 +18,12 @@
     pub latest: Option<PromotionRecord>,
 }
 
-/// Action that the owner of a [`Failover`] has to take.
+/// Action that the owner of a [`Failover`](super::Failover) has to take.
 ///
-/// Commands and promotions are sent only while [`Failover::grant`] is valid.
+/// Commands and promotions are sent only while [`Failover::grant`](super::Failover::grant) is valid.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum FailoverAction {
-    /// Claim the failover of the group, and report the answer with [`Failover::claimed`].
+    /// Claim the failover of the group, and report the answer with [`Failover::claimed`](super::Failover::claimed).
     Claim {
         /// Term that the replicas are going to hold.
         term: Term,
@@ -43,7 +43,7 @@
         term: Term,
     },
     /// Renew the claim, unless another instance has claimed meanwhile, and report the answer with
-    /// [`Failover::renewed`].
+    /// [`Failover::renewed`](super::Failover::renewed).
     Renew {
         /// Promotion to record with the claim; `None` to keep the latest one.
         promotion: Option<PromotionRecord>,
