feat: leave connections of a member free, and lower the limit while it refuses

Cause: two holders open nearly all connections that a member accepts. Control commands compete with statements for the same connections.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod catch_up;
 pub mod clock;
 pub mod config;
+pub mod connection_limit;
 pub mod contract;
 pub mod database;
 pub mod home_lease;
--- a/crates/gateway/src/monitor.rs
+++ b/crates/gateway/src/monitor.rs
@@ -24,7 +24,7 @@
     group_state::{GroupState, PollState},
     lease::Lease,
     node::Node,
-    pool::{AcquireError, Pool, Values},
+    pool::{AcquireError, Pool, Purpose, Values},
     tunnel::{self, Call, ControlCommand, RemoteStatus, Reply},
 };
 
@@ -358,7 +358,7 @@
     }
     let workspace = node.any_workspace().ok_or(ControlError::NoConnection)?;
     let until = node.now().plus(CONNECTION_WAIT);
-    match pool.connect(&workspace, &Values::new(), until).await {
+    match pool.connect(Purpose::Control, &workspace, &Values::new(), until).await {
         Ok(lease) => Ok(lease),
         Err(AcquireError::Unreachable(error)) => Err(ControlError::Failed(error)),
         Err(_) => Err(ControlError::NoConnection),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -14,6 +14,7 @@
 use event_listener::Event as Notify;
 use hibiscusladder_core::{
     clock::{Clock, Instant},
+    connection_limit::reserve,
     name::{DataCentre, Group, InstanceId, MemberId, Workspace},
     roster::{FleetRole, Roster},
     share::AllotmentPart,
@@ -46,9 +47,8 @@
 /// Connections of all instances to a member while the configuration has no limit for its group; one more than polls
 /// need.
 const DEFAULT_MAX_CONNECTIONS: usize = 2;
-/// Connections of a holder's part that it does not open. The connections of a process that has just ended still count
-/// at the member.
-const RESERVED_CONNECTIONS: usize = 1;
+/// Connections of a holder's part that only control commands open.
+const CONTROL_CONNECTIONS: usize = 1;
 /// Service time of a group without a pool.
 const UNKNOWN_SERVICE_TIME: Duration = Duration::from_millis(12);
 /// Statements that a holder sends beyond its part of a member's slots, so that no slot is idle during a round trip.
@@ -414,15 +414,21 @@
         let topology = self.topology();
         let Some(holders) = topology.holders(member, data_centre, connections) else {
             let open = total / topology.len().max(1);
-            return (PoolLimits { open, idle: open, running: None }, None);
+            return (PoolLimits { open, reserved: 0, idle: open, running: None }, None);
         };
         let limits = if holders.contains(self.instance()) {
-            let open = (total / HOLDERS_PER_MEMBER).saturating_sub(RESERVED_CONNECTIONS).max(1);
             let slots = self.member(member).map_or(1, |entry| entry.record.slots as usize);
+            let part = total / HOLDERS_PER_MEMBER;
+            let open = part.saturating_sub(reserve(part, slots, HOLDERS_PER_MEMBER)).max(1);
             let running = slots.div_ceil(HOLDERS_PER_MEMBER) + EXTRA_STATEMENTS;
-            PoolLimits { open, idle: open, running: u32::try_from(running).ok() }
+            PoolLimits {
+                open,
+                reserved: part.saturating_sub(open).min(CONTROL_CONNECTIONS),
+                idle: open,
+                running: u32::try_from(running).ok(),
+            }
         } else {
-            PoolLimits { open: 0, idle: 0, running: None }
+            PoolLimits { open: 0, reserved: 0, idle: 0, running: None }
         };
         (limits, Some(holders.into()))
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -14,6 +14,7 @@
 use event_listener::Event as Notify;
 use hibiscusladder_core::{
     clock::{Clock, Instant},
+    connection_limit::ConnectionLimit,
     name::{DataCentre, InstanceId, Workspace},
 };
 use hibiscusladder_io::clock::{BootClock, within};
@@ -88,6 +89,8 @@
     /// Number of connections that are idle, in use or being opened.
     open: usize,
     limits: PoolLimits,
+    /// Limit of the open connections, without the one for control commands.
+    connection_limit: ConnectionLimit,
     /// Time up to which no connection is opened, because the member had too many.
     full_until: Instant,
     /// Average service time of a statement, in seconds, without the round trip.
@@ -99,14 +102,25 @@
 /// Limits of one instance for its connections to one member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PoolLimits {
-    /// Connections that may be open at once.
+    /// Connections that may be open at once for statements.
     pub open: usize,
+    /// Connections that control commands may open beyond those.
+    pub reserved: usize,
     /// Idle connections that may be kept.
     pub idle: usize,
     /// Statements that may run at once, without those of open transactions; `None` when only connections are limited.
     pub running: Option<u32>,
 }
 
+/// What a connection is opened for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// Statements of callers.
+    Statements,
+    /// A control command, which may not wait until statements end: they may wait for a failover themselves.
+    Control,
+}
+
 /// Pool of the connections of this instance to one member.
 pub struct Pool<P>
 where
@@ -148,6 +162,7 @@
             idle: Vec::new(),
             open: 0,
             limits,
+            connection_limit: ConnectionLimit::new(limits.open),
             full_until: Instant::default(),
             service_s: ASSUMED_SERVICE_S,
             measured_at: BootClock.now(),
@@ -176,7 +191,10 @@
     /// Changes the limits and the holders. Connections in use beyond the new limits are closed when they are returned.
     pub fn set_limits(&self, limits: PoolLimits, holders: Option<Rc<[InstanceId]>>) {
         *self.holders.borrow_mut() = holders;
-        self.state.borrow_mut().limits = limits;
+        let mut state = self.state.borrow_mut();
+        state.limits = limits;
+        state.connection_limit.configure(limits.open);
+        drop(state);
         self.slot_queue.set_limits(limits);
     }
 
@@ -263,7 +281,8 @@
         let permits = slot_queue::acquire(self, request).await;
         let permits = permits
             .map_err(|no_slot| no_slot.map_or(AcquireError::Exhausted, AcquireError::NoSlot))?;
-        let lease = self.connect(request.workspace, values, request.until).await?;
+        let purpose = Purpose::Statements;
+        let lease = self.connect(purpose, request.workspace, values, request.until).await?;
         Ok(lease.with_permits(permits))
     }
 
@@ -279,6 +298,7 @@
     /// As for [`acquire`](Self::acquire).
     pub async fn connect(
         self: &Rc<Self>,
+        purpose: Purpose,
         workspace: &Workspace,
         values: &Values,
         until: Instant,
@@ -292,10 +312,10 @@
             if now >= until {
                 return Err(AcquireError::Exhausted);
             }
-            if let Some(opening) = self.reserve(now) {
+            if let Some(opening) = self.reserve(purpose, now) {
                 match opening.connect(workspace).await {
                     Err(AcquireError::Refused(failure)) if failure.code == Code::TooMany => {
-                        self.state.borrow_mut().full_until = BootClock.now().plus(FULL_RETRY_DELAY);
+                        self.record_full(BootClock.now());
                     }
                     result => return result,
                 }
@@ -338,14 +358,26 @@
         }
     }
 
+    /// Records that the member refused a connection because it has too many.
+    fn record_full(&self, now: Instant) {
+        let mut state = self.state.borrow_mut();
+        let open = state.open;
+        state.connection_limit.refused(open, now);
+        state.full_until = now.plus(FULL_RETRY_DELAY);
+    }
+
     /// Reserves room for a new connection; at the limit, an idle connection is closed for it. `None` when none is idle,
     /// or while the member has too many connections.
-    fn reserve(self: &Rc<Self>, now: Instant) -> Option<Opening<P>> {
+    fn reserve(self: &Rc<Self>, purpose: Purpose, now: Instant) -> Option<Opening<P>> {
         let mut state = self.state.borrow_mut();
         if now < state.full_until {
             return None;
         }
-        if state.open >= state.limits.open {
+        let reserved = match purpose {
+            Purpose::Statements => 0,
+            Purpose::Control => state.limits.reserved,
+        };
+        if state.open >= state.connection_limit.current(now) + reserved {
             let oldest =
                 (0..state.idle.len()).min_by_key(|index| state.idle[*index].last_answered)?;
             state.idle.remove(oldest);
