feat: reach a member through standby instances while no holder can

Cause: a primary was cut off from two thirds of the instances, both of its holders among them, while others reached it; its group was not served for 8 s. Change: when all holders report a member as unreachable, calls and control commands go through up to four instances in other data centres, within what the holders leave of the member's limit; one call a second tries the holders (core::holder_reach, core::topology, gateway member_path). A holder that is cut off alone uses the other one. The path itself was not tested with real processes.

--- a/crates/core/src/connection_limit.rs
+++ b/crates/core/src/connection_limit.rs
@@ -39,6 +39,12 @@
     wanted.min(part / MAX_RESERVE_DIVISOR).max(1)
 }
 
+/// Connections that each of `standbys` instances may open to a member while its `holders` holders, which leave `reserve` of
+/// their parts unused, cannot reach it. One of each holder's reserve stays for control commands.
+pub fn standby_part(reserve: usize, holders: usize, standbys: usize) -> usize {
+    (reserve.saturating_sub(1) * holders).checked_div(standbys).unwrap_or(0)
+}
+
 /// Limit of the connections to one member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionLimit {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod connection_limit;
 pub mod contract;
 pub mod database;
+pub mod holder_reach;
 pub mod home_lease;
 pub mod key;
 pub mod membership;
--- a/crates/core/src/topology.rs
+++ b/crates/core/src/topology.rs
@@ -41,6 +41,8 @@
 const HUBS_PER_REGION: usize = 2;
 /// Number of holders of the connections to a member; one of them may fail.
 pub const HOLDERS_PER_MEMBER: usize = 2;
+/// Largest number of instances that serve a member while its holders cannot reach it.
+pub const STANDBYS_PER_MEMBER: usize = 4;
 /// Capacity, in thousandths of a core, for each hash with which an instance competes for the members.
 const CAPACITY_PER_DRAW: u32 = 40;
 /// Number of connections per instance that a member has to accept, so that all instances of a flat fleet connect to it.
@@ -190,6 +192,36 @@
         candidates.truncate(HOLDERS_PER_MEMBER);
         Some(candidates.into_iter().map(|profile| profile.name.clone()).collect())
     }
+
+    /// Instances that connect to a member with `holders` while none of these can reach it, the preferred one first.
+    pub fn standbys(&self, member: &MemberId, holders: &[InstanceId]) -> Vec<InstanceId> {
+        choose_standbys(member, holders, &self.instances)
+    }
+}
+
+/// Instances that serve a member while its `holders` cannot reach it, the preferred one first. A partition often separates a
+/// whole data centre, so each is in another one than those before it as far as there are enough, the holders' own last.
+fn choose_standbys(
+    member: &MemberId,
+    holders: &[InstanceId],
+    instances: &BTreeMap<InstanceId, Profile>,
+) -> Vec<InstanceId> {
+    let is_holder = |name: &InstanceId| holders.contains(name);
+    let mut candidates: Vec<&Profile> =
+        instances.values().filter(|profile| !is_holder(&profile.name)).collect();
+    candidates.sort_by_cached_key(|profile| std::cmp::Reverse(holder_weight(member, profile)));
+    let held = instances.values().filter(|profile| is_holder(&profile.name));
+    let mut used: BTreeMap<&DataCentre, usize> =
+        held.map(|profile| (&profile.data_centre, usize::MAX / 2)).collect();
+    let mut ranked: Vec<(usize, usize, &Profile)> = Vec::with_capacity(candidates.len());
+    for (rank, profile) in candidates.into_iter().enumerate() {
+        let before = used.entry(&profile.data_centre).or_default();
+        ranked.push((*before, rank, profile));
+        *before += 1;
+    }
+    ranked.sort_by_key(|(before, rank, _)| (*before, *rank));
+    ranked.truncate(STANDBYS_PER_MEMBER);
+    ranked.into_iter().map(|(_, _, profile)| profile.name.clone()).collect()
 }
 
 /// Weight of an instance as a holder of a member: the highest of several hashes, whose number grows with the capacity,
--- a/crates/core/tests/connection_limit.rs
+++ b/crates/core/tests/connection_limit.rs
@@ -4,7 +4,7 @@
 
 use hibiscusladder_core::{
     clock::Instant,
-    connection_limit::{ConnectionLimit, reserve},
+    connection_limit::{ConnectionLimit, reserve, standby_part},
 };
 use test_case::test_case;
 
@@ -63,3 +63,18 @@
     limit.configure(10);
     assert_eq!(limit.current(now), 10);
 }
+
+/// Guards against standby instances whose connections exceed what the holders leave of the member's limit.
+#[test_case(70, 5)]
+#[test_case(75, 6)]
+#[test_case(16, 2)]
+#[test_case(857, 6)]
+#[test_case(2, 2)]
+fn standby_part_fits_into_the_reserve(accepted: usize, slots: usize) {
+    let part = accepted / 2;
+    let reserved = reserve(part, slots, 2);
+    let held = part.saturating_sub(reserved).max(1);
+    let control = part.saturating_sub(held).min(1);
+    let standbys = 4 * standby_part(reserved, 2, 4);
+    assert!(2 * (held + control) + standbys <= accepted);
+}
--- a/crates/core/tests/topology.rs
+++ b/crates/core/tests/topology.rs
@@ -1,10 +1,10 @@
 //! Roles of the instances of a fleet.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use hibiscusladder_core::{
     name::InstanceId,
-    topology::{Connections, HOLDERS_PER_MEMBER, Profile, Topology},
+    topology::{Connections, HOLDERS_PER_MEMBER, Profile, STANDBYS_PER_MEMBER, Topology},
 };
 use test_case::test_case;
 
@@ -145,3 +145,24 @@
     let topology = Topology::new(fleet(instances));
     assert_eq!(topology.needs_holders(connections(accepted, workspaces)), expected);
 }
+
+/// Guards against standby instances that the partition separates from the member together with its holders.
+#[test]
+fn standbys_are_spread_over_other_data_centres() {
+    let topology = Topology::new(fleet(40));
+    let member = "m-1".into();
+    let holders =
+        topology.holders(&member, &"a-1".into(), connections(70, 70)).expect("a large fleet");
+    let standbys = topology.standbys(&member, &holders);
+    assert_eq!(standbys.len(), STANDBYS_PER_MEMBER);
+    assert!(standbys.iter().all(|standby| !holders.contains(standby)));
+    let data_centre = |name: &InstanceId| {
+        fleet(40)
+            .into_iter()
+            .find(|profile| profile.name == *name)
+            .map(|profile| profile.data_centre)
+    };
+    let first: BTreeSet<_> = standbys.iter().take(3).map(data_centre).collect();
+    assert_eq!(first.len(), 3, "the first three are in different data centres");
+    assert!(!first.contains(&data_centre(&holders[0])));
+}
--- a/crates/gateway/src/channel.rs
+++ b/crates/gateway/src/channel.rs
@@ -1,6 +1,6 @@
 //! Channels to a member: a connection of this instance, or a tunnel to an instance that holds connections.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use hibiscusladder_core::{
     clock::{Clock, Instant},
@@ -14,6 +14,7 @@
     adapter::{MemberCommand, Platform},
     in_flight::InFlightGuard,
     lease::Lease,
+    member_path::{self, MemberPath},
     message::{SectionKind, Sections},
     metrics::{Counter, Stage},
     model::{Answer, Code, TransactionState},
@@ -135,6 +136,8 @@
     P: Platform,
 {
     tunnel: Tunnel,
+    /// Instance at the other end of the tunnel.
+    through: InstanceId,
     workspace: Workspace,
     pool: Rc<Pool<P>>,
     _in_use: InFlightGuard,
@@ -155,11 +158,14 @@
 {
     let pool = node.pool(member).ok_or(RunOutcome::Unreachable)?;
     let started = node.now();
-    let opened = match pool.holders() {
-        Some(holders) if !holders.contains(node.instance()) => {
-            open_remote(node, pool, request.workspace, &holders).await
+    let addresses = |names: &[InstanceId]| node.holder_addresses(names, request.workspace);
+    let opened = match member_path::choose(node.instance(), &pool, started, addresses) {
+        MemberPath::Direct => open_local(node, &pool, request).await,
+        MemberPath::Through { instances, are_standbys } => {
+            let kind = if are_standbys { "standby" } else { "holder" };
+            node.metrics.count(Counter::RelayedCalls, kind);
+            open_remote(node, pool, request.workspace, instances).await
         }
-        _ => open_local(node, &pool, request).await,
     };
     node.metrics.time(Stage::Connection, node.now().since(started));
     opened
@@ -215,6 +221,13 @@
         }
         _ => pool.acquire(request, values).await,
     };
+    match &acquired {
+        Ok(_) => pool.holder_reach.borrow_mut().record_answer(node.instance()),
+        Err(AcquireError::Unreachable(_)) => {
+            pool.holder_reach.borrow_mut().record_unreachable(node.instance(), node.now());
+        }
+        Err(_) => {}
+    }
     if let Some(urgency) = request.urgency {
         match &acquired {
             Ok(lease) => node.metrics.time_slot_wait(urgency.priority, lease.slot_wait()),
@@ -253,20 +266,20 @@
     node: &Node<P>,
     pool: Rc<Pool<P>>,
     workspace: &Workspace,
-    holders: &[InstanceId],
+    instances: Vec<(InstanceId, SocketAddr)>,
 ) -> Result<Channel<P>, RunOutcome>
 where
     P: Platform,
 {
-    for (holder, address) in node.holder_addresses(holders, workspace) {
+    for (through, address) in instances {
         match node.tunnels.open(address).await {
             Ok(tunnel) => {
                 let in_use = pool.begin_use();
                 let workspace = workspace.clone();
-                let remote = RemoteChannel { tunnel, workspace, pool, _in_use: in_use };
+                let remote = RemoteChannel { tunnel, through, workspace, pool, _in_use: in_use };
                 return Ok(Channel::Remote(remote));
             }
-            Err(_) => node.peers.borrow_mut().record_unreachable(&holder, node.now()),
+            Err(_) => node.peers.borrow_mut().record_unreachable(&through, node.now()),
         }
     }
     Err(RunOutcome::Unreachable)
@@ -407,6 +420,7 @@
             Some(Ok(Reply::Answered(answer))) => {
                 let now = node.now();
                 self.pool.record_service_time(now.since(started), now);
+                self.pool.holder_reach.borrow_mut().record_answer(&self.through);
                 RunOutcome::Answered(answer.into())
             }
             Some(Ok(Reply::NotRun(code))) => {
@@ -414,6 +428,8 @@
             }
             Some(Ok(Reply::Unreachable)) => {
                 // The holder cannot reach the member, or is stopping. The next attempt uses another holder.
+                let now = node.now();
+                self.pool.holder_reach.borrow_mut().record_unreachable(&self.through, now);
                 node.record_holder_unreachable(self.tunnel.address());
                 RunOutcome::Unreachable
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod in_flight;
 pub mod lease;
 pub mod listener;
+pub mod member_path;
 pub mod member_table;
 pub mod message;
 pub mod messenger;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,8 @@
     StoreCalls,
     /// Connections to members, by kind; the only kind is `opened`.
     MemberConnections,
+    /// Calls to members through other instances, by the kind of these: `holder` or `standby`.
+    RelayedCalls,
     /// Failovers that ended, by outcome.
     Failovers,
     /// Sessions accepted or refused, by result.
@@ -37,6 +39,7 @@
             Self::Retries => "retries_total",
             Self::StoreCalls => "store_calls_total",
             Self::MemberConnections => "member_connections_total",
+            Self::RelayedCalls => "relayed_calls_total",
             Self::Failovers => "failovers_total",
             Self::Sessions => "sessions_total",
         }
--- a/crates/gateway/src/monitor.rs
+++ b/crates/gateway/src/monitor.rs
@@ -5,7 +5,7 @@
 //! when no recent leadership proof has reached them. In a larger fleet, hubs poll, and other instances tell them which
 //! members are slow.
 
-use std::{io, rc::Rc, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use hibiscusladder_core::{
     clock::Instant,
@@ -23,6 +23,7 @@
     events::{self, Event},
     group_state::{GroupState, PollState},
     lease::Lease,
+    member_path::{self, MemberPath},
     node::Node,
     pool::{AcquireError, Pool, Purpose, Values},
     tunnel::{self, Call, ControlCommand, RemoteStatus, Reply},
@@ -228,13 +229,15 @@
     P: Platform,
 {
     let pool = node.pool(member).ok_or(ControlError::NoConnection)?;
+    let workspace = node.any_workspace().ok_or(ControlError::NoConnection)?;
     let sent = node.now();
     group.view.borrow_mut().poll_sent(member, sent);
-    let exchanged = match pool.holders() {
-        Some(holders) if !holders.contains(node.instance()) => {
-            send_control_to_holder(node, member, &holders, command, until).await
+    let addresses = |names: &[InstanceId]| node.holder_addresses(names, &workspace);
+    let exchanged = match member_path::choose(node.instance(), &pool, sent, addresses) {
+        MemberPath::Through { instances, .. } => {
+            send_control_through(node, member, instances, command, until).await
         }
-        _ => {
+        MemberPath::Direct => {
             let is_wanted = || until.is_none_or(|until| node.now() < until);
             let sending = send_control_locally(node, &pool, member_command(command), is_wanted);
             let left = until.map_or(Duration::MAX, |until| until.since(sent));
@@ -297,20 +300,19 @@
     Err(ControlError::Failed(error))
 }
 
-/// Sends a control command through an instance that holds connections to the member.
-async fn send_control_to_holder<P>(
+/// Sends a control command through one of `instances`.
+async fn send_control_through<P>(
     node: &Node<P>,
     member: &MemberId,
-    holders: &[InstanceId],
+    instances: Vec<(InstanceId, SocketAddr)>,
     command: ControlCommand,
     until: Option<Instant>,
 ) -> Result<MemberStatus, ControlError>
 where
     P: Platform,
 {
-    let workspace = node.any_workspace().ok_or(ControlError::NoConnection)?;
     let call = Call::Control { member: member.as_str().into(), command };
-    for (holder, address) in node.holder_addresses(holders, &workspace) {
+    for (holder, address) in instances {
         let Ok(mut tunnel) = node.tunnels.open(address).await else {
             node.peers.borrow_mut().record_unreachable(&holder, node.now());
             continue;
@@ -360,7 +362,10 @@
     let until = node.now().plus(CONNECTION_WAIT);
     match pool.connect(Purpose::Control, &workspace, &Values::new(), until).await {
         Ok(lease) => Ok(lease),
-        Err(AcquireError::Unreachable(error)) => Err(ControlError::Failed(error)),
+        Err(AcquireError::Unreachable(error)) => {
+            pool.holder_reach.borrow_mut().record_unreachable(node.instance(), node.now());
+            Err(ControlError::Failed(error))
+        }
         Err(_) => Err(ControlError::NoConnection),
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -14,12 +14,12 @@
 use event_listener::Event as Notify;
 use hibiscusladder_core::{
     clock::{Clock, Instant},
-    connection_limit::reserve,
+    connection_limit::{reserve, standby_part},
     name::{DataCentre, Group, InstanceId, MemberId, Workspace},
     roster::{FleetRole, Roster},
     share::AllotmentPart,
     shutdown::StopPlan,
-    topology::{Connections, HOLDERS_PER_MEMBER, Topology},
+    topology::{Connections, HOLDERS_PER_MEMBER, STANDBYS_PER_MEMBER, Topology},
 };
 use hibiscusladder_io::clock::BootClock;
 use serde_json::json;
@@ -36,7 +36,7 @@
     member_table::{Member, MemberTable},
     metrics::Metrics,
     peers::Peers,
-    pool::{Pool, PoolLimits},
+    pool::{MemberPaths, Pool, PoolLimits},
     refusal::Refusals,
     relay::{MembersPage, PARALLEL_TRANSFERS, Progress, compress_directory},
     settings::Settings,
@@ -292,10 +292,9 @@
         let target =
             Target { member: id.clone(), group: record.group.clone(), address: record.address };
         let distance = self.settings.distance(&record.data_centre);
-        let (limits, holders) = self.pool_limits(&target, &record.data_centre);
+        let (limits, paths) = self.pool_limits(&target, &record.data_centre);
         let with_priorities = self.settings.priorities;
-        let pool =
-            Pool::new(target, record.data_centre, distance, limits, holders, with_priorities);
+        let pool = Pool::new(target, record.data_centre, distance, limits, paths, with_priorities);
         self.pools.borrow_mut().insert(id.clone(), pool.clone());
         Some(pool)
     }
@@ -330,8 +329,8 @@
     /// Updates the limits of the pool of a member whose entry has changed.
     pub fn update_pool(&self, id: &MemberId) {
         if let Some(pool) = self.pools.borrow().get(id) {
-            let (limits, holders) = self.pool_limits(&pool.target, &pool.data_centre);
-            pool.set_limits(limits, holders);
+            let (limits, paths) = self.pool_limits(&pool.target, &pool.data_centre);
+            pool.set_limits(limits, paths);
         }
     }
 
@@ -381,8 +380,8 @@
         }
         drop(admission);
         for pool in self.pools.borrow().values() {
-            let (limits, holders) = self.pool_limits(&pool.target, &pool.data_centre);
-            pool.set_limits(limits, holders);
+            let (limits, paths) = self.pool_limits(&pool.target, &pool.data_centre);
+            pool.set_limits(limits, paths);
         }
     }
 
@@ -402,24 +401,23 @@
         self.topology().needs_holders(self.connections(group))
     }
 
-    /// Limits of this instance for connections to a member, and the holders of the member.
-    fn pool_limits(
-        &self,
-        target: &Target,
-        data_centre: &DataCentre,
-    ) -> (PoolLimits, Option<Rc<[InstanceId]>>) {
+    /// Limits of this instance for connections to a member, and the instances through which the member is reached.
+    fn pool_limits(&self, target: &Target, data_centre: &DataCentre) -> (PoolLimits, MemberPaths) {
         let connections = self.connections(&target.group);
         let total = connections.accepted;
         let member = &target.member;
         let topology = self.topology();
         let Some(holders) = topology.holders(member, data_centre, connections) else {
             let open = total / topology.len().max(1);
-            return (PoolLimits { open, reserved: 0, idle: open, running: None }, None);
+            let limits = PoolLimits { open, reserved: 0, idle: open, running: None };
+            return (limits, MemberPaths::default());
         };
+        let standbys = topology.standbys(member, &holders);
+        let slots = self.member(member).map_or(1, |entry| entry.record.slots as usize);
+        let part = total / HOLDERS_PER_MEMBER;
+        let reserve = reserve(part, slots, HOLDERS_PER_MEMBER);
         let limits = if holders.contains(self.instance()) {
-            let slots = self.member(member).map_or(1, |entry| entry.record.slots as usize);
-            let part = total / HOLDERS_PER_MEMBER;
-            let open = part.saturating_sub(reserve(part, slots, HOLDERS_PER_MEMBER)).max(1);
+            let open = part.saturating_sub(reserve).max(1);
             let running = slots.div_ceil(HOLDERS_PER_MEMBER) + EXTRA_STATEMENTS;
             PoolLimits {
                 open,
@@ -427,10 +425,14 @@
                 idle: open,
                 running: u32::try_from(running).ok(),
             }
+        } else if standbys.contains(self.instance()) {
+            // A connection is closed after its use, since the holders need the reserve after a loss of processes.
+            let open = standby_part(reserve, HOLDERS_PER_MEMBER, STANDBYS_PER_MEMBER);
+            PoolLimits { open, reserved: 0, idle: 0, running: u32::try_from(open).ok() }
         } else {
             PoolLimits { open: 0, reserved: 0, idle: 0, running: None }
         };
-        (limits, Some(holders.into()))
+        (limits, MemberPaths { holders: Some(holders.into()), standbys: standbys.into() })
     }
 
     /// A workspace for connections that serve no caller; `None` when none is configured.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -15,6 +15,7 @@
 use hibiscusladder_core::{
     clock::{Clock, Instant},
     connection_limit::ConnectionLimit,
+    holder_reach::HolderReach,
     name::{DataCentre, InstanceId, Workspace},
 };
 use hibiscusladder_io::clock::{BootClock, within};
@@ -112,6 +113,15 @@
     pub running: Option<u32>,
 }
 
+/// Instances through which a member is reached.
+#[derive(Debug, Clone, Default)]
+pub struct MemberPaths {
+    /// The instances that hold connections to the member, the preferred one first; `None` when all connect to it.
+    pub holders: Option<Rc<[InstanceId]>>,
+    /// The instances that connect to the member while its holders cannot reach it, the preferred one first.
+    pub standbys: Rc<[InstanceId]>,
+}
+
 /// What a connection is opened for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Purpose {
@@ -133,6 +143,10 @@
     pub(crate) slot_queue: SlotQueue<P>,
     /// The instances that hold connections to the member, the preferred one first; `None` when all connect to it.
     holders: RefCell<Option<Rc<[InstanceId]>>>,
+    /// The instances that connect to the member while its holders cannot reach it, the preferred one first.
+    standbys: RefCell<Rc<[InstanceId]>>,
+    /// What the holders, this instance included, reported about reaching the member.
+    pub(crate) holder_reach: RefCell<HolderReach>,
     distance: Distance,
     state: RefCell<State<P>>,
     released: Notify,
@@ -155,7 +169,7 @@
         data_centre: DataCentre,
         distance: Distance,
         limits: PoolLimits,
-        holders: Option<Rc<[InstanceId]>>,
+        paths: MemberPaths,
         with_priorities: bool,
     ) -> Rc<Self> {
         let state = State {
@@ -171,7 +185,9 @@
             target,
             data_centre,
             slot_queue: SlotQueue::new(limits, with_priorities),
-            holders: RefCell::new(holders),
+            holders: RefCell::new(paths.holders),
+            standbys: RefCell::new(paths.standbys),
+            holder_reach: RefCell::default(),
             distance,
             state: RefCell::new(state),
             released: Notify::new(),
@@ -188,9 +204,15 @@
         self.holders.borrow().clone()
     }
 
-    /// Changes the limits and the holders. Connections in use beyond the new limits are closed when they are returned.
-    pub fn set_limits(&self, limits: PoolLimits, holders: Option<Rc<[InstanceId]>>) {
-        *self.holders.borrow_mut() = holders;
+    /// The instances that connect to the member while its holders cannot reach it, the preferred one first.
+    pub fn standbys(&self) -> Rc<[InstanceId]> {
+        self.standbys.borrow().clone()
+    }
+
+    /// Changes the limits and the paths. Connections in use beyond the new limits are closed when they are returned.
+    pub fn set_limits(&self, limits: PoolLimits, paths: MemberPaths) {
+        *self.holders.borrow_mut() = paths.holders;
+        *self.standbys.borrow_mut() = paths.standbys;
         let mut state = self.state.borrow_mut();
         state.limits = limits;
         state.connection_limit.configure(limits.open);
@@ -238,6 +260,11 @@
         now < self.lagging.get().0
     }
 
+    /// Whether the member did not answer lately, so that it is used last.
+    pub fn is_deprioritised(&self, now: Instant) -> bool {
+        now < self.deprioritised_until.get()
+    }
+
     /// Records that the member did not answer, and closes the idle connections, which may have become unresponsive.
     pub fn record_unreachable(&self, now: Instant) {
         self.deprioritised_until.set(now.plus(DEPRIORITISED_TIME));
@@ -251,13 +278,13 @@
             now.since(state.measured_at).as_secs_f64() / SERVICE_HALF_LIFE.as_secs_f64();
         let weight = 0.5_f64.powf(half_lives);
         let service = state.service_s * weight + ASSUMED_SERVICE_S * (1.0 - weight);
-        let held_elsewhere = state.limits.open == 0;
+        let held_elsewhere = state.limits.idle == 0;
         let opening = if held_elsewhere || self.has_idle(workspace) {
             0.0
         } else {
             OPENING_COST_S + self.round_trip().as_secs_f64()
         };
-        let penalty = if now < self.deprioritised_until.get() { UNREACHABLE_COST_S } else { 0.0 };
+        let penalty = if self.is_deprioritised(now) { UNREACHABLE_COST_S } else { 0.0 };
         let queue = service * (1.0 + self.uses.count() as f64);
         self.round_trip().as_secs_f64() + queue + opening + penalty
     }
