feat(gateway): versions of the store have an era

Cause: a store that is restored from an older copy assigns revisions again, so that a revision alone no longer orders lists, watches and writes.

Change: `core::store_era` holds the highest known era, when this process learned it, and whether a restore was seen. A watch or a write that is based on a version of another era fails with `StoreError::Restored`; its outcome is determined by reading again. Objects, lists, own entries and failover claims carry `StoreVersion`. Messages still carry revisions.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod session;
 pub mod share;
 pub mod shutdown;
+pub mod store_era;
 pub mod store_version;
 pub mod sync_group;
 pub mod term_history;
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -11,14 +11,19 @@
 //! # Example
 //!
 //! ```
-//! use hibiscusladder_core::{clock::Instant, roster::{FleetRole, Freshness, Listed, Roster, Step}};
+//! use hibiscusladder_core::{
+//!     clock::Instant,
+//!     roster::{FleetRole, Freshness, Listed, Roster, Step},
+//!     store_version::StoreVersion,
+//! };
 //!
 //! let now = Instant::default();
 //! let mut roster = Roster::default();
 //! assert_eq!(roster.next_step(FleetRole::Hub, now), Step::List(Freshness::Recent));
-//! roster.listed(Listed { sent: now, freshness: Freshness::Recent, has_own: false, revision: 7 }, now);
+//! let version = StoreVersion::new(0, 7);
+//! roster.listed(Listed { sent: now, freshness: Freshness::Recent, has_own: false, version }, now);
 //! assert_eq!(roster.next_step(FleetRole::Hub, now), Step::Register);
-//! roster.registered(8, now);
+//! roster.registered(StoreVersion::new(0, 8), now);
 //! assert!(roster.is_registered() && !roster.is_complete(FleetRole::Hub));
 //! ```
 
@@ -26,7 +31,7 @@
 
 use siphasher::sip::SipHasher24;
 
-use crate::clock::Instant;
+use crate::{clock::Instant, store_version::StoreVersion};
 
 /// Time from the registration of an instance to its next list; instances that start at the same time have registered by
 /// then.
@@ -78,8 +83,8 @@
     pub freshness: Freshness,
     /// Whether it has the registration of this instance, as this process would write it.
     pub has_own: bool,
-    /// Revision of the store at which the list was read.
-    pub revision: u64,
+    /// Version of the store at which the list was read.
+    pub version: StoreVersion,
 }
 
 /// Whether the own registration is in the store.
@@ -92,8 +97,8 @@
     Present {
         /// When this process wrote it; `None` if an earlier process did.
         written: Option<Instant>,
-        /// Revision of the store from which on lists have it.
-        revision: u64,
+        /// Version of the store from which on lists have it.
+        version: StoreVersion,
     },
 }
 
@@ -116,7 +121,7 @@
     /// Whether another list was asked for since the latest current one was requested.
     list_wanted: bool,
     retry_at: Instant,
-    revision: u64,
+    version: StoreVersion,
 }
 
 impl Roster {
@@ -154,7 +159,7 @@
         self.known_since.get_or_insert(listed.sent);
         self.listed_at = Some(listed.sent);
         self.retry_at = now;
-        self.record_list(listed.has_own, listed.revision);
+        self.record_list(listed.has_own, listed.version);
         let Registration::Present { written, .. } = self.registration else { return };
         if written.is_some_and(|written| listed.sent < written.plus(SETTLE_TIME)) {
             return;
@@ -168,18 +173,18 @@
         }
     }
 
-    /// Records that the own registration was written with `revision`.
-    pub fn registered(&mut self, revision: u64, now: Instant) {
-        self.registration = Registration::Present { written: Some(now), revision };
+    /// Records that the own registration was written with `version`.
+    pub fn registered(&mut self, version: StoreVersion, now: Instant) {
+        self.registration = Registration::Present { written: Some(now), version };
         self.retry_at = now;
     }
 
-    /// Records a list that another instance read from the store at `revision` and sent; `has_own` is whether it has the
+    /// Records a list that another instance read from the store at `version` and sent; `has_own` is whether it has the
     /// registration of this instance.
-    pub fn relayed(&mut self, has_own: bool, revision: u64, now: Instant) {
+    pub fn relayed(&mut self, has_own: bool, version: StoreVersion, now: Instant) {
         self.known_since.get_or_insert(now);
         self.listed_at = Some(now);
-        self.record_list(has_own, revision);
+        self.record_list(has_own, version);
         if has_own {
             // Whoever registered after this list was made has this instance in its own list.
             self.settled = true;
@@ -187,14 +192,14 @@
         }
     }
 
-    /// Records whether a list of `revision` has the own registration.
-    fn record_list(&mut self, has_own: bool, revision: u64) {
-        self.revision = self.revision.max(revision);
+    /// Records whether a list of `version` has the own registration.
+    fn record_list(&mut self, has_own: bool, version: StoreVersion) {
+        self.version = self.version.max(version);
         match self.registration {
             Registration::Missing if has_own => {
-                self.registration = Registration::Present { written: None, revision };
+                self.registration = Registration::Present { written: None, version };
             }
-            Registration::Present { revision: since, .. } if !has_own && revision >= since => {
+            Registration::Present { version: since, .. } if !has_own && version >= since => {
                 self.registration = Registration::Missing;
             }
             _ => {}
@@ -245,9 +250,9 @@
         self.current_at.is_some_and(|current| current >= since)
     }
 
-    /// Revision of the store of the newest list; 0 before the first.
-    pub const fn revision(&self) -> u64 {
-        self.revision
+    /// Version of the store of the newest list; the default before the first.
+    pub const fn version(&self) -> StoreVersion {
+        self.version
     }
 }
 
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -6,6 +6,7 @@
     clock::Instant,
     name::InstanceId,
     roster::{FleetRole, Freshness, LIST_INTERVAL, Listed, Roster, SETTLE_TIME, Step},
+    store_version::StoreVersion,
     topology::{Profile, Topology},
 };
 use test_case::test_case;
@@ -22,7 +23,7 @@
 }
 
 fn listed(ms: u64, freshness: Freshness, has_own: bool, revision: u64) -> Listed {
-    Listed { sent: at(ms), freshness, has_own, revision }
+    Listed { sent: at(ms), freshness, has_own, version: StoreVersion::new(0, revision) }
 }
 
 /// Guards against a failover or a share of tokens of an instance whose list lacks those that start at the same time.
@@ -31,7 +32,7 @@
     let mut roster = Roster::default();
     roster.listed(listed(0, Freshness::Recent, false, 1), at(5));
     assert!(!roster.is_registered(), "an earlier list of another instance lacks this one");
-    roster.registered(2, at(10));
+    roster.registered(StoreVersion::new(0, 2), at(10));
     assert!(roster.is_registered() && !roster.is_complete(FleetRole::Hub));
     let settled_ms = 10 + u64::try_from(SETTLE_TIME.as_millis()).expect("short");
     assert_eq!(
@@ -69,7 +70,7 @@
     }
     assert!(!roster.is_registered() && !roster.is_complete(FleetRole::Hub));
     // A hub that read the store before it failed sends its list.
-    roster.relayed(true, 40, at(5000));
+    roster.relayed(true, StoreVersion::new(0, 40), at(5000));
     assert!(roster.is_registered() && roster.is_complete(FleetRole::Hub));
 }
 
@@ -78,10 +79,10 @@
 fn relayed_without_own_registration() {
     let mut roster = Roster::default();
     roster.listed(listed(0, Freshness::Recent, false, 1), at(0));
-    roster.registered(5, at(1));
-    roster.relayed(false, 4, at(300));
+    roster.registered(StoreVersion::new(0, 5), at(1));
+    roster.relayed(false, StoreVersion::new(0, 4), at(300));
     assert!(roster.is_registered(), "the list is from before the registration");
-    roster.relayed(false, 90, at(70_000));
+    roster.relayed(false, StoreVersion::new(0, 90), at(70_000));
     assert_eq!(roster.next_step(FleetRole::Follower, at(70_000)), Step::Register);
 }
 
@@ -94,7 +95,7 @@
     assert!(matches!(roster.next_step(FleetRole::Hub, at(100)), Step::Wait(_)));
     roster.list_now();
     assert_eq!(roster.next_step(FleetRole::Hub, at(100)), Step::List(Freshness::Current));
-    roster.relayed(true, 8, at(101));
+    roster.relayed(true, StoreVersion::new(0, 8), at(101));
     assert!(!roster.is_listed_since(at(100)), "another instance may have read its list earlier");
     roster.listed(listed(102, Freshness::Current, true, 9), at(110));
     assert!(roster.is_listed_since(at(100)));
@@ -172,7 +173,7 @@
                 Step::Register => {
                     store.calls += 1.0;
                     store.entries.insert(number, now_ms);
-                    roster.registered(now_ms, at(now_ms));
+                    roster.registered(StoreVersion::new(0, now_ms), at(now_ms));
                 }
                 Step::Wait(_) => {}
             }
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -8,6 +8,7 @@
     name::{DataCentre, Database, Group, InstanceId, MemberId, Workspace},
     position::{Position, Term},
     roster::Freshness,
+    store_version::StoreVersion,
     sync_group::{ClaimGrant, MemberStatus, Role},
 };
 use smol::net::TcpStream;
@@ -16,6 +17,7 @@
 use crate::{
     directory::Directory,
     model::{Access, Answer, Failure, Query},
+    store_era::SharedStoreEra,
 };
 
 /// The types of one platform.
@@ -257,8 +259,8 @@
 pub struct Object {
     /// Name within the collection.
     pub name: Box<str>,
-    /// Revision of its last change.
-    pub revision: u64,
+    /// Version of its last change.
+    pub version: StoreVersion,
     /// Decoded content.
     pub content: Content,
 }
@@ -268,8 +270,8 @@
 pub struct Listing {
     /// The objects, with those whose content is [`Content::Unreadable`].
     pub objects: Vec<Object>,
-    /// Revision of the store up to which the list is complete.
-    pub revision: u64,
+    /// Version of the store up to which the list is complete.
+    pub version: StoreVersion,
 }
 
 /// A change of an object.
@@ -281,19 +283,19 @@
     pub deleted: bool,
 }
 
-/// Changes of a collection since a revision.
+/// Changes of a collection since a version.
 #[derive(Debug)]
 pub struct StoreChanges {
     /// The changes in the order of their revisions.
     pub changes: Vec<StoreChange>,
-    /// Revision of the store up to which the changes are complete.
-    pub revision: u64,
+    /// Version of the store up to which the changes are complete.
+    pub version: StoreVersion,
 }
 
 /// Reason why a call to the store failed.
 #[derive(Debug, Error)]
 pub enum StoreError {
-    /// The object has another revision than the call expects. Nothing was changed.
+    /// The object has another version than the call expects. Nothing was changed.
     #[error("the object was changed by another writer; read it again")]
     Conflict,
     /// There is no such object.
@@ -302,6 +304,23 @@
     /// The store no longer has all changes since the revision.
     #[error("the store has dropped its history; list the objects again")]
     Compacted,
+    /// The answer is of an era of the store that has been replaced. A change may have taken effect, or take effect later.
+    #[error(
+        "the answer of the store is of era {era}, and era {known} is known; check that the platform has one store"
+    )]
+    OutOfDate {
+        /// Era of the answer.
+        era: u64,
+        /// The known era.
+        known: u64,
+    },
+    /// The store was restored since the version on which the call is based. Revisions may have been assigned again, so that
+    /// whether a change took effect is known only after the object was read again.
+    #[error("the store was restored from an older copy, era {era}; read the objects again")]
+    Restored {
+        /// Era after the restore.
+        era: u64,
+    },
     /// The store refused the call. Nothing was changed.
     #[error("the store refused the call with status {status}; it may be overloaded")]
     Refused {
@@ -318,6 +337,9 @@
 
 /// Client of the platform's store.
 pub trait Store: 'static {
+    /// The era of the store, which the client learns from every answer.
+    fn era(&self) -> &Rc<SharedStoreEra>;
+
     /// Lists all objects of a collection. A list of recent objects costs less than one of the current ones.
     fn list(
         &self,
@@ -325,37 +347,37 @@
         freshness: Freshness,
     ) -> impl Future<Output = Result<Listing, StoreError>>;
 
-    /// Returns the changes of a collection since `revision`; waits until there is one, at most for `wait`.
+    /// Returns the changes of a collection since `version`; waits until there is one, at most for `wait`.
     fn watch(
         &self,
         collection: Collection,
-        revision: u64,
+        version: StoreVersion,
         wait: Duration,
     ) -> impl Future<Output = Result<StoreChanges, StoreError>>;
 
-    /// Creates an object, and returns its revision.
+    /// Creates an object, and returns its version.
     fn create(
         &self,
         collection: Collection,
         name: &str,
         text: &str,
-    ) -> impl Future<Output = Result<u64, StoreError>>;
+    ) -> impl Future<Output = Result<StoreVersion, StoreError>>;
 
-    /// Replaces an object that has `revision`, and returns its new revision.
+    /// Replaces an object that has `version`, and returns its new version.
     fn replace(
         &self,
         collection: Collection,
         name: &str,
-        revision: u64,
+        version: StoreVersion,
         text: &str,
-    ) -> impl Future<Output = Result<u64, StoreError>>;
+    ) -> impl Future<Output = Result<StoreVersion, StoreError>>;
 
-    /// Removes an object that has `revision`.
+    /// Removes an object that has `version`.
     fn remove(
         &self,
         collection: Collection,
         name: &str,
-        revision: u64,
+        version: StoreVersion,
     ) -> impl Future<Output = Result<(), StoreError>>;
 }
 
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -51,6 +51,10 @@
     StoreLost,
     /// A call to the store succeeded after [`StoreLost`](Self::StoreLost).
     StoreRegained,
+    /// The store has a higher era than the one known before: it was restored from an older copy.
+    StoreRestored,
+    /// An answer of the store was not used, because of its era.
+    StoreAnswerRejected,
     /// A member is new, or its entry changed.
     MemberChanged,
     /// A member was removed, because its entry was missing for too long.
@@ -97,6 +101,8 @@
             Self::ObjectUnreadable => "object_unreadable",
             Self::StoreLost => "store_lost",
             Self::StoreRegained => "store_regained",
+            Self::StoreRestored => "store_restored",
+            Self::StoreAnswerRejected => "store_answer_rejected",
             Self::MemberChanged => "member_changed",
             Self::MemberGone => "member_gone",
             Self::MemberLost => "member_lost",
--- a/crates/gateway/src/failover_claim.rs
+++ b/crates/gateway/src/failover_claim.rs
@@ -11,6 +11,7 @@
     name::{Group, InstanceId, MemberId},
     position::{Lsn, Position, Term},
     roster::Freshness,
+    store_version::StoreVersion,
     sync_group::{ClaimGrant, GrantedClaim, PromotionRecord, may_take_over, next_generation},
 };
 use serde::{Deserialize, Serialize};
@@ -77,7 +78,7 @@
 #[derive(Debug, Clone)]
 struct RecordedClaim {
     claim: Claim,
-    revision: u64,
+    version: StoreVersion,
     seen_at: Instant,
     /// Whether this process made the claim.
     is_own: bool,
@@ -91,19 +92,16 @@
 }
 
 impl FailoverClaims {
-    /// Records a claim that was read from the store, unless one of the same or a higher revision is recorded.
+    /// Records a claim that was read from the store, unless one of the same or a higher version is recorded.
     pub fn record(&mut self, object: &Object, now: Instant) {
         let Content::GatewayText(text) = &object.content else { return };
         let Ok(claim) = serde_json::from_str::<Claim>(text) else { return };
-        if self
-            .claims
-            .get(&object.name)
-            .is_some_and(|recorded| recorded.revision >= object.revision)
+        if self.claims.get(&object.name).is_some_and(|recorded| recorded.version >= object.version)
         {
             return;
         }
         let recorded =
-            RecordedClaim { claim, revision: object.revision, seen_at: now, is_own: false };
+            RecordedClaim { claim, version: object.version, seen_at: now, is_own: false };
         self.claims.insert(object.name.clone(), recorded);
     }
 
@@ -173,14 +171,14 @@
     let name = group.as_str();
     let written = match &recorded {
         Some(recorded) => {
-            node.store.replace(Collection::FailoverClaims, name, recorded.revision, &text).await
+            node.store.replace(Collection::FailoverClaims, name, recorded.version, &text).await
         }
         None => node.store.create(Collection::FailoverClaims, name, &text).await,
     };
     match written {
-        Ok(revision) => {
+        Ok(version) => {
             node.metrics.count(Counter::StoreCalls, "claimed");
-            let recorded = RecordedClaim { claim, revision, seen_at: node.now(), is_own: true };
+            let recorded = RecordedClaim { claim, version, seen_at: node.now(), is_own: true };
             node.failover_claims.borrow_mut().claims.insert(name.into(), recorded);
             Some(ClaimGrant::new(generation, requested_at))
         }
--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -324,7 +324,7 @@
         sent: nanos(now),
         acknowledged,
         version: node.version(),
-        members_revision: node.members_revision(),
+        members_revision: node.members_version().revision,
         groups: group_infos(node, relays_fences, now),
         demands: node.admission.borrow_mut().advertise(name, demanded, now),
     };
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -18,6 +18,7 @@
     roster::{FleetRole, Roster},
     share::AllotmentPart,
     shutdown::StopPlan,
+    store_version::StoreVersion,
     topology::{Connections, HOLDERS_PER_MEMBER, Topology},
 };
 use hibiscusladder_io::clock::BootClock;
@@ -25,7 +26,7 @@
 use smol::{LocalExecutor, lock::Semaphore, net::UdpSocket};
 
 use crate::{
-    adapter::{Platform, Target},
+    adapter::{Platform, Store, Target},
     admission::Admission,
     directory::Directory,
     events::{self, Event},
@@ -39,6 +40,7 @@
     refusal::Refusals,
     relay::{MembersPage, PARALLEL_TRANSFERS, Progress, compress_directory},
     settings::Settings,
+    store_era::SharedStoreEra,
     tasks::Tasks,
     tunnel::Tunnels,
 };
@@ -65,6 +67,8 @@
     pub clock: BootClock,
     /// Client of the platform's store.
     pub store: P::Store,
+    /// The era of the store.
+    pub store_era: Rc<SharedStoreEra>,
     /// Client of the platform's promotions.
     pub promoter: P::Promoter,
     /// Counters and histograms.
@@ -104,7 +108,7 @@
     pub transfers: Semaphore,
     /// Version and compressed form of the configuration that was last sent to another instance.
     compressed: RefCell<Option<(u64, Bytes)>>,
-    members_revision: Cell<u64>,
+    members_version: Cell<StoreVersion>,
     /// Digest of the member entries, and the number of changes of the table that it includes.
     members_digest: Cell<(Option<u64>, u64)>,
     directory: RefCell<Option<Rc<Directory>>>,
@@ -139,6 +143,7 @@
             refusals: Refusals::new(settings.return_times, now),
             settings,
             clock: BootClock,
+            store_era: store.era().clone(),
             store,
             promoter,
             metrics: Metrics::default(),
@@ -158,7 +163,7 @@
             renew_watches: Notify::new(),
             transfers: Semaphore::new(PARALLEL_TRANSFERS),
             compressed: RefCell::default(),
-            members_revision: Cell::new(0),
+            members_version: Cell::default(),
             members_digest: Cell::default(),
             directory: RefCell::default(),
             groups: RefCell::default(),
@@ -250,9 +255,9 @@
         self.groups.borrow().get(name).cloned()
     }
 
-    /// Revision of the newest member entry that was read; 0 before the first.
-    pub const fn members_revision(&self) -> u64 {
-        self.members_revision.get()
+    /// Version of the newest member entry that was read; the default before the first.
+    pub const fn members_version(&self) -> StoreVersion {
+        self.members_version.get()
     }
 
     /// Digest of the member entries that were read and are not missing, equal at instances with equal entries.
@@ -267,9 +272,9 @@
         digest
     }
 
-    /// Records the revision of a member entry.
-    pub fn record_members_revision(&self, revision: u64) {
-        self.members_revision.set(self.members_revision.get().max(revision));
+    /// Records the version of a member entry.
+    pub fn record_members_version(&self, version: StoreVersion) {
+        self.members_version.set(self.members_version.get().max(version));
     }
 
     /// State of all groups, in the order of their names.
--- a/crates/gateway/src/node/fleet.rs
+++ b/crates/gateway/src/node/fleet.rs
@@ -65,7 +65,7 @@
     /// Version of the list of the instances at this instance.
     pub fn roster_version(&self) -> RosterVersion {
         RosterVersion {
-            revision: self.roster.borrow().revision(),
+            revision: self.roster.borrow().version().revision,
             digest: self.roster_digest.get(),
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,6 +8,7 @@
     clock::Instant,
     name::{InstanceId, MemberId},
     roster::{self, FleetRole},
+    store_version::StoreVersion,
 };
 use hibiscusladder_io::http::{HttpClient, HttpError};
 use http_body_util::Full;
@@ -60,7 +61,7 @@
         let members = node.members.borrow();
         let listed = members.iter().filter(|(_, member)| member.lapsed_since.is_none());
         let members = listed.map(|(id, member)| MemberEntry::new(id, &member.record)).collect();
-        Self { revision: node.members_revision(), members }
+        Self { revision: node.members_version().revision, members }
     }
 
     /// Applies the entries, unless this instance knows newer ones.
@@ -68,10 +69,11 @@
     where
         P: Platform,
     {
-        if self.revision < node.members_revision() {
+        let version = StoreVersion::new(node.store_era.known(), self.revision);
+        if version < node.members_version() {
             return;
         }
-        node.record_members_revision(self.revision);
+        node.record_members_version(version);
         let now = node.now();
         let listed: Vec<MemberId> = self.members.iter().map(|entry| entry.id.clone()).collect();
         for entry in self.members {
@@ -112,12 +114,13 @@
     where
         P: Platform,
     {
-        if self.revision <= node.roster_version().revision {
+        let version = StoreVersion::new(node.store_era.known(), self.revision);
+        if version <= node.roster.borrow().version() {
             return;
         }
         let own = (node.instance().clone(), node.registration());
         let has_own = self.instances.contains(&own);
-        node.roster.borrow_mut().relayed(has_own, self.revision, node.now());
+        node.roster.borrow_mut().relayed(has_own, version, node.now());
         node.register(&self.instances);
     }
 }
@@ -178,7 +181,7 @@
     let directory = node.peers.borrow().ahead(node.version(), now);
     catch_up_page(node, PageKind::Directory, &directory, is_hub, now);
     let digest = (!is_hub).then(|| node.members_digest());
-    let members = node.peers.borrow().members_ahead(node.members_revision(), digest, now);
+    let members = node.peers.borrow().members_ahead(node.members_version().revision, digest, now);
     catch_up_page(node, PageKind::Members, &members, is_hub, now);
 }
 
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -49,7 +49,7 @@
         let listed = members.iter().filter(|(_, member)| member.lapsed_since.is_none());
         let members = listed.map(|(id, member)| MemberEntry::new(id, &member.record)).collect();
         let instances = node.registrations().into_iter().collect();
-        Some(Self { directory, members, instances, revision: node.members_revision() })
+        Some(Self { directory, members, instances, revision: node.members_version().revision })
     }
 }
 
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -6,6 +6,7 @@
     clock::Instant,
     name::{InstanceId, MemberId},
     roster::{FleetRole, Freshness, Listed, Step},
+    store_version::StoreVersion,
 };
 use hibiscusladder_io::clock::{sleep, within};
 use serde_json::json;
@@ -46,28 +47,28 @@
 where
     P: Platform,
 {
-    let mut revision = None;
+    let mut version = None;
     let mut delay = MIN_RETRY_DELAY;
     let mut store_lost = false;
     loop {
         if !is_read_here(&node, collection) {
-            revision = None;
+            version = None;
             within(ROLE_CHECK_INTERVAL, node.roster_changed.listen()).await;
             continue;
         }
-        let result = match revision {
+        let result = match version {
             None => list(&node, collection).await,
             Some(since) => watch(&node, collection, since).await,
         };
         match result {
             Ok(current) => {
-                revision = Some(current);
+                version = Some(current);
                 delay = MIN_RETRY_DELAY;
                 if std::mem::take(&mut store_lost) {
                     events::log(Event::StoreRegained, json!({ "collection": collection.as_str() }));
                 }
             }
-            Err(StoreError::Compacted) => revision = None,
+            Err(StoreError::Compacted | StoreError::Restored { .. }) => version = None,
             Err(error) => {
                 if !std::mem::replace(&mut store_lost, true) {
                     events::log(
@@ -90,22 +91,24 @@
 where
     P: Platform,
 {
-    let is_first_list = collection == Collection::Members && node.members_revision() == 0;
+    let is_first_list =
+        collection == Collection::Members && node.members_version() == StoreVersion::default();
     is_first_list || node.role() != FleetRole::Follower
 }
 
-async fn list<P>(node: &Rc<Node<P>>, collection: Collection) -> Result<u64, StoreError>
+async fn list<P>(node: &Rc<Node<P>>, collection: Collection) -> Result<StoreVersion, StoreError>
 where
     P: Platform,
 {
     // A member that has left refuses connections, and the watch or the hubs soon correct the list. An old configuration
     // may contain a withdrawn key.
-    let freshness = if collection == Collection::Members && node.members_revision() == 0 {
-        Freshness::Recent
-    } else {
-        Freshness::Current
-    };
-    let Listing { objects, revision } = call_list(node, collection, freshness).await?;
+    let freshness =
+        if collection == Collection::Members && node.members_version() == StoreVersion::default() {
+            Freshness::Recent
+        } else {
+            Freshness::Current
+        };
+    let Listing { objects, version } = call_list(node, collection, freshness).await?;
     let now = node.now();
     let members: Vec<MemberId> = objects.iter().map(|object| (*object.name).into()).collect();
     for object in objects {
@@ -114,7 +117,7 @@
     if collection == Collection::Members && freshness == Freshness::Current {
         node.members.borrow_mut().lapse_others(&members, now);
     }
-    Ok(revision)
+    Ok(version)
 }
 
 /// Lists the configuration or the members, for an instance that gets neither from others in time.
@@ -139,7 +142,11 @@
     listed
 }
 
-async fn watch<P>(node: &Rc<Node<P>>, collection: Collection, since: u64) -> Result<u64, StoreError>
+async fn watch<P>(
+    node: &Rc<Node<P>>,
+    collection: Collection,
+    since: StoreVersion,
+) -> Result<StoreVersion, StoreError>
 where
     P: Platform,
 {
@@ -151,7 +158,7 @@
         renewal.await;
         None
     };
-    // After a renewal the next watch starts at the same revision.
+    // After a renewal the next watch starts at the same version.
     let Some(watched) = watching.or(renewed).await else { return Ok(since) };
     let label = if watched.is_ok() { "watched" } else { "watch_failed" };
     node.metrics.count(Counter::StoreCalls, label);
@@ -159,13 +166,13 @@
     let now = node.now();
     for change in watched.changes {
         if change.deleted && collection == Collection::Members {
-            node.record_members_revision(change.object.revision);
+            node.record_members_version(change.object.version);
             node.members.borrow_mut().lapse(&change.object.name, now);
         } else {
             apply(node, collection, change.object, now);
         }
     }
-    Ok(watched.revision)
+    Ok(watched.version)
 }
 
 fn apply<P>(node: &Rc<Node<P>>, collection: Collection, object: Object, now: Instant)
@@ -178,7 +185,7 @@
                 Event::ObjectUnreadable,
                 json!({
                     "collection": collection.as_str(), "object": object.name,
-                    "revision": object.revision, "reason": reason,
+                    "version": object.version.to_string(), "reason": reason,
                 }),
             );
             if collection == Collection::Members {
@@ -189,7 +196,7 @@
             node.apply_directory(directory, "store");
         }
         (Collection::Members, Content::Member(record)) => {
-            node.record_members_revision(object.revision);
+            node.record_members_version(object.version);
             apply_member(node, MemberId::new(&object.name), record, now);
         }
         _ => {}
@@ -246,7 +253,7 @@
 where
     P: Platform,
 {
-    // Revision of the entry under this instance's name, which an earlier process may have written.
+    // Version of the entry under this instance's name, which an earlier process may have written.
     let mut own_entry = None;
     loop {
         let changed = node.roster_changed.listen();
@@ -270,13 +277,13 @@
 async fn list_instances<P>(
     node: &Rc<Node<P>>,
     freshness: Freshness,
-    own_entry: &mut Option<u64>,
+    own_entry: &mut Option<StoreVersion>,
 ) -> Result<(), StoreError>
 where
     P: Platform,
 {
     let sent = node.now();
-    let Listing { objects, revision } = call_list(node, Collection::Instances, freshness).await?;
+    let Listing { objects, version } = call_list(node, Collection::Instances, freshness).await?;
     let registrations: Vec<(InstanceId, Registration)> = objects
         .iter()
         .filter_map(|object| {
@@ -288,11 +295,11 @@
         .collect();
     let name = node.instance();
     let entry = objects.iter().find(|object| *object.name == *name.as_str());
-    *own_entry = entry.map(|entry| entry.revision);
+    *own_entry = entry.map(|entry| entry.version);
     let own = node.registration();
     let has_own =
         registrations.iter().any(|(listed, registration)| listed == name && *registration == own);
-    let listed = Listed { sent, freshness, has_own, revision };
+    let listed = Listed { sent, freshness, has_own, version };
     node.roster.borrow_mut().listed(listed, node.now());
     node.register(&registrations);
     if node.role() == FleetRole::Hub && freshness == Freshness::Current {
@@ -301,27 +308,30 @@
     Ok(())
 }
 
-async fn register_self<P>(node: &Rc<Node<P>>, own_entry: &mut Option<u64>) -> Result<(), StoreError>
+async fn register_self<P>(
+    node: &Rc<Node<P>>,
+    own_entry: &mut Option<StoreVersion>,
+) -> Result<(), StoreError>
 where
     P: Platform,
 {
     let Ok(text) = serde_json::to_string(&node.registration()) else { return Ok(()) };
     let name = node.instance().as_str();
     let written = match *own_entry {
-        Some(revision) => node.store.replace(Collection::Instances, name, revision, &text).await,
+        Some(version) => node.store.replace(Collection::Instances, name, version, &text).await,
         None => node.store.create(Collection::Instances, name, &text).await,
     };
     node.metrics
         .count(Counter::StoreCalls, if written.is_ok() { "written" } else { "write_failed" });
     match written {
-        Ok(revision) => {
-            node.roster.borrow_mut().registered(revision, node.now());
-            *own_entry = Some(revision);
+        Ok(version) => {
+            node.roster.borrow_mut().registered(version, node.now());
+            *own_entry = Some(version);
             node.roster_changed.notify(usize::MAX);
             Ok(())
         }
         // The list was too old to have the entry, or a call without an answer has written it.
-        Err(StoreError::Conflict | StoreError::Missing) => {
+        Err(StoreError::Conflict | StoreError::Missing | StoreError::Restored { .. }) => {
             list_instances(node, Freshness::Current, own_entry).await
         }
         Err(error) => Err(error),
@@ -363,7 +373,7 @@
     }
     for object in objects {
         if unresponsive.iter().any(|name| name.as_str() == &*object.name) {
-            node.store.remove(Collection::Instances, &object.name, object.revision).await?;
+            node.store.remove(Collection::Instances, &object.name, object.version).await?;
         }
     }
     Ok(())
