feat(gateway): order of members and lists over restores of the store

Cause: after a restore the store has entries again that were replaced or removed, and its revisions are lower than those that instances have.

Change: status messages carry the era, and the eras of the members' and the list's revisions, in a section that is left out in era 0; the members' page carries its era and the numbers of the reports. Newer data is chosen by pairs of era and revision. `core::member_report` orders the entries of a member by start and number of the report: a draining member stays draining, and a member that has left stays left until it reports again. For five seconds after a restore no member is removed.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod database;
 pub mod home_lease;
 pub mod key;
+pub mod member_report;
 pub mod membership;
 pub mod name;
 pub mod outcome;
--- a/crates/core/src/store_era.rs
+++ b/crates/core/src/store_era.rs
@@ -24,6 +24,10 @@
 
 use crate::clock::Instant;
 
+/// Time in which the operator and the members write their objects again after a restore: three of their intervals of
+/// 1.2 s, and the delay until an instance has learned of the restore.
+pub const REWRITE_TIME: Duration = Duration::from_secs(5);
+
 /// Order of an era relative to the highest one that was known before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EraOrder {
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -5,6 +5,7 @@
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use hibiscusladder_core::{
+    member_report::MemberReport,
     name::{DataCentre, Database, Group, InstanceId, MemberId, Workspace},
     position::{Position, Term},
     roster::Freshness,
@@ -236,6 +237,15 @@
     pub started_ms: u64,
     /// Statements that the member runs at once.
     pub slots: u32,
+    /// Number of the member's report since the start of its process.
+    pub sequence: u64,
+}
+
+impl MemberRecord {
+    /// Number of the report among all reports of the member.
+    pub const fn report(&self) -> MemberReport {
+        MemberReport { born: self.started_ms, sequence: self.sequence }
+    }
 }
 
 /// Content of an object in the store.
--- a/crates/gateway/src/member_table.rs
+++ b/crates/gateway/src/member_table.rs
@@ -4,6 +4,7 @@
 
 use hibiscusladder_core::{
     clock::Instant,
+    member_report::KnownReport,
     name::{Group, MemberId},
 };
 
@@ -13,6 +14,8 @@
 ///
 /// Entries that lapsed during an outage of the store are written again within about 2 s of its return.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2500);
+/// Time for which the last report of a removed member is known. A store is restored from a copy that is some seconds old.
+const DEPARTED_TIME: Duration = Duration::from_secs(600);
 
 /// A member, and since when it has been leaving or its entry has been missing.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -25,6 +28,8 @@
     pub left_before: bool,
     /// When the entry was first missing; `None` while it is in the store.
     pub lapsed_since: Option<Instant>,
+    /// Order of the entry among those of the member.
+    known: KnownReport,
 }
 
 impl Member {
@@ -56,21 +61,41 @@
 #[derive(Debug, Clone, Default)]
 pub struct MemberTable {
     members: BTreeMap<MemberId, Member>,
+    /// Last reports of removed members, with the time of the removal.
+    departed: BTreeMap<MemberId, (KnownReport, Instant)>,
     /// Number of changes so far.
     changes: u64,
 }
 
 impl MemberTable {
-    /// Records the entry of a member.
-    pub fn update(&mut self, id: MemberId, record: MemberRecord, now: Instant) -> MemberChange {
+    /// Records the entry of a member that was read in `era` of the store, unless a newer report of the member is known.
+    pub fn update(
+        &mut self,
+        id: MemberId,
+        record: MemberRecord,
+        era: u64,
+        now: Instant,
+    ) -> MemberChange {
+        let report = record.report();
+        let known = self.members.get(&id).map(|member| &member.known);
+        let known = known.or_else(|| self.departed.get(&id).map(|(known, _)| known));
+        if known.is_some_and(|known| !known.is_replaced_by(report, era)) {
+            return MemberChange::None;
+        }
+        self.departed.remove(&id);
+        let known = KnownReport::new(report, era);
         let leaving = record.leaving;
         let Some(member) = self.members.get_mut(&id) else {
             let leaving_since = leaving.then_some(now);
-            let member = Member { record, leaving_since, left_before: leaving, lapsed_since: None };
+            let (left_before, lapsed_since) = (leaving, None);
+            let member = Member { record, leaving_since, left_before, lapsed_since, known };
             self.members.insert(id, member);
             self.changes += 1;
             return MemberChange::Updated;
         };
+        member.known = known;
+        // A report that repeats the state is no change.
+        member.record.sequence = record.sequence;
         if member.lapsed_since.take().is_some() || member.record != record {
             self.changes += 1;
         }
@@ -86,20 +111,22 @@
         if same_process { MemberChange::Updated } else { MemberChange::Restarted }
     }
 
-    /// Records that the entry of a member is missing.
-    pub fn lapse(&mut self, id: &str, now: Instant) {
+    /// Records that the entry of a member is missing in `era` of the store.
+    pub fn lapse(&mut self, id: &str, era: u64, now: Instant) {
         self.changes += 1;
         if let Some(member) = self.members.get_mut(id) {
             member.lapsed_since.get_or_insert(now);
+            member.known.set_missing(era);
         }
     }
 
-    /// Records that the entries of all members but `listed` are missing.
-    pub fn lapse_others(&mut self, listed: &[MemberId], now: Instant) {
+    /// Records that the entries of all members but `listed` are missing in `era` of the store.
+    pub fn lapse_others(&mut self, listed: &[MemberId], era: u64, now: Instant) {
         self.changes += 1;
         for (id, member) in &mut self.members {
             if !listed.contains(id) {
                 member.lapsed_since.get_or_insert(now);
+                member.known.set_missing(era);
             }
         }
     }
@@ -116,8 +143,11 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &expired {
-            self.members.remove(id);
+            if let Some(member) = self.members.remove(id) {
+                self.departed.insert(id.clone(), (member.known, now));
+            }
         }
+        self.departed.retain(|_, (_, removed_at)| now.since(*removed_at) < DEPARTED_TIME);
         expired
     }
 
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -204,6 +204,18 @@
     }
 }
 
+/// Eras of the revisions in a [`Status`] and its [`Extension`]. The section is left out while the sender knows of no restore
+/// of the store, and all eras are 0 without it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreSection {
+    /// Highest era that the sender knows.
+    pub era: u64,
+    /// Era of [`Status::members_revision`].
+    pub members: u64,
+    /// Era of the list of instances that the sender offers.
+    pub roster: u64,
+}
+
 /// Version of a list of instances.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RosterVersion {
--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -23,11 +23,11 @@
     events::{self, Event},
     group_state::GroupState,
     message::{
-        self, Datagram, Extension, GroupInfo, LeaderEntry, Sections, Status, TokenRequestMessage,
-        TokenTransferMessage,
+        self, Datagram, Extension, GroupInfo, LeaderEntry, RosterVersion, SectionKind, Sections,
+        Status, StoreSection, TokenRequestMessage, TokenTransferMessage,
     },
     node::Node,
-    peers::{SEND_INTERVAL, nanos},
+    peers::{OfferedRoster, SEND_INTERVAL, nanos},
     relay,
 };
 
@@ -49,10 +49,14 @@
     loop {
         let Ok((length, address)) = node.datagrams.recv_from(&mut buf).await else { continue };
         // A datagram that cannot be decoded comes from another version or another program.
-        let Ok((datagram, extension, _)) = message::decode(&buf[..length]) else { continue };
+        let Ok((datagram, extension, sections)) = message::decode(&buf[..length]) else {
+            continue;
+        };
         let now = node.now();
         match datagram {
-            Datagram::Status(status) => handle_status(&node, &status, &extension, address, now),
+            Datagram::Status(status) => {
+                handle_status(&node, &status, (&extension, &sections), address, now);
+            }
             Datagram::TokenRequest(message) => transfer_tokens(&node, &message, address, now),
             Datagram::TokenTransfer(transfer) => {
                 node.admission.borrow_mut().receive(&transfer, now)
@@ -64,7 +68,7 @@
 fn handle_status<P>(
     node: &Rc<Node<P>>,
     status: &Status,
-    extension: &Extension,
+    (extension, sections): (&Extension, &Sections),
     address: SocketAddr,
     now: Instant,
 ) where
@@ -83,7 +87,11 @@
             json!({ "instance": from.as_str(), "new": received.is_unregistered }),
         );
     }
-    node.peers.borrow_mut().record_extension(&from, extension);
+    let store: Option<StoreSection> = sections.get(SectionKind::Store);
+    if let Some(store) = store {
+        node.store_era.record_told(store.era, now);
+    }
+    node.peers.borrow_mut().record_extension(&from, extension, store.unwrap_or_default());
     let topology = node.topology();
     let is_hub = topology.is_hub(&from);
     node.admission.borrow_mut().record_peer(&from, &status.demands, is_hub, now);
@@ -329,7 +337,23 @@
         demands: node.admission.borrow_mut().advertise(name, demanded, now),
     };
     let extension = extension(node, relays_fences, now);
-    send_extended(node, address, &Datagram::Status(status), &extension, &Sections::default());
+    send_extended(node, address, &Datagram::Status(status), &extension, &sections(node));
+}
+
+/// The sections of a status message. There is none while the store was never restored.
+fn sections<P>(node: &Node<P>) -> Sections
+where
+    P: Platform,
+{
+    let mut sections = Sections::default();
+    let era = node.store_era.known();
+    if era > 0 {
+        let members = node.members_version().era;
+        let roster = node.roster.borrow().version().era;
+        // Numbers can always be encoded.
+        let _ = sections.insert(SectionKind::Store, &StoreSection { era, members, roster });
+    }
+    sections
 }
 
 /// The extension of a message to a hub, or to another instance (`is_for_follower`).
@@ -340,7 +364,10 @@
     let is_hub = node.role() == FleetRole::Hub;
     let offers_roster = is_hub && node.knows_fleet();
     let mut extension = Extension {
-        roster: offers_roster.then(|| node.roster_version()),
+        roster: offers_roster.then(|| {
+            let OfferedRoster { version, digest } = node.roster_version();
+            RosterVersion { revision: version.revision, digest }
+        }),
         members: is_hub.then(|| node.members_digest()),
         ..Extension::default()
     };
--- a/crates/gateway/src/node/fleet.rs
+++ b/crates/gateway/src/node/fleet.rs
@@ -11,10 +11,7 @@
 };
 
 use super::Node;
-use crate::{
-    adapter::Platform,
-    message::{Registration, RosterVersion},
-};
+use crate::{adapter::Platform, message::Registration, peers::OfferedRoster};
 
 /// Time from the first list of the instances in which hubs count as live although no message has come.
 const STARTING_TIME: Duration = Duration::from_millis(1000);
@@ -63,11 +60,8 @@
     }
 
     /// Version of the list of the instances at this instance.
-    pub fn roster_version(&self) -> RosterVersion {
-        RosterVersion {
-            revision: self.roster.borrow().version().revision,
-            digest: self.roster_digest.get(),
-        }
+    pub fn roster_version(&self) -> OfferedRoster {
+        OfferedRoster { version: self.roster.borrow().version(), digest: self.roster_digest.get() }
     }
 
     /// Role of this instance in the fleet that it knows.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -2,9 +2,9 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use hibiscusladder_core::{clock::Instant, name::InstanceId};
+use hibiscusladder_core::{clock::Instant, name::InstanceId, store_version::StoreVersion};
 
-use crate::message::{Extension, GroupInfo, Registration, RosterVersion, Status};
+use crate::message::{Extension, GroupInfo, Registration, Status, StoreSection};
 
 /// Time between two rounds of messages.
 pub const SEND_INTERVAL: Duration = Duration::from_millis(250);
@@ -26,11 +26,11 @@
     /// Since when this instance gets regular messages from the peer if both run; `None` while it gets none.
     expected_since: Option<Instant>,
     version: u64,
-    members_revision: u64,
+    members_version: StoreVersion,
     suspected: BTreeMap<Box<str>, u64>,
     confirmed: BTreeMap<Box<str>, u64>,
     /// List of the instances that the peer offers.
-    roster: Option<RosterVersion>,
+    roster: Option<OfferedRoster>,
     /// Digest of the member entries that the peer has read.
     members_digest: Option<u64>,
     /// Whether [`Peers::newly_unresponsive`] has returned the peer since its last message.
@@ -49,7 +49,7 @@
             last_received: None,
             expected_since: None,
             version: 0,
-            members_revision: 0,
+            members_version: StoreVersion::new(0, 0),
             suspected: BTreeMap::new(),
             confirmed: BTreeMap::new(),
             roster: None,
@@ -64,6 +64,15 @@
     }
 }
 
+/// Version of a list of instances, and a digest of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OfferedRoster {
+    /// Version of the store at which the list was read.
+    pub version: StoreVersion,
+    /// Digest of the registrations, equal for equal lists.
+    pub digest: u64,
+}
+
 /// State of the other instances, by name.
 #[derive(Debug)]
 pub struct Peers {
@@ -231,7 +240,8 @@
         peer.latest_message = Some((status.started, status.sent));
         peer.last_received = Some(now);
         peer.version = status.version;
-        peer.members_revision = status.members_revision;
+        // The era follows with the sections of the message.
+        peer.members_version = StoreVersion::new(0, status.members_revision);
         peer.suspected = suspected(status);
         peer.confirmed =
             status.groups.iter().map(|info| (info.group.clone(), info.confirmed)).collect();
@@ -240,10 +250,19 @@
         Some(Received { acknowledged, regained, is_unregistered })
     }
 
-    /// Records what the extension of a message says about the sender.
-    pub(crate) fn record_extension(&mut self, name: &InstanceId, extension: &Extension) {
+    /// Records what the extension of the message received last, and its section on the store, say about the sender.
+    pub fn record_extension(
+        &mut self,
+        name: &InstanceId,
+        extension: &Extension,
+        store: StoreSection,
+    ) {
         if let Some(peer) = self.peers.get_mut(name) {
-            peer.roster = extension.roster;
+            peer.members_version.era = store.members;
+            peer.roster = extension.roster.map(|roster| OfferedRoster {
+                version: StoreVersion::new(store.roster, roster.revision),
+                digest: roster.digest,
+            });
             peer.members_digest = extension.members;
         }
     }
@@ -275,30 +294,30 @@
     }
 
     /// Version of the newest list of instances that a live instance offers, with the name of that instance.
-    pub(crate) fn newest_roster(&self, now: Instant) -> Option<(RosterVersion, InstanceId)> {
+    pub fn newest_roster(&self, now: Instant) -> Option<(OfferedRoster, InstanceId)> {
         let live = self.peers.iter().filter(|(_, peer)| peer.is_live(now));
         let offered = live.filter_map(|(name, peer)| Some((peer.roster?, name.clone())));
-        offered.max_by_key(|(roster, _)| roster.revision)
+        offered.max_by_key(|(roster, _)| roster.version)
     }
 
-    /// The live instances with the newest member entries, if these are newer than `revision`. With `digest`, also those
-    /// whose entries of the same revision differ from the ones with this digest: they have noticed the removal of a
+    /// The live instances with the newest member entries, if these are newer than `version`. With `digest`, also those
+    /// whose entries of the same version differ from the ones with this digest: they have noticed the removal of a
     /// member.
-    pub(crate) fn members_ahead(
+    pub fn members_ahead(
         &self,
-        revision: u64,
+        version: StoreVersion,
         digest: Option<u64>,
         now: Instant,
     ) -> Vec<InstanceId> {
         let live = || self.peers.iter().filter(|(_, peer)| peer.is_live(now));
-        let newest = live().map(|(_, peer)| peer.members_revision).max().unwrap_or(0);
+        let newest = live().map(|(_, peer)| peer.members_version).max().unwrap_or_default();
         let differs = |peer: &Peer| {
-            peer.members_revision == revision
+            peer.members_version == version
                 && digest.is_some()
                 && peer.members_digest.is_some_and(|other| Some(other) != digest)
         };
         let ahead = live().filter(|(_, peer)| {
-            peer.members_revision == newest && (newest > revision || differs(peer))
+            peer.members_version == newest && (newest > version || differs(peer))
         });
         ahead.map(|(name, _)| name.clone()).collect()
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,14 +14,14 @@
 use http_body_util::Full;
 use hyper::Request;
 use miniz_oxide::{deflate::compress_to_vec, inflate::decompress_to_vec_with_limit};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::json;
 
 use crate::{
     adapter::Platform,
     directory::Directory,
     events::{self, Event},
-    message::Registration,
+    message::{Registration, SectionKind, Sections},
     node::Node,
     snapshot::MemberEntry,
     sync,
@@ -64,23 +64,37 @@
         Self { revision: node.members_version().revision, members }
     }
 
+    /// Encodes the members of this instance, with a section that earlier versions ignore.
+    pub fn encode<P>(node: &Node<P>) -> Option<Vec<u8>>
+    where
+        P: Platform,
+    {
+        let members = node.members.borrow();
+        let listed = members.iter().filter(|(_, member)| member.lapsed_since.is_none());
+        let sequences = listed.map(|(_, member)| member.record.sequence).collect();
+        let section = MembersSection { era: node.members_version().era, sequences };
+        encode_page(&Self::capture(node), &section)
+    }
+
     /// Applies the entries, unless this instance knows newer ones.
-    pub fn apply<P>(self, node: &Rc<Node<P>>)
+    fn apply<P>(self, section: MembersSection, node: &Rc<Node<P>>)
     where
         P: Platform,
     {
-        let version = StoreVersion::new(node.store_era.known(), self.revision);
-        if version < node.members_version() {
+        let now = node.now();
+        let version = StoreVersion::new(section.era, self.revision);
+        if !node.store_era.record_told(section.era, now) || version < node.members_version() {
             return;
         }
         node.record_members_version(version);
-        let now = node.now();
         let listed: Vec<MemberId> = self.members.iter().map(|entry| entry.id.clone()).collect();
-        for entry in self.members {
-            let (id, record) = entry.into_record();
-            sync::apply_member(node, id, record, now);
+        // Earlier versions do not send the numbers.
+        let sequences = section.sequences.into_iter().chain(std::iter::repeat(0));
+        for (entry, sequence) in self.members.into_iter().zip(sequences) {
+            let (id, record) = entry.into_record(sequence);
+            sync::apply_member(node, id, record, section.era, now);
         }
-        node.members.borrow_mut().lapse_others(&listed, now);
+        node.members.borrow_mut().lapse_others(&listed, section.era, now);
     }
 
     /// Digest of the page, equal for equal members.
@@ -89,6 +103,37 @@
     }
 }
 
+/// Part of the members' page that earlier versions do not have.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct MembersSection {
+    /// Era of the page's revision.
+    era: u64,
+    /// Numbers of the members' reports, in the order of the entries.
+    sequences: Vec<u64>,
+}
+
+/// Encodes a page, followed by a section in the form of those of datagrams.
+fn encode_page<T, S>(page: &T, section: &S) -> Option<Vec<u8>>
+where
+    T: Serialize,
+    S: Serialize,
+{
+    let mut sections = Sections::default();
+    sections.insert(SectionKind::Store, section).ok()?;
+    postcard::to_extend(&sections, postcard::to_stdvec(page).ok()?).ok()
+}
+
+/// Decodes a page and its section, which an earlier version does not send.
+fn decode_page<T, S>(body: &[u8]) -> io::Result<(T, S)>
+where
+    T: DeserializeOwned,
+    S: DeserializeOwned + Default,
+{
+    let (page, rest) = postcard::take_from_bytes(body).map_err(io::Error::other)?;
+    let sections: Sections = postcard::from_bytes(rest).unwrap_or_default();
+    Ok((page, sections.get(SectionKind::Store).unwrap_or_default()))
+}
+
 /// The instances, as a hub sends them to an instance that does not list them.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct RosterPage {
@@ -104,7 +149,7 @@
         P: Platform,
     {
         node.knows_fleet().then(|| Self {
-            revision: node.roster_version().revision,
+            revision: node.roster_version().version.revision,
             instances: node.registrations().into_iter().collect(),
         })
     }
@@ -181,7 +226,7 @@
     let directory = node.peers.borrow().ahead(node.version(), now);
     catch_up_page(node, PageKind::Directory, &directory, is_hub, now);
     let digest = (!is_hub).then(|| node.members_digest());
-    let members = node.peers.borrow().members_ahead(node.members_version().revision, digest, now);
+    let members = node.peers.borrow().members_ahead(node.members_version(), digest, now);
     catch_up_page(node, PageKind::Members, &members, is_hub, now);
 }
 
@@ -238,9 +283,9 @@
 where
     P: Platform,
 {
-    let decode = |body: &[u8]| postcard::from_bytes::<MembersPage>(body).map_err(io::Error::other);
-    let Some(page) = fetch(node, from, MEMBERS_PATH, decode).await else { return false };
-    page.apply(node);
+    let decode = decode_page::<MembersPage, _>;
+    let Some((page, section)) = fetch(node, from, MEMBERS_PATH, decode).await else { return false };
+    page.apply(section, node);
     true
 }
 
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -67,7 +67,8 @@
         }
     }
 
-    pub(crate) fn into_record(self) -> (MemberId, MemberRecord) {
+    /// The entry with the number of its report, which is sent beside it.
+    pub(crate) fn into_record(self, sequence: u64) -> (MemberId, MemberRecord) {
         let role = |primary| if primary { Role::Primary } else { Role::Replica };
         let record = MemberRecord {
             group: self.group,
@@ -77,6 +78,7 @@
             role: self.primary.map(role),
             started_ms: self.started_ms,
             slots: self.slots,
+            sequence,
         };
         (self.id, record)
     }
--- a/crates/gateway/src/status_page.rs
+++ b/crates/gateway/src/status_page.rs
@@ -83,7 +83,7 @@
         Page::Readiness => reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
         Page::State if path == SNAPSHOT_PATH => encoded(Snapshot::capture(node)),
         Page::State if path == ROSTER_PATH => encoded(RosterPage::capture(node)),
-        Page::State if path == MEMBERS_PATH => encoded(Some(MembersPage::capture(node))),
+        Page::State if path == MEMBERS_PATH => bytes(MembersPage::encode(node)),
         Page::State if path == DIRECTORY_PATH => {
             node.compressed_directory().map_or_else(unavailable, |body| reply(StatusCode::OK, body))
         }
@@ -105,7 +105,11 @@
 where
     T: Serialize,
 {
-    match state.and_then(|state| postcard::to_stdvec(&state).ok()) {
+    bytes(state.and_then(|state| postcard::to_stdvec(&state).ok()))
+}
+
+fn bytes(body: Option<Vec<u8>>) -> Response<Full<Bytes>> {
+    match body {
         Some(body) => reply(StatusCode::OK, Bytes::from(body)),
         None => unavailable(),
     }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -6,6 +6,7 @@
     clock::Instant,
     name::{InstanceId, MemberId},
     roster::{FleetRole, Freshness, Listed, Step},
+    store_era::REWRITE_TIME,
     store_version::StoreVersion,
 };
 use hibiscusladder_io::clock::{sleep, within};
@@ -109,13 +110,13 @@
             Freshness::Current
         };
     let Listing { objects, version } = call_list(node, collection, freshness).await?;
-    let now = node.now();
+    let (now, era) = (node.now(), version.era);
     let members: Vec<MemberId> = objects.iter().map(|object| (*object.name).into()).collect();
     for object in objects {
         apply(node, collection, object, now);
     }
     if collection == Collection::Members && freshness == Freshness::Current {
-        node.members.borrow_mut().lapse_others(&members, now);
+        node.members.borrow_mut().lapse_others(&members, era, now);
     }
     Ok(version)
 }
@@ -167,7 +168,7 @@
     for change in watched.changes {
         if change.deleted && collection == Collection::Members {
             node.record_members_version(change.object.version);
-            node.members.borrow_mut().lapse(&change.object.name, now);
+            node.members.borrow_mut().lapse(&change.object.name, watched.version.era, now);
         } else {
             apply(node, collection, change.object, now);
         }
@@ -189,7 +190,7 @@
                 }),
             );
             if collection == Collection::Members {
-                node.members.borrow_mut().lapse(&object.name, now);
+                node.members.borrow_mut().lapse(&object.name, object.version.era, now);
             }
         }
         (Collection::Configuration, Content::Directory(directory)) => {
@@ -197,23 +198,29 @@
         }
         (Collection::Members, Content::Member(record)) => {
             node.record_members_version(object.version);
-            apply_member(node, MemberId::new(&object.name), record, now);
+            apply_member(node, MemberId::new(&object.name), record, object.version.era, now);
         }
         _ => {}
     }
 }
 
-/// Applies the entry of a member.
-pub fn apply_member<P>(node: &Rc<Node<P>>, id: MemberId, record: MemberRecord, now: Instant)
-where
+/// Applies the entry of a member that was read in `era` of the store.
+pub fn apply_member<P>(
+    node: &Rc<Node<P>>,
+    id: MemberId,
+    record: MemberRecord,
+    era: u64,
+    now: Instant,
+) where
     P: Platform,
 {
     let fields = json!({
         "member": id.as_str(), "group": record.group.as_str(), "leaving": record.leaving,
         "role": format!("{:?}", record.role), "started_ms": record.started_ms,
+        "sequence": record.sequence,
     });
     let group = record.group.clone();
-    let change = node.members.borrow_mut().update(id.clone(), record, now);
+    let change = node.members.borrow_mut().update(id.clone(), record, era, now);
     if change == MemberChange::None {
         return;
     }
@@ -236,6 +243,10 @@
     loop {
         sleep(EXPIRY_INTERVAL).await;
         let now = node.now();
+        // Members write entries again that a restored store lacks.
+        if node.store_era.may_lack_writes(REWRITE_TIME, now) {
+            continue;
+        }
         let expired = node.members.borrow_mut().expire(now);
         if expired.is_empty() {
             continue;
@@ -346,7 +357,7 @@
     let offered = node.peers.borrow().newest_roster(node.now());
     let Some((offered, from)) = offered else { return };
     let own = node.roster_version();
-    if offered.digest == own.digest || offered.revision <= own.revision {
+    if offered.digest == own.digest || offered.version <= own.version {
         return;
     }
     if node.role() == FleetRole::Hub {
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -2,9 +2,9 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use hibiscusladder_core::{clock::Instant, name::InstanceId};
+use hibiscusladder_core::{clock::Instant, name::InstanceId, store_version::StoreVersion};
 use hibiscusladder_gateway::{
-    message::{GroupInfo, Registration, Status},
+    message::{Extension, GroupInfo, Registration, RosterVersion, Status, StoreSection},
     peers::{Peers, nanos},
 };
 
@@ -142,3 +142,27 @@
     peers.register(&[], at(5));
     assert!(is_unregistered(&mut peers, 6), "its registration was removed");
 }
+
+/// Guards against a follower that keeps the members and the instances from before a restore of the store, because their
+/// revisions are higher than those assigned since.
+#[test]
+fn newest_orders_eras_before_revisions() {
+    let mut peers = Peers::new("a".into(), at(0));
+    let mut receive = |from: &str, era, revision| {
+        let mut message = status(1, 1);
+        message.from = from.into();
+        message.members_revision = revision;
+        peers.receive(&message, address(), at(10)).expect("a new message");
+        let roster = Some(RosterVersion { revision, digest: era });
+        let extension = Extension { roster, ..Extension::default() };
+        let store = StoreSection { era, members: era, roster: era };
+        peers.record_extension(&InstanceId::new(from), &extension, store);
+    };
+    receive("b", 1, 530);
+    receive("c", 2, 521);
+    let known = StoreVersion::new(1, 529);
+    assert_eq!(peers.members_ahead(known, None, at(20)), ["c".into()]);
+    assert!(peers.members_ahead(StoreVersion::new(2, 521), None, at(20)).is_empty());
+    let (roster, from) = peers.newest_roster(at(20)).expect("both offer a list");
+    assert_eq!((roster.version, from), (StoreVersion::new(2, 521), "c".into()));
+}
