feat(gateway): instances keep their fleet over a restore of the store

Cause: a restored store may lack registrations. Roles, holders and shares of tokens would follow the shorter list.

Change: an instance that learns of a new era lists again at once. For 60 s its list only grows; what the store lacks is marked in the instances' page, and an instance that is marked registers again while it goes on with its work. Nothing changes in era 0.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -8,6 +8,9 @@
 //! start, and get newer ones from their hubs, so the number of calls to the store does not grow with the square of the
 //! fleet.
 //!
+//! A store that was restored from an older copy may lack registrations. The instances write them again, and until each has
+//! had time to, lists only add instances: roles and shares of tokens stay as they are.
+//!
 //! # Example
 //!
 //! ```
@@ -40,6 +43,12 @@
 pub const LIST_INTERVAL: Duration = Duration::from_secs(25);
 /// Time between two lists while messages of unknown instances arrive.
 pub const MIN_LIST_INTERVAL: Duration = Duration::from_secs(1);
+/// Time after a restore of the store for which instances that its lists lack are kept. A live instance has registered
+/// again by then; the time is that after which a silent one is removed.
+pub const REGISTER_TIME: Duration = Duration::from_secs(60);
+/// Time for which an instance counts as registered while the restored store lacks its registration. It is shorter than
+/// [`REGISTER_TIME`], since others may have learned of the restore earlier.
+const RESTORE_GRACE: Duration = Duration::from_secs(30);
 /// Delay after a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -118,6 +127,10 @@
     settled: bool,
     /// Whether a list was read that is complete enough for a hub.
     current: bool,
+    /// When a list after a restore of the store first lacked the own registration; `None` while none does.
+    lost_since: Option<Instant>,
+    /// Whether the store was restored since the latest list.
+    is_outdated: bool,
     /// Whether another list was asked for since the latest current one was requested.
     list_wanted: bool,
     retry_at: Instant,
@@ -131,6 +144,9 @@
             return Step::Wait(Some(self.retry_at));
         }
         let Some(listed_at) = self.listed_at else { return Step::List(Freshness::Recent) };
+        if self.lost_since.is_some() {
+            return Step::Register;
+        }
         match self.registration {
             Registration::Missing => return Step::Register,
             Registration::Present { written: Some(written), .. }
@@ -143,13 +159,14 @@
         match role {
             FleetRole::Hub => match self.current_at {
                 None => Step::List(Freshness::Current),
-                Some(_) if self.urgent => Step::List(Freshness::Current),
+                Some(_) if self.urgent || self.is_outdated => Step::List(Freshness::Current),
                 Some(current) if self.list_wanted => {
                     list_at(current.plus(MIN_LIST_INTERVAL), Freshness::Current, now)
                 }
                 Some(current) => list_at(current.plus(LIST_INTERVAL), Freshness::Current, now),
             },
             FleetRole::Follower => Step::Wait(None),
+            FleetRole::Orphan if self.is_outdated => Step::List(Freshness::Recent),
             FleetRole::Orphan => list_at(listed_at.plus(LIST_INTERVAL), Freshness::Recent, now),
         }
     }
@@ -159,7 +176,7 @@
         self.known_since.get_or_insert(listed.sent);
         self.listed_at = Some(listed.sent);
         self.retry_at = now;
-        self.record_list(listed.has_own, listed.version);
+        self.record_list(listed.has_own, listed.version, now);
         let Registration::Present { written, .. } = self.registration else { return };
         if written.is_some_and(|written| listed.sent < written.plus(SETTLE_TIME)) {
             return;
@@ -176,6 +193,7 @@
     /// Records that the own registration was written with `version`.
     pub fn registered(&mut self, version: StoreVersion, now: Instant) {
         self.registration = Registration::Present { written: Some(now), version };
+        self.lost_since = None;
         self.retry_at = now;
     }
 
@@ -184,7 +202,7 @@
     pub fn relayed(&mut self, has_own: bool, version: StoreVersion, now: Instant) {
         self.known_since.get_or_insert(now);
         self.listed_at = Some(now);
-        self.record_list(has_own, version);
+        self.record_list(has_own, version, now);
         if has_own {
             // Whoever registered after this list was made has this instance in its own list.
             self.settled = true;
@@ -193,9 +211,21 @@
     }
 
     /// Records whether a list of `version` has the own registration.
-    fn record_list(&mut self, has_own: bool, version: StoreVersion) {
+    fn record_list(&mut self, has_own: bool, version: StoreVersion, now: Instant) {
         self.version = self.version.max(version);
+        self.is_outdated = false;
+        if has_own {
+            self.lost_since = None;
+        }
         match self.registration {
+            Registration::Present { version: since, .. } if since.era < version.era => {
+                if has_own {
+                    self.registration = Registration::Present { written: None, version };
+                } else {
+                    self.lost_since.get_or_insert(now);
+                    self.end_grace(now);
+                }
+            }
             Registration::Missing if has_own => {
                 self.registration = Registration::Present { written: None, version };
             }
@@ -209,6 +239,20 @@
     /// Records that a call to the store failed.
     pub fn failed(&mut self, now: Instant) {
         self.retry_at = now.plus(RETRY_DELAY);
+        self.end_grace(now);
+    }
+
+    /// Records that the store was restored from an older copy.
+    pub const fn store_restored(&mut self) {
+        self.is_outdated = true;
+    }
+
+    /// Gives up the registration that was lost for [`RESTORE_GRACE`]: others no longer count on this instance.
+    fn end_grace(&mut self, now: Instant) {
+        if self.lost_since.is_some_and(|since| now.since(since) >= RESTORE_GRACE) {
+            self.registration = Registration::Missing;
+            self.lost_since = None;
+        }
     }
 
     /// Requests another list, because a message came from an instance that is not registered here.
@@ -226,7 +270,8 @@
         self.known_since
     }
 
-    /// Whether the own registration is in the store, so that every later list of another instance has it.
+    /// Whether the own registration is in the store, so that every later list of another instance has it, or was lost by a
+    /// restore so lately that the others still count on this instance.
     pub const fn is_registered(&self) -> bool {
         matches!(self.registration, Registration::Present { .. })
     }
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -201,3 +201,35 @@
     let restart = start_fleet(count, &mut store);
     assert!(restart <= 2.0 * count as f64, "{restart} calls at a restart of {count}");
 }
+
+/// Guards against an instance whose registration a restored store lacks, and that does not write it again or stops its work
+/// until it has; and against one that goes on for longer than others count on it.
+#[test]
+fn next_step_registers_again_after_a_restore() {
+    let mut roster = Roster::default();
+    roster.registered(StoreVersion::new(1, 530), at(0));
+    roster.relayed(true, StoreVersion::new(1, 540), at(100));
+    roster.relayed(false, StoreVersion::new(2, 521), at(5000));
+    assert_eq!(roster.next_step(FleetRole::Follower, at(5000)), Step::Register);
+    assert!(roster.is_registered() && roster.is_complete(FleetRole::Follower));
+    let mut written = roster.clone();
+    written.registered(StoreVersion::new(2, 525), at(5100));
+    assert_eq!(written.next_step(FleetRole::Follower, at(5100)), Step::Wait(None));
+    roster.failed(at(34_900));
+    assert!(roster.is_registered());
+    roster.failed(at(35_000));
+    assert!(!roster.is_registered());
+}
+
+/// Guards against a hub that goes on with the list from before a restore until the next one is due.
+#[test]
+fn next_step_lists_after_a_restore() {
+    let mut roster = Roster::default();
+    roster.registered(StoreVersion::new(1, 4), at(0));
+    roster.listed(listed(1000, Freshness::Current, true, 5), at(1000));
+    assert!(matches!(roster.next_step(FleetRole::Hub, at(1100)), Step::Wait(_)));
+    roster.store_restored();
+    assert_eq!(roster.next_step(FleetRole::Hub, at(1100)), Step::List(Freshness::Current));
+    assert_eq!(roster.next_step(FleetRole::Orphan, at(1100)), Step::List(Freshness::Recent));
+    assert_eq!(roster.next_step(FleetRole::Follower, at(1100)), Step::Wait(None));
+}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -91,6 +91,8 @@
     /// Progress of this instance in registering and in listing the others.
     pub roster: RefCell<Roster>,
     roster_digest: Cell<u64>,
+    /// Whether the list of another instance was merged with the own one.
+    has_merged_roster: Cell<bool>,
     has_urgent_news: Cell<bool>,
     /// Whether the start-up tokens were granted.
     start_tokens_granted: Cell<bool>,
@@ -155,6 +157,7 @@
             topology: RefCell::default(),
             roster: RefCell::default(),
             roster_digest: Cell::new(0),
+            has_merged_roster: Cell::new(false),
             has_urgent_news: Cell::new(false),
             start_tokens_granted: Cell::new(false),
             send_now: Notify::new(),
--- a/crates/gateway/src/node/fleet.rs
+++ b/crates/gateway/src/node/fleet.rs
@@ -6,7 +6,8 @@
     clock::Instant,
     membership,
     name::{DataCentre, InstanceId, Workspace},
-    roster::{self, FleetRole},
+    roster::{self, FleetRole, REGISTER_TIME},
+    store_era::REWRITE_TIME,
     topology::{Profile, Topology},
 };
 
@@ -38,9 +39,12 @@
         self.peers.borrow_mut().record_unreachable_at(address, self.now());
     }
 
-    /// Replaces the registrations of the instances, and updates the limits that depend on them.
+    /// Replaces the registrations of the instances, and updates the limits that depend on them. After a restore of the
+    /// store, instances are only added.
     pub fn register(&self, registrations: &[(InstanceId, Registration)]) {
-        self.peers.borrow_mut().register(registrations, self.now());
+        let now = self.now();
+        let may_lack = self.store_era.may_lack_writes(REGISTER_TIME, now);
+        self.peers.borrow_mut().register(registrations, may_lack, now);
         let encoded = postcard::to_stdvec(&self.registrations()).unwrap_or_default();
         self.roster_digest.set(roster::digest(&encoded));
         self.update_limits();
@@ -90,7 +94,27 @@
 
     /// Whether the other instances are known well enough to decide for them or to share limits with them.
     pub fn knows_fleet(&self) -> bool {
-        self.roster.borrow().is_complete(self.role())
+        self.roster.borrow().is_complete(self.role()) && self.unmerged_roster().is_none()
+    }
+
+    /// An instance whose list this one has to merge with its own. The store may have been restored just before this process
+    /// started, so that the list that it read lacks instances that others know. The time is limited, so that an instance that
+    /// cannot be reached does not hold this one up.
+    pub fn unmerged_roster(&self) -> Option<InstanceId> {
+        let now = self.now();
+        let era = &self.store_era;
+        if self.has_merged_roster.get()
+            || era.get().restored_at().is_some()
+            || !era.may_lack_writes(REWRITE_TIME, now)
+        {
+            return None;
+        }
+        self.peers.borrow().offers_other_roster(self.roster_digest.get(), now)
+    }
+
+    /// Records that the list of another instance was merged with the own one.
+    pub fn record_merged_roster(&self) {
+        self.has_merged_roster.set(true);
     }
 
     /// Has messages sent at once, to the other hubs and from a hub to its followers: a fence or the configuration has
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -18,6 +18,8 @@
     address: SocketAddr,
     /// `None` until the registration has been read from the store.
     registration: Option<Registration>,
+    /// Whether the latest list lacks the registration, and a restored store may do so.
+    is_kept: bool,
     /// Until when the instance is used last among the holders of a member.
     deprioritised_until: Instant,
     /// `started` and `sent` of the latest message.
@@ -44,6 +46,7 @@
         Self {
             address,
             registration: None,
+            is_kept: false,
             deprioritised_until: Instant::new(Duration::ZERO),
             latest_message: None,
             last_received: None,
@@ -99,18 +102,30 @@
         Self { own, started: nanos(now), peers: BTreeMap::new() }
     }
 
-    /// Records the registrations of all instances, and removes instances that are neither listed nor live.
-    pub fn register(&mut self, listed: &[(InstanceId, Registration)], now: Instant) {
+    /// Records the registrations of all instances, and removes instances that are neither listed nor live. While the store
+    /// may lack registrations (`may_lack`), those that are not listed are kept.
+    pub fn register(
+        &mut self,
+        listed: &[(InstanceId, Registration)],
+        may_lack: bool,
+        now: Instant,
+    ) {
         self.peers.retain(|name, peer| {
-            peer.is_live(now) || listed.iter().any(|(listed, _)| listed == name)
+            peer.is_live(now)
+                || may_lack && peer.registration.is_some()
+                || listed.iter().any(|(listed, _)| listed == name)
         });
         for peer in self.peers.values_mut() {
-            peer.registration = None;
+            peer.is_kept = may_lack && peer.registration.is_some();
+            if !may_lack {
+                peer.registration = None;
+            }
         }
         for (name, registration) in listed.iter().filter(|(name, _)| *name != self.own) {
             let peer = self.peers.entry(name.clone());
             let peer = peer.or_insert_with(|| Peer::new(registration.address));
             peer.registration = Some(registration.clone());
+            peer.is_kept = false;
             peer.reported_unregistered = false;
             if !peer.is_live(now) {
                 peer.address = registration.address;
@@ -134,6 +149,12 @@
         self.peers.iter().filter_map(|(name, peer)| Some((name, peer.registration.as_ref()?)))
     }
 
+    /// Instances that are kept although the latest list lacks their registrations.
+    pub fn kept(&self) -> Vec<InstanceId> {
+        let kept = self.peers.iter().filter(|(_, peer)| peer.is_kept);
+        kept.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Tunnel addresses of the given holders, without those whose registration has not been read; holders that did not
     /// answer lately come last.
     pub fn tunnel_addresses(
@@ -293,6 +314,15 @@
         ahead.map(|(name, _)| name.clone()).collect()
     }
 
+    /// A live instance that offers another list of instances than the one with `digest`.
+    pub(crate) fn offers_other_roster(&self, digest: u64, now: Instant) -> Option<InstanceId> {
+        let live = self.peers.iter().filter(|(_, peer)| peer.is_live(now));
+        let mut others = live.filter(|(_, peer)| {
+            peer.roster.is_some_and(|offered| offered.version.era > 0 && offered.digest != digest)
+        });
+        others.next().map(|(name, _)| name.clone())
+    }
+
     /// Version of the newest list of instances that a live instance offers, with the name of that instance.
     pub fn newest_roster(&self, now: Instant) -> Option<(OfferedRoster, InstanceId)> {
         let live = self.peers.iter().filter(|(_, peer)| peer.is_live(now));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -143,33 +143,44 @@
 }
 
 impl RosterPage {
-    /// Captures the list of this instance; `None` before it is complete.
-    pub fn capture<P>(node: &Node<P>) -> Option<Self>
+    /// Encodes the list of this instance, with a section that earlier versions ignore; `None` before the list is complete.
+    pub fn encode<P>(node: &Node<P>) -> Option<Vec<u8>>
     where
         P: Platform,
     {
-        node.knows_fleet().then(|| Self {
-            revision: node.roster_version().version.revision,
-            instances: node.registrations().into_iter().collect(),
-        })
+        let StoreVersion { era, revision } = node.roster_version().version;
+        let page = Self { revision, instances: node.registrations().into_iter().collect() };
+        let lost = node.peers.borrow().kept();
+        node.knows_fleet().then(|| encode_page(&page, &RosterSection { era, lost }))?
     }
 
     /// Replaces the list of this instance, unless it has a newer one.
-    pub fn apply<P>(self, node: &Node<P>)
+    fn apply<P>(self, section: &RosterSection, node: &Node<P>)
     where
         P: Platform,
     {
-        let version = StoreVersion::new(node.store_era.known(), self.revision);
-        if version <= node.roster.borrow().version() {
+        let version = StoreVersion::new(section.era, self.revision);
+        if !node.store_era.record_told(section.era, node.now())
+            || version <= node.roster.borrow().version()
+        {
             return;
         }
         let own = (node.instance().clone(), node.registration());
-        let has_own = self.instances.contains(&own);
+        let has_own = self.instances.contains(&own) && !section.lost.contains(&own.0);
         node.roster.borrow_mut().relayed(has_own, version, node.now());
         node.register(&self.instances);
     }
 }
 
+/// Part of the instances' page that earlier versions do not have.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct RosterSection {
+    /// Era of the page's revision.
+    era: u64,
+    /// Instances on the page whose registrations the store lacks since it was restored.
+    lost: Vec<InstanceId>,
+}
+
 /// Compresses a configuration for [`DIRECTORY_PATH`]; `None` if it cannot be encoded.
 pub fn compress_directory(directory: &Directory) -> Option<Bytes> {
     let encoded = postcard::to_stdvec(directory).ok()?;
@@ -294,10 +305,27 @@
 where
     P: Platform,
 {
-    let decode = |body: &[u8]| postcard::from_bytes::<RosterPage>(body).map_err(io::Error::other);
-    if let Some(page) = fetch(node, from, ROSTER_PATH, decode).await {
-        page.apply(node);
+    if let Some((page, section)) = fetch(node, from, ROSTER_PATH, decode_page).await {
+        RosterPage::apply(page, &section, node);
+    }
+}
+
+/// Adds the instances on the list of another instance to the own list.
+pub async fn merge_roster<P>(node: &Node<P>, from: &InstanceId)
+where
+    P: Platform,
+{
+    let decode = decode_page::<RosterPage, RosterSection>;
+    let Some((page, section)) = fetch(node, from, ROSTER_PATH, decode).await else { return };
+    if !node.store_era.record_told(section.era, node.now()) {
+        return;
+    }
+    let mut merged = node.registrations();
+    for (name, registration) in page.instances {
+        merged.entry(name).or_insert(registration);
     }
+    node.record_merged_roster();
+    node.register(&merged.into_iter().collect::<Vec<_>>());
 }
 
 /// Gets a page of another instance; a failure is logged.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -102,6 +102,7 @@
         node.supervise(collection.as_str(), move |node| sync::follow(node, collection));
     }
     node.supervise("roster", sync::maintain_roster);
+    node.supervise("store_era", sync::follow_restores);
     node.supervise("expiry", sync::expire_members);
     node.supervise("receiver", messenger::receive_all);
     node.supervise("sender", messenger::send_all);
--- a/crates/gateway/src/status_page.rs
+++ b/crates/gateway/src/status_page.rs
@@ -82,7 +82,7 @@
         Page::Readiness if is_ready(node) => reply(StatusCode::OK, Bytes::new()),
         Page::Readiness => reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
         Page::State if path == SNAPSHOT_PATH => encoded(Snapshot::capture(node)),
-        Page::State if path == ROSTER_PATH => encoded(RosterPage::capture(node)),
+        Page::State if path == ROSTER_PATH => bytes(RosterPage::encode(node)),
         Page::State if path == MEMBERS_PATH => bytes(MembersPage::encode(node)),
         Page::State if path == DIRECTORY_PATH => {
             node.compressed_directory().map_or_else(unavailable, |body| reply(StatusCode::OK, body))
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -259,6 +259,20 @@
     }
 }
 
+/// Lists and watches again whenever the store was restored, for as long as the process runs.
+pub async fn follow_restores<P>(node: Rc<Node<P>>)
+where
+    P: Platform,
+{
+    loop {
+        node.store_era.listen().await;
+        node.roster.borrow_mut().store_restored();
+        node.roster_changed.notify(usize::MAX);
+        node.renew_watches.notify(usize::MAX);
+        node.announce();
+    }
+}
+
 /// Registers the instance and keeps the list of the others up to date, for as long as the process runs.
 pub async fn maintain_roster<P>(node: Rc<Node<P>>)
 where
@@ -328,7 +342,9 @@
 {
     let Ok(text) = serde_json::to_string(&node.registration()) else { return Ok(()) };
     let name = node.instance().as_str();
-    let written = match *own_entry {
+    // The entry of an earlier era may be gone. If it is not, the store refuses to create it.
+    let base = own_entry.filter(|version| version.era == node.store_era.known());
+    let written = match base {
         Some(version) => node.store.replace(Collection::Instances, name, version, &text).await,
         None => node.store.create(Collection::Instances, name, &text).await,
     };
@@ -354,10 +370,15 @@
 where
     P: Platform,
 {
+    if let Some(from) = node.unmerged_roster() {
+        relay::merge_roster(node, &from).await;
+    }
     let offered = node.peers.borrow().newest_roster(node.now());
     let Some((offered, from)) = offered else { return };
     let own = node.roster_version();
-    if offered.digest == own.digest || offered.version <= own.version {
+    // An equal list of a later era may tell that the own registration was lost.
+    let is_same = offered.digest == own.digest && offered.version.era == own.version.era;
+    if is_same || offered.version <= own.version {
         return;
     }
     if node.role() == FleetRole::Hub {
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -65,7 +65,7 @@
 #[test]
 fn all_confirmed_waits_for_instances_without_message() {
     let mut peers = Peers::new("a".into(), at(0));
-    peers.register(&[registration()], at(0));
+    peers.register(&[registration()], false, at(0));
     assert!(!peers.all_confirmed("padron", 2, at(30)));
     let mut message = status(1, 1);
     let info = |confirmed| GroupInfo {
@@ -90,11 +90,11 @@
 #[test]
 fn register_keeps_live_instances() {
     let mut peers = Peers::new("a".into(), at(0));
-    peers.register(&[registration()], at(0));
+    peers.register(&[registration()], false, at(0));
     peers.receive(&status(1, 1), address(), at(100));
-    peers.register(&[], at(200));
+    peers.register(&[], false, at(200));
     assert_eq!(peers.names(), [InstanceId::from("b")]);
-    peers.register(&[], at(5000));
+    peers.register(&[], false, at(5000));
     assert!(peers.names().is_empty());
 }
 
@@ -104,7 +104,7 @@
 fn unresponsive_counts_from_the_first_expected_message() {
     let timeout = Duration::from_secs(60);
     let mut peers = Peers::new("a".into(), at(0));
-    peers.register(&[registration()], at(0));
+    peers.register(&[registration()], false, at(0));
     assert!(peers.unresponsive(timeout, at(100_000)).is_empty(), "it sends to other hubs");
     peers.expect_messages(|_| true, at(100_000));
     peers.expect_messages(|_| true, at(130_000));
@@ -137,9 +137,9 @@
     };
     assert!(is_unregistered(&mut peers, 1));
     assert!(!is_unregistered(&mut peers, 2));
-    peers.register(&[registration()], at(3));
+    peers.register(&[registration()], false, at(3));
     assert!(!is_unregistered(&mut peers, 4));
-    peers.register(&[], at(5));
+    peers.register(&[], false, at(5));
     assert!(is_unregistered(&mut peers, 6), "its registration was removed");
 }
 
@@ -166,3 +166,17 @@
     let (roster, from) = peers.newest_roster(at(20)).expect("both offer a list");
     assert_eq!((roster.version, from), (StoreVersion::new(2, 521), "c".into()));
 }
+
+/// Guards against roles and shares of tokens that change because a restored store lacks registrations.
+#[test]
+fn register_keeps_instances_that_a_restored_store_may_lack() {
+    let mut peers = Peers::new("a".into(), at(0));
+    peers.register(&[registration()], false, at(0));
+    peers.register(&[], true, at(10));
+    assert_eq!(peers.registrations().count(), 1);
+    assert_eq!(peers.kept(), ["b".into()]);
+    peers.register(&[registration()], true, at(20));
+    assert!(peers.kept().is_empty());
+    peers.register(&[], false, at(30));
+    assert_eq!(peers.registrations().count(), 0);
+}
