--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,19 +8,20 @@
     clock::Instant,
     name::{InstanceId, MemberId},
     roster::{self, FleetRole},
+    store_version::StoreVersion,
 };
 use hibiscusladder_io::http::{HttpClient, HttpError};
 use http_body_util::Full;
 use hyper::Request;
 use miniz_oxide::{deflate::compress_to_vec, inflate::decompress_to_vec_with_limit};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::json;
 
 use crate::{
     adapter::Platform,
     directory::Directory,
     events::{self, Event},
-    message::Registration,
+    message::{Registration, SectionKind, Sections},
     node::Node,
     snapshot::MemberEntry,
     sync,
@@ -60,25 +61,40 @@
         let members = node.members.borrow();
         let listed = members.iter().filter(|(_, member)| member.lapsed_since.is_none());
         let members = listed.map(|(id, member)| MemberEntry::new(id, &member.record)).collect();
-        Self { revision: node.members_revision(), members }
+        Self { revision: node.members_version().revision, members }
+    }
+
+    /// Encodes the members of this instance, with a section that earlier versions ignore.
+    pub fn encode<P>(node: &Node<P>) -> Option<Vec<u8>>
+    where
+        P: Platform,
+    {
+        let members = node.members.borrow();
+        let listed = members.iter().filter(|(_, member)| member.lapsed_since.is_none());
+        let sequences = listed.map(|(_, member)| member.record.sequence).collect();
+        let section = MembersSection { era: node.members_version().era, sequences };
+        encode_page(&Self::capture(node), &section)
     }
 
     /// Applies the entries, unless this instance knows newer ones.
-    pub fn apply<P>(self, node: &Rc<Node<P>>)
+    fn apply<P>(self, section: MembersSection, node: &Rc<Node<P>>)
     where
         P: Platform,
     {
-        if self.revision < node.members_revision() {
+        let now = node.now();
+        let version = StoreVersion::new(section.era, self.revision);
+        if !node.store_era.record_told(section.era, now) || version < node.members_version() {
             return;
         }
-        node.record_members_revision(self.revision);
-        let now = node.now();
+        node.record_members_version(version);
         let listed: Vec<MemberId> = self.members.iter().map(|entry| entry.id.clone()).collect();
-        for entry in self.members {
-            let (id, record) = entry.into_record();
-            sync::apply_member(node, id, record, now);
+        // Earlier versions do not send the numbers.
+        let sequences = section.sequences.into_iter().chain(std::iter::repeat(0));
+        for (entry, sequence) in self.members.into_iter().zip(sequences) {
+            let (id, record) = entry.into_record(sequence);
+            sync::apply_member(node, id, record, section.era, now);
         }
-        node.members.borrow_mut().lapse_others(&listed, now);
+        node.members.borrow_mut().lapse_others(&listed, section.era, now);
     }
 
     /// Digest of the page, equal for equal members.
@@ -87,6 +103,37 @@
     }
 }
 
+/// Part of the members' page that earlier versions do not have.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct MembersSection {
+    /// Era of the page's revision.
+    era: u64,
+    /// Numbers of the members' reports, in the order of the entries.
+    sequences: Vec<u64>,
+}
+
+/// Encodes a page, followed by a section in the form of those of datagrams.
+fn encode_page<T, S>(page: &T, section: &S) -> Option<Vec<u8>>
+where
+    T: Serialize,
+    S: Serialize,
+{
+    let mut sections = Sections::default();
+    sections.insert(SectionKind::Store, section).ok()?;
+    postcard::to_extend(&sections, postcard::to_stdvec(page).ok()?).ok()
+}
+
+/// Decodes a page and its section, which an earlier version does not send.
+fn decode_page<T, S>(body: &[u8]) -> io::Result<(T, S)>
+where
+    T: DeserializeOwned,
+    S: DeserializeOwned + Default,
+{
+    let (page, rest) = postcard::take_from_bytes(body).map_err(io::Error::other)?;
+    let sections: Sections = postcard::from_bytes(rest).unwrap_or_default();
+    Ok((page, sections.get(SectionKind::Store).unwrap_or_default()))
+}
+
 /// The instances, as a hub sends them to an instance that does not list them.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct RosterPage {
@@ -96,32 +143,44 @@
 }
 
 impl RosterPage {
-    /// Captures the list of this instance; `None` before it is complete.
-    pub fn capture<P>(node: &Node<P>) -> Option<Self>
+    /// Encodes the list of this instance, with a section that earlier versions ignore; `None` before the list is complete.
+    pub fn encode<P>(node: &Node<P>) -> Option<Vec<u8>>
     where
         P: Platform,
     {
-        node.knows_fleet().then(|| Self {
-            revision: node.roster_version().revision,
-            instances: node.registrations().into_iter().collect(),
-        })
+        let StoreVersion { era, revision } = node.roster_version().version;
+        let page = Self { revision, instances: node.registrations().into_iter().collect() };
+        let lost = node.peers.borrow().kept();
+        node.knows_fleet().then(|| encode_page(&page, &RosterSection { era, lost }))?
     }
 
     /// Replaces the list of this instance, unless it has a newer one.
-    pub fn apply<P>(self, node: &Node<P>)
+    fn apply<P>(self, section: &RosterSection, node: &Node<P>)
     where
         P: Platform,
     {
-        if self.revision <= node.roster_version().revision {
+        let version = StoreVersion::new(section.era, self.revision);
+        if !node.store_era.record_told(section.era, node.now())
+            || version <= node.roster.borrow().version()
+        {
             return;
         }
         let own = (node.instance().clone(), node.registration());
-        let has_own = self.instances.contains(&own);
-        node.roster.borrow_mut().relayed(has_own, self.revision, node.now());
+        let has_own = self.instances.contains(&own) && !section.lost.contains(&own.0);
+        node.roster.borrow_mut().relayed(has_own, version, node.now());
         node.register(&self.instances);
     }
 }
 
+/// Part of the instances' page that earlier versions do not have.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct RosterSection {
+    /// Era of the page's revision.
+    era: u64,
+    /// Instances on the page whose registrations the store lacks since it was restored.
+    lost: Vec<InstanceId>,
+}
+
 /// Compresses a configuration for [`DIRECTORY_PATH`]; `None` if it cannot be encoded.
 pub fn compress_directory(directory: &Directory) -> Option<Bytes> {
     let encoded = postcard::to_stdvec(directory).ok()?;
@@ -178,7 +237,7 @@
     let directory = node.peers.borrow().ahead(node.version(), now);
     catch_up_page(node, PageKind::Directory, &directory, is_hub, now);
     let digest = (!is_hub).then(|| node.members_digest());
-    let members = node.peers.borrow().members_ahead(node.members_revision(), digest, now);
+    let members = node.peers.borrow().members_ahead(node.members_version(), digest, now);
     catch_up_page(node, PageKind::Members, &members, is_hub, now);
 }
 
@@ -235,9 +294,9 @@
 where
     P: Platform,
 {
-    let decode = |body: &[u8]| postcard::from_bytes::<MembersPage>(body).map_err(io::Error::other);
-    let Some(page) = fetch(node, from, MEMBERS_PATH, decode).await else { return false };
-    page.apply(node);
+    let decode = decode_page::<MembersPage, _>;
+    let Some((page, section)) = fetch(node, from, MEMBERS_PATH, decode).await else { return false };
+    page.apply(section, node);
     true
 }
 
@@ -246,10 +305,27 @@
 where
     P: Platform,
 {
-    let decode = |body: &[u8]| postcard::from_bytes::<RosterPage>(body).map_err(io::Error::other);
-    if let Some(page) = fetch(node, from, ROSTER_PATH, decode).await {
-        page.apply(node);
+    if let Some((page, section)) = fetch(node, from, ROSTER_PATH, decode_page).await {
+        RosterPage::apply(page, &section, node);
+    }
+}
+
+/// Adds the instances on the list of another instance to the own list.
+pub async fn merge_roster<P>(node: &Node<P>, from: &InstanceId)
+where
+    P: Platform,
+{
+    let decode = decode_page::<RosterPage, RosterSection>;
+    let Some((page, section)) = fetch(node, from, ROSTER_PATH, decode).await else { return };
+    if !node.store_era.record_told(section.era, node.now()) {
+        return;
+    }
+    let mut merged = node.registrations();
+    for (name, registration) in page.instances {
+        merged.entry(name).or_insert(registration);
     }
+    node.record_merged_roster();
+    node.register(&merged.into_iter().collect::<Vec<_>>());
 }
 
 /// Gets a page of another instance; a failure is logged.
