feat(core): failover claims and promotions after a data loss of the store

Cause: a store that is restored from an older copy has lost the latest failover claims and records of promotions. A second claimant could act beside one whose claim is lost, numbers could be given twice, and a member could be promoted that lacks commits of the member of a lost record.

Change: generation numbers have the era in the upper 32 bits. An instance claims only after TAKEOVER_DELAY in a new era, unless a claim of this era shows that the delay is over. The counter of a later era is higher than the replaced revision, as a late write that was based on a revision of the era before may replace a claim. An attempt whose claim is lost ends and releases the replicas, once a promotion that it requested can no longer take effect. While the record of the promotion into the replaced term may be lost, the rule asks for an entry of that term, its demoted primary, or answers of all members. PromotionRecords keeps the latest record of each group and says when it is to be written again. The gateway passes era 0 and does as before.

--- a/crates/core/src/sync_group.rs
+++ b/crates/core/src/sync_group.rs
@@ -51,12 +51,12 @@
 
 pub use self::{
     claim::{
-        CLAIM_VALIDITY, ClaimGrant, MAX_PROMOTION_TIME, TAKEOVER_DELAY, may_take_over,
-        next_generation,
+        CLAIM_VALIDITY, ClaimGrant, MAX_PROMOTION_TIME, PreviousClaim, TAKEOVER_DELAY,
+        generation_era, may_claim, may_take_over, next_generation, record_generation,
     },
     failover::{Failover, FailoverAction, GrantedClaim},
     leader::{Leader, LeaderInfo, LeaderPosition},
-    promotion_record::PromotionRecord,
+    promotion_record::{PromotionRecord, PromotionRecords, RecordedPromotion},
     promotion_rule::{Demand, PromotionRule, Stop, Verdict},
     status::{MemberStatus, Role},
     trigger::Trigger,
--- a/crates/core/src/sync_group/failover.rs
+++ b/crates/core/src/sync_group/failover.rs
@@ -72,6 +72,8 @@
     /// Members that this attempt has commanded to hold the term.
     commanded: BTreeSet<MemberId>,
     backoff_until: Instant,
+    /// Latest era of the store that is known.
+    era: u64,
 }
 
 impl Default for Failover {
@@ -90,6 +92,7 @@
             demotion: None,
             commanded: BTreeSet::new(),
             backoff_until: Instant::default(),
+            era: 0,
         }
     }
 }
@@ -113,7 +116,14 @@
         }
         let (replaced, target) = (view.leader_term(), view.highest_term().next());
         let stop = Stop::Pending;
-        let rule = PromotionRule { replaced, target, since: now, latest: None, stop };
+        let rule = PromotionRule {
+            replaced,
+            target,
+            since: now,
+            latest: None,
+            may_lack_records: false,
+            stop,
+        };
         let is_unanswered =
             |member: &MemberId| view.unanswered_for(member, now) >= SUSPICION_TIMEOUT;
         if trigger.has_primary() && rule.required(view).any(is_unanswered) {
@@ -133,13 +143,14 @@
         if !matches!(self.stage, Stage::Claiming) {
             return;
         }
-        match granted {
+        match granted.filter(|granted| granted.grant.era() >= self.era) {
             Some(granted) => {
                 let rule = PromotionRule {
                     replaced: self.old_term,
                     target: self.target_term,
                     since: now,
                     latest: granted.latest,
+                    may_lack_records: granted.may_lack_records,
                     stop: Stop::Pending,
                 };
                 self.grant = Some(granted.grant);
@@ -158,6 +169,7 @@
     /// up.
     pub fn renewed(&mut self, grant: Option<ClaimGrant>, now: Instant) {
         self.is_renewing = false;
+        let grant = grant.filter(|grant| grant.era() >= self.era);
         if let Some(grant) = grant {
             self.grant = Some(grant);
         }
@@ -167,6 +179,12 @@
         }
     }
 
+    /// Records the latest era of the store that is known. An attempt whose claim was granted in an earlier era sends nothing
+    /// more, except that it releases the replicas while the claim is valid: another instance may claim without knowing of it.
+    pub fn observe_era(&mut self, era: u64) {
+        self.era = self.era.max(era);
+    }
+
     /// Latest claim that was granted for this or an earlier attempt; `None` before the first.
     pub const fn grant(&self) -> Option<ClaimGrant> {
         self.grant
@@ -216,6 +234,9 @@
         confirmed: bool,
         now: Instant,
     ) -> Vec<FailoverAction> {
+        if self.has_lost_claim() {
+            return self.withdraw(view, now);
+        }
         match self.stage.clone() {
             Stage::Idle => Vec::new(),
             Stage::Claiming => self.step_claiming(view, now),
--- a/crates/core/src/sync_group/failover/action.rs
+++ b/crates/core/src/sync_group/failover/action.rs
@@ -11,11 +11,13 @@
 pub struct GrantedClaim {
     /// Generation number and end of the claim.
     pub grant: ClaimGrant,
-    /// Whether an earlier claim was made for the same term or a later one. Other instances may have confirmed that term
-    /// for the earlier attempt, and have got new leadership proofs since.
+    /// Whether an earlier claim was made for the same term or a later one, or may have been and is lost. Other instances may
+    /// have confirmed that term for the earlier attempt, and have got new leadership proofs since.
     pub repeats_term: bool,
     /// Latest promotion that was recorded with a claim for the group; `None` when there was none.
     pub latest: Option<PromotionRecord>,
+    /// Whether the store has lost data, so that a later promotion may have been recorded.
+    pub may_lack_records: bool,
 }
 
 /// Action that the owner of a [`Failover`](super::Failover) has to take.
--- a/crates/core/src/sync_group/failover/ending.rs
+++ b/crates/core/src/sync_group/failover/ending.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use super::{
-    COMMAND_RETRY_INTERVAL, Failover, FailoverAction, RELEASE_TIME, RETRY_DELAY, SETTLE_TIMEOUT,
+    COMMAND_RETRY_INTERVAL, Failover, FailoverAction, PROMOTE_RETRY_INTERVAL, RELEASE_TIME,
+    RETRY_DELAY, SETTLE_TIMEOUT,
     stage::{DemotionOutcome, Fencing, Releasing, Stage},
 };
 use crate::{
@@ -30,6 +31,25 @@
         self.step_settling(rule, view, leaving, confirmed, now)
     }
 
+    /// Whether an attempt runs whose claim was made in an earlier era of the store.
+    pub(super) fn has_lost_claim(&self) -> bool {
+        let is_claimed = self.is_running() && !matches!(self.stage, Stage::Claiming);
+        is_claimed && self.grant.is_some_and(|grant| grant.era() < self.era)
+    }
+
+    /// Ends an attempt whose claim the store has lost. A demotion is not followed up: the group is without a primary until the next
+    /// claim.
+    pub(super) fn withdraw(&mut self, view: &GroupView, now: Instant) -> Vec<FailoverAction> {
+        let is_replaced = self.is_replaced(view, now);
+        let may_take_effect = matches!(self.stage, Stage::Promoting(_))
+            && self.last_command.is_some_and(|sent| now.since(sent) < PROMOTE_RETRY_INTERVAL);
+        // The promoted member would lack what is committed after the holds were released.
+        if may_take_effect && !is_replaced {
+            return Vec::new();
+        }
+        self.end(is_replaced, view, now)
+    }
+
     pub(super) fn step_settling(
         &mut self,
         mut rule: PromotionRule,
--- a/crates/core/src/sync_group/promotion_rule.rs
+++ b/crates/core/src/sync_group/promotion_rule.rs
@@ -19,6 +19,10 @@
 //! A primary that answers nobody cannot be demoted. It is demoted as soon as it answers, also while the promotion takes
 //! effect, and instances that know of the failover pass on no acknowledgement of its term
 //! ([`GroupView::refuses`]).
+//!
+//! The store may have lost the record of the promotion into the replaced term. The primary of that term may then be the only
+//! member that has commits of earlier terms. So the promoted member has to have an entry of the replaced term, or to have led
+//! it, or every member of the group has to have answered as a replica, and the promoted one has the longest log of all.
 
 use std::time::Duration;
 
@@ -31,6 +35,8 @@
 
 /// Time without an answer after which a member may have been restarted, so that its hold no longer counts.
 const HOLD_EVIDENCE_TIME: Duration = Duration::from_millis(500);
+/// Members that a group has at least when the record that names their number may be lost.
+const USUAL_MEMBERS: usize = 3;
 
 /// Rule for one attempt to replace a primary.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -43,6 +49,8 @@
     pub since: Instant,
     /// Latest promotion in the group; `None` when none is recorded.
     pub latest: Option<PromotionRecord>,
+    /// Whether the store has lost data, so that a later promotion than `latest` may have been recorded.
+    pub may_lack_records: bool,
     /// What the attempt has done to stop the replaced primary.
     pub stop: Stop,
 }
@@ -108,10 +116,13 @@
                 && self.covers_unlisted(view, *position)
         });
         let candidate = candidate.map(|(member, position)| (*member, *position));
-        let chosen = match (&self.stop, self.running_primary(view, now)) {
-            (Stop::Pending, Some(primary)) if candidate.is_some() => {
-                return Verdict::Running(primary.clone());
-            }
+        let running = self.running_primary(view, now);
+        // Once it is demoted, it may be promoted again whatever the others lack.
+        if let (Stop::Pending, Some(primary), Some(_)) = (&self.stop, running, candidate) {
+            return Verdict::Running(primary.clone());
+        }
+        let candidate = candidate.filter(|log| self.has_earlier_commits(view, *log, now));
+        let chosen = match (&self.stop, running) {
             (Stop::Done(stopped), None) => {
                 candidate.or_else(|| self.stopped_log(view, stopped, now))
             }
@@ -153,7 +164,41 @@
     }
 
     fn recorded_members(&self) -> usize {
-        self.latest.as_ref().map_or(0, |latest| latest.members)
+        let least = if self.may_lack_record() { USUAL_MEMBERS } else { 0 };
+        self.latest.as_ref().map_or(least, |latest| latest.members.max(least))
+    }
+
+    /// Whether the record of the promotion into the replaced term may be lost. A record of a later promotion includes what it
+    /// says.
+    fn may_lack_record(&self) -> bool {
+        let known = self.latest.as_ref().map(|latest| latest.replaced.next());
+        self.may_lack_records && known.is_none_or(|term| term < self.replaced)
+    }
+
+    /// Whether a member with a log up to `position` has every commit of the terms before the replaced one, also if the
+    /// record that shows it may be lost.
+    fn has_earlier_commits(
+        &self,
+        view: &GroupView,
+        (member, position): (&MemberId, Position),
+        now: Instant,
+    ) -> bool {
+        !self.may_lack_record()
+            || position.term >= self.replaced
+            || view.has_led(member, self.replaced)
+            || self.is_longest_of_all(view, position, now)
+    }
+
+    /// Whether every member of the group has answered as a replica, and none has a longer log than up to `position`.
+    fn is_longest_of_all(&self, view: &GroupView, position: Position, now: Instant) -> bool {
+        let has_no_more = |member: &MemberId| {
+            let answers = view.unanswered_for(member, now) < HOLD_EVIDENCE_TIME;
+            let answer = view.answer(member).filter(|(_, sent)| answers && *sent >= self.since);
+            answer.is_some_and(|(status, _)| {
+                status.role == Role::Replica && status.received <= position
+            })
+        };
+        !self.may_lack_members(view) && view.members().all(has_no_more)
     }
 
     /// Whether a log up to `position` has every acknowledged commit that only members which are not listed had besides the
@@ -183,7 +228,9 @@
     ) -> Option<(&'a MemberId, Position)> {
         let answers = view.unanswered_for(stopped, now) < HOLD_EVIDENCE_TIME;
         let received = view.status(stopped).filter(|_| answers)?.received;
-        (received >= self.first_position()).then_some((stopped, received))
+        let may_lead = received >= self.first_position()
+            && self.has_earlier_commits(view, (stopped, received), now);
+        may_lead.then_some((stopped, received))
     }
 
     /// Members that have to hold the target term: all but the primary that is replaced.
@@ -238,7 +285,7 @@
             }
             // The promotion of another member may have taken effect meanwhile.
             Some(_) => None,
-            None if view.members().any(is_primary) => None,
+            None if self.may_lack_records || view.members().any(is_primary) => None,
             None => {
                 // A published role names no term, but there has been no other primary.
                 let mut published =
--- a/crates/core/tests/failover.rs
+++ b/crates/core/tests/failover.rs
@@ -9,7 +9,7 @@
     sync_group::{
         CLAIM_VALIDITY, ClaimGrant, Failover, FailoverAction, GrantedClaim, GroupView,
         MAX_PROMOTION_TIME, PROOF_WINDOW, PromotionRecord, Role, TAKEOVER_DELAY, Trigger,
-        may_take_over, next_generation,
+        may_take_over,
     },
 };
 use support::{at, claimed, hold_all, id, polled, position, silent_primary, status};
@@ -129,7 +129,10 @@
     assert!(failover.start(Trigger::Silent, &view, at(1000)));
     failover.step(&view, &[], false, at(1000));
     let grant = ClaimGrant::new(7, at(1000));
-    failover.claimed(Some(GrantedClaim { grant, repeats_term, latest: None }), at(1000));
+    failover.claimed(
+        Some(GrantedClaim { grant, repeats_term, latest: None, may_lack_records: false }),
+        at(1000),
+    );
     hold_all(&mut view, 2, 1010);
     assert_eq!(promotes(&failover.step(&view, &[], true, at(1020))), promoted);
 }
@@ -349,14 +352,6 @@
     assert!(may_take_over(at(0), at(0).plus(TAKEOVER_DELAY)));
 }
 
-/// Guards against a promotion with a lower generation after a claim with the highest one.
-#[test_case(None, Some(1); "first claim")]
-#[test_case(Some(7), Some(8); "later claim")]
-#[test_case(Some(u64::MAX), None; "highest number")]
-fn next_generation_is_higher(previous: Option<u64>, next: Option<u64>) {
-    assert_eq!(next_generation(previous), next);
-}
-
 /// Guards against a promotion without holds: a member reports to hold the highest term, and no number follows it.
 #[test]
 fn failover_after_the_highest_term_needs_holds() {
--- a/crates/core/tests/failover_simulation/instances.rs
+++ b/crates/core/tests/failover_simulation/instances.rs
@@ -6,16 +6,17 @@
     name::MemberId,
     position::Term,
     sync_group::{
-        Failover, FailoverAction, GroupView, Role, SUSPICION_TIMEOUT, Trigger, may_take_over,
+        Failover, FailoverAction, GroupView, PromotionRecords, Role, SUSPICION_TIMEOUT, Trigger,
     },
 };
 use rand::Rng;
 
 use crate::{
     members::Member,
+    store::SeenClaim,
     world::{
-        COMMAND_MS, Claim, Command, ENTRY_MS, FAULTS_MS, INSTANCES, LAPSE_MS, LIST_MS, MEMBERS,
-        Message, NEWS_MS, World, at, id, number as number_of,
+        COMMAND_MS, Command, ENTRY_MS, FAULTS_MS, INSTANCES, LAPSE_MS, LIST_MS, MEMBERS, Message,
+        NEWS_MS, World, at, id, number as number_of,
     },
 };
 
@@ -33,11 +34,18 @@
     pub(crate) cut_from_store: u64,
     pub(crate) polled: [u64; MEMBERS],
     pub(crate) listed: [bool; MEMBERS],
-    /// Revision of the claim that this instance has read, and when it was first seen.
-    pub(crate) seen: Option<(Claim, u64)>,
+    /// Claim that this instance has read.
+    pub(crate) seen: Option<SeenClaim>,
     /// Whether this process made the claim that it has seen last.
     pub(crate) is_own: bool,
     pub(crate) started: u64,
+    /// Latest known era of the store, since when, and the era in which the claims were read last.
+    pub(crate) era: u64,
+    pub(crate) era_since: u64,
+    pub(crate) listed_era: u64,
+    pub(crate) records: PromotionRecords,
+    /// When this instance last wrote a lost record.
+    pub(crate) rewritten: u64,
     /// Reason to replace the primary, and since when there is one.
     suspected: Option<(Trigger, u64)>,
     /// Term of the leader, and since when it has been fenced.
@@ -58,6 +66,11 @@
             seen: None,
             is_own: false,
             started: now,
+            era: 0,
+            era_since: now,
+            listed_era: 0,
+            records: PromotionRecords::default(),
+            rewritten: 0,
             suspected: None,
             fenced_since: None,
             leaderless_since: None,
@@ -103,6 +116,7 @@
             }
         }
         self.send_news(number);
+        self.step_store_client(number);
         if !(now + 30 * number as u64).is_multiple_of(100) {
             return;
         }
@@ -134,6 +148,7 @@
         if !(self.now + 80 * number as u64).is_multiple_of(NEWS_MS) {
             return;
         }
+        self.send_records(number);
         let Some(info) = self.instances[number].view.leader_info(at(self.now)) else { return };
         for to in (0..INSTANCES).filter(|other| *other != number) {
             if self.rng.random_bool(0.2) {
@@ -232,27 +247,8 @@
         let until = grant.map_or(0, |grant| grant.until.since_origin().as_millis());
         let until = u64::try_from(until).unwrap_or(u64::MAX);
         match action {
-            FailoverAction::Claim { .. } => {
-                let seen = self.instances[number].seen.clone();
-                let may_claim = seen.as_ref().is_none_or(|(claim, seen_at)| {
-                    claim.claimant == number || may_take_over(at(*seen_at), at(now))
-                });
-                let claim = seen.map(|(claim, _)| claim);
-                let revision = claim.as_ref().map(|claim| claim.revision);
-                // A claim that may not be written is answered like one that was refused.
-                let revision = if may_claim { revision } else { Some(0) };
-                let promotion = claim.and_then(|claim| claim.promotion);
-                let from = number;
-                self.send(Message::ToStore { from, revision, promotion, renews: false, sent: now });
-            }
-            FailoverAction::Renew { promotion } => {
-                let instance = &self.instances[number];
-                let own = instance.seen.clone().filter(|_| instance.is_own);
-                let revision = Some(own.as_ref().map_or(0, |(claim, _)| claim.revision));
-                let promotion = promotion.or_else(|| own.and_then(|(claim, _)| claim.promotion));
-                let from = number;
-                self.send(Message::ToStore { from, revision, promotion, renews: true, sent: now });
-            }
+            FailoverAction::Claim { .. } => self.claim(number),
+            FailoverAction::Renew { promotion } => self.renew(number, promotion),
             FailoverAction::Hold { member, term } if may_act => {
                 self.command(number, number_of(&member), Command::Hold(term.0), until);
             }
--- a/crates/core/tests/failover_simulation/world.rs
+++ b/crates/core/tests/failover_simulation/world.rs
@@ -1,17 +1,18 @@
 //! Members, instances, store and platform of a run, with the messages between them.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use hibiscusladder_core::{
     clock::Instant,
     name::MemberId,
-    sync_group::{ClaimGrant, GrantedClaim, LeaderInfo, MemberStatus, PromotionRecord, Role},
+    sync_group::{LeaderInfo, MemberStatus, RecordedPromotion, Role},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::{
     instances::Instance,
     members::{Member, Pending},
+    store::{Answer, Purpose, Store, Write},
 };
 
 pub(crate) const MEMBERS: usize = 3;
@@ -57,14 +58,6 @@
 /// A commit: the term in which it was written, and its number.
 pub(crate) type Commit = (u64, u64);
 
-#[derive(Debug, Clone)]
-pub(crate) struct Claim {
-    pub(crate) claimant: usize,
-    pub(crate) generation: u64,
-    pub(crate) revision: u64,
-    pub(crate) promotion: Option<PromotionRecord>,
-}
-
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum Command {
     Status,
@@ -94,21 +87,24 @@
         status: MemberStatus,
         sent: u64,
     },
-    /// A write of the claim, which takes effect if the claim still has this revision.
     ToStore {
         from: usize,
-        revision: Option<u64>,
-        promotion: Option<PromotionRecord>,
-        renews: bool,
+        purpose: Purpose,
+        write: Option<Write>,
         sent: u64,
     },
     FromStore {
         to: usize,
-        written: Option<Claim>,
-        present: Option<Claim>,
-        renews: bool,
+        purpose: Purpose,
+        answer: Box<Answer>,
         sent: u64,
     },
+    /// Era of the store and the latest record of a promotion, as another instance knows them.
+    Records {
+        to: usize,
+        era: u64,
+        record: Option<RecordedPromotion>,
+    },
     ToPlatform {
         member: usize,
         generation: u64,
@@ -134,13 +130,17 @@
     pub(crate) now: u64,
     pub(crate) members: Vec<Member>,
     pub(crate) instances: Vec<Instance>,
-    pub(crate) claim: Option<Claim>,
-    pub(crate) revision: u64,
+    pub(crate) store: Store,
+    /// Instance that was granted each generation number.
+    pub(crate) granted: BTreeMap<u64, usize>,
     pub(crate) messages: Vec<(u64, u64, Message)>,
     pub(crate) acknowledged: Vec<Commit>,
     pub(crate) written: u64,
     pub(crate) generations: Vec<u64>,
     pub(crate) promotions: usize,
+    /// Data losses of the store, and records that were written again.
+    pub(crate) losses: usize,
+    pub(crate) rewrites: usize,
     /// Acknowledgements that instances did not pass on.
     pub(crate) withheld: usize,
     pub(crate) violations: Vec<String>,
@@ -165,13 +165,15 @@
             now: 0,
             members: (0..MEMBERS).map(member).collect(),
             instances: (0..INSTANCES).map(|_| Instance::start(0)).collect(),
-            claim: None,
-            revision: 0,
+            store: Store::default(),
+            granted: BTreeMap::new(),
             messages: Vec::new(),
             acknowledged: Vec::new(),
             written: 0,
             generations: Vec::new(),
             promotions: 0,
+            losses: 0,
+            rewrites: 0,
             withheld: 0,
             violations: Vec::new(),
         }
@@ -209,6 +211,7 @@
 
     fn step(&mut self) {
         self.restart_members();
+        self.step_store();
         self.deliver();
         self.replicate();
         self.write();
@@ -217,6 +220,7 @@
                 self.step_instance(instance);
             }
         }
+        self.check_claimants();
     }
 
     fn duration(&mut self, shortest: u64, longest: u64) -> u64 {
@@ -232,7 +236,7 @@
         let primary = self.primary();
         let member =
             if self.rng.random_bool(0.5) { primary } else { self.rng.random_range(0..MEMBERS) };
-        match self.rng.random_range(0..9) {
+        match self.rng.random_range(0..10) {
             0 | 1 => self.instances[instance].cut_from_member[member] = self.duration(200, 7000),
             2 => self.instances[instance].cut_from_store = self.duration(200, 7000),
             3 => self.instances[instance].paused_until = self.duration(200, 6000),
@@ -252,6 +256,7 @@
                 }
             }
             7 => self.members[member].deaf_until = self.duration(200, 6000),
+            8 => self.lose_data(),
             _ => {
                 let leaving = self.members.iter().any(|member| member.leaving);
                 self.members.iter_mut().for_each(|member| member.leaving = false);
@@ -324,54 +329,26 @@
                     instance.view.observe(&id(member), status, at(sent));
                 }
             }
-            Message::ToStore { from, revision, promotion, renews, sent } => {
-                if now < self.instances[from].cut_from_store {
-                    return;
-                }
-                let present = self.claim.as_ref().map(|claim| claim.revision);
-                let written = (present == revision).then(|| {
-                    self.revision += 1;
-                    let last = self.claim.as_ref().map_or(0, |claim| claim.generation);
-                    let claim = Claim {
-                        claimant: from,
-                        generation: last + 1,
-                        revision: self.revision,
-                        promotion,
-                    };
-                    self.claim = Some(claim.clone());
-                    claim
-                });
-                let present = self.claim.clone();
-                self.send(Message::FromStore { to: from, written, present, renews, sent });
+            Message::ToStore { from, purpose, write, sent } => {
+                self.handle_request(from, purpose, write, sent);
             }
-            Message::FromStore { to, written, present, renews, sent } => {
-                let instance = &mut self.instances[to];
+            Message::FromStore { to, purpose, answer, sent } => {
+                let instance = &self.instances[to];
                 if now < instance.paused_until {
                     let due = instance.paused_until;
-                    self.send_at(due, Message::FromStore { to, written, present, renews, sent });
-                    return;
-                }
-                if sent < instance.started || now < instance.cut_from_store {
-                    return;
+                    self.send_at(due, Message::FromStore { to, purpose, answer, sent });
+                } else if sent >= instance.started && now >= instance.cut_from_store {
+                    self.handle_answer(to, purpose, *answer, sent);
                 }
-                if let Some(present) = present {
-                    let known = instance.seen.as_ref().map(|(claim, _)| claim.revision);
-                    if known.is_none_or(|known| known < present.revision) {
-                        instance.is_own = false;
-                        instance.seen = Some((present, now));
+            }
+            Message::Records { to, era, record } => {
+                let instance = &mut self.instances[to];
+                if now >= instance.paused_until {
+                    instance.learn_era(era, now);
+                    if let Some(record) = record {
+                        instance.learn_record(&record, now);
                     }
                 }
-                instance.is_own |= written.is_some();
-                let grant =
-                    written.as_ref().map(|claim| ClaimGrant::new(claim.generation, at(sent)));
-                if renews {
-                    instance.failover.renewed(grant, at(now));
-                } else {
-                    let latest = written.and_then(|claim| claim.promotion);
-                    let granted =
-                        grant.map(|grant| GrantedClaim { grant, repeats_term: false, latest });
-                    instance.failover.claimed(granted, at(now));
-                }
             }
             Message::ToPlatform { member, generation } => {
                 if self.generations.last().is_some_and(|last| *last > generation) {
--- a/crates/core/tests/promotion_rule.rs
+++ b/crates/core/tests/promotion_rule.rs
@@ -26,6 +26,7 @@
         target: Term(2),
         since: at(1000),
         latest: None,
+        may_lack_records: false,
         stop: Stop::Pending,
     };
     let candidate = Verdict::Candidate { member: id("b"), position: position(1, 9) };
@@ -45,6 +46,7 @@
         target: Term(2),
         since: at(1000),
         latest: None,
+        may_lack_records: false,
         stop: Stop::Pending,
     };
     let candidate = Verdict::Candidate { member: id("b"), position: position(1, 9) };
@@ -76,6 +78,7 @@
         target: Term(3),
         since: at(5000),
         latest,
+        may_lack_records: false,
         stop: Stop::Pending,
     };
     let candidate = Verdict::Candidate { member: id("a"), position: received };
@@ -96,6 +99,7 @@
         target: Term(2),
         since: at(100),
         latest,
+        may_lack_records: false,
         stop: Stop::Pending,
     };
     let requires_b = |rule: &PromotionRule| rule.required(&view).any(|member| *member == id("b"));
@@ -132,6 +136,7 @@
         target: Term(3),
         since: at(5000),
         latest,
+        may_lack_records: false,
         stop: Stop::Pending,
     };
     let verdict = rule.verdict(&view, &[], at(5010));
@@ -161,6 +166,7 @@
         target: Term(3),
         since: at(5000),
         latest,
+        may_lack_records: false,
         stop: Stop::Pending,
     };
     assert_eq!(rule.required(&view).any(|member| *member == id("b")), required);
--- a/crates/core/tests/support/sync_group.rs
+++ b/crates/core/tests/support/sync_group.rs
@@ -63,8 +63,12 @@
     assert!(failover.start(trigger, view, at(ms)));
     let claim = FailoverAction::Claim { term: view.highest_term().next() };
     assert_eq!(failover.step(view, &[], false, at(ms)), [claim]);
-    let granted =
-        GrantedClaim { grant: ClaimGrant::new(7, at(ms)), repeats_term: false, latest: None };
+    let granted = GrantedClaim {
+        grant: ClaimGrant::new(7, at(ms)),
+        repeats_term: false,
+        latest: None,
+        may_lack_records: false,
+    };
     failover.claimed(Some(granted), at(ms));
     failover
 }
--- a/crates/gateway/src/failover_claim.rs
+++ b/crates/gateway/src/failover_claim.rs
@@ -4,14 +4,17 @@
 //! so each generation number is given to one claimant only. The rule for how long a claimant may act is in
 //! [`hibiscusladder_core::sync_group`].
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use hibiscusladder_core::{
     clock::Instant,
     name::{Group, InstanceId, MemberId},
     position::{Lsn, Position, Term},
     roster::Freshness,
-    sync_group::{ClaimGrant, GrantedClaim, PromotionRecord, may_take_over, next_generation},
+    store_version::StoreVersion,
+    sync_group::{
+        ClaimGrant, GrantedClaim, PreviousClaim, PromotionRecord, may_claim, next_generation,
+    },
 };
 use serde::{Deserialize, Serialize};
 
@@ -83,6 +86,17 @@
     is_own: bool,
 }
 
+impl RecordedClaim {
+    fn previous(&self, instance: &InstanceId) -> PreviousClaim {
+        PreviousClaim {
+            generation: self.claim.generation,
+            version: StoreVersion::new(0, self.revision),
+            is_own: self.claim.claimant == *instance,
+            seen_at: self.seen_at,
+        }
+    }
+}
+
 /// Failover claims that this instance has read or made, by group.
 #[derive(Debug, Default)]
 pub struct FailoverClaims {
@@ -123,11 +137,9 @@
         list(node).await.ok()?;
     }
     let recorded = node.failover_claims.borrow().claims.get(group.as_str()).cloned();
-    if let Some(recorded) = &recorded {
-        let is_other_claimant = recorded.claim.claimant != *node.instance();
-        if is_other_claimant && !may_take_over(recorded.seen_at, node.now()) {
-            return None;
-        }
+    let previous = recorded.as_ref().map(|recorded| recorded.previous(node.instance()));
+    if !may_claim(previous.as_ref(), 0, Duration::ZERO, node.now()) {
+        return None;
     }
     let promotion = recorded.as_ref().and_then(|recorded| recorded.claim.promotion.clone());
     let latest = promotion.as_ref().map(PromotionRecord::from);
@@ -135,7 +147,7 @@
         .as_ref()
         .is_some_and(|recorded| recorded.claim.fence.is_none_or(|fence| fence >= term.0));
     let grant = write(node, group, recorded, Some(term.0), promotion).await?;
-    Some(GrantedClaim { grant, repeats_term, latest })
+    Some(GrantedClaim { grant, repeats_term, latest, may_lack_records: false })
 }
 
 /// Renews this process's own claim, and records a promotion with it if there is one; `None` when another instance has
@@ -167,7 +179,8 @@
     P: Platform,
 {
     let requested_at = node.now();
-    let generation = next_generation(recorded.as_ref().map(|recorded| recorded.claim.generation))?;
+    let previous = recorded.as_ref().map(|recorded| recorded.previous(node.instance()));
+    let generation = next_generation(previous.as_ref(), 0)?;
     let claim = Claim { claimant: node.instance().clone(), generation, fence, promotion };
     let text = serde_json::to_string(&claim).ok()?;
     let name = group.as_str();
