feat(core): rule for the evacuation of a data centre

Nothing decided which members may get work while a data centre is evacuated. Change: core::evacuation, with the set by version of the store, the time of an evacuated primary, evacuations that a restored store has lost, and the members that are not promoted.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod config;
 pub mod contract;
 pub mod database;
+pub mod evacuation;
 pub mod home_lease;
 pub mod key;
 pub mod membership;
