feat(gateway): evacuation of data centres

An operator had no way to keep client statements from the members of a data centre. Change: where the settings have bounds.evacuate_ms, hubs and instances without hubs watch the collection evacuations, and messages have the set as a section. Replicas of an evacuated data centre get no new work, a primary there for three quarters of the bound while it is replaced; waiting requests leave its queue; open transactions have the drain time; requests that nobody else can run are refused at once. An instance that starts does not serve before it knows the set.

--- a/crates/core/src/evacuation.rs
+++ b/crates/core/src/evacuation.rs
@@ -254,6 +254,11 @@
         self.in_force.keys()
     }
 
+    /// Whether the evacuation is in force although the store does not have it.
+    pub fn is_kept(&self, data_centre: &DataCentre) -> bool {
+        self.in_force.get(data_centre).is_some_and(|in_force| in_force.kept_until.is_some())
+    }
+
     /// Number of evacuations that are in force although the store does not have them.
     pub fn kept(&self) -> usize {
         self.in_force.values().filter(|in_force| in_force.kept_until.is_some()).count()
--- a/crates/core/src/sync_group/trigger.rs
+++ b/crates/core/src/sync_group/trigger.rs
@@ -7,6 +7,8 @@
     Silent,
     /// The primary is going to stop.
     Leaving,
+    /// The data centre of the primary is evacuated.
+    Evacuated,
     /// The primary answers polls, but its commits do not complete.
     Stalled,
     /// Members hold a term for which no member was promoted.
@@ -16,7 +18,7 @@
 impl Trigger {
     /// Whether the primary still answers, so that a failover need not begin before it can succeed.
     pub const fn has_primary(self) -> bool {
-        matches!(self, Self::Leaving | Self::Stalled)
+        matches!(self, Self::Leaving | Self::Evacuated | Self::Stalled)
     }
 
     /// Name in log events.
@@ -24,6 +26,7 @@
         match self {
             Self::Silent => "silent",
             Self::Leaving => "leaving",
+            Self::Evacuated => "evacuated",
             Self::Stalled => "stalled",
             Self::Orphaned => "orphaned",
         }
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -203,6 +203,8 @@
     Instances,
     /// Failover claims by group.
     FailoverClaims,
+    /// Evacuated data centres, whose names are those of the objects.
+    Evacuations,
 }
 
 impl Collection {
@@ -213,6 +215,7 @@
             Self::Members => "members",
             Self::Instances => "instances",
             Self::FailoverClaims => "duties",
+            Self::Evacuations => "evacuations",
         }
     }
 }
@@ -243,6 +246,8 @@
     Directory(Rc<Directory>),
     /// An entry of a member.
     Member(MemberRecord),
+    /// The request to evacuate the data centre that the object is named for.
+    Evacuation,
     /// Text that an instance of the gateway wrote.
     GatewayText(Box<str>),
     /// Content that cannot be decoded.
--- a/crates/gateway/src/channel.rs
+++ b/crates/gateway/src/channel.rs
@@ -4,6 +4,7 @@
 
 use hibiscusladder_core::{
     clock::{Clock, Instant},
+    evacuation::Service,
     name::{InstanceId, MemberId, Workspace},
     position::Position,
 };
@@ -27,6 +28,8 @@
 const REPLY_MARGIN: Duration = Duration::from_millis(60);
 /// Longest time between two checks whether a member is still the primary; a change of the leader is noticed at once.
 const LEADER_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two checks whether the time of an evacuated primary is over.
+const EVACUATION_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest wait for the answer to a rollback. At its end the connection is closed, which rolls back as well.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -78,6 +81,8 @@
             AcquireError::Exhausted => Self::NotRun(Code::TooMany),
             AcquireError::NoSlot(no_slot) => Self::NoSlot(no_slot),
             AcquireError::Replaced => Self::NotRun(Code::ReadOnly),
+            // Unlike a refusal as a replica, this says nothing about the role of the member.
+            AcquireError::Evacuated => Self::NotRun(Code::Busy),
             AcquireError::Refused(failure) => Self::NotRun(failure.code),
             AcquireError::Unreachable(_) => Self::Unreachable,
         }
@@ -191,11 +196,12 @@
     acquired.map(Channel::Local).map_err(RunOutcome::from)
 }
 
-/// Waits for a slot and a connection of this instance. A request that needs the primary does not wait for a former one.
+/// Waits for a slot and a connection of this instance. A request that needs the primary does not wait for a former one, and
+/// none waits for a member that gets no work because it is evacuated.
 ///
 /// # Errors
 ///
-/// There is no slot or connection in time, or another member is the primary. No statement has run.
+/// There is no slot or connection in time, another member is the primary, or the member is evacuated. No statement has run.
 pub async fn acquire<P>(
     node: &Node<P>,
     pool: &Rc<Pool<P>>,
@@ -205,16 +211,14 @@
 where
     P: Platform,
 {
-    let acquired = match request.urgency {
-        Some(urgency) if urgency.needs_primary => {
-            let replaced = async {
-                until_replaced(node, pool).await;
-                Err(AcquireError::Replaced)
-            };
-            pool.acquire(request, values).or(replaced).await
-        }
-        _ => pool.acquire(request, values).await,
+    if is_evacuated(node, pool) {
+        return Err(AcquireError::Evacuated);
+    }
+    let evacuated = async {
+        until_evacuated(node, pool).await;
+        Err(AcquireError::Evacuated)
     };
+    let acquired = acquire_unless_replaced(node, pool, request, values).or(evacuated).await;
     if let Some(urgency) = request.urgency {
         match &acquired {
             Ok(lease) => node.metrics.time_slot_wait(urgency.priority, lease.slot_wait()),
@@ -227,6 +231,60 @@
     acquired
 }
 
+async fn acquire_unless_replaced<P>(
+    node: &Node<P>,
+    pool: &Rc<Pool<P>>,
+    request: &SlotRequest<'_>,
+    values: &Values,
+) -> Result<Lease<P>, AcquireError>
+where
+    P: Platform,
+{
+    match request.urgency {
+        Some(urgency) if urgency.needs_primary => {
+            let replaced = async {
+                until_replaced(node, pool).await;
+                Err(AcquireError::Replaced)
+            };
+            pool.acquire(request, values).or(replaced).await
+        }
+        _ => pool.acquire(request, values).await,
+    }
+}
+
+/// Whether the member of `pool` gets no new work because its data centre is evacuated. As long as no primary is known, the
+/// instance of the caller decides.
+fn is_evacuated<P>(node: &Node<P>, pool: &Pool<P>) -> bool
+where
+    P: Platform,
+{
+    if !node.evacuations.is_evacuated(&pool.data_centre) {
+        return false;
+    }
+    let now = node.now();
+    let group = node.group(&pool.target.group);
+    let leader = group.and_then(|group| group.view.borrow().leader(now));
+    let is_primary = leader.is_none_or(|leader| leader.member == pool.target.member);
+    node.evacuation_service(&pool.target.member, is_primary, now) == Service::None
+}
+
+/// Waits until the member of `pool` gets no new work because its data centre is evacuated.
+async fn until_evacuated<P>(node: &Node<P>, pool: &Pool<P>)
+where
+    P: Platform,
+{
+    let Some(group) = node.group(&pool.target.group).filter(|_| node.evacuations.is_enabled())
+    else {
+        return smol::future::pending().await;
+    };
+    while !is_evacuated(node, pool) {
+        // The time of an evacuated primary ends without an event.
+        let is_timed = node.evacuations.is_evacuated(&pool.data_centre);
+        let interval = if is_timed { EVACUATION_CHECK_INTERVAL } else { LEADER_CHECK_INTERVAL };
+        group.wait_for_change(interval).await;
+    }
+}
+
 /// Waits until this instance learns that another member than that of `pool` has become the primary of its group. What it
 /// knew before does not count, because the instance of the caller may know more.
 async fn until_replaced<P>(node: &Node<P>, pool: &Pool<P>)
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -114,7 +114,7 @@
         start_if_due(node, group, cx, now);
         demote_replaced(node, group, cx, now);
     }
-    let leaving = leaving_members(node, &group.name);
+    let excluded = node.members_not_promoted(&group.name, &group.view.borrow());
     let fence = group.failover.borrow().fence();
     let held_since = group.failover.borrow().held_since();
     let actions = {
@@ -127,7 +127,7 @@
                 && node.topology().is_flat()
                 && node.peers.borrow().all_confirmed(group.name.as_str(), term.0, now)
         });
-        failover.step(&view, &leaving, confirmed, now)
+        failover.step(&view, &excluded, confirmed, now)
     };
     if held_since.is_none() && group.failover.borrow().held_since().is_some() {
         node.roster.borrow_mut().list_now();
@@ -173,15 +173,6 @@
     });
 }
 
-fn leaving_members<P>(node: &Node<P>, group: &Group) -> Vec<MemberId>
-where
-    P: Platform,
-{
-    let members = node.members.borrow();
-    let leaving = members.in_group(group).filter(|(_, member)| !member.is_active());
-    leaving.map(|(id, _)| id.clone()).collect()
-}
-
 /// Starts a failover when there is a trigger and this instance's start delay is over.
 fn start_if_due<P>(
     node: &Rc<Node<P>>,
@@ -252,6 +243,9 @@
     if view.unanswered_for(&leader.member, now) >= SUSPICION_TIMEOUT {
         return Some(Trigger::Silent);
     }
+    if node.is_evacuated_primary(&leader.member) {
+        return Some(Trigger::Evacuated);
+    }
     let (count, span) = STALLED_AFTER;
     let unanswered_writes = group.unanswered_writes.get();
     unanswered_writes
@@ -282,7 +276,7 @@
 where
     P: Platform,
 {
-    if matches!(trigger, Trigger::Leaving | Trigger::Orphaned) {
+    if matches!(trigger, Trigger::Leaving | Trigger::Evacuated | Trigger::Orphaned) {
         return true;
     }
     let term = group.view.borrow().leader_term().0;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -83,6 +83,12 @@
     SessionEnded,
     /// A task panicked; the others go on.
     TaskFailed,
+    /// A data centre is evacuated from now on.
+    EvacuationBegun,
+    /// An evacuation stays in force although the store, which was restored from an older copy, does not have it.
+    EvacuationKept,
+    /// A data centre is no longer evacuated.
+    EvacuationEnded,
 }
 
 impl Event {
@@ -113,6 +119,9 @@
             Self::TransactionEnded => "transaction_ended",
             Self::SessionEnded => "session_ended",
             Self::TaskFailed => "task_failed",
+            Self::EvacuationBegun => "evacuation_begun",
+            Self::EvacuationKept => "evacuation_kept",
+            Self::EvacuationEnded => "evacuation_ended",
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod channel;
 pub mod control;
 pub mod directory;
+pub mod evacuations;
 pub mod events;
 pub mod failover_claim;
 pub mod group_state;
--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -20,11 +20,12 @@
 
 use crate::{
     adapter::Platform,
+    evacuations::EvacuationHost,
     events::{self, Event},
     group_state::GroupState,
     message::{
-        self, Datagram, Extension, GroupInfo, LeaderEntry, Sections, Status, TokenRequestMessage,
-        TokenTransferMessage,
+        self, Datagram, Extension, GroupInfo, LeaderEntry, SectionKind, Sections, Status,
+        TokenRequestMessage, TokenTransferMessage,
     },
     node::Node,
     peers::{SEND_INTERVAL, nanos},
@@ -49,10 +50,12 @@
     loop {
         let Ok((length, address)) = node.datagrams.recv_from(&mut buf).await else { continue };
         // A datagram that cannot be decoded comes from another version or another program.
-        let Ok((datagram, extension, _)) = message::decode(&buf[..length]) else { continue };
+        let Ok((datagram, extension, sections)) = message::decode(&buf[..length]) else { continue };
         let now = node.now();
         match datagram {
-            Datagram::Status(status) => handle_status(&node, &status, &extension, address, now),
+            Datagram::Status(status) => {
+                handle_status(&node, &status, (&extension, &sections), address, now);
+            }
             Datagram::TokenRequest(message) => transfer_tokens(&node, &message, address, now),
             Datagram::TokenTransfer(transfer) => {
                 node.admission.borrow_mut().receive(&transfer, now)
@@ -64,7 +67,7 @@
 fn handle_status<P>(
     node: &Rc<Node<P>>,
     status: &Status,
-    extension: &Extension,
+    (extension, sections): (&Extension, &Sections),
     address: SocketAddr,
     now: Instant,
 ) where
@@ -101,6 +104,11 @@
         }
     }
     merge_extension(node, extension, is_hub, now);
+    if let Some(notice) = sections.get(SectionKind::Evacuations)
+        && node.evacuations.receive(&notice, received.acknowledged, now)
+    {
+        node.evacuations_changed();
+    }
     if node.role() == FleetRole::Follower {
         relay::catch_up(node, now);
     }
@@ -260,6 +268,9 @@
         for unresponsive in node.peers.borrow_mut().newly_unresponsive(now) {
             events::log(Event::PeerLost, json!({ "instance": unresponsive.as_str() }));
         }
+        if node.evacuations.expire(now) {
+            node.evacuations_changed();
+        }
         round += 1;
         let mut receivers = receivers(&node, round);
         if node.take_urgent_news() {
@@ -329,7 +340,20 @@
         demands: node.admission.borrow_mut().advertise(name, demanded, now),
     };
     let extension = extension(node, relays_fences, now);
-    send_extended(node, address, &Datagram::Status(status), &extension, &Sections::default());
+    send_extended(node, address, &Datagram::Status(status), &extension, &sections(node, now));
+}
+
+/// The sections of a message to another instance.
+fn sections<P>(node: &Node<P>, now: Instant) -> Sections
+where
+    P: Platform,
+{
+    let mut sections = Sections::default();
+    if let Some(notice) = node.evacuations.notice(now) {
+        // Names and numbers cannot fail to be encoded.
+        let _ = sections.insert(SectionKind::Evacuations, &notice);
+    }
+    sections
 }
 
 /// The extension of a message to a hub, or to another instance (`is_for_follower`).
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! State of one instance, shared by its tasks, which all run on one thread.
 
+mod evacuations;
 mod fleet;
 mod stop;
 
@@ -28,6 +29,7 @@
     adapter::{Platform, Target},
     admission::Admission,
     directory::Directory,
+    evacuations::EvacuationState,
     events::{self, Event},
     failover_claim::FailoverClaims,
     group_state::GroupState,
@@ -73,6 +75,8 @@
     pub members: RefCell<MemberTable>,
     /// Allotments of the workspaces.
     pub admission: RefCell<Admission>,
+    /// Evacuated data centres.
+    pub evacuations: EvacuationState,
     /// Retry delays of refused callers.
     pub refusals: Refusals,
     /// State of the other instances.
@@ -137,6 +141,10 @@
             peers: RefCell::new(Peers::new(settings.instance.clone(), now)),
             progress: RefCell::new(Progress::new(&settings.instance)),
             refusals: Refusals::new(settings.return_times, now),
+            evacuations: EvacuationState::new(
+                settings.evacuate,
+                settings.regions.keys().cloned().collect(),
+            ),
             settings,
             clock: BootClock,
             store,
--- a/crates/gateway/src/operation.rs
+++ b/crates/gateway/src/operation.rs
@@ -309,7 +309,8 @@
 ///
 /// # Errors
 ///
-/// The instance has no configuration, the database has no route, or no workspace has the key.
+/// The instance has no configuration or does not know the evacuated data centres, the database has no route, or no workspace has
+/// the key.
 pub fn authorise<P>(
     node: &Node<P>,
     database: &Database,
@@ -324,6 +325,11 @@
         let after = node.refusals.for_start(&unknown_route(id), node.now());
         return Err(Failure::retry_after(Code::Busy, reason, after));
     };
+    if !node.evacuations.may_serve(node.now()) {
+        let reason = "the instance does not know the evacuated data centres";
+        let after = node.refusals.for_start(&unknown_route(id), node.now());
+        return Err(Failure::retry_after(Code::Busy, reason, after));
+    }
     let route = directory.routes.get(database).ok_or_else(|| {
         Failure::new(Code::NoDatabase, "no route has this name; check the name of the database")
     })?;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -72,6 +72,9 @@
     /// The request needs a primary, and the member has been replaced.
     #[error("the member is no longer the primary")]
     Replaced,
+    /// The member gets no new work, because its data centre is evacuated.
+    #[error("the data centre of the member is evacuated")]
+    Evacuated,
     /// The member refused the connection.
     #[error("the member refused the connection ({0})")]
     Refused(Failure),
--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -4,7 +4,8 @@
 
 use futures::{FutureExt, future::LocalBoxFuture};
 use hibiscusladder_core::{
-    clock::Instant, membership, name::MemberId, position::Position, return_time::Cause,
+    clock::Instant, evacuation::Service, membership, name::MemberId, position::Position,
+    return_time::Cause,
 };
 use hibiscusladder_io::clock::{sleep, within};
 
@@ -16,9 +17,9 @@
     node::Node,
     pool::OPENING_COST_S,
     request::{
-        self, Attempt, Purpose, RETRY_DELAY, Request, capacity_wait, hedge_slot_wait,
-        is_past_deadline, max_connection_wait, poll_if_slow, record_answer, record_retry, refuse,
-        retry_delay, wait_for_change,
+        self, Attempt, EVACUATED, Purpose, RETRY_DELAY, Request, capacity_wait, hedge_slot_wait,
+        is_blocked_by_evacuation, is_past_deadline, max_connection_wait, poll_if_slow,
+        record_answer, record_retry, refuse, retry_delay, wait_for_change,
     },
     urgency::{NoSlot, Work},
 };
@@ -44,8 +45,25 @@
     pub primary: bool,
 }
 
-/// The members that may run a read under the consistency of its route, the one with the shortest expected time first.
+/// The members that may run a read under the consistency of its route, the one with the shortest expected time first. An
+/// evacuated primary is among them only when no other member may run it.
 pub fn read_candidates<P>(node: &Node<P>, req: &Request) -> Vec<Candidate>
+where
+    P: Platform,
+{
+    let mut candidates = all_candidates(node, req);
+    let now = node.now();
+    let is_elsewhere = |candidate: &Candidate| {
+        node.evacuation_service(&candidate.member, candidate.primary, now) == Service::Any
+    };
+    if candidates.iter().any(is_elsewhere) {
+        candidates.retain(is_elsewhere);
+    }
+    candidates
+}
+
+/// Like [`read_candidates`], for a transaction that only the primary can run.
+pub fn all_candidates<P>(node: &Node<P>, req: &Request) -> Vec<Candidate>
 where
     P: Platform,
 {
@@ -134,7 +152,7 @@
 }
 
 /// Whether new work may be given to a member. A leaving replica gets none, and a leaving primary only for a fraction of
-/// the drain time, in which it is to be replaced.
+/// the drain time, in which it is to be replaced. The same holds for evacuated members.
 pub fn accepts_work<P>(node: &Node<P>, member: &MemberId, primary: bool, now: Instant) -> bool
 where
     P: Platform,
@@ -143,6 +161,7 @@
     let limit = node.settings.drain * numerator / denominator;
     node.member(member)
         .is_some_and(|entry| entry.is_active() || primary && entry.is_within_drain(limit, now))
+        && node.evacuation_service(member, primary, now) != Service::None
 }
 
 /// What the members have answered in one round of attempts.
@@ -192,6 +211,10 @@
         }
         let mut candidates = read_candidates(node, req);
         if candidates.is_empty() {
+            let needs_primary = req.route.consistency == Consistency::Primary;
+            if is_blocked_by_evacuation(node, req, needs_primary) {
+                return refuse(node, req, EVACUATED, Cause::Failover, None);
+            }
             wait_for_change(node, req).await;
             continue;
         }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -95,11 +95,23 @@
         group: &Group,
         service: Duration,
         now: Instant,
+    ) -> Duration {
+        self.for_running_failover(req, group, (req.used, service), now)
+    }
+
+    /// Like [`for_failover`](Self::for_failover), for a failover that has taken `elapsed` so far, and a request that did not
+    /// wait for it.
+    pub fn for_running_failover(
+        &self,
+        req: &RefusedRequest<'_>,
+        group: &Group,
+        (elapsed, service): (Duration, Duration),
+        now: Instant,
     ) -> Duration {
         if !self.enabled {
             return FIXED_DELAY;
         }
-        let rest = failover_rest(req.used);
+        let rest = failover_rest(elapsed);
         self.book(Capacity::Primary(group.clone()), req, rest, service, now)
     }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -43,6 +43,9 @@
 /// Longest wait for a change of the group while no member can run a request.
 const CHANGE_WAIT: Duration = Duration::from_millis(100);
 
+/// Reason of a refusal for lack of a member in a data centre that is not evacuated.
+pub const EVACUATED: &str = "the members that could run it are in evacuated data centres";
+
 /// Latest acknowledged commit of a session.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LastCommit {
@@ -165,6 +168,18 @@
     MEMBER_WAIT.max(request_limit(req.route.statement_timeout) * numerator / denominator)
 }
 
+/// Whether an evacuation keeps a request from running, so that it is refused at once instead of waiting for a member.
+pub fn is_blocked_by_evacuation<P>(node: &Node<P>, req: &Request, needs_primary: bool) -> bool
+where
+    P: Platform,
+{
+    let blocked = node.blocked_by_evacuation(&req.route.group, needs_primary, node.now()).is_some();
+    if blocked {
+        node.evacuations.count_refusal();
+    }
+    blocked
+}
+
 /// Logs and counts that a request is sent again.
 pub fn record_retry<P>(node: &Node<P>, id: &str, cause: &'static str, member: &MemberId)
 where
@@ -227,7 +242,10 @@
             // Each instance refuses callers for the same primary.
             let instances = u32::try_from(node.topology().len()).unwrap_or(u32::MAX);
             let part = service.saturating_mul(instances) / node.slots(&req.route.group);
-            node.refusals.for_failover(&refused, &req.route.group, part, now)
+            // The replacement of an evacuated primary began with the evacuation, not with this request.
+            let elapsed = node.blocked_by_evacuation(&req.route.group, true, now);
+            let elapsed = elapsed.unwrap_or(refused.used);
+            node.refusals.for_running_failover(&refused, &req.route.group, (elapsed, part), now)
         }
         _ => {
             let booked = no_slot.map(|no_slot| no_slot.return_after());
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     adapter::{Collection, Platform},
-    control,
+    control, evacuations,
     events::{self, Event},
     holder, listener, messenger,
     node::Node,
@@ -101,6 +101,9 @@
     for collection in [Collection::Configuration, Collection::Members] {
         node.supervise(collection.as_str(), move |node| sync::follow(node, collection));
     }
+    if node.evacuations.is_enabled() {
+        node.supervise("evacuations", evacuations::follow);
+    }
     node.supervise("roster", sync::maintain_roster);
     node.supervise("expiry", sync::expire_members);
     node.supervise("receiver", messenger::receive_all);
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -20,7 +20,7 @@
 
 /// Longest wait for the handshake of a caller.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Longest wait of a new caller for the first configuration; callers give up after 2 s.
+/// Longest wait of a new caller for the first configuration and evacuations; callers give up after 2 s.
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(1500);
 /// Time between two checks for the first configuration.
 const CONFIGURATION_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -75,7 +75,7 @@
     P: Platform,
 {
     let configured = async {
-        while node.directory().is_none() {
+        while node.directory().is_none() || !node.evacuations.may_serve(node.now()) {
             sleep(CONFIGURATION_POLL_INTERVAL).await;
         }
     };
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -36,6 +36,9 @@
     pub tolerance: Tolerance,
     /// Whether requests that wait for the same capacity are ordered by urgency.
     pub priorities: bool,
+    /// Time from the request to evacuate a data centre until no client statement reaches its members; `None` when evacuations
+    /// are not watched.
+    pub evacuate: Option<Duration>,
     /// Whether refused callers are told a time that follows from the expected wait.
     pub return_times: bool,
 }
--- a/crates/gateway/src/status_page.rs
+++ b/crates/gateway/src/status_page.rs
@@ -92,12 +92,15 @@
     }
 }
 
-/// Whether the instance can serve new callers; an outage of the store does not matter once a configuration is in force.
+/// Whether the instance can serve new callers; an outage of the store does not matter once a configuration is in force and the
+/// evacuated data centres are known.
 fn is_ready<P>(node: &Node<P>) -> bool
 where
     P: Platform,
 {
-    node.stopping_since().is_none() && node.directory().is_some()
+    node.stopping_since().is_none()
+        && node.directory().is_some()
+        && node.evacuations.may_serve(node.now())
 }
 
 /// Answers with the state in `postcard` encoding, or that it is not known yet.
@@ -129,7 +132,8 @@
         u8::from(node.settings.return_times),
         node.waiting_requests(),
     );
-    match node.metrics.write(&mut text) {
+    let written = node.evacuations.write_metrics(&mut text);
+    match written.and_then(|()| node.metrics.write(&mut text)) {
         Ok(()) => reply(StatusCode::OK, Bytes::from(text)),
         Err(_) => reply(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
     }
--- a/crates/gateway/src/transaction.rs
+++ b/crates/gateway/src/transaction.rs
@@ -9,15 +9,16 @@
 use crate::{
     adapter::Platform,
     channel::{Channel, RunOutcome, StatementRun, is_idle},
+    directory::Consistency,
     events::{self, Event},
     model::{Answer, Code, Failure, Query, TransactionState},
     node::Node,
     pool::Values,
-    reads::{Candidate, Round, read_candidates},
+    reads::{Candidate, Round, all_candidates, read_candidates},
     request::{
-        self, LastCommit, Purpose, Request, capacity_wait, is_past_deadline, max_connection_wait,
-        poll_if_slow, record_answer, record_read_only, record_retry, refusal_fields, retry_delay,
-        return_delay, wait_for_change,
+        self, EVACUATED, LastCommit, Purpose, Request, capacity_wait, is_blocked_by_evacuation,
+        is_past_deadline, max_connection_wait, poll_if_slow, record_answer, record_read_only,
+        record_retry, refusal_fields, retry_delay, return_delay, wait_for_change,
     },
     tunnel::Payload,
     urgency::Work,
@@ -63,6 +64,9 @@
         if let Err(failure) = self.begin(node, values, id).await {
             return Answer::failed(failure, failed);
         }
+        if let Some(failure) = self.end_if_evacuated(node, id) {
+            return Answer::failed(failure, failed);
+        }
         self.wrote |= is_write;
         match self.send(node, values, id, payload).await {
             RunOutcome::Answered(answer) if !is_idle(&answer) => {
@@ -91,6 +95,9 @@
         if let Err(failure) = self.begin(node, values, id).await {
             return (Answer::failed(failure, idle), None);
         }
+        if let Some(failure) = self.end_if_evacuated(node, id) {
+            return (Answer::failed(failure, idle), None);
+        }
         let sent = node.now();
         let payload = Payload::Text(text.into());
         let outcome = self.send(node, values, id, &payload).await;
@@ -160,6 +167,13 @@
         outcome
     }
 
+    /// Rolls back a transaction at a member whose data centre has been evacuated for the time that a drain leaves it.
+    fn end_if_evacuated(&mut self, node: &Node<P>, id: &str) -> Option<Failure> {
+        let member = self.member()?;
+        let is_over = node.ends_transactions_at(&member, node.now());
+        is_over.then(|| self.close_connection(node, id, "the data centre is evacuated"))
+    }
+
     fn member(&self) -> Option<MemberId> {
         self.channel.as_ref().map(|(member, _)| member.clone())
     }
@@ -202,11 +216,18 @@
         let mut busy = false;
         let mut cause = Cause::Failover;
         let mut refusal = None;
+        let mut is_evacuated = false;
         let mut round = Round::default();
         let mut tried: Vec<MemberId> = Vec::new();
         while !is_past_deadline(node, &self.request, started) {
             let candidates = self.candidates(node);
             if candidates.is_empty() {
+                let is_primary_route = self.request.route.consistency == Consistency::Primary;
+                let needs_primary = !self.read_only || is_primary_route;
+                if is_blocked_by_evacuation(node, &self.request, needs_primary) {
+                    is_evacuated = true;
+                    break;
+                }
                 wait_for_change(node, &self.request).await;
                 continue;
             }
@@ -242,7 +263,7 @@
             "request": id, "workspace": self.request.workspace.as_str(),
             "group": self.request.route.group.as_str(), "version": node.version(),
         });
-        let reason = "no member to begin at";
+        let reason = if is_evacuated { EVACUATED } else { "no member to begin at" };
         events::extend(&mut fields, refusal_fields(&self.request, reason, delay, refusal));
         events::log(Event::RequestRefused, fields);
         let after = delay.after.as_millis().max(1);
@@ -252,13 +273,13 @@
     }
 
     fn candidates(&self, node: &Node<P>) -> Vec<Candidate> {
-        let mut candidates = read_candidates(node, &self.request);
-        if !self.read_only {
-            let primary = writes::primary(node, &self.request, node.now());
-            candidates.retain(|candidate| {
-                candidate.primary && Some(&candidate.member) == primary.as_ref()
-            });
+        if self.read_only {
+            return read_candidates(node, &self.request);
         }
+        let mut candidates = all_candidates(node, &self.request);
+        let primary = writes::primary(node, &self.request, node.now());
+        candidates
+            .retain(|candidate| candidate.primary && Some(&candidate.member) == primary.as_ref());
         candidates
     }
 
