--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -206,6 +206,8 @@
     Instances,
     /// Failover claims by group.
     FailoverClaims,
+    /// Evacuated data centres, whose names are those of the objects.
+    Evacuations,
 }
 
 impl Collection {
@@ -216,6 +218,7 @@
             Self::Members => "members",
             Self::Instances => "instances",
             Self::FailoverClaims => "duties",
+            Self::Evacuations => "evacuations",
         }
     }
 }
@@ -255,6 +258,8 @@
     Directory(Rc<Directory>),
     /// An entry of a member.
     Member(MemberRecord),
+    /// The request to evacuate the data centre that the object is named for.
+    Evacuation,
     /// Text that an instance of the gateway wrote.
     GatewayText(Box<str>),
     /// Content that cannot be decoded.
--- a/crates/gateway/src/failover_claim.rs
+++ b/crates/gateway/src/failover_claim.rs
@@ -90,7 +90,7 @@
     fn previous(&self, instance: &InstanceId) -> PreviousClaim {
         PreviousClaim {
             generation: self.claim.generation,
-            version: StoreVersion::new(0, self.revision),
+            version: self.version,
             is_own: self.claim.claimant == *instance,
             seen_at: self.seen_at,
         }
--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     adapter::Platform,
+    evacuations::EvacuationHost,
     events::{self, Event},
     group_state::GroupState,
     message::{
@@ -109,6 +110,11 @@
         }
     }
     merge_extension(node, extension, is_hub, now);
+    if let Some(notice) = sections.get(SectionKind::Evacuations)
+        && node.evacuations.receive(&notice, received.acknowledged, now)
+    {
+        node.evacuations_changed();
+    }
     if node.role() == FleetRole::Follower {
         relay::catch_up(node, now);
     }
@@ -268,6 +274,9 @@
         for unresponsive in node.peers.borrow_mut().newly_unresponsive(now) {
             events::log(Event::PeerLost, json!({ "instance": unresponsive.as_str() }));
         }
+        if node.evacuations.expire(now) {
+            node.evacuations_changed();
+        }
         round += 1;
         let mut receivers = receivers(&node, round);
         if node.take_urgent_news() {
@@ -337,11 +346,12 @@
         demands: node.admission.borrow_mut().advertise(name, demanded, now),
     };
     let extension = extension(node, relays_fences, now);
-    send_extended(node, address, &Datagram::Status(status), &extension, &sections(node));
+    let sections = sections(node, now);
+    send_extended(node, address, &Datagram::Status(status), &extension, &sections);
 }
 
-/// The sections of a status message. There is none while the store was never restored.
-fn sections<P>(node: &Node<P>) -> Sections
+/// The sections of a status message: what it says of restores of the store, and of evacuations.
+fn sections<P>(node: &Node<P>, now: Instant) -> Sections
 where
     P: Platform,
 {
@@ -353,6 +363,10 @@
         // Numbers can always be encoded.
         let _ = sections.insert(SectionKind::Store, &StoreSection { era, members, roster });
     }
+    if let Some(notice) = node.evacuations.notice(now) {
+        // Names and numbers cannot fail to be encoded.
+        let _ = sections.insert(SectionKind::Evacuations, &notice);
+    }
     sections
 }
 
