feat(gateway): limit the requests to cold members

A member that has just started got the load of a warm one from all instances at once. An allowance of cold_per_s x bounds.cold_overage + bounds.cold_slack requests in any second is divided by core::share::Allotment among the instances that hold connections to the member; reads prefer warm members. Members that are new, restarted or have refused a connection count as cold until their entry shows otherwise. Hubs report cold members to followers in the section Pace.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod bucket;
 pub mod catch_up;
 pub mod clock;
+pub mod cold;
 pub mod config;
 pub mod contract;
 pub mod database;
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -234,6 +234,9 @@
     pub started_ms: u64,
     /// Statements that the member runs at once.
     pub slots: u32,
+    /// Time for which the member remains cold after it wrote the entry; `None` when the entry comes from another instance,
+    /// and in the member table.
+    pub cold_remaining: Option<Duration>,
 }
 
 /// Content of an object in the store.
--- a/crates/gateway/src/channel.rs
+++ b/crates/gateway/src/channel.rs
@@ -27,6 +27,9 @@
 const REPLY_MARGIN: Duration = Duration::from_millis(60);
 /// Longest time between two checks whether a member is still the primary; a change of the leader is noticed at once.
 const LEADER_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Divisor of a statement's limit that gives its longest wait for the allowance of a cold member; the rest is left for
+/// running it, which takes a cold member longer.
+const COLD_WAIT_DIVISOR: u32 = 2;
 /// Longest wait for the answer to a rollback. At its end the connection is closed, which rolls back as well.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -310,8 +313,12 @@
         Some((id, text)) => MemberCommand::Forward { id, text, after: None },
         None => MemberCommand::Rollback,
     };
-    // Without an answer the connection is closed, which rolls back as well.
-    lease.exchange(command).await.err();
+    // Without an answer the connection is closed, which rolls back as well. So it is if a cold member may get no request
+    // soon.
+    let until = BootClock.now().plus(ROLLBACK_TIMEOUT);
+    if lease.pool().cold.clone().admit(1, until).await {
+        lease.exchange(command).await.err();
+    }
 }
 
 /// Runs a statement on a connection of this instance, unless its time limit is zero.
@@ -322,8 +329,13 @@
     if run.limit.is_zero() {
         return RunOutcome::NotRun(Code::Busy);
     }
-    let until = BootClock.now().plus(run.limit);
-    let Some(Ok(name)) = within(run.limit, prepare(lease, &run)).await else {
+    let now = BootClock.now();
+    let until = now.plus(run.limit);
+    if lease.pool().cold.is_cold(now) && !admit_cold(lease, &run, now).await {
+        return RunOutcome::NotRun(Code::Busy);
+    }
+    let left = until.since(BootClock.now());
+    let Some(Ok(name)) = within(left, prepare(lease, &run)).await else {
         lease.pool().record_unreachable(BootClock.now());
         return RunOutcome::Unreachable;
     };
@@ -337,6 +349,20 @@
     }
 }
 
+/// Waits until a cold member may get the statement and what has to be sent before it; `false` if it may not soon enough to
+/// be run within the limit.
+async fn admit_cold<P>(lease: &Lease<P>, run: &StatementRun<'_>, now: Instant) -> bool
+where
+    P: Platform,
+{
+    let prepared = match run.payload {
+        Payload::Text(_) => None,
+        Payload::Execute { access, shape, .. } => Some((*access, &**shape)),
+    };
+    let requests = 1 + lease.missing_commands(run.values, prepared);
+    lease.pool().cold.admit(requests, now.plus(run.limit / COLD_WAIT_DIVISOR)).await
+}
+
 /// Sets the session values on the connection, and prepares a statement that is to be executed; returns its name on the
 /// connection, `None` for a text.
 async fn prepare<P>(
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -59,6 +59,10 @@
     MemberLost,
     /// A member answers again.
     MemberRegained,
+    /// A member counts as cold.
+    MemberCold,
+    /// A member no longer counts as cold.
+    MemberWarm,
     /// A group has another leader or none, or the leader was fenced or released.
     LeaderChanged,
     /// This instance started a failover.
@@ -101,6 +105,8 @@
             Self::MemberGone => "member_gone",
             Self::MemberLost => "member_lost",
             Self::MemberRegained => "member_regained",
+            Self::MemberCold => "member_cold",
+            Self::MemberWarm => "member_warm",
             Self::LeaderChanged => "leader_changed",
             Self::FailoverStarted => "failover_started",
             Self::FailoverStep => "failover_step",
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -100,6 +100,21 @@
         &self.pool
     }
 
+    /// Number of commands that the connection needs before a statement of a session with `values`; `prepared` is access
+    /// and shape of a statement that is to be executed.
+    pub fn missing_commands(&self, values: &Values, prepared: Option<(Access, &str)>) -> usize {
+        let Some(connection) = &self.connection else { return 0 };
+        let is_reset = connection.values.keys().any(|name| !values.contains_key(name));
+        let is_unprepared = prepared.is_some_and(|(access, shape)| {
+            is_reset || !connection.prepared.contains(&statement_name(access, shape))
+        });
+        let is_set = |name: &str, value: &str| {
+            connection.values.get(name).is_some_and(|set| **set == *value)
+        };
+        let sets = values.iter().filter(|(name, value)| is_reset || !is_set(name, value)).count();
+        usize::from(is_reset) + sets + usize::from(is_unprepared)
+    }
+
     /// Sets the values of the connection to those of the session.
     ///
     /// # Errors
@@ -144,8 +159,7 @@
     ///
     /// The connection cannot be used.
     pub async fn prepare(&mut self, access: Access, shape: &str) -> io::Result<Box<str>> {
-        let kind = if access == Access::Read { 'r' } else { 'w' };
-        let name: Box<str> = format!("{kind}{shape}").into();
+        let name = statement_name(access, shape);
         if !connection(&mut self.connection)?.prepared.contains(&name) {
             self.command(MemberCommand::Prepare { name: &name, access, shape }).await?;
             connection_mut(&mut self.connection)?.prepared.insert(name.clone());
@@ -199,6 +213,12 @@
     }
 }
 
+/// Name of a prepared statement on all connections.
+fn statement_name(access: Access, shape: &str) -> Box<str> {
+    let kind = if access == Access::Read { 'r' } else { 'w' };
+    format!("{kind}{shape}").into()
+}
+
 fn connection<P>(leased: &mut Option<Connection<P>>) -> io::Result<&Connection<P>>
 where
     P: Platform,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod adapter;
 pub mod admission;
 pub mod channel;
+pub mod cold;
 pub mod control;
 pub mod directory;
 pub mod events;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -8,6 +8,8 @@
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
+use crate::cold::ColdReport;
+
 /// One message between two instances.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -204,6 +206,13 @@
     }
 }
 
+/// Content of a [`SectionKind::Pace`] section of a status message.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PaceSection {
+    /// The members that the sender knows to be cold; `None` unless it is a hub that limits cold members.
+    pub cold: Option<ColdReport>,
+}
+
 /// Version of a list of instances.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RosterVersion {
--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -23,8 +23,8 @@
     events::{self, Event},
     group_state::GroupState,
     message::{
-        self, Datagram, Extension, GroupInfo, LeaderEntry, Sections, Status, TokenRequestMessage,
-        TokenTransferMessage,
+        self, Datagram, Extension, GroupInfo, LeaderEntry, PaceSection, SectionKind, Sections,
+        Status, TokenRequestMessage, TokenTransferMessage,
     },
     node::Node,
     peers::{SEND_INTERVAL, nanos},
@@ -49,10 +49,12 @@
     loop {
         let Ok((length, address)) = node.datagrams.recv_from(&mut buf).await else { continue };
         // A datagram that cannot be decoded comes from another version or another program.
-        let Ok((datagram, extension, _)) = message::decode(&buf[..length]) else { continue };
+        let Ok((datagram, extension, sections)) = message::decode(&buf[..length]) else { continue };
         let now = node.now();
         match datagram {
-            Datagram::Status(status) => handle_status(&node, &status, &extension, address, now),
+            Datagram::Status(status) => {
+                handle_status(&node, &status, (&extension, &sections), address, now);
+            }
             Datagram::TokenRequest(message) => transfer_tokens(&node, &message, address, now),
             Datagram::TokenTransfer(transfer) => {
                 node.admission.borrow_mut().receive(&transfer, now)
@@ -64,7 +66,7 @@
 fn handle_status<P>(
     node: &Rc<Node<P>>,
     status: &Status,
-    extension: &Extension,
+    (extension, sections): (&Extension, &Sections),
     address: SocketAddr,
     now: Instant,
 ) where
@@ -101,6 +103,7 @@
         }
     }
     merge_extension(node, extension, is_hub, now);
+    merge_pace(node, status, sections, is_hub, now);
     if node.role() == FleetRole::Follower {
         relay::catch_up(node, now);
     }
@@ -131,6 +134,22 @@
     }
 }
 
+/// Records which members are cold, as a hub with the same or newer entries reports to a follower.
+fn merge_pace<P>(node: &Node<P>, status: &Status, sections: &Sections, is_hub: bool, now: Instant)
+where
+    P: Platform,
+{
+    let Some(section) = sections.get::<PaceSection>(SectionKind::Pace) else { return };
+    let is_newer = status.members_revision >= node.members_revision();
+    if let Some(cold) = section.cold
+        && is_hub
+        && is_newer
+        && node.role() == FleetRole::Follower
+    {
+        node.cold.merge(&cold, now);
+    }
+}
+
 /// Merges the state of a group at another instance; returns whether a confirmation of its fence is due at once.
 ///
 /// `acknowledged` is when this instance sent the message that the one with this state acknowledges.
@@ -329,7 +348,23 @@
         demands: node.admission.borrow_mut().advertise(name, demanded, now),
     };
     let extension = extension(node, relays_fences, now);
-    send_extended(node, address, &Datagram::Status(status), &extension, &Sections::default());
+    let sections = sections(node, relays_fences, now);
+    send_extended(node, address, &Datagram::Status(status), &extension, &sections);
+}
+
+/// The sections of a message to a hub, or to another instance (`is_for_follower`).
+fn sections<P>(node: &Node<P>, is_for_follower: bool, now: Instant) -> Sections
+where
+    P: Platform,
+{
+    let mut sections = Sections::default();
+    let reports_cold = is_for_follower && node.role() == FleetRole::Hub;
+    let pace = PaceSection { cold: node.cold.report(now).filter(|_| reports_cold) };
+    if pace != PaceSection::default() {
+        // Names and numbers cannot fail to be encoded.
+        let _ = sections.insert(SectionKind::Pace, &pace);
+    }
+    sections
 }
 
 /// The extension of a message to a hub, or to another instance (`is_for_follower`).
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! State of one instance, shared by its tasks, which all run on one thread.
 
+mod cold;
 mod fleet;
 mod stop;
 
@@ -27,6 +28,7 @@
 use crate::{
     adapter::{Platform, Target},
     admission::Admission,
+    cold::ColdMembers,
     directory::Directory,
     events::{self, Event},
     failover_claim::FailoverClaims,
@@ -73,6 +75,8 @@
     pub members: RefCell<MemberTable>,
     /// Allotments of the workspaces.
     pub admission: RefCell<Admission>,
+    /// Cold members, and what this instance may send to them.
+    pub cold: ColdMembers,
     /// Retry delays of refused callers.
     pub refusals: Refusals,
     /// State of the other instances.
@@ -136,6 +140,7 @@
         Rc::new(Self {
             peers: RefCell::new(Peers::new(settings.instance.clone(), now)),
             progress: RefCell::new(Progress::new(&settings.instance)),
+            cold: ColdMembers::new(settings.cold),
             refusals: Refusals::new(settings.return_times, now),
             settings,
             clock: BootClock,
@@ -293,9 +298,11 @@
             Target { member: id.clone(), group: record.group.clone(), address: record.address };
         let distance = self.settings.distance(&record.data_centre);
         let (limits, holders) = self.pool_limits(&target, &record.data_centre);
+        self.update_cold(&target, holders.as_deref());
+        let cold = self.cold.gate(id, self.now());
         let with_priorities = self.settings.priorities;
         let pool =
-            Pool::new(target, record.data_centre, distance, limits, holders, with_priorities);
+            Pool::new(target, record.data_centre, distance, limits, holders, with_priorities, cold);
         self.pools.borrow_mut().insert(id.clone(), pool.clone());
         Some(pool)
     }
@@ -330,11 +337,16 @@
     /// Updates the limits of the pool of a member whose entry has changed.
     pub fn update_pool(&self, id: &MemberId) {
         if let Some(pool) = self.pools.borrow().get(id) {
-            let (limits, holders) = self.pool_limits(&pool.target, &pool.data_centre);
-            pool.set_limits(limits, holders);
+            self.update_pool_limits(pool);
         }
     }
 
+    fn update_pool_limits(&self, pool: &Pool<P>) {
+        let (limits, holders) = self.pool_limits(&pool.target, &pool.data_centre);
+        self.update_cold(&pool.target, holders.as_deref());
+        pool.set_limits(limits, holders);
+    }
+
     /// Removes the pool of a member that was removed or restarted, and closes its connections.
     pub fn drop_pool(&self, id: &MemberId) {
         if let Some(pool) = self.pools.borrow_mut().remove(id) {
@@ -381,8 +393,7 @@
         }
         drop(admission);
         for pool in self.pools.borrow().values() {
-            let (limits, holders) = self.pool_limits(&pool.target, &pool.data_centre);
-            pool.set_limits(limits, holders);
+            self.update_pool_limits(pool);
         }
     }
 
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     adapter::{ConnectError, Platform, Target, UpstreamPort},
+    cold::ColdGate,
     in_flight::{InFlight, InFlightGuard},
     lease::{Connection, Lease},
     model::{Code, Failure},
@@ -52,6 +53,9 @@
 const DEPRIORITISED_TIME: Duration = Duration::from_millis(1000);
 /// Time that is added to the expected time of a member that did not answer lately, in seconds, so that it is used last.
 const UNREACHABLE_COST_S: f64 = 10.0;
+/// Time that is added to the expected time of a cold member, in seconds. It is more than the queue of a warm member that
+/// works, so that reads prefer warm members, and less than what an unreachable member costs.
+const COLD_COST_S: f64 = 1.0;
 /// Shortest time for which a member that lagged gets no reads. Each further lagging answer doubles the time.
 const MIN_LAG_PAUSE: Duration = Duration::from_millis(60);
 /// Longest time for which a member that lagged gets no reads.
@@ -116,6 +120,8 @@
     pub target: Target,
     /// Data centre of the member.
     pub data_centre: DataCentre,
+    /// Limit of the requests to the member while it is cold.
+    pub cold: Rc<ColdGate>,
     pub(crate) slot_queue: SlotQueue<P>,
     /// The instances that hold connections to the member, the preferred one first; `None` when all connect to it.
     holders: RefCell<Option<Rc<[InstanceId]>>>,
@@ -143,6 +149,7 @@
         limits: PoolLimits,
         holders: Option<Rc<[InstanceId]>>,
         with_priorities: bool,
+        cold: Rc<ColdGate>,
     ) -> Rc<Self> {
         let state = State {
             idle: Vec::new(),
@@ -155,6 +162,7 @@
         Rc::new(Self {
             target,
             data_centre,
+            cold,
             slot_queue: SlotQueue::new(limits, with_priorities),
             holders: RefCell::new(holders),
             distance,
@@ -240,6 +248,7 @@
             OPENING_COST_S + self.round_trip().as_secs_f64()
         };
         let penalty = if now < self.deprioritised_until.get() { UNREACHABLE_COST_S } else { 0.0 };
+        let penalty = penalty + if self.cold.is_cold(now) { COLD_COST_S } else { 0.0 };
         let queue = service * (1.0 + self.uses.count() as f64);
         self.round_trip().as_secs_f64() + queue + opening + penalty
     }
@@ -414,7 +423,12 @@
             Some(Err(ConnectError::Refused(failure))) => {
                 return Err(AcquireError::Refused(failure));
             }
-            Some(Err(ConnectError::Io(error))) => return Err(AcquireError::Unreachable(error)),
+            Some(Err(ConnectError::Io(error))) => {
+                if error.kind() == io::ErrorKind::ConnectionRefused {
+                    self.pool.cold.record_refused(BootClock.now());
+                }
+                return Err(AcquireError::Unreachable(error));
+            }
             None => return Err(AcquireError::Unreachable(io::ErrorKind::TimedOut.into())),
         };
         self.reserved = false;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,6 +7,8 @@
     share::Limits,
 };
 
+use crate::cold::ColdTolerance;
+
 /// Settings of one instance.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -34,6 +36,8 @@
     pub drain: Duration,
     /// Margin by which a workspace may exceed its limits.
     pub tolerance: Tolerance,
+    /// Margin by which the requests to a cold member may exceed its configured rate.
+    pub cold: ColdTolerance,
     /// Whether requests that wait for the same capacity are ordered by urgency.
     pub priorities: bool,
     /// Whether refused callers are told a time that follows from the expected wait.
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -77,6 +77,7 @@
             role: self.primary.map(role),
             started_ms: self.started_ms,
             slots: self.slots,
+            cold_remaining: None,
         };
         (self.id, record)
     }
--- a/crates/gateway/src/status_page.rs
+++ b/crates/gateway/src/status_page.rs
@@ -129,7 +129,9 @@
         u8::from(node.settings.return_times),
         node.waiting_requests(),
     );
-    match node.metrics.write(&mut text) {
+    let written =
+        node.metrics.write(&mut text).and_then(|()| node.cold.write(&mut text, node.now()));
+    match written {
         Ok(()) => reply(StatusCode::OK, Bytes::from(text)),
         Err(_) => reply(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
     }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -197,16 +197,21 @@
 }
 
 /// Applies the entry of a member.
-pub fn apply_member<P>(node: &Rc<Node<P>>, id: MemberId, record: MemberRecord, now: Instant)
+pub fn apply_member<P>(node: &Rc<Node<P>>, id: MemberId, mut record: MemberRecord, now: Instant)
 where
     P: Platform,
 {
+    let cold_remaining = record.cold_remaining.take();
     let fields = json!({
         "member": id.as_str(), "group": record.group.as_str(), "leaving": record.leaving,
         "role": format!("{:?}", record.role), "started_ms": record.started_ms,
     });
     let group = record.group.clone();
     let change = node.members.borrow_mut().update(id.clone(), record, now);
+    if change == MemberChange::Restarted {
+        node.cold.assume_cold(&id, "restarted", now);
+    }
+    node.cold.record_entry(&id, cold_remaining, now);
     if change == MemberChange::None {
         return;
     }
@@ -236,6 +241,7 @@
         for id in &expired {
             events::log(Event::MemberGone, json!({ "member": id.as_str() }));
             node.drop_pool(id);
+            node.cold.remove(id);
         }
         node.update_groups(now.minus(LAPSE_GRACE));
     }
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -25,6 +25,7 @@
         role: None,
         started_ms,
         slots: 2,
+        cold_remaining: None,
     }
 }
 
