--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -13,6 +13,7 @@
     position::{Lsn, Position, Term},
     roster::FleetRole,
     share::TokenRequest,
+    store_version::StoreVersion,
     sync_group::{LeaderInfo, LeaderPosition},
 };
 use hibiscusladder_io::clock::within;
@@ -24,8 +25,8 @@
     events::{self, Event},
     group_state::GroupState,
     message::{
-        self, Datagram, Extension, GroupInfo, LeaderEntry, RosterVersion, SectionKind, Sections,
-        Status, StoreSection, TokenRequestMessage, TokenTransferMessage,
+        self, Datagram, Extension, GroupInfo, LeaderEntry, PaceSection, RosterVersion, SectionKind,
+        Sections, Status, StoreSection, TokenRequestMessage, TokenTransferMessage,
     },
     node::Node,
     peers::{OfferedRoster, SEND_INTERVAL, nanos},
@@ -115,6 +116,7 @@
     {
         node.evacuations_changed();
     }
+    merge_pace(node, status, sections, is_hub, now);
     if node.role() == FleetRole::Follower {
         relay::catch_up(node, now);
     }
@@ -145,6 +147,24 @@
     }
 }
 
+/// Records which members are cold, as a hub with the same or newer entries reports to a follower.
+fn merge_pace<P>(node: &Node<P>, status: &Status, sections: &Sections, is_hub: bool, now: Instant)
+where
+    P: Platform,
+{
+    let Some(section) = sections.get::<PaceSection>(SectionKind::Pace) else { return };
+    let store: StoreSection = sections.get(SectionKind::Store).unwrap_or_default();
+    let members = StoreVersion::new(store.members, status.members_revision);
+    let is_newer = members >= node.members_version();
+    if let Some(cold) = section.cold
+        && is_hub
+        && is_newer
+        && node.role() == FleetRole::Follower
+    {
+        node.cold.merge(&cold, now);
+    }
+}
+
 /// Merges the state of a group at another instance; returns whether a confirmation of its fence is due at once.
 ///
 /// `acknowledged` is when this instance sent the message that the one with this state acknowledges.
@@ -346,12 +366,12 @@
         demands: node.admission.borrow_mut().advertise(name, demanded, now),
     };
     let extension = extension(node, relays_fences, now);
-    let sections = sections(node, now);
+    let sections = sections(node, relays_fences, now);
     send_extended(node, address, &Datagram::Status(status), &extension, &sections);
 }
 
-/// The sections of a status message: what it says of restores of the store, and of evacuations.
-fn sections<P>(node: &Node<P>, now: Instant) -> Sections
+/// The sections of a message to a hub, or to another instance (`is_for_follower`).
+fn sections<P>(node: &Node<P>, is_for_follower: bool, now: Instant) -> Sections
 where
     P: Platform,
 {
@@ -367,6 +387,12 @@
         // Names and numbers cannot fail to be encoded.
         let _ = sections.insert(SectionKind::Evacuations, &notice);
     }
+    let reports_cold = is_for_follower && node.role() == FleetRole::Hub;
+    let pace = PaceSection { cold: node.cold.report(now).filter(|_| reports_cold) };
+    if pace != PaceSection::default() {
+        // Names and numbers cannot fail to be encoded.
+        let _ = sections.insert(SectionKind::Pace, &pace);
+    }
     sections
 }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! State of one instance, shared by its tasks, which all run on one thread.
 
+mod cold;
 mod evacuations;
 mod fleet;
 mod stop;
@@ -30,6 +31,7 @@
 use crate::{
     adapter::{Platform, Store, Target},
     admission::Admission,
+    cold::ColdMembers,
     directory::Directory,
     evacuations::EvacuationState,
     events::{self, Event},
@@ -81,6 +83,8 @@
     pub admission: RefCell<Admission>,
     /// Evacuated data centres.
     pub evacuations: EvacuationState,
+    /// Cold members, and what this instance may send to them.
+    pub cold: ColdMembers,
     /// Retry delays of refused callers.
     pub refusals: Refusals,
     /// State of the other instances.
@@ -146,6 +150,7 @@
         Rc::new(Self {
             peers: RefCell::new(Peers::new(settings.instance.clone(), now)),
             progress: RefCell::new(Progress::new(&settings.instance)),
+            cold: ColdMembers::new(settings.cold),
             refusals: Refusals::new(settings.return_times, now),
             evacuations: EvacuationState::new(
                 settings.evacuate,
@@ -309,8 +314,11 @@
             Target { member: id.clone(), group: record.group.clone(), address: record.address };
         let distance = self.settings.distance(&record.data_centre);
         let (limits, paths) = self.pool_limits(&target, &record.data_centre);
+        self.update_cold(&target, paths.holders.as_deref());
+        let cold = self.cold.gate(id, self.now());
         let with_priorities = self.settings.priorities;
-        let pool = Pool::new(target, record.data_centre, distance, limits, paths, with_priorities);
+        let pool =
+            Pool::new(target, record.data_centre, distance, limits, paths, with_priorities, cold);
         self.pools.borrow_mut().insert(id.clone(), pool.clone());
         Some(pool)
     }
@@ -345,11 +353,16 @@
     /// Updates the limits of the pool of a member whose entry has changed.
     pub fn update_pool(&self, id: &MemberId) {
         if let Some(pool) = self.pools.borrow().get(id) {
-            let (limits, paths) = self.pool_limits(&pool.target, &pool.data_centre);
-            pool.set_limits(limits, paths);
+            self.update_pool_limits(pool);
         }
     }
 
+    fn update_pool_limits(&self, pool: &Pool<P>) {
+        let (limits, paths) = self.pool_limits(&pool.target, &pool.data_centre);
+        self.update_cold(&pool.target, paths.holders.as_deref());
+        pool.set_limits(limits, paths);
+    }
+
     /// Removes the pool of a member that was removed or restarted, and closes its connections.
     pub fn drop_pool(&self, id: &MemberId) {
         if let Some(pool) = self.pools.borrow_mut().remove(id) {
@@ -396,8 +409,7 @@
         }
         drop(admission);
         for pool in self.pools.borrow().values() {
-            let (limits, paths) = self.pool_limits(&pool.target, &pool.data_centre);
-            pool.set_limits(limits, paths);
+            self.update_pool_limits(pool);
         }
     }
 
