--- a/crates/core/tests/failover_data_loss.rs
+++ b/crates/core/tests/failover_data_loss.rs
@@ -184,7 +184,7 @@
 /// Guards against the loss of commits that only the replaced primary has, when the record of its promotion is lost.
 #[test_case(position(1, 9), None, None; "no entry of the replaced term")]
 #[test_case(position(2, 8), None, Some("a"); "an entry of the replaced term")]
-#[test_case(position(1, 9), Some(position(1, 9)), Some("b"); "the demoted primary")]
+#[test_case(position(1, 8), Some(position(1, 9)), Some("b"); "the demoted primary")]
 #[test_case(position(2, 9), Some(position(2, 9)), Some("a"); "as long as the demoted primary")]
 fn verdict_while_the_record_may_be_lost(
     others: Position,
