feat(gateway): claims and records of promotions after a data loss of the store

Change: failover_claim.rs takes the store, the era and the known claims instead of the node (types in claim_table.rs). Claims are listed again in a new era; a write that was answered in another era, or whose claim is read in another era, counts as not done. Confirmations count again once a promotion was recorded in the era. A record names the claim under which it was made. In era 0 nothing is called or written in addition. Steps that call the store moved to control/steps.rs.

--- a/crates/core/src/sync_group/failover.rs
+++ b/crates/core/src/sync_group/failover.rs
@@ -181,8 +181,12 @@
 
     /// Records the latest era of the store that is known. An attempt whose claim was granted in an earlier era sends nothing
     /// more, except that it releases the replicas while the claim is valid: another instance may claim without knowing of it.
-    pub fn observe_era(&mut self, era: u64) {
+    ///
+    /// Returns whether the claim of the running attempt is lost by that.
+    pub fn observe_era(&mut self, era: u64) -> bool {
+        let had_lost_claim = self.has_lost_claim();
         self.era = self.era.max(era);
+        !had_lost_claim && self.has_lost_claim()
     }
 
     /// Latest claim that was granted for this or an earlier attempt; `None` before the first.
--- a/crates/core/src/sync_group/promotion_record.rs
+++ b/crates/core/src/sync_group/promotion_record.rs
@@ -63,6 +63,11 @@
         is_newer
     }
 
+    /// Groups with a record, in the order of their names.
+    pub fn groups(&self) -> impl Iterator<Item = &Group> {
+        self.records.keys()
+    }
+
     /// Latest record of `group`; `None` when none is known.
     pub fn latest(&self, group: &Group) -> Option<&RecordedPromotion> {
         self.records.get(group).map(|(record, _)| record)
--- a/crates/core/src/topology.rs
+++ b/crates/core/src/topology.rs
@@ -78,6 +78,8 @@
 pub struct Topology {
     instances: BTreeMap<InstanceId, Profile>,
     hubs: BTreeSet<InstanceId>,
+    /// Instances that would be hubs if all present ones were lost.
+    successors: BTreeSet<InstanceId>,
 }
 
 impl Topology {
@@ -88,18 +90,20 @@
     {
         let instances: BTreeMap<InstanceId, Profile> =
             instances.into_iter().map(|profile| (profile.name.clone(), profile)).collect();
-        let hubs = if instances.len() <= MAX_FLAT_INSTANCES {
-            instances.keys().cloned().collect()
-        } else {
-            let regions: BTreeSet<&str> =
-                instances.values().map(|profile| &*profile.region).collect();
-            let chosen = regions.into_iter().flat_map(|region| {
-                let inside = instances.values().filter(|profile| *profile.region == *region);
-                by_capacity(region, inside.collect()).into_iter().take(HUBS_PER_REGION)
-            });
-            chosen.map(|profile| profile.name.clone()).collect()
-        };
-        Self { instances, hubs }
+        if instances.len() <= MAX_FLAT_INSTANCES {
+            let hubs = instances.keys().cloned().collect();
+            return Self { instances, hubs, successors: BTreeSet::new() };
+        }
+        let regions: BTreeSet<&str> = instances.values().map(|profile| &*profile.region).collect();
+        let (mut hubs, mut successors) = (BTreeSet::new(), BTreeSet::new());
+        for region in regions {
+            let inside = instances.values().filter(|profile| *profile.region == *region);
+            let mut ordered = by_capacity(region, inside.collect()).into_iter();
+            let mut next = || ordered.next().map(|profile| profile.name.clone());
+            hubs.extend((0..HUBS_PER_REGION).filter_map(|_| next()));
+            successors.extend((0..HUBS_PER_REGION).filter_map(|_| next()));
+        }
+        Self { instances, hubs, successors }
     }
 
     /// Number of instances.
@@ -122,6 +126,11 @@
         self.hubs.contains(instance)
     }
 
+    /// Whether `instance` would be a hub if all present ones were lost; `false` for a hub.
+    pub fn is_successor(&self, instance: &InstanceId) -> bool {
+        self.successors.contains(instance)
+    }
+
     /// All hubs, in the order of their identifiers.
     pub fn hubs(&self) -> impl Iterator<Item = &InstanceId> {
         self.hubs.iter()
--- a/crates/core/tests/topology.rs
+++ b/crates/core/tests/topology.rs
@@ -42,6 +42,22 @@
     }
 }
 
+/// Guards against hubs that know nothing of the hubs before them: each region has instances that become hubs next.
+#[test_case(12, 0; "a flat fleet")]
+#[test_case(13, 4; "the smallest with hubs")]
+#[test_case(300, 4; "a large fleet")]
+fn is_successor_of_lost_hubs(instances: usize, successors: usize) {
+    let topology = Topology::new(fleet(instances));
+    let fleet = fleet(instances).into_iter();
+    let (next, rest): (Vec<_>, Vec<_>) =
+        fleet.partition(|instance| topology.is_successor(&instance.name));
+    assert_eq!(next.len(), successors);
+    assert!(next.iter().all(|instance| !topology.is_hub(&instance.name)));
+    let survivors = next.iter().chain(&rest).filter(|instance| !topology.is_hub(&instance.name));
+    let later = Topology::new(survivors.cloned());
+    assert!(next.iter().all(|instance| later.is_hub(&instance.name)));
+}
+
 /// Guards against instances that choose different hubs because they learned of each other in a different order.
 #[test]
 fn new_does_not_depend_on_the_order() {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,6 +1,8 @@
 //! Control of failovers: detects primaries that have to be replaced, decides which instance starts a failover, and
 //! executes its steps.
 
+mod steps;
+
 use std::{
     cell::RefCell,
     collections::{BTreeMap, BTreeSet},
@@ -13,18 +15,14 @@
     name::{Group, MemberId},
     position::Term,
     roster::FleetRole,
-    sync_group::{
-        COMMAND_TIMEOUT, ClaimGrant, FailoverAction, MemberStatus, PromotionRecord, Role,
-        SUSPICION_TIMEOUT, Trigger,
-    },
+    sync_group::{COMMAND_TIMEOUT, FailoverAction, MemberStatus, Role, SUSPICION_TIMEOUT, Trigger},
 };
 use hibiscusladder_io::clock::within;
 use serde_json::json;
 
 use crate::{
-    adapter::{Platform, Promoter},
+    adapter::Platform,
     events::{self, Event},
-    failover_claim,
     group_state::GroupState,
     metrics::Counter,
     monitor::{self, ControlError},
@@ -115,6 +113,7 @@
         demote_replaced(node, group, cx, now);
     }
     let leaving = leaving_members(node, &group.name);
+    steps::observe_era(node, group);
     let fence = group.failover.borrow().fence();
     let held_since = group.failover.borrow().held_since();
     let actions = {
@@ -351,7 +350,7 @@
     match action {
         FailoverAction::Claim { term } => {
             let (node, group) = (node.clone(), group.clone());
-            node.clone().spawn(async move { claim(&node, &group, term).await });
+            node.clone().spawn(async move { steps::claim(&node, &group, term).await });
         }
         FailoverAction::Hold { member, term } => {
             let until = group.failover.borrow().grant().map(|grant| grant.until);
@@ -367,11 +366,11 @@
         }
         FailoverAction::Renew { promotion } => {
             let (node, group) = (node.clone(), group.clone());
-            node.clone().spawn(async move { renew(&node, &group, promotion).await });
+            node.clone().spawn(async move { steps::renew(&node, &group, promotion).await });
         }
         FailoverAction::Promote { member, grant } => {
             let (node, group) = (node.clone(), group.clone());
-            node.clone().spawn(async move { promote(&node, &group, &member, grant).await });
+            node.clone().spawn(async move { steps::promote(&node, &group, &member, grant).await });
         }
         FailoverAction::Ended { replaced } => {
             group.unanswered_writes.set(None);
@@ -441,54 +440,3 @@
         }),
     );
 }
-
-async fn claim<P>(node: &Node<P>, group: &GroupState, term: Term)
-where
-    P: Platform,
-{
-    let granted = failover_claim::claim(node, &group.name, term).await;
-    let generation = granted.as_ref().map(|granted| granted.grant.generation);
-    events::log(
-        Event::FailoverStep,
-        json!({ "group": group.name.as_str(), "step": "claim", "generation": generation }),
-    );
-    group.failover.borrow_mut().claimed(granted, node.now());
-    node.evaluate_now.notify(usize::MAX);
-}
-
-async fn renew<P>(node: &Node<P>, group: &GroupState, promotion: Option<PromotionRecord>)
-where
-    P: Platform,
-{
-    let grant = failover_claim::renew(node, &group.name, promotion.as_ref()).await;
-    let mut fields = json!({
-        "group": group.name.as_str(), "step": "renew",
-        "generation": grant.map(|grant| grant.generation),
-    });
-    if let Some(promotion) = &promotion {
-        let (member, position) = (promotion.member.as_str(), promotion.position.to_string());
-        events::extend(&mut fields, json!({ "member": member, "position": position }));
-    }
-    events::log(Event::FailoverStep, fields);
-    group.failover.borrow_mut().renewed(grant, node.now());
-    node.evaluate_now.notify(usize::MAX);
-}
-
-/// Promotes `member` while the claim is valid.
-async fn promote<P>(node: &Node<P>, group: &GroupState, member: &MemberId, grant: ClaimGrant)
-where
-    P: Platform,
-{
-    let promoted = node.promoter.promote(&group.name, member, node.instance(), grant).await;
-    let outcome = match &promoted {
-        Ok(()) => "accepted".to_owned(),
-        Err(error) => error.to_string(),
-    };
-    events::log(
-        Event::FailoverStep,
-        json!({
-            "group": group.name.as_str(), "step": "promote", "member": member.as_str(),
-            "generation": grant.generation, "outcome": outcome,
-        }),
-    );
-}
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -53,6 +53,8 @@
     StoreRegained,
     /// The store has a higher era than the one known before: it was restored from an older copy.
     StoreRestored,
+    /// The store lacked a record of a promotion after a restore, and it was written again or could not be.
+    PromotionRecordWritten,
     /// An answer of the store was not used, because of its era.
     StoreAnswerRejected,
     /// A member is new, or its entry changed.
@@ -102,6 +104,7 @@
             Self::StoreLost => "store_lost",
             Self::StoreRegained => "store_regained",
             Self::StoreRestored => "store_restored",
+            Self::PromotionRecordWritten => "promotion_record_written",
             Self::StoreAnswerRejected => "store_answer_rejected",
             Self::MemberChanged => "member_changed",
             Self::MemberGone => "member_gone",
--- a/crates/gateway/src/failover_claim.rs
+++ b/crates/gateway/src/failover_claim.rs
@@ -1,244 +1,252 @@
 //! Failover claims: the right of one instance to replace a group's primary.
 //!
 //! A claim is an object in the store, one for each group. It is replaced only if it has not changed since it was read,
-//! so each generation number is given to one claimant only. The rule for how long a claimant may act is in
-//! [`hibiscusladder_core::sync_group`].
+//! so each generation number is given to one claimant only. The rules for how long a claimant may act, and who may claim after
+//! the store has lost data, are in [`hibiscusladder_core::sync_group`].
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{cell::RefCell, time::Duration};
 
 use hibiscusladder_core::{
-    clock::Instant,
-    name::{Group, InstanceId, MemberId},
-    position::{Lsn, Position, Term},
+    clock::{Clock, Instant},
+    name::{Group, InstanceId},
+    position::Term,
     roster::Freshness,
     store_version::StoreVersion,
     sync_group::{
-        ClaimGrant, GrantedClaim, PreviousClaim, PromotionRecord, may_claim, next_generation,
+        ClaimGrant, GrantedClaim, PromotionRecord, RecordedPromotion, generation_era, may_claim,
+        next_generation, record_generation,
     },
 };
-use serde::{Deserialize, Serialize};
+use hibiscusladder_io::clock::BootClock;
+use thiserror::Error;
 
 use crate::{
-    adapter::{Collection, Content, Listing, Object, Platform, Store, StoreError},
-    metrics::Counter,
-    node::Node,
+    adapter::{Collection, Store, StoreError},
+    claim_table::{Claim, FailoverClaims, RecordedClaim},
+    metrics::{Counter, Metrics},
+    store_era::SharedStoreEra,
 };
 
-/// A claim as stored, in JSON.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Claim {
-    /// Instance that has made the claim.
-    #[serde(rename = "holder")]
-    pub claimant: InstanceId,
-    /// Number of the claim, which grows by one with each claim for the group.
-    pub generation: u64,
-    /// Term that the replicas were to hold; `None` in a claim of an earlier version.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub fence: Option<u64>,
-    /// Latest promotion in the group, which later claims repeat; `None` before the first.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub promotion: Option<StoredPromotion>,
+/// Reason why a failover was not claimed.
+#[derive(Debug, Error)]
+pub enum ClaimError {
+    /// The claims could not be read.
+    #[error("the claims cannot be read: {0}")]
+    NotListed(StoreError),
+    /// Another instance may be acting under its claim, or under one that the store has lost.
+    #[error("another instance may act until its claim has ended, or a claim that the store lost")]
+    Waiting,
+    /// There is no higher generation number.
+    #[error(
+        "no generation number follows in era {0}; check that the era of the store did not fall"
+    )]
+    NoNumber(u64),
+    /// Another instance has claimed meanwhile, or the store lost data, or its answer is not known.
+    #[error("the claim was not written")]
+    NotWritten,
 }
 
-/// A [`PromotionRecord`] as stored.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StoredPromotion {
-    /// Term of the primary that was replaced.
-    pub replaced: u64,
-    /// Member that was to become the primary.
-    pub member: MemberId,
-    /// Number of members in the group.
-    pub members: usize,
-    /// Term and log sequence number of the end of its log.
-    pub position: (u64, u64),
+/// What is needed to read and write failover claims.
+#[derive(Debug)]
+pub struct ClaimClient<'a, S> {
+    /// Client of the store.
+    pub store: &'a S,
+    /// Era of the store.
+    pub era: &'a SharedStoreEra,
+    /// Claims and records that this instance knows.
+    pub table: &'a RefCell<FailoverClaims>,
+    /// Counters of the calls.
+    pub metrics: &'a Metrics,
+    /// This instance.
+    pub instance: &'a InstanceId,
 }
 
-impl From<&PromotionRecord> for StoredPromotion {
-    fn from(promotion: &PromotionRecord) -> Self {
-        let position = promotion.position;
-        Self {
-            replaced: promotion.replaced.0,
-            member: promotion.member.clone(),
-            members: promotion.members,
-            position: (position.term.0, position.lsn.0),
+impl<S> ClaimClient<'_, S>
+where
+    S: Store,
+{
+    /// Claims the failover of `group`, for which the replicas are to hold `term`.
+    ///
+    /// # Errors
+    ///
+    /// Another instance may still be acting, or the claim cannot be written.
+    pub async fn claim(&self, group: &Group, term: Term) -> Result<GrantedClaim, ClaimError> {
+        if !self.is_listed() {
+            self.list().await.map_err(ClaimError::NotListed)?;
         }
-    }
-}
-
-impl From<&StoredPromotion> for PromotionRecord {
-    fn from(stored: &StoredPromotion) -> Self {
-        let (term, lsn) = stored.position;
-        Self {
-            replaced: Term(stored.replaced),
-            member: stored.member.clone(),
-            members: stored.members,
-            position: Position::new(Term(term), Lsn(lsn)),
+        let era = self.era.known();
+        let replaced = self.current(group, era);
+        let previous = replaced.as_ref().map(|replaced| replaced.previous(self.instance));
+        let now = BootClock.now();
+        if !self.is_listed() || !may_claim(previous.as_ref(), era, self.known_for(now), now) {
+            return Err(ClaimError::Waiting);
         }
+        let repeats =
+            |replaced: &RecordedClaim| replaced.claim.fence.is_none_or(|fence| fence >= term.0);
+        let repeats_term = replaced.as_ref().is_some_and(repeats);
+        let grant = self.write(group, replaced, era, Some(term.0), None).await?;
+        let table = self.table.borrow();
+        let latest = table.records().latest(group);
+        // A claim for the term may be lost unless a promotion was recorded since the data loss.
+        let is_of_era = latest.is_some_and(|latest| generation_era(latest.generation) == era);
+        Ok(GrantedClaim {
+            grant,
+            repeats_term: repeats_term || era > 0 && !is_of_era,
+            latest: latest.map(|latest| latest.promotion.clone()),
+            may_lack_records: era > 0,
+        })
     }
-}
-
-#[derive(Debug, Clone)]
-struct RecordedClaim {
-    claim: Claim,
-    version: StoreVersion,
-    seen_at: Instant,
-    /// Whether this process made the claim.
-    is_own: bool,
-}
 
-impl RecordedClaim {
-    fn previous(&self, instance: &InstanceId) -> PreviousClaim {
-        PreviousClaim {
-            generation: self.claim.generation,
-            version: StoreVersion::new(0, self.version.revision),
-            is_own: self.claim.claimant == *instance,
-            seen_at: self.seen_at,
+    /// Renews this process's own claim of this era, and records a promotion with it if there is one; `None` when another
+    /// instance has claimed meanwhile, when the store has lost data since the claim, or when the claim cannot be written.
+    pub async fn renew(
+        &self,
+        group: &Group,
+        promotion: Option<&PromotionRecord>,
+    ) -> Option<ClaimGrant> {
+        let era = self.era.known();
+        let own = self.current(group, era).filter(|recorded| recorded.is_own)?;
+        if !own.previous(self.instance).is_of_era(era) {
+            return None;
         }
+        let fence = own.claim.fence;
+        self.write(group, Some(own), era, fence, promotion).await.ok()
     }
-}
-
-/// Failover claims that this instance has read or made, by group.
-#[derive(Debug, Default)]
-pub struct FailoverClaims {
-    claims: BTreeMap<Box<str>, RecordedClaim>,
-    listed: bool,
-}
 
-impl FailoverClaims {
-    /// Records a claim that was read from the store, unless one of the same or a higher version is recorded.
-    pub fn record(&mut self, object: &Object, now: Instant) {
-        let Content::GatewayText(text) = &object.content else { return };
-        let Ok(claim) = serde_json::from_str::<Claim>(text) else { return };
-        if self.claims.get(&object.name).is_some_and(|recorded| recorded.version >= object.version)
-        {
-            return;
+    /// Writes the latest known record of `group` to the store, which lacks it. The claim in the store keeps its claimant, and
+    /// nobody gets the right to act.
+    ///
+    /// # Errors
+    ///
+    /// The claim has changed meanwhile, or the store does not answer. The claims were read again then, if possible.
+    pub async fn write_record(&self, group: &Group) -> Result<(), ClaimError> {
+        let era = self.era.known();
+        let replaced = self.current(group, era);
+        let previous = replaced.as_ref().map(|replaced| replaced.previous(self.instance));
+        let generation =
+            record_generation(previous.as_ref(), era).ok_or(ClaimError::NoNumber(era))?;
+        let promotion = self.table.borrow().records().latest(group).map(Into::into);
+        let previous = replaced.as_ref().map(|replaced| &replaced.claim);
+        let claim = Claim {
+            claimant: previous.map_or(self.instance, |claim| &claim.claimant).clone(),
+            generation,
+            fence: previous.and_then(|claim| claim.fence),
+            promotion,
+        };
+        let base = replaced.map(|replaced| replaced.version);
+        match self.put(group, base, era, &claim).await {
+            Ok(version) => {
+                let seen_at = BootClock.now();
+                let recorded = RecordedClaim { claim, version, seen_at, is_own: false };
+                self.table.borrow_mut().insert(group.clone(), recorded);
+                Ok(())
+            }
+            Err(_) => {
+                // Also after a lost answer: the list shows whether the record was written.
+                let _ = self.list().await;
+                Err(ClaimError::NotWritten)
+            }
         }
-        let recorded =
-            RecordedClaim { claim, version: object.version, seen_at: now, is_own: false };
-        self.claims.insert(object.name.clone(), recorded);
     }
 
-    /// Instance that made the recorded claim for `group`; `None` without a claim.
-    pub fn claimant(&self, group: &Group) -> Option<&InstanceId> {
-        self.claims.get(group.as_str()).map(|recorded| &recorded.claim.claimant)
+    /// Whether the claims were listed in the known era.
+    pub fn is_listed(&self) -> bool {
+        self.table.borrow().is_listed(self.era.known())
     }
-}
 
-/// Claims the failover of `group`, for which the replicas are to hold `term`; `None` when another instance may still be
-/// acting, or when the claim cannot be written.
-pub async fn claim<P>(node: &Node<P>, group: &Group, term: Term) -> Option<GrantedClaim>
-where
-    P: Platform,
-{
-    if !node.failover_claims.borrow().listed {
-        list(node).await.ok()?;
+    /// Reads all claims from the store.
+    ///
+    /// # Errors
+    ///
+    /// The store does not answer.
+    pub async fn list(&self) -> Result<(), StoreError> {
+        let listed = self.store.list(Collection::FailoverClaims, Freshness::Current).await;
+        let label = if listed.is_ok() { "listed" } else { "list_failed" };
+        self.metrics.count(Counter::StoreCalls, label);
+        self.table.borrow_mut().record_list(&listed?, BootClock.now());
+        Ok(())
     }
-    let recorded = node.failover_claims.borrow().claims.get(group.as_str()).cloned();
-    let previous = recorded.as_ref().map(|recorded| recorded.previous(node.instance()));
-    if !may_claim(previous.as_ref(), 0, Duration::ZERO, node.now()) {
-        return None;
+
+    /// Time for which the era has been known; zero before the first answer.
+    fn known_for(&self, now: Instant) -> Duration {
+        let learned_at = self.era.get().learned_at();
+        learned_at.map_or(Duration::ZERO, |learned_at| now.since(learned_at))
     }
-    let promotion = recorded.as_ref().and_then(|recorded| recorded.claim.promotion.clone());
-    let latest = promotion.as_ref().map(PromotionRecord::from);
-    let repeats_term = recorded
-        .as_ref()
-        .is_some_and(|recorded| recorded.claim.fence.is_none_or(|fence| fence >= term.0));
-    let grant = write(node, group, recorded, Some(term.0), promotion).await?;
-    Some(GrantedClaim { grant, repeats_term, latest, may_lack_records: false })
-}
 
-/// Renews this process's own claim, and records a promotion with it if there is one; `None` when another instance has
-/// claimed meanwhile, or when the claim cannot be written.
-pub async fn renew<P>(
-    node: &Node<P>,
-    group: &Group,
-    promotion: Option<&PromotionRecord>,
-) -> Option<ClaimGrant>
-where
-    P: Platform,
-{
-    let recorded = node.failover_claims.borrow().claims.get(group.as_str()).cloned();
-    let own = recorded.filter(|recorded| recorded.is_own)?;
-    let promotion = promotion.map(Into::into).or_else(|| own.claim.promotion.clone());
-    let fence = own.claim.fence;
-    write(node, group, Some(own), fence, promotion).await
-}
+    fn current(&self, group: &Group, era: u64) -> Option<RecordedClaim> {
+        self.table.borrow().current(group, era).cloned()
+    }
 
-/// Writes the claim that follows `recorded`.
-async fn write<P>(
-    node: &Node<P>,
-    group: &Group,
-    recorded: Option<RecordedClaim>,
-    fence: Option<u64>,
-    promotion: Option<StoredPromotion>,
-) -> Option<ClaimGrant>
-where
-    P: Platform,
-{
-    let requested_at = node.now();
-    let previous = recorded.as_ref().map(|recorded| recorded.previous(node.instance()));
-    let generation = next_generation(previous.as_ref(), 0)?;
-    let claim = Claim { claimant: node.instance().clone(), generation, fence, promotion };
-    let text = serde_json::to_string(&claim).ok()?;
-    let name = group.as_str();
-    let written = match &recorded {
-        Some(recorded) => {
-            node.store.replace(Collection::FailoverClaims, name, recorded.version, &text).await
-        }
-        None => node.store.create(Collection::FailoverClaims, name, &text).await,
-    };
-    match written {
-        Ok(version) => {
-            node.metrics.count(Counter::StoreCalls, "claimed");
-            let recorded = RecordedClaim { claim, version, seen_at: node.now(), is_own: true };
-            node.failover_claims.borrow_mut().claims.insert(name.into(), recorded);
-            Some(ClaimGrant::new(generation, requested_at))
-        }
-        Err(error) => {
-            node.metrics.count(Counter::StoreCalls, "claim_failed");
-            let is_written = resolve_failed_write(node, group, &claim, &error).await;
-            is_written.then(|| ClaimGrant::new(generation, requested_at))
+    /// Writes the claim that follows `replaced`, with a new record or the latest known one.
+    async fn write(
+        &self,
+        group: &Group,
+        replaced: Option<RecordedClaim>,
+        era: u64,
+        fence: Option<u64>,
+        promotion: Option<&PromotionRecord>,
+    ) -> Result<ClaimGrant, ClaimError> {
+        let requested_at = BootClock.now();
+        let previous = replaced.as_ref().map(|replaced| replaced.previous(self.instance));
+        let generation =
+            next_generation(previous.as_ref(), era).ok_or(ClaimError::NoNumber(era))?;
+        let new = promotion
+            .map(|promotion| RecordedPromotion { promotion: promotion.clone(), generation });
+        let promotion = match &new {
+            Some(new) => Some(new.into()),
+            None => self.table.borrow().records().latest(group).map(Into::into),
+        };
+        let claim = Claim { claimant: self.instance.clone(), generation, fence, promotion };
+        let base = replaced.map(|replaced| replaced.version);
+        match self.put(group, base, era, &claim).await {
+            Ok(version) => {
+                self.metrics.count(Counter::StoreCalls, "claimed");
+                let seen_at = BootClock.now();
+                let recorded = RecordedClaim { claim, version, seen_at, is_own: true };
+                self.table.borrow_mut().insert(group.clone(), recorded);
+                Ok(ClaimGrant::new(generation, requested_at))
+            }
+            Err(error) => {
+                self.metrics.count(Counter::StoreCalls, "claim_failed");
+                let is_written = self.resolve_failed_write(group, &claim, era, &error).await;
+                let grant = is_written.then(|| ClaimGrant::new(generation, requested_at));
+                grant.ok_or(ClaimError::NotWritten)
+            }
         }
     }
-}
 
-/// Reads the claims again after a failed write. Returns whether the claim is in the store: the write may have taken effect
-/// although its answer was lost.
-async fn resolve_failed_write<P>(
-    node: &Node<P>,
-    group: &Group,
-    claim: &Claim,
-    error: &StoreError,
-) -> bool
-where
-    P: Platform,
-{
-    if list(node).await.is_err() || !matches!(error, StoreError::NoAnswer { .. }) {
-        return false;
+    /// Writes a claim that is based on `base`, or on a list of `era` without a claim for the group.
+    async fn put(
+        &self,
+        group: &Group,
+        base: Option<StoreVersion>,
+        era: u64,
+        claim: &Claim,
+    ) -> Result<StoreVersion, StoreError> {
+        let text = serde_json::to_string(claim);
+        let text =
+            text.map_err(|error| StoreError::NoAnswer { reason: error.to_string().into() })?;
+        let (collection, name) = (Collection::FailoverClaims, group.as_str());
+        let version = match base {
+            Some(base) => self.store.replace(collection, name, base, &text).await?,
+            None => self.store.create(collection, name, &text).await?,
+        };
+        // The write may have taken effect on an object of a later era, whose claim it must not count as.
+        SharedStoreEra::check_base(version, era)?;
+        Ok(version)
     }
-    let mut failover_claims = node.failover_claims.borrow_mut();
-    let recorded = failover_claims.claims.get_mut(group.as_str());
-    let written = recorded.filter(|recorded| recorded.claim == *claim);
-    written.map(|recorded| recorded.is_own = true).is_some()
-}
 
-/// Reads all claims from the store.
-///
-/// # Errors
-///
-/// The store does not answer.
-pub async fn list<P>(node: &Node<P>) -> Result<(), StoreError>
-where
-    P: Platform,
-{
-    let listed = node.store.list(Collection::FailoverClaims, Freshness::Current).await;
-    node.metrics.count(Counter::StoreCalls, if listed.is_ok() { "listed" } else { "list_failed" });
-    let Listing { objects, .. } = listed?;
-    let now = node.now();
-    let mut failover_claims = node.failover_claims.borrow_mut();
-    failover_claims.listed = true;
-    for object in &objects {
-        failover_claims.record(object, now);
+    /// Reads the claims again after a failed write. Returns whether the claim is in the store in the same era: the write may
+    /// have taken effect although its answer was lost.
+    async fn resolve_failed_write(
+        &self,
+        group: &Group,
+        claim: &Claim,
+        era: u64,
+        error: &StoreError,
+    ) -> bool {
+        self.list().await.is_ok()
+            && matches!(error, StoreError::NoAnswer { .. })
+            && self.table.borrow_mut().confirm_own(group, claim, era)
     }
-    Ok(())
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod adapter;
 pub mod admission;
 pub mod channel;
+pub mod claim_table;
 pub mod control;
 pub mod directory;
 pub mod events;
@@ -33,6 +34,7 @@
 pub mod operation;
 pub mod peers;
 pub mod pool;
+pub mod promotion_records;
 pub mod reads;
 pub mod refusal;
 pub mod relay;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -8,6 +8,8 @@
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
+use crate::claim_table::StoredPromotion;
+
 /// One message between two instances.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -157,7 +159,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[repr(u32)]
 pub enum SectionKind {
-    /// Era of the store, and records of promotions.
+    /// Era of the store.
     Store = 1,
     /// Evacuated data centres.
     Evacuations = 2,
@@ -165,6 +167,8 @@
     Pace = 3,
     /// Capacity of members that instances lend to each other.
     Lending = 4,
+    /// Recent records of promotions.
+    Promotions = 5,
     /// Urgency of the request of a call.
     Urgency = 16,
     /// Expected wait and retry delay of a call that got no slot.
@@ -216,6 +220,23 @@
     pub roster: u64,
 }
 
+/// Record of a promotion, as the sender knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromotionEntry {
+    /// Group of the member.
+    pub group: Box<str>,
+    /// The record.
+    pub promotion: StoredPromotion,
+}
+
+/// Recent records of promotions that a hub passes on, so that they survive a data loss of the store and the loss of the
+/// claimant. The section is left out while there is none.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromotionsSection {
+    /// The records, the most recent first.
+    pub records: Vec<PromotionEntry>,
+}
+
 /// Version of a list of instances.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RosterVersion {
--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -9,7 +9,7 @@
 
 use hibiscusladder_core::{
     clock::Instant,
-    name::{InstanceId, MemberId, Workspace},
+    name::{Group, InstanceId, MemberId, Workspace},
     position::{Lsn, Position, Term},
     roster::FleetRole,
     share::TokenRequest,
@@ -28,7 +28,7 @@
     },
     node::Node,
     peers::{OfferedRoster, SEND_INTERVAL, nanos},
-    relay,
+    promotion_records, relay,
 };
 
 /// Largest datagram that can be received.
@@ -92,6 +92,11 @@
         node.store_era.record_told(store.era, now);
     }
     node.peers.borrow_mut().record_extension(&from, extension, store.unwrap_or_default());
+    if let Some(section) = sections.get(SectionKind::Promotions) {
+        let mut claims = node.failover_claims.borrow_mut();
+        let is_group = |group: &Group| node.group(group).is_some();
+        promotion_records::receive(&mut claims, &section, is_group, &node.metrics, now);
+    }
     let topology = node.topology();
     let is_hub = topology.is_hub(&from);
     node.admission.borrow_mut().record_peer(&from, &status.demands, is_hub, now);
@@ -337,11 +342,12 @@
         demands: node.admission.borrow_mut().advertise(name, demanded, now),
     };
     let extension = extension(node, relays_fences, now);
-    send_extended(node, address, &Datagram::Status(status), &extension, &sections(node));
+    send_extended(node, address, &Datagram::Status(status), &extension, &sections(node, name, now));
 }
 
-/// The sections of a status message. There is none while the store was never restored.
-fn sections<P>(node: &Node<P>) -> Sections
+/// The sections of a status message to `receiver`. There is none while the store was never restored and no member was promoted
+/// lately.
+fn sections<P>(node: &Node<P>, receiver: &InstanceId, now: Instant) -> Sections
 where
     P: Platform,
 {
@@ -353,6 +359,13 @@
         // Numbers can always be encoded.
         let _ = sections.insert(SectionKind::Store, &StoreSection { era, members, roster });
     }
+    let topology = node.topology();
+    let may_replace = topology.is_hub(receiver) || topology.is_successor(receiver);
+    if may_replace
+        && let Some(section) = promotion_records::section(&node.failover_claims.borrow(), now)
+    {
+        let _ = sections.insert(SectionKind::Promotions, &section);
+    }
     sections
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,9 @@
     MemberConnections,
     /// Failovers that ended, by outcome.
     Failovers,
+    /// Records of promotions that were learned from another instance or written again, and attempts whose claim the store
+    /// has lost, by kind.
+    PromotionRecords,
     /// Sessions accepted or refused, by result.
     Sessions,
 }
@@ -38,6 +41,7 @@
             Self::StoreCalls => "store_calls_total",
             Self::MemberConnections => "member_connections_total",
             Self::Failovers => "failovers_total",
+            Self::PromotionRecords => "promotion_records_total",
             Self::Sessions => "sessions_total",
         }
     }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -28,9 +28,9 @@
 use crate::{
     adapter::{Platform, Store, Target},
     admission::Admission,
+    claim_table::FailoverClaims,
     directory::Directory,
     events::{self, Event},
-    failover_claim::FailoverClaims,
     group_state::GroupState,
     in_flight::InFlight,
     member_table::{Member, MemberTable},
--- a/crates/gateway/src/node/fleet.rs
+++ b/crates/gateway/src/node/fleet.rs
@@ -5,13 +5,16 @@
 use hibiscusladder_core::{
     clock::Instant,
     membership,
-    name::{DataCentre, InstanceId, Workspace},
+    name::{DataCentre, Group, InstanceId, Workspace},
     roster::{self, FleetRole},
     topology::{Profile, Topology},
 };
 
 use super::Node;
-use crate::{adapter::Platform, message::Registration, peers::OfferedRoster};
+use crate::{
+    adapter::Platform, failover_claim::ClaimClient, message::Registration, peers::OfferedRoster,
+    promotion_records::RecordHost,
+};
 
 /// Time from the first list of the instances in which hubs count as live although no message has come.
 const STARTING_TIME: Duration = Duration::from_millis(1000);
@@ -158,3 +161,29 @@
         topology
     }
 }
+
+impl<P> RecordHost for Node<P>
+where
+    P: Platform,
+{
+    type Store = P::Store;
+
+    fn claims(&self) -> ClaimClient<'_, P::Store> {
+        ClaimClient {
+            store: &self.store,
+            era: &self.store_era,
+            table: &self.failover_claims,
+            metrics: &self.metrics,
+            instance: self.instance(),
+        }
+    }
+
+    fn writer_rank(&self, group: &Group) -> Option<u32> {
+        let rank = crate::monitor::hub_rank(self, group.as_str(), self.now());
+        u32::try_from(rank).ok().filter(|_| self.is_writer())
+    }
+
+    fn is_writer(&self) -> bool {
+        self.role() == FleetRole::Hub && self.knows_fleet()
+    }
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -20,7 +20,7 @@
     events::{self, Event},
     holder, listener, messenger,
     node::Node,
-    session,
+    promotion_records, session,
     settings::Settings,
     status_page::{self, Page},
     sync,
@@ -106,6 +106,7 @@
     node.supervise("receiver", messenger::receive_all);
     node.supervise("sender", messenger::send_all);
     node.supervise("control", control::run);
+    node.supervise("promotion records", promotion_records::run);
     wait_for_end(&node, &mut signals).await;
     Ok(())
 }
