--- a/crates/gateway/src/claim_table.rs
+++ b/crates/gateway/src/claim_table.rs
@@ -170,6 +170,11 @@
         self.records.learn(group, &promotion.into(), now)
     }
 
+    /// Number of groups with a known record.
+    pub fn known_records(&self) -> usize {
+        self.records.groups().count()
+    }
+
     /// Groups whose latest known record the store lacks in `era`, and that may be written by `instance` now. There is none
     /// before the claims were listed in `era`.
     pub fn lacking(&self, instance: &InstanceId, era: u64, now: Instant) -> Vec<Group> {
--- a/crates/gateway/src/status_page.rs
+++ b/crates/gateway/src/status_page.rs
@@ -123,15 +123,19 @@
 where
     P: Platform,
 {
+    let claims = node.failover_claims.borrow();
     let mut text = format!(
         "hibiscus_configuration_version {}\nhibiscus_sessions {}\nhibiscus_log_lines_dropped_total {}\n\
-         hibiscus_priorities_enabled {}\nhibiscus_return_times_enabled {}\nhibiscus_waiting_requests {}\n",
+         hibiscus_priorities_enabled {}\nhibiscus_return_times_enabled {}\nhibiscus_waiting_requests {}\n\
+         hibiscus_promotion_records {}\nhibiscus_promotion_records_lacking {}\n",
         node.version(),
         node.sessions(),
         events::dropped(),
         u8::from(node.settings.priorities),
         u8::from(node.settings.return_times),
         node.waiting_requests(),
+        claims.known_records(),
+        claims.lacking(node.instance(), node.store_era.known(), node.now()).len(),
     );
     match node.metrics.write(&mut text) {
         Ok(()) => reply(StatusCode::OK, Bytes::from(text)),
