feat(gateway): first configuration after a restore is compared

Cause: a process that starts right after a restore of the store reads a configuration that may contain a withdrawn key.

Change: `core::first_configuration` holds the first configuration back, so that the process is not ready, until the live instances have sent their versions and none has a newer one; for at most 5 s from when the era was learned. A newer one is fetched from an instance at once. Nothing is held back in era 0.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod config;
 pub mod contract;
 pub mod database;
+pub mod first_configuration;
 pub mod home_lease;
 pub mod key;
 pub mod member_report;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -14,10 +14,12 @@
 use event_listener::Event as Notify;
 use hibiscusladder_core::{
     clock::{Clock, Instant},
+    first_configuration::{Fleet, is_confirmed},
     name::{DataCentre, Group, InstanceId, MemberId, Workspace},
     roster::{FleetRole, Roster},
     share::AllotmentPart,
     shutdown::StopPlan,
+    store_era::REWRITE_TIME,
     store_version::StoreVersion,
     topology::{Connections, HOLDERS_PER_MEMBER, Topology},
 };
@@ -114,6 +116,8 @@
     /// Digest of the member entries, and the number of changes of the table that it includes.
     members_digest: Cell<(Option<u64>, u64)>,
     directory: RefCell<Option<Rc<Directory>>>,
+    /// First configuration from a store that may lack a newer one, until it was compared with those of other instances.
+    unconfirmed: RefCell<Option<Rc<Directory>>>,
     groups: RefCell<BTreeMap<Group, Rc<GroupState>>>,
     pools: RefCell<BTreeMap<MemberId, Rc<Pool<P>>>>,
     tasks: Tasks,
@@ -169,6 +173,7 @@
             members_version: Cell::default(),
             members_digest: Cell::default(),
             directory: RefCell::default(),
+            unconfirmed: RefCell::default(),
             groups: RefCell::default(),
             pools: RefCell::default(),
             tasks: Tasks::new(executor),
@@ -224,6 +229,46 @@
         compressed.as_ref().map(|(_, body)| body.clone())
     }
 
+    /// Puts a configuration from the store in force if its version is higher than that of the one in force. The first one
+    /// is compared with those of other instances before, if the store was restored lately.
+    pub fn apply_stored_directory(&self, directory: Rc<Directory>) {
+        if self.directory.borrow().is_none() {
+            let version = directory.version;
+            let mut unconfirmed = self.unconfirmed.borrow_mut();
+            if unconfirmed.as_ref().is_none_or(|known| known.version < version) {
+                *unconfirmed = Some(directory);
+            }
+            drop(unconfirmed);
+            self.confirm_directory();
+        } else {
+            self.apply_directory(directory, "store");
+        }
+    }
+
+    /// Puts the configuration in force that waits for a comparison with other instances, if it is confirmed.
+    pub fn confirm_directory(&self) {
+        let Some(directory) = self.unconfirmed.borrow().clone() else { return };
+        let now = self.now();
+        let peers = self.peers.borrow();
+        let fleet = Fleet {
+            others: self.roster.borrow().known_since().map(|_| peers.registrations().count()),
+            heard_since: peers.heard_since(),
+            newest: peers.newest_version(now),
+        };
+        drop(peers);
+        let may_be_old = self.store_era.may_lack_writes(REWRITE_TIME, now);
+        if may_be_old && !is_confirmed(directory.version, fleet, now) {
+            return;
+        }
+        self.unconfirmed.take();
+        self.apply_directory(directory, "store");
+    }
+
+    /// Whether a configuration waits for a comparison with other instances.
+    pub fn has_unconfirmed_directory(&self) -> bool {
+        self.unconfirmed.borrow().is_some() && self.directory.borrow().is_none()
+    }
+
     /// Puts a configuration in force if its version is higher than that of the one in force. `source` is `store` or
     /// `instance`, for the log.
     pub fn apply_directory(&self, directory: Rc<Directory>, source: &'static str) {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -81,6 +81,8 @@
 pub struct Peers {
     own: InstanceId,
     started: u64,
+    /// When the first message of another instance came.
+    heard_since: Option<Instant>,
     peers: BTreeMap<InstanceId, Peer>,
 }
 
@@ -99,7 +101,7 @@
 impl Peers {
     /// Creates the state of an instance that was started at `now` and knows no other instance.
     pub fn new(own: InstanceId, now: Instant) -> Self {
-        Self { own, started: nanos(now), peers: BTreeMap::new() }
+        Self { own, started: nanos(now), heard_since: None, peers: BTreeMap::new() }
     }
 
     /// Records the registrations of all instances, and removes instances that are neither listed nor live. While the store
@@ -248,6 +250,7 @@
             return None;
         }
         let started = self.started;
+        self.heard_since.get_or_insert(now);
         let name = InstanceId::new(&status.from);
         let peer = self.peers.entry(name).or_insert_with(|| Peer::new(address));
         if peer.latest_message.is_some_and(|latest| latest >= (status.started, status.sent)) {
@@ -306,10 +309,21 @@
         self.started
     }
 
+    /// When the first message of another instance came; `None` before.
+    pub(crate) const fn heard_since(&self) -> Option<Instant> {
+        self.heard_since
+    }
+
+    /// Highest version of the configuration at a live instance; 0 if none has one.
+    pub(crate) fn newest_version(&self, now: Instant) -> u64 {
+        let live = self.peers.values().filter(|peer| peer.is_live(now));
+        live.map(|peer| peer.version).max().unwrap_or(0)
+    }
+
     /// The live instances with the newest configuration, if that is newer than `version`.
     pub(crate) fn ahead(&self, version: u64, now: Instant) -> Vec<InstanceId> {
         let live = || self.peers.iter().filter(|(_, peer)| peer.is_live(now));
-        let newest = live().map(|(_, peer)| peer.version).max().unwrap_or(0);
+        let newest = self.newest_version(now);
         let ahead = live().filter(|(_, peer)| peer.version == newest && newest > version);
         ahead.map(|(name, _)| name.clone()).collect()
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -234,8 +234,10 @@
     P: Platform,
 {
     let is_hub = node.role() == FleetRole::Hub;
+    node.confirm_directory();
     let directory = node.peers.borrow().ahead(node.version(), now);
-    catch_up_page(node, PageKind::Directory, &directory, is_hub, now);
+    let waits_for_watch = is_hub && !node.has_unconfirmed_directory();
+    catch_up_page(node, PageKind::Directory, &directory, waits_for_watch, now);
     let digest = (!is_hub).then(|| node.members_digest());
     let members = node.peers.borrow().members_ahead(node.members_version(), digest, now);
     catch_up_page(node, PageKind::Members, &members, is_hub, now);
@@ -246,7 +248,7 @@
     node: &Rc<Node<P>>,
     page: PageKind,
     sources: &[InstanceId],
-    is_hub: bool,
+    waits_for_watch: bool,
     now: Instant,
 ) where
     P: Platform,
@@ -257,7 +259,7 @@
         catch_up.caught_up();
         return;
     }
-    if catch_up.lag(now) < if is_hub { HUB_GRACE } else { Duration::ZERO } {
+    if catch_up.lag(now) < if waits_for_watch { HUB_GRACE } else { Duration::ZERO } {
         return;
     }
     if !catch_up.has_asked() {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -194,7 +194,7 @@
             }
         }
         (Collection::Configuration, Content::Directory(directory)) => {
-            node.apply_directory(directory, "store");
+            node.apply_stored_directory(directory);
         }
         (Collection::Members, Content::Member(record)) => {
             node.record_members_version(object.version);
