test(gateway): processes over a restore of the store

A data loss under load, once and twice in a row, in which a registration is lost; a key that was withdrawn before it, at running instances and at a process that starts right after it, with current and with old lists; an instance that is cut off from the store; a member that was draining before it.

--- a/hibiscusladder/tests/gateway/main.rs
+++ b/hibiscusladder/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod order;
 mod path;
 mod promotion;
+mod restore;
 mod returning;
 mod soak;
 mod stop;
