test(gateway): processes over a restore of the store around a change of primary

The store is restored from a copy made before the change: before it, while the promotion is requested, twice in a row, and after it with a second change. Checked: numbers rise and have the era, acknowledged writes are read at all instances, the record is written again, the group has a primary.

--- a/hibiscusladder/tests/gateway/main.rs
+++ b/hibiscusladder/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod path;
 mod promotion;
 mod restore;
+mod restore_failover;
 mod returning;
 mod soak;
 mod stop;
