--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod contract;
 pub mod database;
 pub mod evacuation;
+pub mod first_configuration;
 pub mod holder_reach;
 pub mod home_lease;
 pub mod key;
--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -9,7 +9,7 @@
 
 use hibiscusladder_core::{
     clock::Instant,
-    name::{InstanceId, MemberId, Workspace},
+    name::{Group, InstanceId, MemberId, Workspace},
     position::{Lsn, Position, Term},
     roster::FleetRole,
     share::TokenRequest,
@@ -30,7 +30,7 @@
     },
     node::Node,
     peers::{OfferedRoster, SEND_INTERVAL, nanos},
-    relay,
+    promotion_records, relay,
 };
 
 /// Largest datagram that can be received.
@@ -94,6 +94,11 @@
         node.store_era.record_told(store.era, now);
     }
     node.peers.borrow_mut().record_extension(&from, extension, store.unwrap_or_default());
+    if let Some(section) = sections.get(SectionKind::Promotions) {
+        let mut claims = node.failover_claims.borrow_mut();
+        let is_group = |group: &Group| node.group(group).is_some();
+        promotion_records::receive(&mut claims, &section, is_group, &node.metrics, now);
+    }
     let topology = node.topology();
     let is_hub = topology.is_hub(&from);
     node.admission.borrow_mut().record_peer(&from, &status.demands, is_hub, now);
@@ -366,12 +371,17 @@
         demands: node.admission.borrow_mut().advertise(name, demanded, now),
     };
     let extension = extension(node, relays_fences, now);
-    let sections = sections(node, relays_fences, now);
+    let sections = sections(node, name, relays_fences, now);
     send_extended(node, address, &Datagram::Status(status), &extension, &sections);
 }
 
-/// The sections of a message to a hub, or to another instance (`is_for_follower`).
-fn sections<P>(node: &Node<P>, is_for_follower: bool, now: Instant) -> Sections
+/// The sections of a message to `receiver`, which is a hub or another instance (`is_for_follower`).
+fn sections<P>(
+    node: &Node<P>,
+    receiver: &InstanceId,
+    is_for_follower: bool,
+    now: Instant,
+) -> Sections
 where
     P: Platform,
 {
@@ -393,6 +403,13 @@
         // Names and numbers cannot fail to be encoded.
         let _ = sections.insert(SectionKind::Pace, &pace);
     }
+    let topology = node.topology();
+    let may_replace = topology.is_hub(receiver) || topology.is_successor(receiver);
+    if may_replace
+        && let Some(section) = promotion_records::section(&node.failover_claims.borrow(), now)
+    {
+        let _ = sections.insert(SectionKind::Promotions, &section);
+    }
     sections
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,9 @@
     RelayedCalls,
     /// Failovers that ended, by outcome.
     Failovers,
+    /// Records of promotions that were learned from another instance or written again, and attempts whose claim the store
+    /// has lost, by kind.
+    PromotionRecords,
     /// Sessions accepted or refused, by result.
     Sessions,
 }
@@ -41,6 +44,7 @@
             Self::MemberConnections => "member_connections_total",
             Self::RelayedCalls => "relayed_calls_total",
             Self::Failovers => "failovers_total",
+            Self::PromotionRecords => "promotion_records_total",
             Self::Sessions => "sessions_total",
         }
     }
--- a/hibiscusladder/tests/gateway/main.rs
+++ b/hibiscusladder/tests/gateway/main.rs
@@ -7,6 +7,8 @@
 mod order;
 mod path;
 mod promotion;
+mod restore;
+mod restore_failover;
 mod returning;
 mod soak;
 mod stop;
