test(gateway): evacuation of data centres with real processes

Cause: the evacuation had tests of its rule only. The first run showed that the planned replacement of an evacuated primary held the replicas at once: writes that were under way became unknown, and the primary's longer log was promoted again. Change: running writes complete before the replicas are held, as for a leaving primary (Trigger::is_planned). The stand-in has the collection, data centres that a test sets, and the member of each executed statement.

--- a/crates/core/src/sync_group/failover.rs
+++ b/crates/core/src/sync_group/failover.rs
@@ -264,7 +264,7 @@
         if let Some(renewal) = self.renew_if_due(now) {
             return vec![renewal];
         }
-        if self.trigger == Trigger::Leaving && now.since(self.stage_started) < QUIESCE_TIME {
+        if self.trigger.is_planned() && now.since(self.stage_started) < QUIESCE_TIME {
             return Vec::new();
         }
         self.observe_demotion(&mut fencing.rule, view, now);
--- a/crates/core/src/sync_group/trigger.rs
+++ b/crates/core/src/sync_group/trigger.rs
@@ -18,7 +18,12 @@
 impl Trigger {
     /// Whether the primary still answers, so that a failover need not begin before it can succeed.
     pub const fn has_primary(self) -> bool {
-        matches!(self, Self::Leaving | Self::Evacuated | Self::Stalled)
+        self.is_planned() || matches!(self, Self::Stalled)
+    }
+
+    /// Whether the primary serves until it is replaced, so that running writes can complete before the replicas are held.
+    pub const fn is_planned(self) -> bool {
+        matches!(self, Self::Leaving | Self::Evacuated)
     }
 
     /// Name in log events.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -276,7 +276,7 @@
 where
     P: Platform,
 {
-    if matches!(trigger, Trigger::Leaving | Trigger::Evacuated | Trigger::Orphaned) {
+    if trigger.is_planned() || trigger == Trigger::Orphaned {
         return true;
     }
     let term = group.view.borrow().leader_term().0;
--- a/hibiscusladder/tests/gateway/history.rs
+++ b/hibiscusladder/tests/gateway/history.rs
@@ -416,6 +416,7 @@
     let logged_writes = BTreeMap::from([("w".to_owned(), logged_writes)]);
     let workspace = executed_for.to_owned();
     let executed = [ExecutedStatement {
+        member: 0,
         id: "w".to_owned(),
         workspace,
         outside_transaction: true,
@@ -439,6 +440,7 @@
     let rates: Vec<(Instant, f64)> = rates.iter().map(|(time, rate)| (at(*time), *rate)).collect();
     let executed: Vec<ExecutedStatement> = (0..count)
         .map(|number| ExecutedStatement {
+            member: 0,
             id: number.to_string(),
             workspace: WORKSPACES[0].to_owned(),
             outside_transaction: true,
--- a/hibiscusladder/tests/gateway/main.rs
+++ b/hibiscusladder/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests of gateway processes against the stand-in for the platform.
 
+mod evacuation;
 mod fleet;
 mod foreign;
 mod history;
