test(gateway): soak draws an evacuation

Cause: evacuations were not combined with other faults. Change: each run has one evacuation of a drawn data centre with its own random numbers, so that the other faults of a seed stay as they were.

--- a/hibiscusladder/tests/gateway/soak/mod.rs
+++ b/hibiscusladder/tests/gateway/soak/mod.rs
@@ -17,7 +17,7 @@
 use hibiscusladder_testkit::fault_proxy::{Answers, FaultProxy, Faults};
 use test_case::test_case;
 
-use self::plan::{Fault, Link, plan};
+use self::plan::{Fault, Link, ZONES, plan};
 use crate::{
     fleet::{Fleet, process_log, save_logs},
     history::{History, MAX_RATE},
@@ -66,9 +66,9 @@
     Some(first.parse().ok()?..end.parse().ok()?)
 }
 
-/// Settings with which the first instance sends and reads the messages of an earlier version.
+/// Settings with which the first instance sends and reads the messages of an earlier version, and the others evacuate.
 const fn earlier_version(number: usize) -> &'static str {
-    if number == 0 { "hibiscusladder.priorities=off\n" } else { "" }
+    if number == 0 { "hibiscusladder.priorities=off\n" } else { "bounds.evacuate_ms=5000\n" }
 }
 
 fn run_time() -> Duration {
@@ -208,6 +208,8 @@
             let time = if *long { LONG_STATEMENT_TIME } else { STATEMENT_TIME };
             fleet.standin.lock_group().set_statement_time(time);
         }
+        Fault::Evacuation { zone, requested: true } => fleet.standin.evacuate(zone),
+        Fault::Evacuation { zone, requested: false } => fleet.standin.end_evacuation(zone),
         Fault::Configure { version, rate } => {
             fleet.standin.configure(*version, [*rate, MAX_RATE], &[]);
         }
@@ -218,6 +220,7 @@
 /// stopped.
 fn repair(fleet: &mut Fleet, proxies: &FaultProxies) {
     fleet.standin.set_store_fault(Default::default());
+    ZONES.iter().for_each(|zone| fleet.standin.end_evacuation(zone));
     fleet.standin.lock_group().set_statement_time(STATEMENT_TIME);
     for member in 0..3 {
         let mut group = fleet.standin.lock_group();
--- a/hibiscusladder/tests/gateway/soak/plan.rs
+++ b/hibiscusladder/tests/gateway/soak/plan.rs
@@ -12,6 +12,11 @@
 /// Range of the time until a fault ends, in milliseconds. The longest are as long as the cuts of the deployments.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 300..7000;
 
+/// Data centres of the members.
+pub(super) const ZONES: [&str; 2] = ["north", "south"];
+/// Added to the seed for the evacuations, which are drawn apart so that the other faults of a seed stay as they were.
+const EVACUATION_SEED: u64 = 1 << 32;
+
 /// Fault to inject, or the end of one. Numbers are indices of instances or members.
 #[derive(Debug, Clone, PartialEq)]
 pub(super) enum Fault {
@@ -57,6 +62,8 @@
     CallerLink { instance: usize, link: Link },
     /// Statements take much longer than usual, so that requests wait for connections.
     LongStatements { long: bool },
+    /// The data centre is evacuated, or no longer.
+    Evacuation { zone: &'static str, requested: bool },
     /// A new version of the configuration, in which the first workspace has this rate in operations per second.
     Configure { version: u64, rate: f64 },
 }
@@ -94,6 +101,7 @@
         plan.push((at, begin));
         plan.extend(ending.map(|ending| (end, ending)));
     }
+    plan.extend(evacuation(seed, run_time));
     plan.retain(|(at, _)| *at < run_time);
     plan.sort_by_key(|(at, _)| *at);
     // As the operator's do, versions grow with time; instances ignore one that is older than theirs.
@@ -105,6 +113,15 @@
     plan
 }
 
+/// Draws an evacuation and its end.
+fn evacuation(seed: u64, run_time: Duration) -> [(Duration, Fault); 2] {
+    let mut rng = StdRng::seed_from_u64(seed.wrapping_add(EVACUATION_SEED));
+    let zone = ZONES[rng.random_range(0..ZONES.len())];
+    let at = run_time.mul_f64(rng.random_range(0.0..0.8));
+    let end = at + Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+    [(at, true), (end, false)].map(|(at, requested)| (at, Fault::Evacuation { zone, requested }))
+}
+
 /// Draws a fault, and the one that ends or follows it, if any. `number` is the index of the fault in the run.
 fn random_fault(rng: &mut StdRng, instances: usize, number: u64) -> (Fault, Option<Fault>) {
     let instance = rng.random_range(0..instances);
