--- a/crates/gateway/src/evacuations.rs
+++ b/crates/gateway/src/evacuations.rs
@@ -75,7 +75,7 @@
     changes: RefCell<BTreeMap<&'static str, u64>>,
     refusals: Cell<u64>,
     /// Names that were last logged as unreadable, with their revisions.
-    unreadable: RefCell<BTreeMap<Box<str>, u64>>,
+    unreadable: RefCell<BTreeMap<Box<str>, StoreVersion>>,
 }
 
 impl EvacuationState {
@@ -215,12 +215,12 @@
             _ => "it has no name",
         };
         let mut logged = self.unreadable.borrow_mut();
-        if logged.insert(object.name.clone(), object.revision) != Some(object.revision) {
+        if logged.insert(object.name.clone(), object.version) != Some(object.version) {
             events::log(
                 Event::ObjectUnreadable,
                 json!({
                     "collection": Collection::Evacuations.as_str(), "object": object.name,
-                    "revision": object.revision, "reason": reason,
+                    "version": object.version.to_string(), "reason": reason,
                     "remedy": "write an object with the name of the data centre and the content {}",
                 }),
             );
@@ -309,7 +309,7 @@
                     log_store(Event::StoreRegained, None);
                 }
             }
-            Err(StoreError::Compacted) => cursor = None,
+            Err(StoreError::Compacted | StoreError::Restored { .. }) => cursor = None,
             Err(error) => {
                 if let Some(known) = &host.evacuations().known {
                     known.borrow_mut().store_failed(host.now());
@@ -340,7 +340,7 @@
     let listed = host.store().list(Collection::Evacuations, Freshness::Current).await;
     host.count_call(if listed.is_ok() { "listed" } else { "list_failed" });
     let listing = listed?;
-    let version = StoreVersion::new(0, listing.revision);
+    let version = listing.version;
     if host.evacuations().listed(&listing.objects, version, host.now()) {
         host.evacuations_changed();
     }
@@ -352,14 +352,10 @@
     H: EvacuationHost,
 {
     let wait = if host.watches_briefly() { SHORT_WATCH } else { LONG_WATCH };
-    let watched = host.store().watch(Collection::Evacuations, since.revision, wait).await;
+    let watched = host.store().watch(Collection::Evacuations, since, wait).await;
     host.count_call(if watched.is_ok() { "watched" } else { "watch_failed" });
     let watched = watched?;
-    let version = StoreVersion::new(0, watched.revision);
-    if version.era != since.era {
-        // Changes since a revision of another era say nothing about what has changed.
-        return Err(StoreError::Compacted);
-    }
+    let version = watched.version;
     if host.evacuations().watched(&watched, version, host.now()) {
         host.evacuations_changed();
     }
--- a/crates/gateway/src/failover_claim.rs
+++ b/crates/gateway/src/failover_claim.rs
@@ -4,14 +4,17 @@
 //! so each generation number is given to one claimant only. The rule for how long a claimant may act is in
 //! [`hibiscusladder_core::sync_group`].
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use hibiscusladder_core::{
     clock::Instant,
     name::{Group, InstanceId, MemberId},
     position::{Lsn, Position, Term},
     roster::Freshness,
-    sync_group::{ClaimGrant, GrantedClaim, PromotionRecord, may_take_over, next_generation},
+    store_version::StoreVersion,
+    sync_group::{
+        ClaimGrant, GrantedClaim, PreviousClaim, PromotionRecord, may_claim, next_generation,
+    },
 };
 use serde::{Deserialize, Serialize};
 
@@ -77,12 +80,23 @@
 #[derive(Debug, Clone)]
 struct RecordedClaim {
     claim: Claim,
-    revision: u64,
+    version: StoreVersion,
     seen_at: Instant,
     /// Whether this process made the claim.
     is_own: bool,
 }
 
+impl RecordedClaim {
+    fn previous(&self, instance: &InstanceId) -> PreviousClaim {
+        PreviousClaim {
+            generation: self.claim.generation,
+            version: self.version,
+            is_own: self.claim.claimant == *instance,
+            seen_at: self.seen_at,
+        }
+    }
+}
+
 /// Failover claims that this instance has read or made, by group.
 #[derive(Debug, Default)]
 pub struct FailoverClaims {
@@ -91,19 +105,16 @@
 }
 
 impl FailoverClaims {
-    /// Records a claim that was read from the store, unless one of the same or a higher revision is recorded.
+    /// Records a claim that was read from the store, unless one of the same or a higher version is recorded.
     pub fn record(&mut self, object: &Object, now: Instant) {
         let Content::GatewayText(text) = &object.content else { return };
         let Ok(claim) = serde_json::from_str::<Claim>(text) else { return };
-        if self
-            .claims
-            .get(&object.name)
-            .is_some_and(|recorded| recorded.revision >= object.revision)
+        if self.claims.get(&object.name).is_some_and(|recorded| recorded.version >= object.version)
         {
             return;
         }
         let recorded =
-            RecordedClaim { claim, revision: object.revision, seen_at: now, is_own: false };
+            RecordedClaim { claim, version: object.version, seen_at: now, is_own: false };
         self.claims.insert(object.name.clone(), recorded);
     }
 
@@ -123,11 +134,9 @@
         list(node).await.ok()?;
     }
     let recorded = node.failover_claims.borrow().claims.get(group.as_str()).cloned();
-    if let Some(recorded) = &recorded {
-        let is_other_claimant = recorded.claim.claimant != *node.instance();
-        if is_other_claimant && !may_take_over(recorded.seen_at, node.now()) {
-            return None;
-        }
+    let previous = recorded.as_ref().map(|recorded| recorded.previous(node.instance()));
+    if !may_claim(previous.as_ref(), 0, Duration::ZERO, node.now()) {
+        return None;
     }
     let promotion = recorded.as_ref().and_then(|recorded| recorded.claim.promotion.clone());
     let latest = promotion.as_ref().map(PromotionRecord::from);
@@ -135,7 +144,7 @@
         .as_ref()
         .is_some_and(|recorded| recorded.claim.fence.is_none_or(|fence| fence >= term.0));
     let grant = write(node, group, recorded, Some(term.0), promotion).await?;
-    Some(GrantedClaim { grant, repeats_term, latest })
+    Some(GrantedClaim { grant, repeats_term, latest, may_lack_records: false })
 }
 
 /// Renews this process's own claim, and records a promotion with it if there is one; `None` when another instance has
@@ -167,20 +176,21 @@
     P: Platform,
 {
     let requested_at = node.now();
-    let generation = next_generation(recorded.as_ref().map(|recorded| recorded.claim.generation))?;
+    let previous = recorded.as_ref().map(|recorded| recorded.previous(node.instance()));
+    let generation = next_generation(previous.as_ref(), 0)?;
     let claim = Claim { claimant: node.instance().clone(), generation, fence, promotion };
     let text = serde_json::to_string(&claim).ok()?;
     let name = group.as_str();
     let written = match &recorded {
         Some(recorded) => {
-            node.store.replace(Collection::FailoverClaims, name, recorded.revision, &text).await
+            node.store.replace(Collection::FailoverClaims, name, recorded.version, &text).await
         }
         None => node.store.create(Collection::FailoverClaims, name, &text).await,
     };
     match written {
-        Ok(revision) => {
+        Ok(version) => {
             node.metrics.count(Counter::StoreCalls, "claimed");
-            let recorded = RecordedClaim { claim, revision, seen_at: node.now(), is_own: true };
+            let recorded = RecordedClaim { claim, version, seen_at: node.now(), is_own: true };
             node.failover_claims.borrow_mut().claims.insert(name.into(), recorded);
             Some(ClaimGrant::new(generation, requested_at))
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -2,9 +2,9 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use hibiscusladder_core::{clock::Instant, name::InstanceId};
+use hibiscusladder_core::{clock::Instant, name::InstanceId, store_version::StoreVersion};
 
-use crate::message::{Extension, GroupInfo, Registration, RosterVersion, Status};
+use crate::message::{Extension, GroupInfo, Registration, Status, StoreSection};
 
 /// Time between two rounds of messages.
 pub const SEND_INTERVAL: Duration = Duration::from_millis(250);
@@ -18,6 +18,8 @@
     address: SocketAddr,
     /// `None` until the registration has been read from the store.
     registration: Option<Registration>,
+    /// Whether the latest list lacks the registration, and a restored store may do so.
+    is_kept: bool,
     /// Until when the instance is used last among the holders of a member.
     deprioritised_until: Instant,
     /// `started` and `sent` of the latest message.
@@ -26,11 +28,11 @@
     /// Since when this instance gets regular messages from the peer if both run; `None` while it gets none.
     expected_since: Option<Instant>,
     version: u64,
-    members_revision: u64,
+    members_version: StoreVersion,
     suspected: BTreeMap<Box<str>, u64>,
     confirmed: BTreeMap<Box<str>, u64>,
     /// List of the instances that the peer offers.
-    roster: Option<RosterVersion>,
+    roster: Option<OfferedRoster>,
     /// Digest of the member entries that the peer has read.
     members_digest: Option<u64>,
     /// Whether [`Peers::newly_unresponsive`] has returned the peer since its last message.
@@ -44,12 +46,13 @@
         Self {
             address,
             registration: None,
+            is_kept: false,
             deprioritised_until: Instant::new(Duration::ZERO),
             latest_message: None,
             last_received: None,
             expected_since: None,
             version: 0,
-            members_revision: 0,
+            members_version: StoreVersion::new(0, 0),
             suspected: BTreeMap::new(),
             confirmed: BTreeMap::new(),
             roster: None,
@@ -64,6 +67,15 @@
     }
 }
 
+/// Version of a list of instances, and a digest of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OfferedRoster {
+    /// Version of the store at which the list was read.
+    pub version: StoreVersion,
+    /// Digest of the registrations, equal for equal lists.
+    pub digest: u64,
+}
+
 /// State of the other instances, by name.
 #[derive(Debug)]
 pub struct Peers {
@@ -90,18 +102,30 @@
         Self { own, started: nanos(now), peers: BTreeMap::new() }
     }
 
-    /// Records the registrations of all instances, and removes instances that are neither listed nor live.
-    pub fn register(&mut self, listed: &[(InstanceId, Registration)], now: Instant) {
+    /// Records the registrations of all instances, and removes instances that are neither listed nor live. While the store
+    /// may lack registrations (`may_lack`), those that are not listed are kept.
+    pub fn register(
+        &mut self,
+        listed: &[(InstanceId, Registration)],
+        may_lack: bool,
+        now: Instant,
+    ) {
         self.peers.retain(|name, peer| {
-            peer.is_live(now) || listed.iter().any(|(listed, _)| listed == name)
+            peer.is_live(now)
+                || may_lack && peer.registration.is_some()
+                || listed.iter().any(|(listed, _)| listed == name)
         });
         for peer in self.peers.values_mut() {
-            peer.registration = None;
+            peer.is_kept = may_lack && peer.registration.is_some();
+            if !may_lack {
+                peer.registration = None;
+            }
         }
         for (name, registration) in listed.iter().filter(|(name, _)| *name != self.own) {
             let peer = self.peers.entry(name.clone());
             let peer = peer.or_insert_with(|| Peer::new(registration.address));
             peer.registration = Some(registration.clone());
+            peer.is_kept = false;
             peer.reported_unregistered = false;
             if !peer.is_live(now) {
                 peer.address = registration.address;
@@ -125,6 +149,12 @@
         self.peers.iter().filter_map(|(name, peer)| Some((name, peer.registration.as_ref()?)))
     }
 
+    /// Instances that are kept although the latest list lacks their registrations.
+    pub fn kept(&self) -> Vec<InstanceId> {
+        let kept = self.peers.iter().filter(|(_, peer)| peer.is_kept);
+        kept.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Tunnel addresses of the given holders, without those whose registration has not been read; holders that did not
     /// answer lately come last.
     pub fn tunnel_addresses(
@@ -231,7 +261,8 @@
         peer.latest_message = Some((status.started, status.sent));
         peer.last_received = Some(now);
         peer.version = status.version;
-        peer.members_revision = status.members_revision;
+        // The era follows with the sections of the message.
+        peer.members_version = StoreVersion::new(0, status.members_revision);
         peer.suspected = suspected(status);
         peer.confirmed =
             status.groups.iter().map(|info| (info.group.clone(), info.confirmed)).collect();
@@ -240,10 +271,19 @@
         Some(Received { acknowledged, regained, is_unregistered })
     }
 
-    /// Records what the extension of a message says about the sender.
-    pub(crate) fn record_extension(&mut self, name: &InstanceId, extension: &Extension) {
+    /// Records what the extension of the message received last, and its section on the store, say about the sender.
+    pub fn record_extension(
+        &mut self,
+        name: &InstanceId,
+        extension: &Extension,
+        store: StoreSection,
+    ) {
         if let Some(peer) = self.peers.get_mut(name) {
-            peer.roster = extension.roster;
+            peer.members_version.era = store.members;
+            peer.roster = extension.roster.map(|roster| OfferedRoster {
+                version: StoreVersion::new(store.roster, roster.revision),
+                digest: roster.digest,
+            });
             peer.members_digest = extension.members;
         }
     }
@@ -274,31 +314,40 @@
         ahead.map(|(name, _)| name.clone()).collect()
     }
 
+    /// A live instance that offers another list of instances than the one with `digest`.
+    pub(crate) fn offers_other_roster(&self, digest: u64, now: Instant) -> Option<InstanceId> {
+        let live = self.peers.iter().filter(|(_, peer)| peer.is_live(now));
+        let mut others = live.filter(|(_, peer)| {
+            peer.roster.is_some_and(|offered| offered.version.era > 0 && offered.digest != digest)
+        });
+        others.next().map(|(name, _)| name.clone())
+    }
+
     /// Version of the newest list of instances that a live instance offers, with the name of that instance.
-    pub(crate) fn newest_roster(&self, now: Instant) -> Option<(RosterVersion, InstanceId)> {
+    pub fn newest_roster(&self, now: Instant) -> Option<(OfferedRoster, InstanceId)> {
         let live = self.peers.iter().filter(|(_, peer)| peer.is_live(now));
         let offered = live.filter_map(|(name, peer)| Some((peer.roster?, name.clone())));
-        offered.max_by_key(|(roster, _)| roster.revision)
+        offered.max_by_key(|(roster, _)| roster.version)
     }
 
-    /// The live instances with the newest member entries, if these are newer than `revision`. With `digest`, also those
-    /// whose entries of the same revision differ from the ones with this digest: they have noticed the removal of a
+    /// The live instances with the newest member entries, if these are newer than `version`. With `digest`, also those
+    /// whose entries of the same version differ from the ones with this digest: they have noticed the removal of a
     /// member.
-    pub(crate) fn members_ahead(
+    pub fn members_ahead(
         &self,
-        revision: u64,
+        version: StoreVersion,
         digest: Option<u64>,
         now: Instant,
     ) -> Vec<InstanceId> {
         let live = || self.peers.iter().filter(|(_, peer)| peer.is_live(now));
-        let newest = live().map(|(_, peer)| peer.members_revision).max().unwrap_or(0);
+        let newest = live().map(|(_, peer)| peer.members_version).max().unwrap_or_default();
         let differs = |peer: &Peer| {
-            peer.members_revision == revision
+            peer.members_version == version
                 && digest.is_some()
                 && peer.members_digest.is_some_and(|other| Some(other) != digest)
         };
         let ahead = live().filter(|(_, peer)| {
-            peer.members_revision == newest && (newest > revision || differs(peer))
+            peer.members_version == newest && (newest > version || differs(peer))
         });
         ahead.map(|(name, _)| name.clone()).collect()
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -105,6 +105,7 @@
         node.supervise("evacuations", evacuations::follow);
     }
     node.supervise("roster", sync::maintain_roster);
+    node.supervise("store_era", sync::follow_restores);
     node.supervise("expiry", sync::expire_members);
     node.supervise("receiver", messenger::receive_all);
     node.supervise("sender", messenger::send_all);
