test(gateway): evacuations over a restore of the store; two tests that did not see their mechanism

Cause: with the check of may_serve switched off, instance_that_starts_knows_the_evacuation passed, and with evacuated members promoted, evacuation_during_a_change_of_primary did. Evacuations over a change of the era had tests of the rule only. Change: the stand-in lists evacuations late; the log is searched for the promotion. The watch lists again as soon as the era rises.

--- a/crates/core/src/evacuation.rs
+++ b/crates/core/src/evacuation.rs
@@ -48,13 +48,13 @@
     promotion::{PromotionMember, excluded_members},
     set::EvacuatedSet,
 };
-use crate::{clock::Instant, name::DataCentre, store_version::StoreVersion};
+use crate::{
+    clock::Instant, name::DataCentre, store_era::REWRITE_TIME, store_version::StoreVersion,
+};
 
 /// Part of the bound for which a primary still gets work, as numerator and denominator. The rest is for the way of the
 /// request to the instances, and for statements that were sent at the end of this time.
 const PRIMARY_PART: (u32, u32) = (3, 4);
-/// Time in which the operator writes its objects again after the store was restored.
-const REWRITE_TIME: Duration = Duration::from_secs(5);
 /// Least time left of an evacuation from an earlier era for which it is taken over from another instance. Without it, two
 /// instances could take over the last moments of an evacuation from each other for ever.
 const MIN_TAKEN_OVER: Duration = Duration::from_millis(1000);
--- a/crates/gateway/src/evacuations.rs
+++ b/crates/gateway/src/evacuations.rs
@@ -20,6 +20,7 @@
 };
 use hibiscusladder_io::clock::sleep;
 use serde_json::json;
+use smol::future::FutureExt;
 
 use crate::{
     adapter::{Collection, Content, Object, Store, StoreChanges, StoreError},
@@ -352,7 +353,14 @@
     H: EvacuationHost,
 {
     let wait = if host.watches_briefly() { SHORT_WATCH } else { LONG_WATCH };
-    let watched = host.store().watch(Collection::Evacuations, since, wait).await;
+    let restored = host.store().era().listen();
+    let watching = async { Some(host.store().watch(Collection::Evacuations, since, wait).await) };
+    let restoring = async {
+        restored.await;
+        None
+    };
+    // A watch of an earlier era would wait for changes that the restored store may not have.
+    let Some(watched) = watching.or(restoring).await else { return Err(StoreError::Compacted) };
     host.count_call(if watched.is_ok() { "watched" } else { "watch_failed" });
     let watched = watched?;
     let version = watched.version;
--- a/hibiscusladder/tests/gateway/evacuation.rs
+++ b/hibiscusladder/tests/gateway/evacuation.rs
@@ -182,6 +182,11 @@
     let late = executed_after(&fleet, &[1], began + BOUND);
     assert!(late.is_empty(), "{late:?}, logs in {}", save_logs(&fleet, "change"));
     wait_until("no primary in the east", &fleet, || fleet.standin.lock_group().primary() == 2);
+    let promoted = fleet.gateways.iter().any(|gateway| {
+        let log = process_log(gateway);
+        log.lines().any(|line| line.contains(r#""step":"promote""#) && line.contains("i-1"))
+    });
+    assert!(!promoted, "the evacuated member, logs in {}", save_logs(&fleet, "change"));
     fleet.gateways.iter().for_each(crate::fleet::Gateway::wait_until_serving);
 }
 
@@ -207,17 +212,19 @@
     assert!(late.is_empty(), "{late:?}, logs in {}", save_logs(&fleet, "lost"));
 }
 
-/// Guards against an instance that serves before it knows the evacuations.
+/// Guards against an instance that serves before it knows the evacuations, when the store is slow to list them.
 #[test]
 fn instance_that_starts_knows_the_evacuation() {
-    let mut fleet = start(2);
+    const LIST_DELAY: Duration = Duration::from_millis(800);
+    let mut fleet = start(1);
     fleet.standin.evacuate("south");
     thread::sleep(BOUND);
+    fleet.standin.set_evacuation_list_delay(LIST_DELAY);
     let since = Instant::now();
     for _ in 0..3 {
-        fleet.gateways[1].process.kill().expect("the process was started here");
-        fleet.restart(1);
-        run_callers(&fleet, "start", Instant::now() + AFTER_BOUND);
+        fleet.gateways[0].process.kill().expect("the process was started here");
+        fleet.restart(0);
+        run_callers(&fleet, "start", Instant::now() + LIST_DELAY + AFTER_BOUND);
     }
     let late = executed_after(&fleet, &[1, 2], since);
     assert!(late.is_empty(), "{late:?}, logs in {}", save_logs(&fleet, "start"));
