--- a/hibiscusladder/tests/gateway/main.rs
+++ b/hibiscusladder/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of gateway processes against the stand-in for the platform.
 
 mod cold;
+mod evacuation;
 mod fleet;
 mod foreign;
 mod history;
