--- a/crates/gateway/src/status_page.rs
+++ b/crates/gateway/src/status_page.rs
@@ -125,13 +125,20 @@
 {
     let mut text = format!(
         "hibiscus_configuration_version {}\nhibiscus_sessions {}\nhibiscus_log_lines_dropped_total {}\n\
-         hibiscus_priorities_enabled {}\nhibiscus_return_times_enabled {}\nhibiscus_waiting_requests {}\n",
+         hibiscus_priorities_enabled {}\nhibiscus_return_times_enabled {}\nhibiscus_waiting_requests {}\n\
+         hibiscus_store_era {}\nhibiscus_store_restores_total {}\nhibiscus_store_answers_rejected_total {}\n\
+         hibiscus_instances_kept {}\nhibiscus_configuration_unconfirmed {}\n",
         node.version(),
         node.sessions(),
         events::dropped(),
         u8::from(node.settings.priorities),
         u8::from(node.settings.return_times),
         node.waiting_requests(),
+        node.store_era.known(),
+        node.store_era.restores(),
+        node.store_era.rejected(),
+        node.peers.borrow().kept().len(),
+        u8::from(node.has_unconfirmed_directory()),
     );
     match node.metrics.write(&mut text) {
         Ok(()) => reply(StatusCode::OK, Bytes::from(text)),
--- a/crates/gateway/src/store_era.rs
+++ b/crates/gateway/src/store_era.rs
@@ -19,6 +19,8 @@
 #[derive(Debug, Default)]
 pub struct SharedStoreEra {
     era: Cell<StoreEra>,
+    restores: Cell<u64>,
+    rejected: Cell<u64>,
     changed: Notify,
 }
 
@@ -56,10 +58,26 @@
     pub fn check_answer(&self, era: u64, now: Instant) -> Result<(), StoreError> {
         let EraOrder::OutOfDate { known } = self.record(era, "store", now) else { return Ok(()) };
         let error = StoreError::OutOfDate { era, known };
-        events::log(Event::StoreAnswerRejected, json!({ "reason": error.to_string() }));
+        self.reject(&error.to_string());
         Err(error)
     }
 
+    /// Counts and logs an answer of the store that is not used because of its era.
+    pub fn reject(&self, reason: &str) {
+        self.rejected.set(self.rejected.get() + 1);
+        events::log(Event::StoreAnswerRejected, json!({ "reason": reason }));
+    }
+
+    /// Number of restores that this process has learned of.
+    pub const fn restores(&self) -> u64 {
+        self.restores.get()
+    }
+
+    /// Number of answers of the store that were not used because of their era.
+    pub const fn rejected(&self) -> u64 {
+        self.rejected.get()
+    }
+
     /// Checks the answer to a call that is based on a version of an object or of a collection.
     ///
     /// # Errors
@@ -74,6 +92,7 @@
         let order = known.record(era, now);
         self.era.set(known);
         if let EraOrder::Restored { replaced } = order {
+            self.restores.set(self.restores.get() + 1);
             events::log(
                 Event::StoreRestored,
                 json!({ "era": era, "replaces": replaced, "source": source }),
