feat(gateway): commands that wait for a connection end with their claim

Cause: a hold or a demotion that waits for a connection was sent although the store had lost the claim meanwhile.

Change: they are sent only in the era in which they were commanded.

No test of its own: the order of a wait for a connection and a restore cannot be fixed from outside.

--- a/crates/gateway/src/monitor.rs
+++ b/crates/gateway/src/monitor.rs
@@ -228,14 +228,21 @@
     P: Platform,
 {
     let pool = node.pool(member).ok_or(ControlError::NoConnection)?;
-    let sent = node.now();
+    let (sent, era) = (node.now(), node.store_era.known());
     group.view.borrow_mut().poll_sent(member, sent);
     let exchanged = match pool.holders() {
         Some(holders) if !holders.contains(node.instance()) => {
             send_control_to_holder(node, member, &holders, command, until).await
         }
         _ => {
-            let is_wanted = || until.is_none_or(|until| node.now() < until);
+            // A claim that the store has lost allows releases only.
+            let is_allowed = || match command {
+                ControlCommand::Hold(_) | ControlCommand::Demote(_) => {
+                    node.store_era.known() == era
+                }
+                ControlCommand::Status | ControlCommand::Resume => true,
+            };
+            let is_wanted = || is_allowed() && until.is_none_or(|until| node.now() < until);
             let sending = send_control_locally(node, &pool, member_command(command), is_wanted);
             let left = until.map_or(Duration::MAX, |until| until.since(sent));
             // Dropping the future withdraws a command that has not been delivered.
