--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -13,6 +13,7 @@
     position::{Lsn, Position, Term},
     roster::FleetRole,
     share::TokenRequest,
+    store_version::StoreVersion,
     sync_group::{LeaderInfo, LeaderPosition},
 };
 use hibiscusladder_io::clock::within;
@@ -23,11 +24,11 @@
     events::{self, Event},
     group_state::GroupState,
     message::{
-        self, Datagram, Extension, GroupInfo, LeaderEntry, PaceSection, SectionKind, Sections,
-        Status, TokenRequestMessage, TokenTransferMessage,
+        self, Datagram, Extension, GroupInfo, LeaderEntry, PaceSection, RosterVersion, SectionKind,
+        Sections, Status, StoreSection, TokenRequestMessage, TokenTransferMessage,
     },
     node::Node,
-    peers::{SEND_INTERVAL, nanos},
+    peers::{OfferedRoster, SEND_INTERVAL, nanos},
     relay,
 };
 
@@ -49,7 +50,9 @@
     loop {
         let Ok((length, address)) = node.datagrams.recv_from(&mut buf).await else { continue };
         // A datagram that cannot be decoded comes from another version or another program.
-        let Ok((datagram, extension, sections)) = message::decode(&buf[..length]) else { continue };
+        let Ok((datagram, extension, sections)) = message::decode(&buf[..length]) else {
+            continue;
+        };
         let now = node.now();
         match datagram {
             Datagram::Status(status) => {
@@ -85,7 +88,11 @@
             json!({ "instance": from.as_str(), "new": received.is_unregistered }),
         );
     }
-    node.peers.borrow_mut().record_extension(&from, extension);
+    let store: Option<StoreSection> = sections.get(SectionKind::Store);
+    if let Some(store) = store {
+        node.store_era.record_told(store.era, now);
+    }
+    node.peers.borrow_mut().record_extension(&from, extension, store.unwrap_or_default());
     let topology = node.topology();
     let is_hub = topology.is_hub(&from);
     node.admission.borrow_mut().record_peer(&from, &status.demands, is_hub, now);
@@ -140,7 +147,9 @@
     P: Platform,
 {
     let Some(section) = sections.get::<PaceSection>(SectionKind::Pace) else { return };
-    let is_newer = status.members_revision >= node.members_revision();
+    let store: StoreSection = sections.get(SectionKind::Store).unwrap_or_default();
+    let version = StoreVersion::new(store.members, status.members_revision);
+    let is_newer = version >= node.members_version();
     if let Some(cold) = section.cold
         && is_hub
         && is_newer
@@ -343,7 +352,7 @@
         sent: nanos(now),
         acknowledged,
         version: node.version(),
-        members_revision: node.members_revision(),
+        members_revision: node.members_version().revision,
         groups: group_infos(node, relays_fences, now),
         demands: node.admission.borrow_mut().advertise(name, demanded, now),
     };
@@ -352,7 +361,8 @@
     send_extended(node, address, &Datagram::Status(status), &extension, &sections);
 }
 
-/// The sections of a message to a hub, or to another instance (`is_for_follower`).
+/// The sections of a status message to a hub, or to another instance (`is_for_follower`). There is none while the store was
+/// never restored and no member is limited.
 fn sections<P>(node: &Node<P>, is_for_follower: bool, now: Instant) -> Sections
 where
     P: Platform,
@@ -361,9 +371,16 @@
     let reports_cold = is_for_follower && node.role() == FleetRole::Hub;
     let pace = PaceSection { cold: node.cold.report(now).filter(|_| reports_cold) };
     if pace != PaceSection::default() {
-        // Names and numbers cannot fail to be encoded.
+        // Names and numbers can always be encoded.
         let _ = sections.insert(SectionKind::Pace, &pace);
     }
+    let era = node.store_era.known();
+    if era > 0 {
+        let members = node.members_version().era;
+        let roster = node.roster.borrow().version().era;
+        // Numbers can always be encoded.
+        let _ = sections.insert(SectionKind::Store, &StoreSection { era, members, roster });
+    }
     sections
 }
 
@@ -375,7 +392,10 @@
     let is_hub = node.role() == FleetRole::Hub;
     let offers_roster = is_hub && node.knows_fleet();
     let mut extension = Extension {
-        roster: offers_roster.then(|| node.roster_version()),
+        roster: offers_roster.then(|| {
+            let OfferedRoster { version, digest } = node.roster_version();
+            RosterVersion { revision: version.revision, digest }
+        }),
         members: is_hub.then(|| node.members_digest()),
         ..Extension::default()
     };
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -14,6 +14,8 @@
 use event_listener::Event as Notify;
 use hibiscusladder_core::{
     clock::{Clock, Instant},
+    connection_limit::ConnectionLimit,
+    holder_reach::HolderReach,
     name::{DataCentre, InstanceId, Workspace},
 };
 use hibiscusladder_io::clock::{BootClock, within};
@@ -25,6 +27,7 @@
     in_flight::{InFlight, InFlightGuard},
     lease::{Connection, Lease},
     model::{Code, Failure},
+    service_time::ServiceTime,
     settings::Distance,
     slot_queue::{self, SlotQueue},
     urgency::{NoSlot, SlotRequest},
@@ -40,12 +43,6 @@
     (Distance::Region, Duration::from_millis(3)),
     (Distance::Far, Duration::from_millis(41)),
 ];
-/// Weight of a new sample in the average service time.
-const SERVICE_WEIGHT: f64 = 0.1;
-/// Time without a sample after which the expected service time is halfway between the measured and the assumed one.
-const SERVICE_HALF_LIFE: Duration = Duration::from_secs(3);
-/// Service time that is assumed before the first sample, in seconds.
-const ASSUMED_SERVICE_S: f64 = 0.012;
 /// Time that opening a connection adds to the expected time of a member, in seconds.
 pub const OPENING_COST_S: f64 = 0.012;
 
@@ -92,25 +89,44 @@
     /// Number of connections that are idle, in use or being opened.
     open: usize,
     limits: PoolLimits,
+    /// Limit of the open connections, without the one for control commands.
+    connection_limit: ConnectionLimit,
     /// Time up to which no connection is opened, because the member had too many.
     full_until: Instant,
-    /// Average service time of a statement, in seconds, without the round trip.
-    service_s: f64,
-    /// Time of the latest sample of the service time.
-    measured_at: Instant,
+    service_time: ServiceTime,
 }
 
 /// Limits of one instance for its connections to one member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PoolLimits {
-    /// Connections that may be open at once.
+    /// Connections that may be open at once for statements.
     pub open: usize,
+    /// Connections that control commands may open beyond those.
+    pub reserved: usize,
     /// Idle connections that may be kept.
     pub idle: usize,
     /// Statements that may run at once, without those of open transactions; `None` when only connections are limited.
     pub running: Option<u32>,
 }
 
+/// Instances through which a member is reached.
+#[derive(Debug, Clone, Default)]
+pub struct MemberPaths {
+    /// The instances that hold connections to the member, the preferred one first; `None` when all connect to it.
+    pub holders: Option<Rc<[InstanceId]>>,
+    /// The instances that connect to the member while its holders cannot reach it, the preferred one first.
+    pub standbys: Rc<[InstanceId]>,
+}
+
+/// What a connection is opened for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// Statements of callers.
+    Statements,
+    /// A control command, which may not wait until statements end: they may wait for a failover themselves.
+    Control,
+}
+
 /// Pool of the connections of this instance to one member.
 pub struct Pool<P>
 where
@@ -125,6 +141,10 @@
     pub(crate) slot_queue: SlotQueue<P>,
     /// The instances that hold connections to the member, the preferred one first; `None` when all connect to it.
     holders: RefCell<Option<Rc<[InstanceId]>>>,
+    /// The instances that connect to the member while its holders cannot reach it, the preferred one first.
+    standbys: RefCell<Rc<[InstanceId]>>,
+    /// What the holders, this instance included, reported about reaching the member.
+    pub(crate) holder_reach: RefCell<HolderReach>,
     distance: Distance,
     state: RefCell<State<P>>,
     released: Notify,
@@ -147,7 +167,7 @@
         data_centre: DataCentre,
         distance: Distance,
         limits: PoolLimits,
-        holders: Option<Rc<[InstanceId]>>,
+        paths: MemberPaths,
         with_priorities: bool,
         cold: Rc<ColdGate>,
     ) -> Rc<Self> {
@@ -155,16 +175,18 @@
             idle: Vec::new(),
             open: 0,
             limits,
+            connection_limit: ConnectionLimit::new(limits.open),
             full_until: Instant::default(),
-            service_s: ASSUMED_SERVICE_S,
-            measured_at: BootClock.now(),
+            service_time: ServiceTime::new(BootClock.now()),
         };
         Rc::new(Self {
             target,
             data_centre,
             cold,
             slot_queue: SlotQueue::new(limits, with_priorities),
-            holders: RefCell::new(holders),
+            holders: RefCell::new(paths.holders),
+            standbys: RefCell::new(paths.standbys),
+            holder_reach: RefCell::default(),
             distance,
             state: RefCell::new(state),
             released: Notify::new(),
@@ -181,10 +203,19 @@
         self.holders.borrow().clone()
     }
 
-    /// Changes the limits and the holders. Connections in use beyond the new limits are closed when they are returned.
-    pub fn set_limits(&self, limits: PoolLimits, holders: Option<Rc<[InstanceId]>>) {
-        *self.holders.borrow_mut() = holders;
-        self.state.borrow_mut().limits = limits;
+    /// The instances that connect to the member while its holders cannot reach it, the preferred one first.
+    pub fn standbys(&self) -> Rc<[InstanceId]> {
+        self.standbys.borrow().clone()
+    }
+
+    /// Changes the limits and the paths. Connections in use beyond the new limits are closed when they are returned.
+    pub fn set_limits(&self, limits: PoolLimits, paths: MemberPaths) {
+        *self.holders.borrow_mut() = paths.holders;
+        *self.standbys.borrow_mut() = paths.standbys;
+        let mut state = self.state.borrow_mut();
+        state.limits = limits;
+        state.connection_limit.configure(limits.open);
+        drop(state);
         self.slot_queue.set_limits(limits);
     }
 
@@ -228,6 +259,11 @@
         now < self.lagging.get().0
     }
 
+    /// Whether the member did not answer lately, so that it is used last.
+    pub fn is_deprioritised(&self, now: Instant) -> bool {
+        now < self.deprioritised_until.get()
+    }
+
     /// Records that the member did not answer, and closes the idle connections, which may have become unresponsive.
     pub fn record_unreachable(&self, now: Instant) {
         self.deprioritised_until.set(now.plus(DEPRIORITISED_TIME));
@@ -237,17 +273,14 @@
     /// Expected time until a new request of `workspace` is answered, in seconds.
     pub fn expected_s(&self, workspace: &Workspace, now: Instant) -> f64 {
         let state = self.state.borrow();
-        let half_lives =
-            now.since(state.measured_at).as_secs_f64() / SERVICE_HALF_LIFE.as_secs_f64();
-        let weight = 0.5_f64.powf(half_lives);
-        let service = state.service_s * weight + ASSUMED_SERVICE_S * (1.0 - weight);
-        let held_elsewhere = state.limits.open == 0;
+        let service = state.service_time.expected_s(now);
+        let held_elsewhere = state.limits.idle == 0;
         let opening = if held_elsewhere || self.has_idle(workspace) {
             0.0
         } else {
             OPENING_COST_S + self.round_trip().as_secs_f64()
         };
-        let penalty = if now < self.deprioritised_until.get() { UNREACHABLE_COST_S } else { 0.0 };
+        let penalty = if self.is_deprioritised(now) { UNREACHABLE_COST_S } else { 0.0 };
         let penalty = penalty + if self.cold.is_cold(now) { COLD_COST_S } else { 0.0 };
         let queue = service * (1.0 + self.uses.count() as f64);
         self.round_trip().as_secs_f64() + queue + opening + penalty
@@ -272,7 +305,8 @@
         let permits = slot_queue::acquire(self, request).await;
         let permits = permits
             .map_err(|no_slot| no_slot.map_or(AcquireError::Exhausted, AcquireError::NoSlot))?;
-        let lease = self.connect(request.workspace, values, request.until).await?;
+        let purpose = Purpose::Statements;
+        let lease = self.connect(purpose, request.workspace, values, request.until).await?;
         Ok(lease.with_permits(permits))
     }
 
@@ -288,6 +322,7 @@
     /// As for [`acquire`](Self::acquire).
     pub async fn connect(
         self: &Rc<Self>,
+        purpose: Purpose,
         workspace: &Workspace,
         values: &Values,
         until: Instant,
@@ -301,10 +336,10 @@
             if now >= until {
                 return Err(AcquireError::Exhausted);
             }
-            if let Some(opening) = self.reserve(now) {
+            if let Some(opening) = self.reserve(purpose, now) {
                 match opening.connect(workspace).await {
                     Err(AcquireError::Refused(failure)) if failure.code == Code::TooMany => {
-                        self.state.borrow_mut().full_until = BootClock.now().plus(FULL_RETRY_DELAY);
+                        self.record_full(BootClock.now());
                     }
                     result => return result,
                 }
@@ -347,14 +382,26 @@
         }
     }
 
+    /// Records that the member refused a connection because it has too many.
+    fn record_full(&self, now: Instant) {
+        let mut state = self.state.borrow_mut();
+        let open = state.open;
+        state.connection_limit.refused(open, now);
+        state.full_until = now.plus(FULL_RETRY_DELAY);
+    }
+
     /// Reserves room for a new connection; at the limit, an idle connection is closed for it. `None` when none is idle,
     /// or while the member has too many connections.
-    fn reserve(self: &Rc<Self>, now: Instant) -> Option<Opening<P>> {
+    fn reserve(self: &Rc<Self>, purpose: Purpose, now: Instant) -> Option<Opening<P>> {
         let mut state = self.state.borrow_mut();
         if now < state.full_until {
             return None;
         }
-        if state.open >= state.limits.open {
+        let reserved = match purpose {
+            Purpose::Statements => 0,
+            Purpose::Control => state.limits.reserved,
+        };
+        if state.open >= state.connection_limit.current(now) + reserved {
             let oldest =
                 (0..state.idle.len()).min_by_key(|index| state.idle[*index].last_answered)?;
             state.idle.remove(oldest);
@@ -390,15 +437,13 @@
 
     /// Mean service time of a statement, without the round trip.
     pub fn service_time(&self) -> Duration {
-        Duration::try_from_secs_f64(self.state.borrow().service_s).unwrap_or_default()
+        self.state.borrow().service_time.average()
     }
 
     /// Records the time from sending a statement to its answer; a round trip is subtracted.
     pub fn record_service_time(&self, service: Duration, now: Instant) {
-        let mut state = self.state.borrow_mut();
-        let service = service.saturating_sub(self.round_trip()).as_secs_f64();
-        state.service_s += (service - state.service_s) * SERVICE_WEIGHT;
-        state.measured_at = now;
+        let service = service.saturating_sub(self.round_trip());
+        self.state.borrow_mut().service_time.record(service, now);
     }
 }
 
