--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod cold;
 pub mod control;
 pub mod directory;
+pub mod evacuations;
 pub mod events;
 pub mod failover_claim;
 pub mod group_state;
--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     adapter::Platform,
+    evacuations::EvacuationHost,
     events::{self, Event},
     group_state::GroupState,
     message::{
@@ -111,6 +112,11 @@
     }
     merge_extension(node, extension, is_hub, now);
     merge_pace(node, status, sections, is_hub, now);
+    if let Some(notice) = sections.get(SectionKind::Evacuations)
+        && node.evacuations.receive(&notice, received.acknowledged, now)
+    {
+        node.evacuations_changed();
+    }
     if node.role() == FleetRole::Follower {
         relay::catch_up(node, now);
     }
@@ -141,7 +147,7 @@
     }
 }
 
-/// Records which members are cold, as a hub with the same or newer entries reports to a follower.
+/// Records which members are cold, as a hub with the same or newer entries reports.
 fn merge_pace<P>(node: &Node<P>, status: &Status, sections: &Sections, is_hub: bool, now: Instant)
 where
     P: Platform,
@@ -150,12 +156,8 @@
     let store: StoreSection = sections.get(SectionKind::Store).unwrap_or_default();
     let version = StoreVersion::new(store.members, status.members_revision);
     let is_newer = version >= node.members_version();
-    if let Some(cold) = section.cold
-        && is_hub
-        && is_newer
-        && node.role() == FleetRole::Follower
-    {
-        node.cold.merge(&cold, now);
+    if let Some(cold) = section.cold.filter(|_| is_hub && is_newer) {
+        node.cold.merge(&cold, node.role() != FleetRole::Follower, now);
     }
 }
 
@@ -288,6 +290,9 @@
         for unresponsive in node.peers.borrow_mut().newly_unresponsive(now) {
             events::log(Event::PeerLost, json!({ "instance": unresponsive.as_str() }));
         }
+        if node.evacuations.expire(now) {
+            node.evacuations_changed();
+        }
         round += 1;
         let mut receivers = receivers(&node, round);
         if node.take_urgent_news() {
@@ -357,19 +362,18 @@
         demands: node.admission.borrow_mut().advertise(name, demanded, now),
     };
     let extension = extension(node, relays_fences, now);
-    let sections = sections(node, relays_fences, now);
+    let sections = sections(node, now);
     send_extended(node, address, &Datagram::Status(status), &extension, &sections);
 }
 
-/// The sections of a status message to a hub, or to another instance (`is_for_follower`). There is none while the store was
-/// never restored and no member is limited.
-fn sections<P>(node: &Node<P>, is_for_follower: bool, now: Instant) -> Sections
+/// The sections of a status message: what it says of restores of the store, of evacuations, and of cold members.
+fn sections<P>(node: &Node<P>, now: Instant) -> Sections
 where
     P: Platform,
 {
     let mut sections = Sections::default();
-    let reports_cold = is_for_follower && node.role() == FleetRole::Hub;
-    let pace = PaceSection { cold: node.cold.report(now).filter(|_| reports_cold) };
+    let is_hub = node.role() == FleetRole::Hub;
+    let pace = PaceSection { cold: node.cold.report(now).filter(|_| is_hub) };
     if pace != PaceSection::default() {
         // Names and numbers can always be encoded.
         let _ = sections.insert(SectionKind::Pace, &pace);
@@ -381,6 +385,10 @@
         // Numbers can always be encoded.
         let _ = sections.insert(SectionKind::Store, &StoreSection { era, members, roster });
     }
+    if let Some(notice) = node.evacuations.notice(now) {
+        // Names and numbers cannot fail to be encoded.
+        let _ = sections.insert(SectionKind::Evacuations, &notice);
+    }
     sections
 }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,6 +1,7 @@
 //! State of one instance, shared by its tasks, which all run on one thread.
 
 mod cold;
+mod evacuations;
 mod fleet;
 mod stop;
 
@@ -32,6 +33,7 @@
     admission::Admission,
     cold::ColdMembers,
     directory::Directory,
+    evacuations::EvacuationState,
     events::{self, Event},
     failover_claim::FailoverClaims,
     group_state::GroupState,
@@ -81,6 +83,8 @@
     pub admission: RefCell<Admission>,
     /// Cold members, and what this instance may send to them.
     pub cold: ColdMembers,
+    /// Evacuated data centres.
+    pub evacuations: EvacuationState,
     /// Retry delays of refused callers.
     pub refusals: Refusals,
     /// State of the other instances.
@@ -148,6 +152,10 @@
             progress: RefCell::new(Progress::new(&settings.instance)),
             cold: ColdMembers::new(settings.cold),
             refusals: Refusals::new(settings.return_times, now),
+            evacuations: EvacuationState::new(
+                settings.evacuate,
+                settings.regions.keys().cloned().collect(),
+            ),
             settings,
             clock: BootClock,
             store_era: store.era().clone(),
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -224,12 +224,12 @@
     let report = record.report();
     let change = node.members.borrow_mut().update(id.clone(), record, era, now);
     if change == MemberChange::Restarted {
-        node.cold.assume_cold(&id, "restarted", now);
+        node.cold.record_restart(&id, now);
     }
     // An older entry shows nothing.
     let is_newest = node.member(&id).is_some_and(|member| member.record.report() == report);
     if is_newest {
-        node.cold.record_entry(&id, cold_remaining, now);
+        node.cold.record_entry(&id, report, cold_remaining, now);
     }
     if change == MemberChange::None {
         return;
