--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -240,11 +240,11 @@
     pub started_ms: u64,
     /// Statements that the member runs at once.
     pub slots: u32,
-    /// Number of the member's report since the start of its process.
-    pub sequence: u64,
     /// Time for which the member remains cold after it wrote the entry; `None` when the entry comes from another instance,
     /// and in the member table.
     pub cold_remaining: Option<Duration>,
+    /// Number of the member's report since the start of its process.
+    pub sequence: u64,
 }
 
 impl MemberRecord {
--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -1,7 +1,7 @@
 //! Cold members as this instance knows them, and the wait of requests for their allowance.
 //!
-//! Instances that watch the members learn from their entries whether they are cold. Hubs pass this on to the other
-//! instances of their region.
+//! Instances that watch the members learn from their entries whether they are cold. Hubs pass this on to instances that do
+//! not, and to other hubs, which may have learned of a member from an instance and not from its entry.
 
 use std::{
     cell::{Cell, RefCell},
@@ -14,6 +14,7 @@
 use hibiscusladder_core::{
     clock::{Clock, Instant},
     cold::{ColdLimits, ColdMember, Share},
+    member_report::MemberReport,
     name::MemberId,
 };
 use hibiscusladder_io::clock::{BootClock, sleep};
@@ -24,8 +25,8 @@
 
 /// Longest time between two attempts of a waiting request; the member may have become warm meanwhile.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
-/// Time after a refused connection in which the report of a hub does not show that the member is warm. Its entry may be
-/// older than the restart; members renew their entries about every 1.2 s.
+/// Time after a refused connection or an evacuation in which the report of a hub does not show that the member is warm. Its
+/// entry may be older; members renew their entries about every 1.2 s.
 const ENTRY_AGE: Duration = Duration::from_millis(1500);
 
 /// Margin by which the requests to a cold member may exceed its configured rate.
@@ -37,9 +38,14 @@
     pub slack: f64,
 }
 
-/// The members that a hub knows to be cold, in a message to an instance that does not watch the members.
+/// What a hub knows about cold members, in a message to another instance. The members that are not listed are warm.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ColdReport(Vec<(Box<str>, u32)>);
+pub struct ColdReport {
+    /// Members that are cold, and for how long, in milliseconds.
+    cold: Vec<(Box<str>, u32)>,
+    /// Members that the sender knows nothing about.
+    unknown: Vec<Box<str>>,
+}
 
 /// Requests to cold members.
 #[derive(Debug, Default)]
@@ -53,8 +59,12 @@
 pub struct ColdGate {
     member: MemberId,
     state: RefCell<ColdMember>,
-    /// When a connection was last refused.
-    refused_at: Cell<Option<Instant>>,
+    /// When a connection was last refused, or the end of an evacuation became known.
+    assumed_at: Cell<Option<Instant>>,
+    /// Report of the member that was last recorded. The same one, read again, shows nothing new.
+    recorded: Cell<Option<MemberReport>>,
+    /// Whether the data centre of the member is evacuated.
+    is_evacuated: Cell<bool>,
     /// Whether the log last reported the member as cold.
     logged_cold: Cell<bool>,
     counts: Rc<Counts>,
@@ -73,9 +83,13 @@
 
     /// Records that the member refused a connection: its process has ended, and is cold when it is started again.
     pub fn record_refused(&self, now: Instant) {
-        self.refused_at.set(Some(now));
+        self.assume_cold("refused", now);
+    }
+
+    fn assume_cold(&self, reason: &'static str, now: Instant) {
+        self.assumed_at.set(Some(now));
         self.state.borrow_mut().assume_cold(now);
-        self.log("refused", now);
+        self.log(reason, now);
     }
 
     fn record_remaining(&self, remaining: Duration, now: Instant) {
@@ -156,7 +170,9 @@
             Rc::new(ColdGate {
                 member: member.clone(),
                 state: RefCell::new(ColdMember::new(now)),
-                refused_at: Cell::new(None),
+                assumed_at: Cell::new(None),
+                recorded: Cell::new(None),
+                is_evacuated: Cell::new(false),
                 logged_cold: Cell::new(false),
                 counts: self.counts.clone(),
             })
@@ -164,20 +180,36 @@
         gate.clone()
     }
 
-    /// Records an entry of a member. `remaining` is the time for which it remains cold, `None` if the entry comes from
-    /// another instance.
-    pub fn record_entry(&self, member: &MemberId, remaining: Option<Duration>, now: Instant) {
+    /// Records the newest entry of a member. `remaining` is the time for which it remains cold, `None` if the entry comes
+    /// from another instance.
+    pub fn record_entry(
+        &self,
+        member: &MemberId,
+        report: MemberReport,
+        remaining: Option<Duration>,
+        now: Instant,
+    ) {
         let gate = self.gate(member, now);
-        if let Some(remaining) = remaining {
+        if let Some(remaining) = remaining
+            && gate.recorded.replace(Some(report)) != Some(report)
+        {
             gate.record_remaining(remaining, now);
         }
     }
 
-    /// Records that a member runs as another process than before, or comes back after an evacuation.
-    pub fn assume_cold(&self, member: &MemberId, reason: &'static str, now: Instant) {
+    /// Records whether the data centre of a member is evacuated. The member is cold when it comes back.
+    pub fn set_evacuated(&self, member: &MemberId, is_evacuated: bool, now: Instant) {
+        let gate = self.gate(member, now);
+        if gate.is_evacuated.replace(is_evacuated) && !is_evacuated {
+            gate.assume_cold("evacuated", now);
+        }
+    }
+
+    /// Records that a member runs as another process than before. Reports of hubs that know of it count at once.
+    pub fn record_restart(&self, member: &MemberId, now: Instant) {
         let gate = self.gate(member, now);
         gate.state.borrow_mut().assume_cold(now);
-        gate.log(reason, now);
+        gate.log("restarted", now);
     }
 
     /// Removes a member that is gone.
@@ -185,27 +217,38 @@
         self.gates.borrow_mut().remove(member);
     }
 
-    /// The cold members, for an instance that does not watch the members; `None` while this one does not limit any.
+    /// What this instance knows, for others; `None` while it does not limit any member.
     pub fn report(&self, now: Instant) -> Option<ColdReport> {
         let gates = self.gates.borrow();
         if !gates.values().any(|gate| gate.state.borrow().is_limited()) {
             return None;
         }
-        let cold = gates.iter().filter_map(|(member, gate)| {
-            let remaining = gate.state.borrow().remaining(now);
-            let remaining = u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX);
-            (remaining > 0).then(|| (member.as_str().into(), remaining))
-        });
-        Some(ColdReport(cold.collect()))
+        let mut report = ColdReport::default();
+        for (member, gate) in gates.iter() {
+            let state = gate.state.borrow();
+            let remaining = u32::try_from(state.remaining(now).as_millis()).unwrap_or(u32::MAX);
+            if state.is_unknown() {
+                report.unknown.push(member.as_str().into());
+            } else if remaining > 0 {
+                report.cold.push((member.as_str().into(), remaining));
+            }
+        }
+        Some(report)
     }
 
-    /// Records the report of a hub that knows the members at least as well as this instance.
-    pub fn merge(&self, report: &ColdReport, now: Instant) {
+    /// Records the report of a hub that knows the members at least as well as this instance. An instance that reads the
+    /// entries itself (`reads_entries`) uses it for members that it knows nothing about.
+    pub fn merge(&self, report: &ColdReport, reads_entries: bool, now: Instant) {
         for gate in self.gates.borrow().values() {
-            let reported = report.0.iter().find(|(member, _)| **member == *gate.member.as_str());
+            let is_known = reads_entries && !gate.state.borrow().is_unknown();
+            let member = gate.member.as_str();
+            if is_known || report.unknown.iter().any(|unknown| **unknown == *member) {
+                continue;
+            }
+            let reported = report.cold.iter().find(|(cold, _)| **cold == *member);
             let remaining = reported.map_or(0, |(_, remaining)| *remaining);
-            let is_refused = gate.refused_at.get().is_some_and(|at| now.since(at) < ENTRY_AGE);
-            if remaining > 0 || !is_refused {
+            let is_assumed = gate.assumed_at.get().is_some_and(|at| now.since(at) < ENTRY_AGE);
+            if remaining > 0 || !is_assumed {
                 gate.record_remaining(Duration::from_millis(remaining.into()), now);
             }
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod relay;
 pub mod request;
 pub mod serve;
+pub mod service_time;
 pub mod session;
 pub mod settings;
 pub mod slot_order;
--- a/crates/gateway/src/node/cold.rs
+++ b/crates/gateway/src/node/cold.rs
@@ -29,6 +29,15 @@
         self.cold.gate(&target.member, now).set_limits(limits, share, now);
     }
 
+    /// Updates which members are evacuated, since they are cold when they come back.
+    pub(super) fn update_evacuated_members(&self) {
+        let now = self.now();
+        for (id, member) in self.members.borrow().iter() {
+            let is_evacuated = self.evacuations.is_evacuated(&member.record.data_centre);
+            self.cold.set_evacuated(id, is_evacuated, now);
+        }
+    }
+
     /// Share of this instance; `None` while it holds no connections or does not know the others that do.
     fn cold_share(&self, member: &MemberId, holders: Option<&[InstanceId]>) -> Option<Share> {
         if !self.knows_fleet() {
--- a/crates/gateway/src/node/evacuations.rs
+++ b/crates/gateway/src/node/evacuations.rs
@@ -60,6 +60,7 @@
     }
 
     fn evacuations_changed(&self) {
+        self.update_evacuated_members();
         self.announce();
         self.evaluate_now.notify(usize::MAX);
         for group in self.groups() {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -27,6 +27,7 @@
     in_flight::{InFlight, InFlightGuard},
     lease::{Connection, Lease},
     model::{Code, Failure},
+    service_time::ServiceTime,
     settings::Distance,
     slot_queue::{self, SlotQueue},
     urgency::{NoSlot, SlotRequest},
@@ -42,12 +43,6 @@
     (Distance::Region, Duration::from_millis(3)),
     (Distance::Far, Duration::from_millis(41)),
 ];
-/// Weight of a new sample in the average service time.
-const SERVICE_WEIGHT: f64 = 0.1;
-/// Time without a sample after which the expected service time is halfway between the measured and the assumed one.
-const SERVICE_HALF_LIFE: Duration = Duration::from_secs(3);
-/// Service time that is assumed before the first sample, in seconds.
-const ASSUMED_SERVICE_S: f64 = 0.012;
 /// Time that opening a connection adds to the expected time of a member, in seconds.
 pub const OPENING_COST_S: f64 = 0.012;
 
@@ -101,10 +96,7 @@
     connection_limit: ConnectionLimit,
     /// Time up to which no connection is opened, because the member had too many.
     full_until: Instant,
-    /// Average service time of a statement, in seconds, without the round trip.
-    service_s: f64,
-    /// Time of the latest sample of the service time.
-    measured_at: Instant,
+    service_time: ServiceTime,
 }
 
 /// Limits of one instance for its connections to one member.
@@ -188,8 +180,7 @@
             limits,
             connection_limit: ConnectionLimit::new(limits.open),
             full_until: Instant::default(),
-            service_s: ASSUMED_SERVICE_S,
-            measured_at: BootClock.now(),
+            service_time: ServiceTime::new(BootClock.now()),
         };
         Rc::new(Self {
             target,
@@ -285,10 +276,7 @@
     /// Expected time until a new request of `workspace` is answered, in seconds.
     pub fn expected_s(&self, workspace: &Workspace, now: Instant) -> f64 {
         let state = self.state.borrow();
-        let half_lives =
-            now.since(state.measured_at).as_secs_f64() / SERVICE_HALF_LIFE.as_secs_f64();
-        let weight = 0.5_f64.powf(half_lives);
-        let service = state.service_s * weight + ASSUMED_SERVICE_S * (1.0 - weight);
+        let service = state.service_time.expected_s(now);
         let held_elsewhere = state.limits.idle == 0;
         let opening = if held_elsewhere || self.has_idle(workspace) {
             0.0
@@ -452,15 +440,13 @@
 
     /// Mean service time of a statement, without the round trip.
     pub fn service_time(&self) -> Duration {
-        Duration::try_from_secs_f64(self.state.borrow().service_s).unwrap_or_default()
+        self.state.borrow().service_time.average()
     }
 
     /// Records the time from sending a statement to its answer; a round trip is subtracted.
     pub fn record_service_time(&self, service: Duration, now: Instant) {
-        let mut state = self.state.borrow_mut();
-        let service = service.saturating_sub(self.round_trip()).as_secs_f64();
-        state.service_s += (service - state.service_s) * SERVICE_WEIGHT;
-        state.measured_at = now;
+        let service = service.saturating_sub(self.round_trip());
+        self.state.borrow_mut().service_time.record(service, now);
     }
 }
 
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -78,8 +78,8 @@
             role: self.primary.map(role),
             started_ms: self.started_ms,
             slots: self.slots,
-            sequence,
             cold_remaining: None,
+            sequence,
         };
         (self.id, record)
     }
