feat(core): budget of bytes and connections of a process

Change: core::budget decides which peer may hold how much, and which one is closed or refused when the budget is exceeded. Nothing uses it yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod at_most_once;
 pub mod bucket;
+pub mod budget;
 pub mod catch_up;
 pub mod clock;
 pub mod config;
