feat(gateway): limits for clients that are not controlled

Cause: an instance holds what its clients send, values of a session grow without bound, answers wait for their readers for ever, and unfinished connections keep their descriptors. Limits for the number of connections, the first message, a whole message, the wait of an answer for its reader, and the values of a session. Metrics hibiscus_limited_peers_total, hibiscus_peer_bytes and hibiscus_peer_connections; event peer_limited with the address.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -15,7 +15,9 @@
 
 use crate::{
     directory::Directory,
+    ledger::{Account, Limit},
     model::{Access, Answer, Failure, Query},
+    settings::PeerLimits,
 };
 
 /// The types of one platform.
@@ -66,6 +68,9 @@
         /// Error in the message.
         reason: &'static str,
     },
+    /// The peer has reached a limit.
+    #[error("{}", .0.remedy())]
+    Limited(Limit),
     /// The operating system reported an error.
     #[error(transparent)]
     Io(#[from] io::Error),
@@ -73,8 +78,8 @@
 
 /// Connection of a caller.
 pub trait CallerPort: Sized + 'static {
-    /// Takes over an accepted connection.
-    fn new(stream: TcpStream) -> Self;
+    /// Takes over an accepted connection. What it holds is charged to `account`.
+    fn new(stream: TcpStream, account: Account, limits: &PeerLimits) -> Self;
 
     /// Reads the handshake.
     fn read_handshake(&mut self) -> impl Future<Output = Result<Handshake, PortError>>;
@@ -92,7 +97,7 @@
     fn has_pending(&self) -> bool;
 
     /// Sends the answer to the latest query.
-    fn answer(&mut self, answer: &Answer) -> impl Future<Output = io::Result<()>>;
+    fn answer(&mut self, answer: Answer) -> impl Future<Output = Result<(), PortError>>;
 }
 
 /// A member to connect to.
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -8,6 +8,7 @@
 use std::{
     cell::RefCell,
     collections::HashMap,
+    net::SocketAddr,
     sync::{
         Arc, OnceLock,
         atomic::{AtomicU64, Ordering},
@@ -17,13 +18,18 @@
 
 use hibiscusladder_core::clock::{Clock, Instant};
 use hibiscusladder_io::clock::BootClock;
-use serde_json::{Map, Value};
+use serde_json::{Map, Value, json};
 use spdlog::{
     ErrorHandler, Logger, ThreadPool,
     formatter::{PatternFormatter, pattern},
     sink::{AsyncPoolSink, OverflowPolicy, StdStreamSink},
 };
 
+use crate::{
+    ledger::Limit,
+    metrics::{Counter, Metrics},
+};
+
 /// Lines that may wait for the writer thread; further lines are dropped.
 const QUEUE_LINES: usize = 1024;
 /// Largest number of lines of one event that are written within a second.
@@ -81,6 +87,8 @@
     TransactionEnded,
     /// The gateway ended a session.
     SessionEnded,
+    /// A peer was refused or closed because it has reached a limit.
+    PeerLimited,
     /// A task panicked; the others go on.
     TaskFailed,
 }
@@ -112,6 +120,7 @@
             Self::RequestRetried => "request_retried",
             Self::TransactionEnded => "transaction_ended",
             Self::SessionEnded => "session_ended",
+            Self::PeerLimited => "peer_limited",
             Self::TaskFailed => "task_failed",
         }
     }
@@ -178,6 +187,14 @@
     }
 }
 
+/// Counts and logs that the peer at `address` was refused or closed because it has reached a limit.
+pub fn limited(metrics: &Metrics, limit: Limit, address: Option<SocketAddr>) {
+    metrics.count(Counter::LimitedPeers, limit.as_str());
+    let address = address.map(|address| address.to_string());
+    let (limit, reason) = (limit.as_str(), limit.remedy());
+    log(Event::PeerLimited, json!({ "peer": address, "limit": limit, "reason": reason }));
+}
+
 /// Writes a line with the fields of the JSON object `fields`, unless the event has reached its limit in this second.
 pub fn log(event: Event, fields: Value) {
     let Some(logger) = LOGGER.get() else { return };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod holder;
 pub mod in_flight;
 pub mod lease;
+pub mod ledger;
 pub mod listener;
 pub mod member_table;
 pub mod message;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -4,7 +4,10 @@
 
 use futures::FutureExt;
 use hibiscusladder_io::clock::sleep;
-use smol::net::{TcpListener, TcpStream};
+use smol::{
+    future::yield_now,
+    net::{TcpListener, TcpStream},
+};
 
 use crate::{adapter::Platform, node::Node};
 
@@ -23,7 +26,11 @@
         futures::select_biased! {
             () = node.wait_for_closed_listeners().fuse() => break,
             accepted = listener.accept().fuse() => match accepted {
-                Ok((stream, _)) => take(stream),
+                Ok((stream, _)) => {
+                    take(stream);
+                    // A connection that was closed for this one is closed before the next is accepted.
+                    yield_now().await;
+                }
                 // File descriptors may be used up for a short time.
                 Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
             },
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,8 @@
     Failovers,
     /// Sessions accepted or refused, by result.
     Sessions,
+    /// Peers that were refused or closed, by limit.
+    LimitedPeers,
 }
 
 impl Counter {
@@ -39,6 +41,7 @@
             Self::MemberConnections => "member_connections_total",
             Self::Failovers => "failovers_total",
             Self::Sessions => "sessions_total",
+            Self::LimitedPeers => "limited_peers_total",
         }
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -32,6 +32,7 @@
     failover_claim::FailoverClaims,
     group_state::GroupState,
     in_flight::InFlight,
+    ledger::Ledger,
     member_table::{Member, MemberTable},
     metrics::Metrics,
     peers::Peers,
@@ -73,6 +74,8 @@
     pub members: RefCell<MemberTable>,
     /// Allotments of the workspaces.
     pub admission: RefCell<Admission>,
+    /// Accounts of the peers.
+    pub ledger: Ledger,
     /// Retry delays of refused callers.
     pub refusals: Refusals,
     /// State of the other instances.
@@ -137,6 +140,7 @@
             peers: RefCell::new(Peers::new(settings.instance.clone(), now)),
             progress: RefCell::new(Progress::new(&settings.instance)),
             refusals: Refusals::new(settings.return_times, now),
+            ledger: Ledger::new(settings.peer_limits.budget()),
             settings,
             clock: BootClock,
             store,
--- a/crates/gateway/src/operation.rs
+++ b/crates/gateway/src/operation.rs
@@ -14,6 +14,7 @@
     admission,
     directory::Route,
     events::{self, Event},
+    ledger::{Account, Charge, Limit},
     metrics::{Counter, Stage},
     model::{Access, Answer, Code, Failure, Query, Statement, TransactionState},
     node::Node,
@@ -30,6 +31,12 @@
 /// Workspace name that is sent to members for callers without a valid key, whom only public routes serve.
 pub const NO_WORKSPACE: &str = "-";
 
+/// Largest size of the values and prepared statements of a session. A call to a holder carries them in a frame of at most
+/// 4 MiB, with a statement of up to 1 MiB.
+const MAX_STATE_BYTES: usize = 2 << 20;
+/// Bytes of a value or a prepared statement besides its name and content.
+const ENTRY_BYTES: usize = 128;
+
 /// State of a session between two requests.
 pub struct Session<P>
 where
@@ -40,6 +47,8 @@
     key: Box<str>,
     values: Rc<Values>,
     prepared: BTreeMap<Box<str>, (Access, Box<str>)>,
+    /// Charge for the values and the prepared statements.
+    charge: Charge,
     last_commit: Option<LastCommit>,
     transaction: Option<Transaction<P>>,
     state: TransactionState,
@@ -52,13 +61,14 @@
     P: Platform,
 {
     /// Creates the session of a caller that presented `key`.
-    pub fn new(node: Rc<Node<P>>, database: Database, key: Box<str>) -> Self {
+    pub fn new(node: Rc<Node<P>>, database: Database, key: Box<str>, account: &Account) -> Self {
         Self {
             node,
             database,
             key,
             values: Rc::default(),
             prepared: BTreeMap::new(),
+            charge: account.empty_charge(),
             last_commit: None,
             transaction: None,
             state: TransactionState::Idle,
@@ -278,6 +288,9 @@
 
     /// Answers a statement that concerns only the session and needs no member.
     fn answer_locally(&mut self, query: &Query, state: TransactionState) -> Answer {
+        if let Err(failure) = self.charge_state(&query.statement) {
+            return Answer::failed(failure, state);
+        }
         match &query.statement {
             Statement::Set { name, value } => {
                 Rc::make_mut(&mut self.values).insert(name.clone(), value.clone());
@@ -296,6 +309,32 @@
         Answer::done(state)
     }
 
+    /// Charges the values and prepared statements that the session has after `statement`.
+    fn charge_state(&mut self, statement: &Statement) -> Result<(), Failure> {
+        let (name, replaced, added) = match statement {
+            Statement::Set { name, value } => {
+                (name, self.values.get(name).map(|old| old.len()), Some(value.len()))
+            }
+            Statement::Prepare { name, shape, .. } => {
+                (name, self.prepared.get(name).map(|(_, old)| old.len()), Some(shape.len()))
+            }
+            Statement::Deallocate { name } => {
+                (name, self.prepared.get(name).map(|(_, old)| old.len()), None)
+            }
+            _ => return Ok(()),
+        };
+        let size = |length: Option<usize>| length.map_or(0, |length| entry_bytes(name, length));
+        let bytes = (self.charge.bytes() + size(added)).saturating_sub(size(replaced));
+        if bytes > MAX_STATE_BYTES && size(added) > size(replaced) {
+            events::limited(&self.node.metrics, Limit::SessionState, self.charge.address());
+            return Err(Failure::new(Code::TooBig, Limit::SessionState.remedy()));
+        }
+        self.charge.resize(bytes).map_err(|_| {
+            events::limited(&self.node.metrics, Limit::Memory, self.charge.address());
+            Failure::new(Code::TooBig, Limit::Memory.remedy())
+        })
+    }
+
     fn update_last_commit(&mut self, last_commit: Option<LastCommit>) {
         let Some(last_commit) = last_commit else { return };
         let position = self
@@ -345,6 +384,10 @@
     RefusedRequest { id, priority: 0, used: Duration::ZERO, limit: MIN_LIMIT }
 }
 
+const fn entry_bytes(name: &str, length: usize) -> usize {
+    name.len() + length + ENTRY_BYTES
+}
+
 fn unknown_statement() -> Failure {
     Failure::new(Code::NoStatement, "no statement has this name; prepare it first")
 }
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use futures::FutureExt;
-use hibiscusladder_core::clock::Instant;
+use hibiscusladder_core::{budget::Activity, clock::Instant};
 use hibiscusladder_io::clock::{sleep, within};
 use serde_json::json;
 use smol::net::TcpStream;
@@ -12,14 +12,13 @@
     adapter::{CallerMessage, CallerPort, Handshake, Platform, PortError},
     events::{self, Event},
     in_flight::InFlightGuard,
+    ledger::{Account, Limit},
     metrics::Counter,
     model::{Code, Failure, TransactionState},
     node::Node,
     operation::{Session, authorise},
 };
 
-/// Longest wait for the handshake of a caller.
-const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest wait of a new caller for the first configuration; callers give up after 2 s.
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(1500);
 /// Time between two checks for the first configuration.
@@ -35,14 +34,17 @@
 ///
 /// `number` is the number of the connection, from which the jitter in the closing of idle sessions is derived. The
 /// process does not end while `_guard` lives.
-pub async fn serve<P>(node: Rc<Node<P>>, stream: TcpStream, number: u64, _guard: InFlightGuard)
-where
+pub async fn serve<P>(
+    node: Rc<Node<P>>,
+    stream: TcpStream,
+    number: u64,
+    account: Account,
+    _guard: InFlightGuard,
+) where
     P: Platform,
 {
-    let mut port = P::Caller::new(stream);
-    let Some(Ok(handshake)) = within(HANDSHAKE_TIMEOUT, port.read_handshake()).await else {
-        return;
-    };
+    let mut port = P::Caller::new(stream, account.clone(), &node.settings.peer_limits);
+    let Some(handshake) = read_handshake(&node, &mut port, &account).await else { return };
     if let Err(failure) = check_handshake(&node, &handshake).await {
         node.metrics.count(Counter::Sessions, failure.code.as_str());
         events::log(
@@ -60,14 +62,34 @@
     if port.accept().await.is_err() {
         return;
     }
-    let mut session = Session::new(node.clone(), handshake.database, handshake.key);
-    let ended = serve_requests(&node, &mut port, &mut session, number).await;
+    let mut session = Session::new(node.clone(), handshake.database, handshake.key, &account);
+    let serving = serve_requests(&node, &mut port, &mut session, &account, number);
+    // Pinned here, so that the future of each session has room for it once only.
+    let ended = account.unless_closed(std::pin::pin!(serving)).await;
     session.abort("the caller left");
-    if let Err(error) = ended
-        && !matches!(error, PortError::Closed | PortError::Io(_))
-    {
-        reject_message(&mut port, &error).await;
+    match ended {
+        Ok(()) | Err(PortError::Closed | PortError::Io(_)) => {}
+        Err(PortError::Limited(limit)) => events::limited(&node.metrics, limit, account.address()),
+        Err(error) => reject_message(&mut port, &error).await,
+    }
+}
+
+/// Reads the first message of a caller; `None` when the connection is to be closed.
+async fn read_handshake<P>(
+    node: &Node<P>,
+    port: &mut P::Caller,
+    account: &Account,
+) -> Option<Handshake>
+where
+    P: Platform,
+{
+    let reading = within(node.settings.peer_limits.first_message, port.read_handshake());
+    let reading = async { reading.await.unwrap_or(Err(PortError::Limited(Limit::FirstMessage))) };
+    let read = account.unless_closed(reading).await;
+    if let Err(PortError::Limited(limit)) = read {
+        events::limited(&node.metrics, limit, account.address());
     }
+    read.ok()
 }
 
 async fn check_handshake<P>(node: &Rc<Node<P>>, handshake: &Handshake) -> Result<(), Failure>
@@ -102,6 +124,7 @@
     node: &Rc<Node<P>>,
     port: &mut P::Caller,
     session: &mut Session<P>,
+    account: &Account,
     number: u64,
 ) -> Result<(), PortError>
 where
@@ -113,14 +136,20 @@
                 Some(message) => message,
                 None => return Ok(()),
             },
-            TransactionState::Open => next_in_transaction(node, port, session).await?,
-            TransactionState::Failed => port.next().await?,
+            TransactionState::Open => next_in_transaction(node, port, session, account).await?,
+            TransactionState::Failed => {
+                // Only the caller can end a failed transaction.
+                account.set_activity(Activity::Unfinished);
+                port.next().await?
+            }
         };
         let CallerMessage::Query(query) = message else { return Ok(()) };
         let arrived = node.now();
-        let answer = session.handle(query, arrived).await;
-        port.answer(&answer).await?;
-        if answer.code() == Some(Code::NoAuth) {
+        // The state of a running request is large, so that idle sessions are kept without it.
+        let answer = Box::pin(session.handle(query, arrived)).await;
+        let code = answer.code();
+        port.answer(answer).await?;
+        if code == Some(Code::NoAuth) {
             return Ok(());
         }
     }
@@ -167,6 +196,7 @@
     node: &Rc<Node<P>>,
     port: &mut P::Caller,
     session: &mut Session<P>,
+    account: &Account,
 ) -> Result<CallerMessage, PortError>
 where
     P: Platform,
@@ -182,5 +212,6 @@
         () = half_grace.fuse() => "the instance stops",
     };
     session.abort(reason);
+    account.set_activity(Activity::Unfinished);
     port.next().await
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use hibiscusladder_core::{
+    budget,
     name::{DataCentre, InstanceId},
     share::Limits,
 };
@@ -38,6 +39,59 @@
     pub priorities: bool,
     /// Whether refused callers are told a time that follows from the expected wait.
     pub return_times: bool,
+    /// What peers may use of the instance.
+    pub peer_limits: PeerLimits,
+}
+
+/// What peers may use of an instance. The defaults are those of the smallest deployments.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerLimits {
+    /// Memory of the machine, in MiB.
+    pub memory_mb: usize,
+    /// Descriptors that the process may have open.
+    pub descriptors: usize,
+    /// Time from the opening of a connection to the end of its first message.
+    pub first_message: Duration,
+    /// Time from the first byte of a message to its end.
+    pub message: Duration,
+    /// Time for which an answer waits for its reader.
+    pub answer: Duration,
+}
+
+impl Default for PeerLimits {
+    fn default() -> Self {
+        Self {
+            memory_mb: 160,
+            descriptors: 4200,
+            first_message: Duration::from_secs(10),
+            message: Duration::from_secs(30),
+            answer: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Divisor of the memory of a machine that gives what peers may hold. The rest is for the program, the configuration, and what
+/// the allocator cannot reuse.
+const PEER_MEMORY_DIVISOR: usize = 2;
+/// Descriptors that the platform sets aside for files.
+const FILE_DESCRIPTORS: usize = 200;
+/// Part of the other descriptors that callers may use, as numerator and denominator. The rest is for members, other instances,
+/// the store and metrics.
+const CALLER_DESCRIPTORS: (usize, usize) = (3, 4);
+/// Bytes that are charged for each connection of a caller: its task and its buffers.
+const CONNECTION_BYTES: usize = 16 << 10;
+
+impl PeerLimits {
+    /// The budget that all peers share.
+    pub fn budget(&self) -> budget::Limits {
+        let (numerator, denominator) = CALLER_DESCRIPTORS;
+        let descriptors = self.descriptors.saturating_sub(FILE_DESCRIPTORS);
+        budget::Limits {
+            bytes: self.memory_mb.saturating_mul(1 << 20) / PEER_MEMORY_DIVISOR,
+            connections: (descriptors / denominator * numerator).max(1),
+            connection_bytes: CONNECTION_BYTES,
+        }
+    }
 }
 
 /// Margin by which the operations of a workspace may exceed its limits, over all instances together.
--- a/crates/gateway/src/status_page.rs
+++ b/crates/gateway/src/status_page.rs
@@ -119,9 +119,13 @@
 where
     P: Platform,
 {
+    let (bytes, bytes_limit) = node.ledger.bytes();
+    let (connections, connections_limit) = node.ledger.connections();
     let mut text = format!(
         "hibiscus_configuration_version {}\nhibiscus_sessions {}\nhibiscus_log_lines_dropped_total {}\n\
-         hibiscus_priorities_enabled {}\nhibiscus_return_times_enabled {}\nhibiscus_waiting_requests {}\n",
+         hibiscus_priorities_enabled {}\nhibiscus_return_times_enabled {}\nhibiscus_waiting_requests {}\n\
+         hibiscus_peer_bytes {bytes}\nhibiscus_peer_bytes_limit {bytes_limit}\n\
+         hibiscus_peer_connections {connections}\nhibiscus_peer_connections_limit {connections_limit}\n",
         node.version(),
         node.sessions(),
         events::dropped(),
