feat(gateway): limits for other peers than clients

Cause: connections to the HTTP ports and to the port for calls of other instances were not limited, headers were read up to 400 KB, a frame took the memory that its length announced, an answer of a member had no limit, and one of the store 256 MiB. Tunnels and answers of members are charged. A connection to a member with more than 64 KiB of values is not kept.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -15,14 +15,15 @@
 //! ```
 //! use std::time::Duration;
 //!
-//! use hibiscusladder_core::{budget::{Budget, Limits}, clock::Instant};
+//! use hibiscusladder_core::{budget::{Budget, Limits, Origin}, clock::Instant};
 //!
-//! let mut budget = Budget::new(Limits { bytes: 1000, connections: 10, connection_bytes: 0 });
+//! let limits = Limits { bytes: 1000, connections: 10, callers: 8, connection_bytes: 0 };
+//! let mut budget = Budget::new(limits);
 //! let now = Instant::default();
-//! let slow = budget.open(now).peer.expect("there is room");
+//! let slow = budget.open(Origin::Caller, now).peer.expect("there is room");
 //! assert!(budget.charge(slow, 900, now).granted);
 //! let now = now.plus(Duration::from_secs(3));
-//! let other = budget.open(now).peer.expect("there is room");
+//! let other = budget.open(Origin::Caller, now).peer.expect("there is room");
 //! let charged = budget.charge(other, 400, now);
 //! assert!(charged.granted);
 //! assert_eq!(charged.closed, [slow]);
@@ -42,6 +43,8 @@
     pub bytes: usize,
     /// Connections that peers may open.
     pub connections: usize,
+    /// Connections of callers among them; the rest is for other peers.
+    pub callers: usize,
     /// Bytes that are charged for each connection.
     pub connection_bytes: usize,
 }
@@ -50,6 +53,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PeerId(u64);
 
+/// Who has opened a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// Another instance, or the platform.
+    Other,
+}
+
 /// What a peer is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Activity {
@@ -85,8 +97,8 @@
     activity: Activity,
     /// Start of the activity.
     since: Instant,
-    /// Whether the peer counts as a connection that was opened from outside.
-    counts: bool,
+    /// Who has opened the connection; `None` for a connection that this process has opened.
+    origin: Option<Origin>,
 }
 
 impl Peer {
@@ -104,30 +116,36 @@
     peers: BTreeMap<PeerId, Peer>,
     used: usize,
     connections: usize,
+    callers: usize,
     next: u64,
 }
 
 impl Budget {
     /// Creates a budget without peers.
     pub const fn new(limits: Limits) -> Self {
-        Self { limits, peers: BTreeMap::new(), used: 0, connections: 0, next: 0 }
+        Self { limits, peers: BTreeMap::new(), used: 0, connections: 0, callers: 0, next: 0 }
     }
 
-    /// Opens a connection for a peer, which is unfinished at first. At the limit, the peer that has been unfinished for
-    /// the longest time is closed for it.
-    pub fn open(&mut self, now: Instant) -> Opened {
+    /// Opens a connection for a peer, which is unfinished at first. At a limit, the peer that has been unfinished for
+    /// the longest time is closed for it; at the limit of callers, the caller.
+    pub fn open(&mut self, origin: Origin, now: Instant) -> Opened {
         let mut closed = Vec::new();
-        if self.connections >= self.limits.connections {
-            let unfinished = self
-                .peers
-                .iter()
-                .filter(|(_, peer)| peer.counts && peer.activity == Activity::Unfinished);
+        let at_callers = origin == Origin::Caller && self.callers >= self.limits.callers;
+        if at_callers || self.connections >= self.limits.connections {
+            let unfinished = self.peers.iter().filter(|(_, peer)| {
+                let may_close = match peer.origin {
+                    Some(Origin::Caller) => true,
+                    Some(Origin::Other) => !at_callers,
+                    None => false,
+                };
+                may_close && peer.activity == Activity::Unfinished
+            });
             let longest = unfinished.min_by_key(|(_, peer)| peer.since).map(|(id, _)| *id);
             let Some(longest) = longest else { return Opened { peer: None, closed } };
             self.close(longest);
             closed.push(longest);
         }
-        let peer = self.insert(Activity::Unfinished, true, now);
+        let peer = self.insert(Activity::Unfinished, Some(origin), now);
         let charged = self.charge(peer, self.limits.connection_bytes, now);
         closed.extend(charged.closed);
         if charged.granted {
@@ -139,7 +157,7 @@
 
     /// Adds a peer whose connections have a limit of their own, for example a member. It counts as running.
     pub fn add_reserved(&mut self, now: Instant) -> PeerId {
-        self.insert(Activity::Running, false, now)
+        self.insert(Activity::Running, None, now)
     }
 
     /// Charges more bytes to a peer. A peer that was closed is refused.
@@ -190,7 +208,8 @@
     pub fn close(&mut self, peer: PeerId) {
         let Some(state) = self.peers.remove(&peer) else { return };
         self.used -= state.bytes;
-        self.connections -= usize::from(state.counts);
+        self.connections -= usize::from(state.origin.is_some());
+        self.callers -= usize::from(state.origin == Some(Origin::Caller));
     }
 
     /// Bytes that the peers hold.
@@ -225,11 +244,12 @@
         heaviest.map(|(id, _)| id)
     }
 
-    fn insert(&mut self, activity: Activity, counts: bool, now: Instant) -> PeerId {
+    fn insert(&mut self, activity: Activity, origin: Option<Origin>, now: Instant) -> PeerId {
         let id = PeerId(self.next);
         self.next += 1;
-        self.peers.insert(id, Peer { bytes: 0, activity, since: now, counts });
-        self.connections += usize::from(counts);
+        self.peers.insert(id, Peer { bytes: 0, activity, since: now, origin });
+        self.connections += usize::from(origin.is_some());
+        self.callers += usize::from(origin == Some(Origin::Caller));
         id
     }
 
--- a/crates/core/tests/budget.rs
+++ b/crates/core/tests/budget.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hibiscusladder_core::{
-    budget::{Activity, Budget, Limits, PeerId},
+    budget::{Activity, Budget, Limits, Origin, PeerId},
     clock::Instant,
 };
 
@@ -14,11 +14,12 @@
 }
 
 fn budget() -> Budget {
-    Budget::new(Limits { bytes: 1000, connections: CONNECTIONS, connection_bytes: 0 })
+    let callers = CONNECTIONS;
+    Budget::new(Limits { bytes: 1000, connections: callers + 1, callers, connection_bytes: 0 })
 }
 
 fn open(budget: &mut Budget, bytes: usize, activity: Activity, seconds: u64) -> PeerId {
-    let peer = budget.open(at(seconds)).peer.expect("there is room");
+    let peer = budget.open(Origin::Caller, at(seconds)).peer.expect("there is room");
     assert!(budget.charge(peer, bytes, at(seconds)).granted);
     budget.set_activity(peer, activity, at(seconds));
     peer
@@ -101,17 +102,34 @@
     let older = open(&mut budget, 0, Activity::Unfinished, 1);
     let newer = open(&mut budget, 0, Activity::Unfinished, 2);
     open(&mut budget, 0, Activity::Running, 3);
-    let opened = budget.open(at(4));
+    let opened = budget.open(Origin::Caller, at(4));
     assert_eq!(opened.closed, [older]);
     let opened = opened.peer.expect("room was made");
     budget.set_activity(newer, Activity::Idle, at(4));
     budget.set_activity(opened, Activity::Idle, at(4));
-    assert_eq!(budget.open(at(5)).peer, None, "an ordinary peer is closed for a new one");
+    assert_eq!(
+        budget.open(Origin::Caller, at(5)).peer,
+        None,
+        "an ordinary peer is closed for a new one"
+    );
     budget.close(newer);
-    assert!(budget.open(at(6)).peer.is_some());
+    assert!(budget.open(Origin::Caller, at(6)).peer.is_some());
     assert_eq!(budget.connections(), CONNECTIONS);
 }
 
+/// Guards against callers that take the connections of other instances, and against others that keep callers out.
+#[test]
+fn open_keeps_room_for_others() {
+    let mut budget = budget();
+    for _ in 0..CONNECTIONS {
+        open(&mut budget, 0, Activity::Idle, 0);
+    }
+    let first = budget.open(Origin::Other, at(1)).peer.expect("there is room");
+    assert_eq!(budget.open(Origin::Caller, at(2)).peer, None);
+    assert_eq!(budget.open(Origin::Other, at(2)).closed, [first]);
+    assert_eq!(budget.connections(), CONNECTIONS + 1);
+}
+
 /// Guards against connections of members that count as those of callers.
 #[test]
 fn add_reserved_takes_no_connection() {
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -177,10 +177,11 @@
 
 /// Connection to a member.
 pub trait UpstreamPort: Sized + 'static {
-    /// Connects to `target` for `workspace`.
+    /// Connects to `target` for `workspace`. What an answer holds is charged to `account`.
     fn connect(
         target: &Target,
         workspace: &Workspace,
+        account: Account,
     ) -> impl Future<Output = Result<Self, ConnectError>>;
 
     /// Sends a command.
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -3,6 +3,7 @@
 use std::{io, rc::Rc, time::Duration};
 
 use hibiscusladder_core::{
+    budget::Origin,
     clock::Instant,
     name::{MemberId, Workspace},
     sync_group::{MemberStatus, Role},
@@ -13,9 +14,10 @@
 };
 
 use crate::{
-    adapter::Platform,
+    adapter::{Platform, PortError},
     channel::{self, RunOutcome, StatementRun, roll_back, run_local},
     lease::Lease,
+    ledger::Account,
     listener,
     message::{SectionKind, Sections},
     model::{Code, TransactionState},
@@ -34,16 +36,31 @@
     P: Platform,
 {
     listener::accept(node.clone(), listener, |stream| {
-        node.spawn(serve_tunnel(node.clone(), stream));
+        let Some(account) = node.ledger.open(Origin::Other, &stream) else { return };
+        node.spawn(serve_tunnel(node.clone(), stream, account));
     })
     .await;
 }
 
-async fn serve_tunnel<P>(node: Rc<Node<P>>, stream: TcpStream)
+async fn serve_tunnel<P>(node: Rc<Node<P>>, stream: TcpStream, account: Account)
+where
+    P: Platform,
+{
+    let frames = FrameStream::new(stream, &account).with_limits(node.settings.peer_limits);
+    let serving = async {
+        serve_calls(&node, frames).await;
+        Ok(())
+    };
+    // Pinned here, so that the future of each tunnel has room for it once only.
+    if let Err(PortError::Limited(limit)) = account.unless_closed(std::pin::pin!(serving)).await {
+        account.record_limited(limit);
+    }
+}
+
+async fn serve_calls<P>(node: &Rc<Node<P>>, mut frames: FrameStream)
 where
     P: Platform,
 {
-    let mut frames = FrameStream::new(stream);
     let mut open_transaction: Option<Lease<P>> = None;
     // Keeps the process running while a call runs or a transaction is open.
     let mut guard = None;
@@ -65,7 +82,7 @@
             Call::Run(call) => {
                 let urgency = sections.get(SectionKind::Urgency);
                 let outcome =
-                    run_statement(&node, &frames, &mut open_transaction, &call, urgency).await;
+                    run_statement(node, &frames, &mut open_transaction, &call, urgency).await;
                 if let RunOutcome::NoSlot(no_slot) = &outcome {
                     // A number cannot fail to be encoded.
                     let _ = reply_sections.insert(SectionKind::NoSlot, no_slot);
@@ -79,11 +96,11 @@
                 Reply::NotRun(Code::Aborted)
             }
             Call::Control { member, command } => {
-                Reply::Status(send_command(&node, &frames, &MemberId::new(&member), command).await)
+                Reply::Status(send_command(node, &frames, &MemberId::new(&member), command).await)
             }
         };
         // The other instance opens its next tunnel elsewhere, so that no call is on its way when the process ends.
-        let is_closing = is_refusing(&node, node.now()) && open_transaction.is_none();
+        let is_closing = is_refusing(node, node.now()) && open_transaction.is_none();
         let sent = frames.send(&reply, &reply_sections).await;
         if open_transaction.is_none() {
             guard = None;
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -19,6 +19,10 @@
     slot_queue::{KeptConnection, Permit, Permits},
 };
 
+/// Largest size of the values and prepared statements of a connection that is kept, in bytes. A kept connection holds them for
+/// sessions that have ended; opening a new one costs the member 12 ms.
+const MAX_KEPT_STATE_BYTES: usize = 64 << 10;
+
 /// A connection with its session state at the member.
 pub(crate) struct Connection<P>
 where
@@ -28,6 +32,8 @@
     pub(crate) workspace: Workspace,
     pub(crate) values: Values,
     prepared: BTreeSet<Box<str>>,
+    /// Bytes of values and prepared statements that were set since the last reset.
+    state_bytes: usize,
     /// When the member last answered on the connection.
     pub(crate) last_answered: Instant,
 }
@@ -39,7 +45,14 @@
     /// Creates the state of a new connection, which has no values and prepared statements.
     pub(crate) const fn new(port: P::Upstream, workspace: Workspace, now: Instant) -> Self {
         let values = Values::new();
-        Self { port, workspace, values, prepared: BTreeSet::new(), last_answered: now }
+        Self {
+            port,
+            workspace,
+            values,
+            prepared: BTreeSet::new(),
+            state_bytes: 0,
+            last_answered: now,
+        }
     }
 }
 
@@ -115,6 +128,7 @@
             let connection = connection_mut(&mut self.connection)?;
             connection.values.clear();
             connection.prepared.clear();
+            connection.state_bytes = 0;
         }
         for (name, value) in values {
             self.set_value(name, value).await?;
@@ -133,7 +147,9 @@
             return Ok(());
         }
         self.command(MemberCommand::Set { name, value }).await?;
-        connection_mut(&mut self.connection)?.values.insert(name.into(), value.into());
+        let connection = connection_mut(&mut self.connection)?;
+        connection.state_bytes += name.len() + value.len();
+        connection.values.insert(name.into(), value.into());
         Ok(())
     }
 
@@ -148,7 +164,9 @@
         let name: Box<str> = format!("{kind}{shape}").into();
         if !connection(&mut self.connection)?.prepared.contains(&name) {
             self.command(MemberCommand::Prepare { name: &name, access, shape }).await?;
-            connection_mut(&mut self.connection)?.prepared.insert(name.clone());
+            let connection = connection_mut(&mut self.connection)?;
+            connection.state_bytes += name.len();
+            connection.prepared.insert(name.clone());
         }
         Ok(name)
     }
@@ -195,7 +213,11 @@
     P: Platform,
 {
     fn drop(&mut self) {
-        self.pool.return_connection(self.connection.take().filter(|_| self.reusable));
+        let reusable = |connection: &Connection<P>| {
+            self.reusable && connection.state_bytes <= MAX_KEPT_STATE_BYTES
+        };
+        let connection = self.connection.take().filter(reusable);
+        self.pool.return_connection(connection);
     }
 }
 
--- a/crates/gateway/src/ledger.rs
+++ b/crates/gateway/src/ledger.rs
@@ -9,13 +9,13 @@
 
 use event_listener::Event as Notify;
 use hibiscusladder_core::{
-    budget::{Activity, Budget, Limits, PeerId},
+    budget::{Activity, Budget, Limits, Origin, PeerId},
     clock::Clock,
 };
 use hibiscusladder_io::clock::BootClock;
-use smol::future::FutureExt;
+use smol::{future::FutureExt, net::TcpStream};
 
-use crate::adapter::PortError;
+use crate::{adapter::PortError, events, metrics::Metrics};
 
 /// Limit that a peer has reached.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -32,6 +32,8 @@
     Answer,
     /// Values and prepared statements of a session.
     SessionState,
+    /// Length of an answer of a member.
+    AnswerSize,
 }
 
 impl Limit {
@@ -44,12 +46,14 @@
             Self::Message => "message",
             Self::Answer => "answer",
             Self::SessionState => "session_state",
+            Self::AnswerSize => "answer_size",
         }
     }
 
     /// What a peer that reaches the limit can do.
     pub const fn remedy(self) -> &'static str {
         match self {
+            Self::AnswerSize => "an answer of a member is too long; read less at once",
             Self::Memory => {
                 "the instance has no memory for it; send less at once, or raise limits.memory_mb"
             }
@@ -75,6 +79,7 @@
 #[derive(Debug)]
 struct Shared {
     budget: RefCell<Budget>,
+    metrics: Rc<Metrics>,
     notices: RefCell<BTreeMap<PeerId, Rc<Notice>>>,
 }
 
@@ -87,17 +92,19 @@
 
 impl Ledger {
     /// Creates a ledger without accounts.
-    pub fn new(limits: Limits) -> Self {
-        Self(Rc::new(Shared {
-            budget: RefCell::new(Budget::new(limits)),
-            notices: RefCell::default(),
-        }))
+    pub fn new(limits: Limits, metrics: Rc<Metrics>) -> Self {
+        let budget = RefCell::new(Budget::new(limits));
+        Self(Rc::new(Shared { budget, metrics, notices: RefCell::default() }))
     }
 
-    /// Opens the account of a connection from `address`; `None` when the connection is refused.
-    pub fn open(&self, address: Option<SocketAddr>) -> Option<Account> {
-        let opened = self.0.budget.borrow_mut().open(BootClock.now());
+    /// Opens the account of an accepted connection; `None` when the connection is refused.
+    pub fn open(&self, origin: Origin, stream: &TcpStream) -> Option<Account> {
+        let address = stream.peer_addr().ok();
+        let opened = self.0.budget.borrow_mut().open(origin, BootClock.now());
         self.0.close(&opened.closed, Limit::Connections);
+        if opened.peer.is_none() {
+            events::limited(&self.0.metrics, Limit::Connections, address);
+        }
         opened.peer.map(|peer| self.account(peer, address))
     }
 
@@ -156,9 +163,9 @@
 }
 
 impl Account {
-    /// Address of the peer, if it is known.
-    pub fn address(&self) -> Option<SocketAddr> {
-        self.0.address
+    /// Counts and logs that the peer was refused or closed because it has reached a limit.
+    pub fn record_limited(&self, limit: Limit) {
+        events::limited(&self.0.ledger.metrics, limit, self.0.address);
     }
 
     /// Records what the peer is doing.
@@ -206,9 +213,9 @@
         self.bytes
     }
 
-    /// Address of the peer, if it is known.
-    pub fn address(&self) -> Option<SocketAddr> {
-        self.account.address()
+    /// The account that is charged.
+    pub const fn account(&self) -> &Account {
+        &self.account
     }
 
     /// Changes the number of bytes.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -69,7 +69,7 @@
     /// Client of the platform's promotions.
     pub promoter: P::Promoter,
     /// Counters and histograms.
-    pub metrics: Metrics,
+    pub metrics: Rc<Metrics>,
     /// Member entries of the store.
     pub members: RefCell<MemberTable>,
     /// Allotments of the workspaces.
@@ -136,21 +136,23 @@
         executor: Rc<LocalExecutor<'static>>,
     ) -> Rc<Self> {
         let now = BootClock.now();
+        let metrics = Rc::<Metrics>::default();
+        let ledger = Ledger::new(settings.peer_limits.budget(), metrics.clone());
         Rc::new(Self {
             peers: RefCell::new(Peers::new(settings.instance.clone(), now)),
             progress: RefCell::new(Progress::new(&settings.instance)),
             refusals: Refusals::new(settings.return_times, now),
-            ledger: Ledger::new(settings.peer_limits.budget()),
+            tunnels: Tunnels::new(ledger.clone()),
+            ledger,
             settings,
             clock: BootClock,
             store,
             promoter,
-            metrics: Metrics::default(),
+            metrics,
             members: RefCell::default(),
             admission: RefCell::default(),
             failover_claims: RefCell::default(),
             datagrams,
-            tunnels: Tunnels::default(),
             topology: RefCell::default(),
             roster: RefCell::default(),
             roster_digest: Cell::new(0),
@@ -298,8 +300,15 @@
         let distance = self.settings.distance(&record.data_centre);
         let (limits, holders) = self.pool_limits(&target, &record.data_centre);
         let with_priorities = self.settings.priorities;
-        let pool =
-            Pool::new(target, record.data_centre, distance, limits, holders, with_priorities);
+        let pool = Pool::new(
+            target,
+            record.data_centre,
+            distance,
+            limits,
+            holders,
+            with_priorities,
+            self.ledger.clone(),
+        );
         self.pools.borrow_mut().insert(id.clone(), pool.clone());
         Some(pool)
     }
--- a/crates/gateway/src/operation.rs
+++ b/crates/gateway/src/operation.rs
@@ -326,11 +326,11 @@
         let size = |length: Option<usize>| length.map_or(0, |length| entry_bytes(name, length));
         let bytes = (self.charge.bytes() + size(added)).saturating_sub(size(replaced));
         if bytes > MAX_STATE_BYTES && size(added) > size(replaced) {
-            events::limited(&self.node.metrics, Limit::SessionState, self.charge.address());
+            self.charge.account().record_limited(Limit::SessionState);
             return Err(Failure::new(Code::TooBig, Limit::SessionState.remedy()));
         }
         self.charge.resize(bytes).map_err(|_| {
-            events::limited(&self.node.metrics, Limit::Memory, self.charge.address());
+            self.charge.account().record_limited(Limit::Memory);
             Failure::new(Code::TooBig, Limit::Memory.remedy())
         })
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -23,6 +23,7 @@
     adapter::{ConnectError, Platform, Target, UpstreamPort},
     in_flight::{InFlight, InFlightGuard},
     lease::{Connection, Lease},
+    ledger::Ledger,
     model::{Code, Failure},
     settings::Distance,
     slot_queue::{self, SlotQueue},
@@ -129,6 +130,8 @@
     lagging: Cell<(Instant, Duration)>,
     /// Until when the member is used last, because it did not answer.
     deprioritised_until: Cell<Instant>,
+    /// Accounts of the connections.
+    ledger: Ledger,
 }
 
 impl<P> Pool<P>
@@ -143,6 +146,7 @@
         limits: PoolLimits,
         holders: Option<Rc<[InstanceId]>>,
         with_priorities: bool,
+        ledger: Ledger,
     ) -> Rc<Self> {
         let state = State {
             idle: Vec::new(),
@@ -165,6 +169,7 @@
             opened: Cell::new(0),
             lagging: Cell::new((Instant::default(), MIN_LAG_PAUSE)),
             deprioritised_until: Cell::new(Instant::default()),
+            ledger,
         })
     }
 
@@ -408,7 +413,8 @@
     P: Platform,
 {
     async fn connect(mut self, workspace: &Workspace) -> Result<Lease<P>, AcquireError> {
-        let connecting = P::Upstream::connect(&self.pool.target, workspace);
+        let account = self.pool.ledger.open_reserved(Some(self.pool.target.address));
+        let connecting = P::Upstream::connect(&self.pool.target, workspace, account);
         let port = match within(CONNECT_TIMEOUT, connecting).await {
             Some(Ok(port)) => port,
             Some(Err(ConnectError::Refused(failure))) => {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -273,7 +273,10 @@
         .header(hyper::header::HOST, address.to_string())
         .body(Full::default())
         .map_err(io::Error::other)?;
-    let answer = HttpClient::new(&address.to_string()).send(req, TRANSFER_TIMEOUT).await;
+    let answer = HttpClient::new(&address.to_string())
+        .with_max_answer(MAX_DIRECTORY_BYTES)
+        .send(req, TRANSFER_TIMEOUT)
+        .await;
     let answer = answer.map_err(HttpError::into_io)?;
     if !answer.status().is_success() {
         return Err(io::Error::other(format!("status {}", answer.status())));
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,13 +4,16 @@
 
 use async_signal::{Signal, Signals};
 use futures::StreamExt;
-use hibiscusladder_core::shutdown::{Shutdown, ShutdownStep};
+use hibiscusladder_core::{
+    budget::Origin,
+    shutdown::{Shutdown, ShutdownStep},
+};
 use hibiscusladder_io::clock::sleep;
 use miette::Diagnostic;
 use serde_json::json;
 use smol::{
     LocalExecutor,
-    net::{TcpListener, TcpStream, UdpSocket},
+    net::{TcpListener, UdpSocket},
 };
 use thiserror::Error;
 
@@ -18,9 +21,7 @@
     adapter::{Collection, Platform},
     control,
     events::{self, Event},
-    holder,
-    ledger::{Account, Limit},
-    listener, messenger,
+    holder, listener, messenger,
     node::Node,
     session,
     settings::Settings,
@@ -130,7 +131,7 @@
     let mut number = 0;
     listener::accept(node.clone(), listener, |stream| {
         number += 1;
-        let Some(account) = open_account(&node, &stream) else { return };
+        let Some(account) = node.ledger.open(Origin::Caller, &stream) else { return };
         // The process does not end between the acceptance of a caller and the start of its task.
         let guard = node.begin_session();
         node.spawn(session::serve(node.clone(), stream, number, account, guard));
@@ -138,19 +139,6 @@
     .await;
 }
 
-/// Opens the account of an accepted connection; `None` when the connection is refused.
-fn open_account<P>(node: &Node<P>, stream: &TcpStream) -> Option<Account>
-where
-    P: Platform,
-{
-    let address = stream.peer_addr().ok();
-    let account = node.ledger.open(address);
-    if account.is_none() {
-        events::limited(&node.metrics, Limit::Connections, address);
-    }
-    account
-}
-
 /// Waits for a signal to stop, and then until the process may end.
 async fn wait_for_end<P>(node: &Node<P>, signals: &mut Signals)
 where
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -69,7 +69,7 @@
     session.abort("the caller left");
     match ended {
         Ok(()) | Err(PortError::Closed | PortError::Io(_)) => {}
-        Err(PortError::Limited(limit)) => events::limited(&node.metrics, limit, account.address()),
+        Err(PortError::Limited(limit)) => account.record_limited(limit),
         Err(error) => reject_message(&mut port, &error).await,
     }
 }
@@ -87,7 +87,7 @@
     let reading = async { reading.await.unwrap_or(Err(PortError::Limited(Limit::FirstMessage))) };
     let read = account.unless_closed(reading).await;
     if let Err(PortError::Limited(limit)) = read {
-        events::limited(&node.metrics, limit, account.address());
+        account.record_limited(limit);
     }
     read.ok()
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -75,20 +75,30 @@
 const PEER_MEMORY_DIVISOR: usize = 2;
 /// Descriptors that the platform sets aside for files.
 const FILE_DESCRIPTORS: usize = 200;
-/// Part of the other descriptors that callers may use, as numerator and denominator. The rest is for members, other instances,
-/// the store and metrics.
-const CALLER_DESCRIPTORS: (usize, usize) = (3, 4);
-/// Bytes that are charged for each connection of a caller: its task and its buffers.
+/// Part of the other descriptors, in eighths, that peers may use who connect to the instance. The rest is for its connections to
+/// members, other instances and the store.
+const PEER_EIGHTHS: usize = 7;
+/// Part of the other descriptors, in eighths, that callers may use. What is left of the above is for tunnels, probes and
+/// metrics.
+const CALLER_EIGHTHS: usize = 6;
+/// Part of the memory of a machine that one answer of the store may have, as a divisor.
+const STORE_ANSWER_DIVISOR: usize = 4;
+/// Bytes that are charged for each connection of a peer: its task and its buffers.
 const CONNECTION_BYTES: usize = 16 << 10;
 
 impl PeerLimits {
+    /// Longest answer of the store, in bytes.
+    pub const fn store_answer_bytes(&self) -> usize {
+        self.memory_mb.saturating_mul(1 << 20) / STORE_ANSWER_DIVISOR
+    }
+
     /// The budget that all peers share.
     pub fn budget(&self) -> budget::Limits {
-        let (numerator, denominator) = CALLER_DESCRIPTORS;
-        let descriptors = self.descriptors.saturating_sub(FILE_DESCRIPTORS);
+        let eighth = self.descriptors.saturating_sub(FILE_DESCRIPTORS) / 8;
         budget::Limits {
             bytes: self.memory_mb.saturating_mul(1 << 20) / PEER_MEMORY_DIVISOR,
-            connections: (descriptors / denominator * numerator).max(1),
+            connections: (eighth * PEER_EIGHTHS).max(1),
+            callers: (eighth * CALLER_EIGHTHS).max(1),
             connection_bytes: CONNECTION_BYTES,
         }
     }
--- a/crates/gateway/src/status_page.rs
+++ b/crates/gateway/src/status_page.rs
@@ -3,17 +3,24 @@
 use std::{convert::Infallible, rc::Rc};
 
 use bytes::Bytes;
-use hibiscusladder_core::catch_up::TRANSFER_TIMEOUT;
+use hibiscusladder_core::{
+    budget::{Activity, Origin},
+    catch_up::TRANSFER_TIMEOUT,
+};
 use hibiscusladder_io::clock::{sleep, within};
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming, service::service_fn};
 use serde::Serialize;
-use smol::net::{TcpListener, TcpStream};
+use smol::{
+    future::yield_now,
+    net::{TcpListener, TcpStream},
+};
 use smol_hyper::rt::FuturesIo;
 
 use crate::{
-    adapter::Platform,
+    adapter::{Platform, PortError},
     events,
+    ledger::Account,
     node::Node,
     peers::SEND_INTERVAL,
     relay::{DIRECTORY_PATH, MEMBERS_PATH, MembersPage, ROSTER_PATH, RosterPage},
@@ -22,6 +29,8 @@
 
 /// Path of the [`Snapshot`] for other instances.
 pub const SNAPSHOT_PATH: &str = "/directory";
+/// Largest header of a request; those of probes have some hundred bytes.
+const MAX_HEADER_BYTES: usize = 8 << 10;
 /// Path of the metrics.
 pub const METRICS_PATH: &str = "/metrics";
 
@@ -44,8 +53,10 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let serving = serve_connection(node.clone(), stream, page);
-                node.spawn(serving);
+                let Some(account) = node.ledger.open(Origin::Other, &stream) else { continue };
+                node.spawn(serve_connection(node.clone(), stream, page, account));
+                // A connection that was closed for this one is closed before the next is accepted.
+                yield_now().await;
             }
             // File descriptors may be used up for a short time.
             Err(_) => sleep(SEND_INTERVAL).await,
@@ -53,25 +64,37 @@
     }
 }
 
-async fn serve_connection<P>(node: Rc<Node<P>>, stream: TcpStream, page: Page)
+async fn serve_connection<P>(node: Rc<Node<P>>, stream: TcpStream, page: Page, account: Account)
 where
     P: Platform,
 {
     let server = node.clone();
+    let progress = account.clone();
     let service = service_fn(move |req: Request<Incoming>| {
+        // Begins the time anew for which the connection has been unfinished.
+        progress.set_activity(Activity::Running);
+        progress.set_activity(Activity::Unfinished);
         let answer = answer(&server, page, req.uri().path());
         async move { Ok::<_, Infallible>(answer) }
     });
-    let connection = hyper::server::conn::http1::Builder::new();
+    let mut connection = hyper::server::conn::http1::Builder::new();
+    connection.max_buf_size(MAX_HEADER_BYTES);
     let serving = connection.serve_connection(FuturesIo::new(stream), service);
-    // An error affects only this connection; the client can send its request again.
-    if page != Page::State {
-        let _ = serving.await;
-        return;
+    let serving = async {
+        // An error affects only this connection; the client can send its request again.
+        if page != Page::State {
+            let _ = serving.await;
+            return Ok(());
+        }
+        // Transfers that all share the link at once would all be late.
+        let _transfer = node.transfers.acquire().await;
+        let _ = within(TRANSFER_TIMEOUT, serving).await;
+        Ok(())
+    };
+    // Pinned here, so that the future of each connection has room for it once only.
+    if let Err(PortError::Limited(limit)) = account.unless_closed(std::pin::pin!(serving)).await {
+        account.record_limited(limit);
     }
-    // Transfers that all share the link at once would all be late.
-    let _transfer = node.transfers.acquire().await;
-    let _ = within(TRANSFER_TIMEOUT, serving).await;
 }
 
 fn answer<P>(node: &Node<P>, page: Page, path: &str) -> Response<Full<Bytes>>
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -7,17 +7,26 @@
 use std::{cell::RefCell, collections::BTreeMap, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use futures::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use hibiscusladder_core::budget::Activity;
 use hibiscusladder_io::{clock::within, socket::reset_on_close};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use smol::net::TcpStream;
+use smol::{future::yield_now, net::TcpStream};
 
 use crate::{
+    ledger::{Account, Charge, Ledger, Limit},
     message::Sections,
     model::{Access, Code, Failure, TransactionState},
+    settings::PeerLimits,
 };
 
 /// Longest body of a frame: a caller's message with the values of its session, or an answer.
 const MAX_FRAME_BYTES: usize = 4 << 20;
+/// Bytes of a frame that are received between two charges.
+const CHUNK_BYTES: usize = 16 << 10;
+/// Bytes of a frame that are part of the charge of the connection.
+const FREE_BYTES: usize = 16 << 10;
+/// Number of times that a frame is in memory: its body, its message, and the command to the member.
+const FRAME_COPIES: usize = 3;
 /// Bytes of the length at the start of a frame.
 const LENGTH_BYTES: usize = 4;
 /// Longest time for opening a tunnel: a round trip between regions, and one lost packet within a region.
@@ -177,14 +186,24 @@
 #[derive(Debug)]
 pub struct FrameStream {
     stream: TcpStream,
+    charge: Charge,
+    /// Time limits for the instance that has opened the connection; `None` at that instance.
+    limits: Option<PeerLimits>,
 }
 
 impl FrameStream {
-    /// Takes over an established connection.
-    pub fn new(stream: TcpStream) -> Self {
+    /// Takes over an established connection. What it holds is charged to `account`.
+    pub fn new(stream: TcpStream, account: &Account) -> Self {
         // Without this option small frames wait for acknowledgements. A failure to set it only costs time.
         let _ = stream.set_nodelay(true);
-        Self { stream }
+        Self { stream, charge: account.empty_charge(), limits: None }
+    }
+
+    /// Limits the time that the other end takes for each frame.
+    #[must_use]
+    pub const fn with_limits(mut self, limits: PeerLimits) -> Self {
+        self.limits = Some(limits);
+        self
     }
 
     /// Sends a frame with a message and its sections.
@@ -203,7 +222,14 @@
         }
         let length = u32::try_from(frame.len() - LENGTH_BYTES).map_err(io::Error::other)?;
         frame[..LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
-        self.stream.write_all(&frame).await
+        let Some(limits) = self.limits else { return self.stream.write_all(&frame).await };
+        self.charge.resize_held(charged_bytes(frame.len()));
+        self.set_activity(Activity::Unfinished);
+        let sent = within(limits.answer, self.stream.write_all(&frame)).await;
+        sent.unwrap_or_else(|| Err(self.limited(Limit::Answer)))?;
+        self.charge.resize_held(0);
+        self.set_activity(Activity::Idle);
+        Ok(())
     }
 
     /// Reads a frame. Sections that cannot be decoded are left out.
@@ -216,15 +242,58 @@
         T: DeserializeOwned,
     {
         let mut length = [0; LENGTH_BYTES];
-        self.stream.read_exact(&mut length).await?;
+        self.stream.read_exact(&mut length[..1]).await?;
+        self.set_activity(Activity::Unfinished);
+        let body = match self.limits {
+            None => self.receive_rest(length).await?,
+            Some(limits) => match within(limits.message, self.receive_rest(length)).await {
+                Some(body) => body?,
+                None => return Err(self.limited(Limit::Message)),
+            },
+        };
+        self.set_activity(Activity::Running);
+        let (message, rest) = postcard::take_from_bytes(&body).map_err(io::Error::other)?;
+        let sections = postcard::from_bytes(rest).unwrap_or_default();
+        if self.limits.is_none() {
+            // The session that waits for the reply is charged for it.
+            self.charge.resize_held(0);
+        }
+        Ok((message, sections))
+    }
+
+    /// Reads the rest of a frame after the first byte of its length, and returns its body.
+    async fn receive_rest(&mut self, mut length: [u8; LENGTH_BYTES]) -> io::Result<Vec<u8>> {
+        self.stream.read_exact(&mut length[1..]).await?;
         let length = u32::from_be_bytes(length) as usize;
         if length > MAX_FRAME_BYTES {
             return Err(io::ErrorKind::InvalidData.into());
         }
-        let mut body = vec![0; length];
-        self.stream.read_exact(&mut body).await?;
-        let (message, rest) = postcard::take_from_bytes(&body).map_err(io::Error::other)?;
-        Ok((message, postcard::from_bytes(rest).unwrap_or_default()))
+        let mut body = Vec::new();
+        while body.len() < length {
+            // The peer is charged for what it sends, not for what it announces.
+            let received = body.len();
+            body.resize(length.min(received + CHUNK_BYTES), 0);
+            if self.charge.resize(charged_bytes(body.len())).is_err() {
+                return Err(self.limited(Limit::Memory));
+            }
+            self.stream.read_exact(&mut body[received..]).await?;
+            if body.len() < length {
+                yield_now().await;
+            }
+        }
+        Ok(body)
+    }
+
+    fn set_activity(&self, activity: Activity) {
+        // The end that has opened the connection is not closed for others.
+        if self.limits.is_some() {
+            self.charge.account().set_activity(activity);
+        }
+    }
+
+    fn limited(&self, limit: Limit) -> io::Error {
+        self.charge.account().record_limited(limit);
+        io::Error::other(limit.remedy())
     }
 
     /// Whether the other end has closed the connection or sent bytes that no call is waiting for.
@@ -233,13 +302,23 @@
     }
 }
 
+fn charged_bytes(bytes: usize) -> usize {
+    bytes.saturating_sub(FREE_BYTES) * FRAME_COPIES
+}
+
 /// Idle tunnels by the address of the holder; clones share them.
-#[derive(Debug, Default, Clone)]
+#[derive(Debug, Clone)]
 pub struct Tunnels {
+    ledger: Ledger,
     idle: Rc<RefCell<BTreeMap<SocketAddr, Vec<FrameStream>>>>,
 }
 
 impl Tunnels {
+    /// Creates the state without tunnels. What they hold is charged to accounts of `ledger`.
+    pub fn new(ledger: Ledger) -> Self {
+        Self { ledger, idle: Rc::default() }
+    }
+
     /// Opens a tunnel to the instance at `address`, or takes an idle one.
     ///
     /// # Errors
@@ -256,7 +335,8 @@
         // A call that is given up must not arrive later. Without the option it may, as long as the holder does not see
         // that the tunnel was closed.
         reset_on_close(&stream).ok();
-        Ok(self.tunnel(address, FrameStream::new(stream)))
+        let account = self.ledger.open_reserved(Some(address));
+        Ok(self.tunnel(address, FrameStream::new(stream, &account)))
     }
 
     /// Closes the idle tunnels to an instance that may have become unresponsive.
--- a/crates/gateway/tests/urgency.rs
+++ b/crates/gateway/tests/urgency.rs
@@ -1,12 +1,14 @@
 //! Urgency of calls between instances of this version and earlier ones, and the refusals of a queue.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use futures::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use hibiscusladder_core::{clock::Instant, name::Workspace};
 use hibiscusladder_gateway::{
+    ledger::Ledger,
     message::{SectionKind, Sections},
     refusal::{Refusals, RefusedRequest},
+    settings::PeerLimits,
     slot_order::SlotOrder,
     token_order::TokenOrder,
     tunnel::{Call, FrameStream, Payload, RunCall},
@@ -48,6 +50,11 @@
     })
 }
 
+fn frames(stream: TcpStream) -> FrameStream {
+    let limits = PeerLimits::default().budget();
+    FrameStream::new(stream, &Ledger::new(limits, Rc::default()).open_reserved(None))
+}
+
 async fn streams() -> (TcpStream, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
@@ -63,7 +70,7 @@
         let (near, mut far) = streams().await;
         let mut sections = Sections::default();
         sections.insert(SectionKind::Urgency, &urgency(0, 500, 20)).expect("numbers");
-        FrameStream::new(near).send(&call(), &sections).await.expect("it is sent");
+        frames(near).send(&call(), &sections).await.expect("it is sent");
         let mut length = [0; 4];
         far.read_exact(&mut length).await.expect("a length");
         let mut body = vec![0; u32::from_be_bytes(length) as usize];
@@ -85,14 +92,14 @@
             body.extend(rest);
             let length = u32::try_from(body.len()).expect("a short body").to_be_bytes();
             near.write_all(&[&length[..], &body].concat()).await.expect("it is sent");
-            let (_, sections) = FrameStream::new(far).receive::<Call>().await.expect("a call");
+            let (_, sections) = frames(far).receive::<Call>().await.expect("a call");
             assert_eq!(sections.get::<CallUrgency>(SectionKind::Urgency), None);
         }
         let (near, far) = streams().await;
         let mut sections = Sections::default();
         sections.insert(SectionKind::Urgency, &urgency(2, 500, 20)).expect("numbers");
-        FrameStream::new(near).send(&call(), &sections).await.expect("it is sent");
-        let (_, sections) = FrameStream::new(far).receive::<Call>().await.expect("a call");
+        frames(near).send(&call(), &sections).await.expect("it is sent");
+        let (_, sections) = frames(far).receive::<Call>().await.expect("a call");
         assert_eq!(sections.get(SectionKind::Urgency), Some(urgency(2, 500, 20)));
     });
 }
--- a/crates/io/src/http.rs
+++ b/crates/io/src/http.rs
@@ -26,7 +26,7 @@
 /// Largest number of idle connections that a client keeps open for reuse.
 const MAX_IDLE_CONNECTIONS: usize = 4;
 
-/// Largest body of an answer, in bytes; a listing holds many objects of at most 1 MB each.
+/// Largest body of an answer without another limit, in bytes; a listing holds many objects of at most 1 MB each.
 const MAX_ANSWER_BYTES: usize = 256 << 20;
 
 /// Number of timeouts after which an exchange fails although parts of the answer arrive.
@@ -71,13 +71,22 @@
 #[derive(Debug, Clone)]
 pub struct HttpClient {
     address: Arc<str>,
+    max_answer_bytes: usize,
     idle: Arc<Mutex<Vec<Connection>>>,
 }
 
 impl HttpClient {
     /// Creates a client for the server at `address`, as `host:port`.
     pub fn new(address: &str) -> Self {
-        Self { address: Arc::from(address), idle: Arc::default() }
+        let max_answer_bytes = MAX_ANSWER_BYTES;
+        Self { address: Arc::from(address), max_answer_bytes, idle: Arc::default() }
+    }
+
+    /// Sets the largest body of an answer, in bytes; the exchange fails when it is larger.
+    #[must_use]
+    pub const fn with_max_answer(mut self, bytes: usize) -> Self {
+        self.max_answer_bytes = bytes;
+        self
     }
 
     /// Address of the server, as `host:port`.
@@ -137,7 +146,7 @@
         let exchange = async {
             let answer = sender.send_request(req).await.map_err(io::Error::other)?;
             let (parts, body) = answer.into_parts();
-            let body = Limited::new(body, MAX_ANSWER_BYTES);
+            let body = Limited::new(body, self.max_answer_bytes);
             let body = body.map_frame(|frame| {
                 received.fetch_add(1, Ordering::Relaxed);
                 frame
--- a/hibiscusladder/tests/gateway/fleet.rs
+++ b/hibiscusladder/tests/gateway/fleet.rs
@@ -154,6 +154,14 @@
 }
 
 impl Gateway {
+    /// Value of a field of the settings file.
+    #[allow(dead_code, reason = "used by the tests of uncontrolled clients")]
+    pub(crate) fn setting(&self, field: &str) -> &str {
+        let fields = self.settings.lines().filter_map(|line| line.split_once('='));
+        let value = fields.filter(|(name, _)| *name == field).map(|(_, value)| value).next();
+        value.expect("the field is in the file")
+    }
+
     /// Waits until a write succeeds.
     pub(crate) fn wait_until_serving(&self) {
         let until = Instant::now() + SERVING_TIMEOUT;
--- a/hibiscusladder/tests/uncontrolled_clients/main.rs
+++ b/hibiscusladder/tests/uncontrolled_clients/main.rs
@@ -10,5 +10,6 @@
 mod fleet;
 mod limits;
 mod messages;
+mod peers;
 mod slow;
 mod watched;
