--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod holder;
 pub mod in_flight;
 pub mod lease;
+pub mod ledger;
 pub mod listener;
 pub mod member_path;
 pub mod member_table;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -40,6 +40,7 @@
     events::{self, Event},
     group_state::GroupState,
     in_flight::InFlight,
+    ledger::Ledger,
     member_table::{Member, MemberTable},
     metrics::Metrics,
     peers::Peers,
@@ -78,7 +79,7 @@
     /// Client of the platform's promotions.
     pub promoter: P::Promoter,
     /// Counters and histograms.
-    pub metrics: Metrics,
+    pub metrics: Rc<Metrics>,
     /// Member entries of the store.
     pub members: RefCell<MemberTable>,
     /// Allotments of the workspaces.
@@ -87,6 +88,8 @@
     pub evacuations: EvacuationState,
     /// Cold members, and what this instance may send to them.
     pub cold: ColdMembers,
+    /// Accounts of the peers.
+    pub ledger: Ledger,
     /// Retry delays of refused callers.
     pub refusals: Refusals,
     /// State of the other instances.
@@ -151,6 +154,8 @@
         executor: Rc<LocalExecutor<'static>>,
     ) -> Rc<Self> {
         let now = BootClock.now();
+        let metrics = Rc::<Metrics>::default();
+        let ledger = Ledger::new(settings.peer_limits.budget(), metrics.clone());
         Rc::new(Self {
             peers: RefCell::new(Peers::new(settings.instance.clone(), now)),
             progress: RefCell::new(Progress::new(&settings.instance)),
@@ -160,17 +165,18 @@
                 settings.evacuate,
                 settings.regions.keys().cloned().collect(),
             ),
+            tunnels: Tunnels::new(ledger.clone()),
+            ledger,
             settings,
             clock: BootClock,
             store_era: store.era().clone(),
             store,
             promoter,
-            metrics: Metrics::default(),
+            metrics,
             members: RefCell::default(),
             admission: RefCell::default(),
             failover_claims: RefCell::default(),
             datagrams,
-            tunnels: Tunnels::default(),
             topology: RefCell::default(),
             roster: RefCell::default(),
             roster_digest: Cell::new(0),
@@ -362,8 +368,16 @@
         self.update_cold(&target, paths.holders.as_deref());
         let cold = self.cold.gate(id, self.now());
         let with_priorities = self.settings.priorities;
-        let pool =
-            Pool::new(target, record.data_centre, distance, limits, paths, with_priorities, cold);
+        let pool = Pool::new(
+            target,
+            record.data_centre,
+            distance,
+            limits,
+            paths,
+            with_priorities,
+            cold,
+            self.ledger.clone(),
+        );
         self.pools.borrow_mut().insert(id.clone(), pool.clone());
         Some(pool)
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -26,6 +26,7 @@
     cold::ColdGate,
     in_flight::{InFlight, InFlightGuard},
     lease::{Connection, Lease},
+    ledger::Ledger,
     model::{Code, Failure},
     service_time::ServiceTime,
     settings::Distance,
@@ -158,6 +159,8 @@
     lagging: Cell<(Instant, Duration)>,
     /// Until when the member is used last, because it did not answer.
     deprioritised_until: Cell<Instant>,
+    /// Accounts of the connections.
+    ledger: Ledger,
 }
 
 impl<P> Pool<P>
@@ -173,6 +176,7 @@
         paths: MemberPaths,
         with_priorities: bool,
         cold: Rc<ColdGate>,
+        ledger: Ledger,
     ) -> Rc<Self> {
         let state = State {
             idle: Vec::new(),
@@ -198,6 +202,7 @@
             opened: Cell::new(0),
             lagging: Cell::new((Instant::default(), MIN_LAG_PAUSE)),
             deprioritised_until: Cell::new(Instant::default()),
+            ledger,
         })
     }
 
@@ -465,7 +470,8 @@
     P: Platform,
 {
     async fn connect(mut self, workspace: &Workspace) -> Result<Lease<P>, AcquireError> {
-        let connecting = P::Upstream::connect(&self.pool.target, workspace);
+        let account = self.pool.ledger.open_reserved(Some(self.pool.target.address));
+        let connecting = P::Upstream::connect(&self.pool.target, workspace, account);
         let port = match within(CONNECT_TIMEOUT, connecting).await {
             Some(Ok(port)) => port,
             Some(Err(ConnectError::Refused(failure))) => {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use hibiscusladder_core::{
+    budget,
     name::{DataCentre, InstanceId},
     share::Limits,
 };
@@ -45,6 +46,69 @@
     pub evacuate: Option<Duration>,
     /// Whether refused callers are told a time that follows from the expected wait.
     pub return_times: bool,
+    /// What peers may use of the instance.
+    pub peer_limits: PeerLimits,
+}
+
+/// What peers may use of an instance. The defaults are those of the smallest deployments.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerLimits {
+    /// Memory of the machine, in MiB.
+    pub memory_mb: usize,
+    /// Descriptors that the process may have open.
+    pub descriptors: usize,
+    /// Time from the opening of a connection to the end of its first message.
+    pub first_message: Duration,
+    /// Time from the first byte of a message to its end.
+    pub message: Duration,
+    /// Time for which an answer waits for its reader.
+    pub answer: Duration,
+}
+
+impl Default for PeerLimits {
+    fn default() -> Self {
+        Self {
+            memory_mb: 160,
+            descriptors: 4200,
+            first_message: Duration::from_secs(10),
+            message: Duration::from_secs(30),
+            answer: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Divisor of the memory of a machine that gives what peers may hold. The rest is for the program, the configuration, and what
+/// the allocator cannot reuse.
+const PEER_MEMORY_DIVISOR: usize = 2;
+/// Descriptors that the platform sets aside for files.
+const FILE_DESCRIPTORS: usize = 200;
+/// Part of the other descriptors, in eighths, that peers may use who connect to the instance. The rest is for its connections to
+/// members, other instances and the store.
+const PEER_EIGHTHS: usize = 7;
+/// Part of the other descriptors, in eighths, that callers may use. What is left of the above is for tunnels, probes and
+/// metrics.
+const CALLER_EIGHTHS: usize = 6;
+/// Part of the memory of a machine that one answer of the store may have, as a divisor.
+const STORE_ANSWER_DIVISOR: usize = 4;
+/// Bytes that are charged for each connection of a peer: its task and its buffers.
+const CONNECTION_BYTES: usize = 16 << 10;
+
+impl PeerLimits {
+    /// Longest answer of the store, in bytes.
+    pub const fn store_answer_bytes(&self) -> usize {
+        self.memory_mb.saturating_mul(1 << 20) / STORE_ANSWER_DIVISOR
+    }
+
+    /// The budget that all peers share.
+    pub fn budget(&self) -> budget::Limits {
+        let eighth = self.descriptors.saturating_sub(FILE_DESCRIPTORS) / 8;
+        budget::Limits {
+            bytes: self.memory_mb.saturating_mul(1 << 20) / PEER_MEMORY_DIVISOR,
+            connections: (eighth * PEER_EIGHTHS).max(1),
+            callers: (eighth * CALLER_EIGHTHS).max(1),
+            connection_bytes: CONNECTION_BYTES,
+        }
+    }
 }
 
 /// Margin by which the operations of a workspace may exceed its limits, over all instances together.
