feat(gateway): statements at a member follow its pace

Holders sent a member that starts or recovers as much as they could, and most of it was rejected. core::pace limits the statements that a holder runs at once by the outcomes of its statements and connections. Holders report overloaded members in the section Pace; hubs pass the reports on. hibiscusladder.pace=off switches it off.

--- a/crates/gateway/src/channel.rs
+++ b/crates/gateway/src/channel.rs
@@ -6,6 +6,7 @@
     clock::{Clock, Instant},
     evacuation::Service,
     name::{InstanceId, MemberId, Workspace},
+    pace::Outcome,
     position::Position,
 };
 use hibiscusladder_io::clock::{BootClock, within};
@@ -406,8 +407,10 @@
         return RunOutcome::NotRun(Code::Busy);
     }
     let left = until.since(BootClock.now());
+    let sent = BootClock.now();
     let Some(Ok(name)) = within(left, prepare(lease, &run)).await else {
         lease.pool().record_unreachable(BootClock.now());
+        lease.pool().record_outcome(Outcome::Lost, sent);
         return RunOutcome::Unreachable;
     };
     let sending = send(lease, &run, name.as_deref());
@@ -415,6 +418,7 @@
         Some(Ok(answer)) => RunOutcome::Answered(answer),
         _ => {
             lease.pool().record_unreachable(BootClock.now());
+            lease.pool().record_outcome(Outcome::Lost, sent);
             RunOutcome::ConnectionLost
         }
     }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -67,6 +67,10 @@
     MemberCold,
     /// A member no longer counts as cold.
     MemberWarm,
+    /// A member is overloaded, and this instance runs fewer statements there at once.
+    MemberLimited,
+    /// A member is no longer limited after [`MemberLimited`](Self::MemberLimited).
+    MemberSteady,
     /// A group has another leader or none, or the leader was fenced or released.
     LeaderChanged,
     /// This instance started a failover.
@@ -119,6 +123,8 @@
             Self::MemberRegained => "member_regained",
             Self::MemberCold => "member_cold",
             Self::MemberWarm => "member_warm",
+            Self::MemberLimited => "member_limited",
+            Self::MemberSteady => "member_steady",
             Self::LeaderChanged => "leader_changed",
             Self::FailoverStarted => "failover_started",
             Self::FailoverStep => "failover_step",
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -15,6 +15,7 @@
     adapter::{MemberCommand, Platform, UpstreamPort},
     in_flight::InFlightGuard,
     model::{Access, Answer, TransactionState},
+    pace,
     pool::{Pool, Values},
     slot_queue::{KeptConnection, Permit, Permits},
 };
@@ -195,6 +196,11 @@
         if matches!(command, MemberCommand::Forward { .. } | MemberCommand::Execute { .. }) {
             let now = connection.last_answered;
             self.pool.record_service_time(now.since(started), now);
+            let kind = self.permit.as_ref().and_then(Permit::kind);
+            let service = now.since(started).saturating_sub(self.pool.round_trip());
+            if let Some(outcome) = pace::outcome(&answer, kind, service) {
+                self.pool.record_outcome(outcome, started);
+            }
             if !self.reusable && self.permit.is_some() {
                 self.kept = Some(KeptConnection::new(self.pool.clone()));
                 self.permit = None;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -8,7 +8,7 @@
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::cold::ColdReport;
+use crate::{cold::ColdReport, pace::PaceReport};
 
 /// One message between two instances.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -211,6 +211,8 @@
 pub struct PaceSection {
     /// The members that the sender knows to be cold; `None` unless it is a hub that limits cold members.
     pub cold: Option<ColdReport>,
+    /// The members that holders have found overloaded.
+    pub pace: Vec<PaceReport>,
 }
 
 /// Eras of the revisions in a [`Status`] and its [`Extension`]. The section is left out while the sender knows of no restore
--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -147,12 +147,14 @@
     }
 }
 
-/// Records which members are cold, as a hub with the same or newer entries reports.
+/// Records which members holders have found overloaded, and which are cold, as a hub with the same or newer entries reports.
 fn merge_pace<P>(node: &Node<P>, status: &Status, sections: &Sections, is_hub: bool, now: Instant)
 where
     P: Platform,
 {
     let Some(section) = sections.get::<PaceSection>(SectionKind::Pace) else { return };
+    let own = (node.instance(), node.role() == FleetRole::Hub);
+    node.paces.receive(&section.pace, &InstanceId::new(&status.from), own, now);
     let store: StoreSection = sections.get(SectionKind::Store).unwrap_or_default();
     let version = StoreVersion::new(store.members, status.members_revision);
     let is_newer = version >= node.members_version();
@@ -294,6 +296,7 @@
             node.evacuations_changed();
         }
         round += 1;
+        node.update_paces();
         let mut receivers = receivers(&node, round);
         if node.take_urgent_news() {
             receivers.extend(live_followers(&node, now));
@@ -362,18 +365,23 @@
         demands: node.admission.borrow_mut().advertise(name, demanded, now),
     };
     let extension = extension(node, relays_fences, now);
-    let sections = sections(node, now);
+    let sections = sections(node, name, now);
     send_extended(node, address, &Datagram::Status(status), &extension, &sections);
 }
 
-/// The sections of a status message: what it says of restores of the store, of evacuations, and of cold members.
-fn sections<P>(node: &Node<P>, now: Instant) -> Sections
+/// The sections of a status message: what it says of restores of the store, of evacuations, and of cold or overloaded
+/// members.
+fn sections<P>(node: &Node<P>, receiver: &InstanceId, now: Instant) -> Sections
 where
     P: Platform,
 {
     let mut sections = Sections::default();
     let is_hub = node.role() == FleetRole::Hub;
-    let pace = PaceSection { cold: node.cold.report(now).filter(|_| is_hub) };
+    let is_for_hub = node.topology().is_hub(receiver);
+    let pace = PaceSection {
+        cold: node.cold.report(now).filter(|_| is_hub),
+        pace: node.paces.reports(node.instance(), receiver, is_for_hub, now),
+    };
     if pace != PaceSection::default() {
         // Names and numbers can always be encoded.
         let _ = sections.insert(SectionKind::Pace, &pace);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -40,6 +40,7 @@
     in_flight::InFlight,
     member_table::{Member, MemberTable},
     metrics::Metrics,
+    pace::{MemberLimits, Paces},
     peers::Peers,
     pool::{MemberPaths, Pool, PoolLimits},
     refusal::Refusals,
@@ -85,6 +86,8 @@
     pub cold: ColdMembers,
     /// Evacuated data centres.
     pub evacuations: EvacuationState,
+    /// Pace of the members.
+    pub paces: Paces,
     /// Retry delays of refused callers.
     pub refusals: Refusals,
     /// State of the other instances.
@@ -151,6 +154,7 @@
             peers: RefCell::new(Peers::new(settings.instance.clone(), now)),
             progress: RefCell::new(Progress::new(&settings.instance)),
             cold: ColdMembers::new(settings.cold),
+            paces: Paces::new(settings.pace),
             refusals: Refusals::new(settings.return_times, now),
             evacuations: EvacuationState::new(
                 settings.evacuate,
@@ -315,10 +319,18 @@
         let distance = self.settings.distance(&record.data_centre);
         let (limits, paths) = self.pool_limits(&target, &record.data_centre);
         self.update_cold(&target, paths.holders.as_deref());
-        let cold = self.cold.gate(id, self.now());
+        let (cold, pace) = (self.cold.gate(id, self.now()), self.paces.member(&target));
+        let member_limits = MemberLimits { cold, pace };
         let with_priorities = self.settings.priorities;
-        let pool =
-            Pool::new(target, record.data_centre, distance, limits, paths, with_priorities, cold);
+        let pool = Pool::new(
+            target,
+            record.data_centre,
+            distance,
+            limits,
+            paths,
+            with_priorities,
+            member_limits,
+        );
         self.pools.borrow_mut().insert(id.clone(), pool.clone());
         Some(pool)
     }
@@ -357,7 +369,7 @@
         }
     }
 
-    fn update_pool_limits(&self, pool: &Pool<P>) {
+    fn update_pool_limits(&self, pool: &Rc<Pool<P>>) {
         let (limits, paths) = self.pool_limits(&pool.target, &pool.data_centre);
         self.update_cold(&pool.target, paths.holders.as_deref());
         pool.set_limits(limits, paths);
--- a/crates/gateway/src/node/cold.rs
+++ b/crates/gateway/src/node/cold.rs
@@ -1,4 +1,4 @@
-//! Share of this instance in the allowance of a cold member.
+//! Share of this instance in the allowance of a cold member, and updates of the limits of members.
 
 use hibiscusladder_core::{
     cold::{ColdLimits, Share},
@@ -7,7 +7,10 @@
 };
 
 use super::Node;
-use crate::{adapter::Platform, adapter::Target};
+use crate::{
+    adapter::{Platform, Target},
+    slot_queue,
+};
 
 impl<P> Node<P>
 where
@@ -29,6 +32,13 @@
         self.cold.gate(&target.member, now).set_limits(limits, share, now);
     }
 
+    /// Updates how many statements may run at members that do not answer for a while.
+    pub fn update_paces(&self) {
+        for pool in self.pools.borrow().values() {
+            slot_queue::update_pace(pool);
+        }
+    }
+
     /// Updates which members are evacuated, since they are cold when they come back.
     pub(super) fn update_evacuated_members(&self) {
         let now = self.now();
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -17,6 +17,7 @@
     connection_limit::ConnectionLimit,
     holder_reach::HolderReach,
     name::{DataCentre, InstanceId, Workspace},
+    pace::Outcome,
 };
 use hibiscusladder_io::clock::{BootClock, within};
 use thiserror::Error;
@@ -27,6 +28,7 @@
     in_flight::{InFlight, InFlightGuard},
     lease::{Connection, Lease},
     model::{Code, Failure},
+    pace::{MemberLimits, MemberPace},
     service_time::ServiceTime,
     settings::Distance,
     slot_queue::{self, SlotQueue},
@@ -141,6 +143,8 @@
     pub data_centre: DataCentre,
     /// Limit of the requests to the member while it is cold.
     pub cold: Rc<ColdGate>,
+    /// Pace of the member; `None` without the feature.
+    pub(crate) pace: Option<MemberPace>,
     pub(crate) slot_queue: SlotQueue<P>,
     /// The instances that hold connections to the member, the preferred one first; `None` when all connect to it.
     holders: RefCell<Option<Rc<[InstanceId]>>>,
@@ -172,7 +176,7 @@
         limits: PoolLimits,
         paths: MemberPaths,
         with_priorities: bool,
-        cold: Rc<ColdGate>,
+        member_limits: MemberLimits,
     ) -> Rc<Self> {
         let state = State {
             idle: Vec::new(),
@@ -182,10 +186,12 @@
             full_until: Instant::default(),
             service_time: ServiceTime::new(BootClock.now()),
         };
-        Rc::new(Self {
+        let MemberLimits { cold, pace } = member_limits;
+        let pool = Rc::new(Self {
             target,
             data_centre,
             cold,
+            pace,
             slot_queue: SlotQueue::new(limits, with_priorities),
             holders: RefCell::new(paths.holders),
             standbys: RefCell::new(paths.standbys),
@@ -198,7 +204,9 @@
             opened: Cell::new(0),
             lagging: Cell::new((Instant::default(), MIN_LAG_PAUSE)),
             deprioritised_until: Cell::new(Instant::default()),
-        })
+        });
+        pool.configure_pace(limits);
+        pool
     }
 
     /// The instances that hold connections to the member, the preferred one first; `None` when all connect to it.
@@ -212,7 +220,7 @@
     }
 
     /// Changes the limits and the paths. Connections in use beyond the new limits are closed when they are returned.
-    pub fn set_limits(&self, limits: PoolLimits, paths: MemberPaths) {
+    pub fn set_limits(self: &Rc<Self>, limits: PoolLimits, paths: MemberPaths) {
         *self.holders.borrow_mut() = paths.holders;
         *self.standbys.borrow_mut() = paths.standbys;
         let mut state = self.state.borrow_mut();
@@ -220,6 +228,23 @@
         state.connection_limit.configure(limits.open);
         drop(state);
         self.slot_queue.set_limits(limits);
+        self.configure_pace(limits);
+    }
+
+    fn configure_pace(self: &Rc<Self>, limits: PoolLimits) {
+        if let Some(pace) = &self.pace {
+            let running = limits.running.map_or(usize::MAX, |running| running as usize);
+            pace.configure(limits.open.min(running), BootClock.now());
+            slot_queue::update_pace(self);
+        }
+    }
+
+    /// Records the outcome of what was sent to the member at `sent`.
+    pub(crate) fn record_outcome(self: &Rc<Self>, outcome: Outcome, sent: Instant) {
+        if let Some(pace) = &self.pace {
+            pace.record(outcome, sent, BootClock.now());
+            slot_queue::update_pace(self);
+        }
     }
 
     /// Whether a connection of `workspace` is idle.
@@ -235,6 +260,9 @@
     /// Closes the idle connections at once, and those in use when they are returned.
     pub fn close(&self) {
         self.closed.set(true);
+        if let Some(pace) = &self.pace {
+            pace.configure(0, BootClock.now());
+        }
         self.drop_idle();
     }
 
@@ -340,8 +368,13 @@
                 return Err(AcquireError::Exhausted);
             }
             if let Some(opening) = self.reserve(purpose, now) {
-                match opening.connect(workspace).await {
+                let opened = opening.connect(workspace).await;
+                if matches!(opened, Err(AcquireError::Unreachable(_))) {
+                    self.record_outcome(Outcome::Lost, now);
+                }
+                match opened {
                     Err(AcquireError::Refused(failure)) if failure.code == Code::TooMany => {
+                        self.record_outcome(Outcome::Rejected, now);
                         self.record_full(BootClock.now());
                     }
                     result => return result,
--- a/crates/gateway/src/slot_queue.rs
+++ b/crates/gateway/src/slot_queue.rs
@@ -43,6 +43,8 @@
     P: Platform,
 {
     limits: Cell<PoolLimits>,
+    /// Statements that the pace of the member allows at once; `None` in steady service.
+    pace: Cell<Option<u32>>,
     /// Connections that open transactions keep without a slot.
     kept: Cell<usize>,
     lines: Lines<P>,
@@ -90,7 +92,8 @@
         } else {
             Lines::Fair(RefCell::new(FairQueue::new(0)))
         };
-        let queue = Self { limits: Cell::new(limits), kept: Cell::new(0), lines };
+        let queue =
+            Self { limits: Cell::new(limits), pace: Cell::new(None), kept: Cell::new(0), lines };
         queue.update_slots();
         queue
     }
@@ -103,6 +106,7 @@
 
     fn update_slots(&self) {
         let PoolLimits { open, running, .. } = self.limits.get();
+        let running = running.into_iter().chain(self.pace.get()).min();
         match &self.lines {
             Lines::Fair(queue) => queue.borrow_mut().set_slots(running.unwrap_or(u32::MAX)),
             Lines::Ordered(lines) => {
@@ -148,6 +152,10 @@
     ticket: Option<Ticket>,
     /// Time for which the request waited.
     waited: Duration,
+    /// Number of the statement for the pace of the member.
+    number: Option<u64>,
+    /// Kind of the work; `None` without priorities.
+    kind: Option<u64>,
 }
 
 impl<P> Permit<P>
@@ -155,7 +163,14 @@
     P: Platform,
 {
     fn new(pool: &Rc<Pool<P>>, line: Line, ticket: Ticket, waited: Duration) -> Self {
-        Self { pool: pool.clone(), line, ticket: Some(ticket), waited }
+        let pace = pool.pace.as_ref().filter(|_| line == Line::Slot);
+        let number = pace.map(|pace| pace.begin(BootClock.now()));
+        Self { pool: pool.clone(), line, ticket: Some(ticket), waited, number, kind: None }
+    }
+
+    /// Kind of the work; `None` without priorities.
+    pub const fn kind(&self) -> Option<u64> {
+        self.kind
     }
 
     /// Time for which the request waited.
@@ -170,6 +185,9 @@
 {
     fn drop(&mut self) {
         let Some(ticket) = self.ticket.take() else { return };
+        if let (Some(pace), Some(number)) = (&self.pool.pace, self.number) {
+            pace.end(number);
+        }
         let now = BootClock.now();
         let queue = &self.pool.slot_queue;
         match &queue.lines {
@@ -245,12 +263,14 @@
         } else {
             None
         };
-        let slot = wait(pool, Line::Slot, request).await?;
+        let mut slot = wait(pool, Line::Slot, request).await?;
+        slot.kind = request.urgency.map(|urgency| urgency.kind);
         return Ok(Permits { slot, transaction });
     };
-    if pool.slot_queue.limits.get().running.is_none() {
+    if pool.slot_queue.limits.get().running.is_none() && pool.slot_queue.pace.get().is_none() {
         let (pool, line) = (pool.clone(), Line::Slot);
-        let slot = Permit { pool, line, ticket: None, waited: Duration::ZERO };
+        let waited = Duration::ZERO;
+        let slot = Permit { pool, line, ticket: None, waited, number: None, kind: None };
         return Ok(Permits { slot, transaction: None });
     }
     let (sender, granted) = oneshot::channel();
@@ -307,6 +327,18 @@
     }
 }
 
+/// Updates the statements that may run at once from the pace of the member.
+pub fn update_pace<P>(pool: &Rc<Pool<P>>)
+where
+    P: Platform,
+{
+    let limit = pool.pace.as_ref().and_then(|pace| pace.limit(BootClock.now()));
+    if pool.slot_queue.pace.replace(limit) != limit {
+        pool.slot_queue.update_slots();
+        grant(pool, Line::Slot);
+    }
+}
+
 /// Grants what is free to the next requests, and answers those that the queue has refused.
 fn grant<P>(pool: &Rc<Pool<P>>, line: Line)
 where
--- a/hibiscusladder/tests/gateway/main.rs
+++ b/hibiscusladder/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod foreign;
 mod history;
 mod order;
+mod pace;
 mod path;
 mod promotion;
 mod returning;
