--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -43,8 +43,9 @@
     ledger::Ledger,
     member_table::{Member, MemberTable},
     metrics::Metrics,
+    pace::{MemberLimits, Paces},
     peers::Peers,
-    pool::{MemberPaths, Pool, PoolLimits},
+    pool::{MemberPaths, MemberPlace, Pool, PoolLimits},
     refusal::Refusals,
     relay::{MembersPage, PARALLEL_TRANSFERS, Progress, compress_directory},
     settings::Settings,
@@ -90,6 +91,8 @@
     pub cold: ColdMembers,
     /// Accounts of the peers.
     pub ledger: Ledger,
+    /// Pace of the members.
+    pub paces: Paces,
     /// Retry delays of refused callers.
     pub refusals: Refusals,
     /// State of the other instances.
@@ -160,6 +163,7 @@
             peers: RefCell::new(Peers::new(settings.instance.clone(), now)),
             progress: RefCell::new(Progress::new(&settings.instance)),
             cold: ColdMembers::new(settings.cold),
+            paces: Paces::new(settings.pace),
             refusals: Refusals::new(settings.return_times, now),
             evacuations: EvacuationState::new(
                 settings.evacuate,
@@ -366,18 +370,12 @@
         let distance = self.settings.distance(&record.data_centre);
         let (limits, paths) = self.pool_limits(&target, &record.data_centre);
         self.update_cold(&target, paths.holders.as_deref());
-        let cold = self.cold.gate(id, self.now());
+        let (cold, pace) = (self.cold.gate(id, self.now()), self.paces.member(&target));
+        let member_limits = MemberLimits { cold, pace };
         let with_priorities = self.settings.priorities;
-        let pool = Pool::new(
-            target,
-            record.data_centre,
-            distance,
-            limits,
-            paths,
-            with_priorities,
-            cold,
-            self.ledger.clone(),
-        );
+        let place = MemberPlace { target, data_centre: record.data_centre, distance };
+        let pool =
+            Pool::new(place, limits, paths, with_priorities, member_limits, self.ledger.clone());
         self.pools.borrow_mut().insert(id.clone(), pool.clone());
         Some(pool)
     }
@@ -416,7 +414,7 @@
         }
     }
 
-    fn update_pool_limits(&self, pool: &Pool<P>) {
+    fn update_pool_limits(&self, pool: &Rc<Pool<P>>) {
         let (limits, paths) = self.pool_limits(&pool.target, &pool.data_centre);
         self.update_cold(&pool.target, paths.holders.as_deref());
         pool.set_limits(limits, paths);
--- a/hibiscusladder/tests/gateway/main.rs
+++ b/hibiscusladder/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod foreign;
 mod history;
 mod order;
+mod pace;
 mod path;
 mod promotion;
 mod restore;
