feat(core): home regions, and proofs that a region was checked

A payload can be passed to any member or instance. Change: HomeRegions combines the regions of route and workspace; a Guarded payload opens only with an InHome, which the check of a region creates.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod evacuation;
 pub mod holder_reach;
 pub mod home_lease;
+pub mod home_region;
 pub mod key;
 pub mod member_report;
 pub mod membership;
