--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod first_configuration;
 pub mod holder_reach;
 pub mod home_lease;
+pub mod home_region;
 pub mod key;
 pub mod member_report;
 pub mod membership;
