--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -206,6 +206,8 @@
     Instances,
     /// Failover claims by group.
     FailoverClaims,
+    /// Evacuated data centres, whose names are those of the objects.
+    Evacuations,
 }
 
 impl Collection {
@@ -216,6 +218,7 @@
             Self::Members => "members",
             Self::Instances => "instances",
             Self::FailoverClaims => "duties",
+            Self::Evacuations => "evacuations",
         }
     }
 }
@@ -239,6 +242,9 @@
     pub slots: u32,
     /// Number of the member's report since the start of its process.
     pub sequence: u64,
+    /// Time for which the member remains cold after it wrote the entry; `None` when the entry comes from another instance,
+    /// and in the member table.
+    pub cold_remaining: Option<Duration>,
 }
 
 impl MemberRecord {
@@ -255,6 +261,8 @@
     Directory(Rc<Directory>),
     /// An entry of a member.
     Member(MemberRecord),
+    /// The request to evacuate the data centre that the object is named for.
+    Evacuation,
     /// Text that an instance of the gateway wrote.
     GatewayText(Box<str>),
     /// Content that cannot be decoded.
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -65,6 +65,10 @@
     MemberLost,
     /// A member answers again.
     MemberRegained,
+    /// A member counts as cold.
+    MemberCold,
+    /// A member no longer counts as cold.
+    MemberWarm,
     /// A group has another leader or none, or the leader was fenced or released.
     LeaderChanged,
     /// This instance started a failover.
@@ -89,6 +93,12 @@
     SessionEnded,
     /// A task panicked; the others go on.
     TaskFailed,
+    /// A data centre is evacuated from now on.
+    EvacuationBegun,
+    /// An evacuation stays in force although the store, which was restored from an older copy, does not have it.
+    EvacuationKept,
+    /// A data centre is no longer evacuated.
+    EvacuationEnded,
 }
 
 impl Event {
@@ -110,6 +120,8 @@
             Self::MemberGone => "member_gone",
             Self::MemberLost => "member_lost",
             Self::MemberRegained => "member_regained",
+            Self::MemberCold => "member_cold",
+            Self::MemberWarm => "member_warm",
             Self::LeaderChanged => "leader_changed",
             Self::FailoverStarted => "failover_started",
             Self::FailoverStep => "failover_step",
@@ -122,6 +134,9 @@
             Self::TransactionEnded => "transaction_ended",
             Self::SessionEnded => "session_ended",
             Self::TaskFailed => "task_failed",
+            Self::EvacuationBegun => "evacuation_begun",
+            Self::EvacuationKept => "evacuation_kept",
+            Self::EvacuationEnded => "evacuation_ended",
         }
     }
 }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -8,7 +8,7 @@
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::claim_table::StoredPromotion;
+use crate::{claim_table::StoredPromotion, cold::ColdReport};
 
 /// One message between two instances.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -220,6 +220,13 @@
     pub roster: u64,
 }
 
+/// Content of a [`SectionKind::Pace`] section of a status message.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PaceSection {
+    /// The members that the sender knows to be cold; `None` unless it is a hub that limits cold members.
+    pub cold: Option<ColdReport>,
+}
+
 /// Record of a promotion, as the sender knows it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromotionEntry {
--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -13,6 +13,7 @@
     position::{Lsn, Position, Term},
     roster::FleetRole,
     share::TokenRequest,
+    store_version::StoreVersion,
     sync_group::{LeaderInfo, LeaderPosition},
 };
 use hibiscusladder_io::clock::within;
@@ -20,11 +21,12 @@
 
 use crate::{
     adapter::Platform,
+    evacuations::EvacuationHost,
     events::{self, Event},
     group_state::GroupState,
     message::{
-        self, Datagram, Extension, GroupInfo, LeaderEntry, RosterVersion, SectionKind, Sections,
-        Status, StoreSection, TokenRequestMessage, TokenTransferMessage,
+        self, Datagram, Extension, GroupInfo, LeaderEntry, PaceSection, RosterVersion, SectionKind,
+        Sections, Status, StoreSection, TokenRequestMessage, TokenTransferMessage,
     },
     node::Node,
     peers::{OfferedRoster, SEND_INTERVAL, nanos},
@@ -114,6 +116,12 @@
         }
     }
     merge_extension(node, extension, is_hub, now);
+    if let Some(notice) = sections.get(SectionKind::Evacuations)
+        && node.evacuations.receive(&notice, received.acknowledged, now)
+    {
+        node.evacuations_changed();
+    }
+    merge_pace(node, status, sections, is_hub, now);
     if node.role() == FleetRole::Follower {
         relay::catch_up(node, now);
     }
@@ -144,6 +152,24 @@
     }
 }
 
+/// Records which members are cold, as a hub with the same or newer entries reports to a follower.
+fn merge_pace<P>(node: &Node<P>, status: &Status, sections: &Sections, is_hub: bool, now: Instant)
+where
+    P: Platform,
+{
+    let Some(section) = sections.get::<PaceSection>(SectionKind::Pace) else { return };
+    let store: StoreSection = sections.get(SectionKind::Store).unwrap_or_default();
+    let members = StoreVersion::new(store.members, status.members_revision);
+    let is_newer = members >= node.members_version();
+    if let Some(cold) = section.cold
+        && is_hub
+        && is_newer
+        && node.role() == FleetRole::Follower
+    {
+        node.cold.merge(&cold, now);
+    }
+}
+
 /// Merges the state of a group at another instance; returns whether a confirmation of its fence is due at once.
 ///
 /// `acknowledged` is when this instance sent the message that the one with this state acknowledges.
@@ -273,6 +299,9 @@
         for unresponsive in node.peers.borrow_mut().newly_unresponsive(now) {
             events::log(Event::PeerLost, json!({ "instance": unresponsive.as_str() }));
         }
+        if node.evacuations.expire(now) {
+            node.evacuations_changed();
+        }
         round += 1;
         let mut receivers = receivers(&node, round);
         if node.take_urgent_news() {
@@ -342,12 +371,17 @@
         demands: node.admission.borrow_mut().advertise(name, demanded, now),
     };
     let extension = extension(node, relays_fences, now);
-    send_extended(node, address, &Datagram::Status(status), &extension, &sections(node, name, now));
+    let sections = sections(node, name, relays_fences, now);
+    send_extended(node, address, &Datagram::Status(status), &extension, &sections);
 }
 
-/// The sections of a status message to `receiver`. There is none while the store was never restored and no member was promoted
-/// lately.
-fn sections<P>(node: &Node<P>, receiver: &InstanceId, now: Instant) -> Sections
+/// The sections of a message to `receiver`, which is a hub or another instance (`is_for_follower`).
+fn sections<P>(
+    node: &Node<P>,
+    receiver: &InstanceId,
+    is_for_follower: bool,
+    now: Instant,
+) -> Sections
 where
     P: Platform,
 {
@@ -359,6 +393,16 @@
         // Numbers can always be encoded.
         let _ = sections.insert(SectionKind::Store, &StoreSection { era, members, roster });
     }
+    if let Some(notice) = node.evacuations.notice(now) {
+        // Names and numbers cannot fail to be encoded.
+        let _ = sections.insert(SectionKind::Evacuations, &notice);
+    }
+    let reports_cold = is_for_follower && node.role() == FleetRole::Hub;
+    let pace = PaceSection { cold: node.cold.report(now).filter(|_| reports_cold) };
+    if pace != PaceSection::default() {
+        // Names and numbers cannot fail to be encoded.
+        let _ = sections.insert(SectionKind::Pace, &pace);
+    }
     let topology = node.topology();
     let may_replace = topology.is_hub(receiver) || topology.is_successor(receiver);
     if may_replace
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,8 @@
     StoreCalls,
     /// Connections to members, by kind; the only kind is `opened`.
     MemberConnections,
+    /// Calls to members through other instances, by the kind of these: `holder` or `standby`.
+    RelayedCalls,
     /// Failovers that ended, by outcome.
     Failovers,
     /// Records of promotions that were learned from another instance or written again, and attempts whose claim the store
@@ -40,6 +42,7 @@
             Self::Retries => "retries_total",
             Self::StoreCalls => "store_calls_total",
             Self::MemberConnections => "member_connections_total",
+            Self::RelayedCalls => "relayed_calls_total",
             Self::Failovers => "failovers_total",
             Self::PromotionRecords => "promotion_records_total",
             Self::Sessions => "sessions_total",
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -79,6 +79,7 @@
             started_ms: self.started_ms,
             slots: self.slots,
             sequence,
+            cold_remaining: None,
         };
         (self.id, record)
     }
--- a/crates/gateway/src/status_page.rs
+++ b/crates/gateway/src/status_page.rs
@@ -92,12 +92,15 @@
     }
 }
 
-/// Whether the instance can serve new callers; an outage of the store does not matter once a configuration is in force.
+/// Whether the instance can serve new callers; an outage of the store does not matter once a configuration is in force and the
+/// evacuated data centres are known.
 fn is_ready<P>(node: &Node<P>) -> bool
 where
     P: Platform,
 {
-    node.stopping_since().is_none() && node.directory().is_some()
+    node.stopping_since().is_none()
+        && node.directory().is_some()
+        && node.evacuations.may_serve(node.now())
 }
 
 /// Answers with the state in `postcard` encoding, or that it is not known yet.
@@ -137,7 +140,9 @@
         claims.known_records(),
         claims.lacking(node.instance(), node.store_era.known(), node.now()).len(),
     );
-    match node.metrics.write(&mut text) {
+    let written = node.evacuations.write_metrics(&mut text);
+    let written = written.and_then(|()| node.cold.write(&mut text, node.now()));
+    match written.and_then(|()| node.metrics.write(&mut text)) {
         Ok(()) => reply(StatusCode::OK, Bytes::from(text)),
         Err(_) => reply(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
     }
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -26,6 +26,7 @@
         started_ms,
         slots: 2,
         sequence: 1,
+        cold_remaining: None,
     }
 }
 
