feat(proxy): limits for clients that are not controlled

Cause: connections before their authentication were not limited, and batches and prepared statements of all clients together had no bound. Change: serve's clients are charged to core::budget, with a quarter of [limits] memory_mb. Time limits for a message and for an answer that is not read, a limit for the size of prepared statements, which no longer keep the receive buffer. Clients over client_connections are counted without those that have not finished their start-up.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -222,6 +222,12 @@
         self.connections
     }
 
+    /// Connections of peers that have not left anything unfinished.
+    pub fn finished(&self) -> usize {
+        let counted = self.peers.values().filter(|peer| peer.origin.is_some());
+        counted.filter(|peer| peer.activity != Activity::Unfinished).count()
+    }
+
     /// The limits of the budget.
     pub const fn limits(&self) -> Limits {
         self.limits
--- a/crates/core/tests/budget.rs
+++ b/crates/core/tests/budget.rs
@@ -128,6 +128,7 @@
     assert_eq!(budget.open(Origin::Caller, at(2)).peer, None);
     assert_eq!(budget.open(Origin::Other, at(2)).closed, [first]);
     assert_eq!(budget.connections(), CONNECTIONS + 1);
+    assert_eq!(budget.finished(), CONNECTIONS);
 }
 
 /// Guards against connections of members that count as those of callers.
--- a/crates/proxy/src/caller/authenticate.rs
+++ b/crates/proxy/src/caller/authenticate.rs
@@ -5,6 +5,7 @@
 use bytes::BytesMut;
 use futures::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use hibiscusladder_core::{
+    budget::Activity,
     key::Key,
     name::{Database, Workspace},
     outcome::{Refusal, RefusalKind},
@@ -19,6 +20,7 @@
     authorise::{ClientKey, Identity},
     batch::Collector,
     frame::{Fields, FrameReader},
+    ledger::Account,
     local::LocalSettings,
     plan::Statements,
     session::Session,
@@ -45,10 +47,14 @@
     pub(super) async fn start(
         client_startup: ClientStartup<S>,
         entry: &'a Arc<Entry>,
+        account: &Account,
     ) -> Option<Self> {
         let ClientStartup { mut reader, parameters, minor } = client_startup;
         match Self::authenticate(&mut reader, &parameters, minor, entry).await {
-            Ok(identity) => Self::send_startup_response(reader, &parameters, identity, entry).await,
+            Ok(identity) => {
+                reader.meter(account, entry.node().settings().times.client_message);
+                Self::send_startup_response(reader, &parameters, identity, entry, account).await
+            }
             Err(Some(refusal)) => {
                 entry.node().metrics().count("entry.rejected");
                 let mut buf = BytesMut::new();
@@ -77,7 +83,7 @@
         }
         let max_clients =
             usize::try_from(node.settings().limits.client_connections).unwrap_or(usize::MAX);
-        if entry.clients() > max_clients {
+        if entry.ledger.finished() >= max_clients {
             return Err(Some(
                 Refusal::not_run(RefusalKind::QueueFull).detail("too many client connections"),
             ));
@@ -113,6 +119,7 @@
         parameters: &BTreeMap<String, String>,
         identity: Identity,
         entry: &'a Arc<Entry>,
+        account: &Account,
     ) -> Option<Self> {
         let position = parameters.get("hibiscus.position");
         let position: Option<Position> = position.and_then(|text| text.parse().ok());
@@ -138,12 +145,14 @@
             collector: Collector::new(max_bytes),
             identity,
             settings: LocalSettings { session, request_id: None },
-            statements: Statements::default(),
+            statements: Statements::new(account.empty_charge(), max_bytes),
+            account: account.clone(),
             transaction: None,
             process,
             cancel_handle,
         };
         session.write(&buf).await.ok()?;
+        account.set_activity(Activity::Idle);
         Some(session)
     }
 }
--- a/crates/proxy/src/caller/frame.rs
+++ b/crates/proxy/src/caller/frame.rs
@@ -3,16 +3,31 @@
 //! `pgwire` encodes messages that the proxy itself writes, and decodes the start-up message. Its decoders panic on
 //! message bodies that are too short, so all other received messages are decoded here.
 
-use std::io;
+use std::{io, time::Duration};
 
 use bytes::{Buf, Bytes, BytesMut};
 use futures::io::{AsyncRead, AsyncReadExt};
+use hibiscusladder_core::{
+    budget::Activity,
+    clock::{Clock, Instant},
+};
+use hibiscusladder_io::clock::{BootClock, within};
+use smol::future::yield_now;
 use thiserror::Error;
 
+use super::ledger::{Account, Charge};
+
 /// Length of the type byte and the length field, in bytes.
 const HEADER_BYTES: usize = 5;
 /// Smallest value of the length field, which counts itself: that of a message without a body.
 const MIN_LENGTH: usize = 4;
+/// Bytes after which a reader gives way to other tasks, so that what it receives counts for them.
+const YIELD_BYTES: usize = 64 << 10;
+/// Bytes of messages that are part of the charge of the connection.
+const FREE_BYTES: usize = 8 << 10;
+/// Number of times that a message is in memory while it runs: its frame, its parsed statement, the plan, and the message to the
+/// home.
+const COPIES: usize = 4;
 /// Size of the read buffer of a connection, in bytes.
 const READ_BYTES: usize = 8 * 1024;
 
@@ -28,6 +43,12 @@
     /// The length field is smaller than the field itself.
     #[error("a message has the impossible length {0}")]
     BadLength(usize),
+    /// The message took too long.
+    #[error("a message took too long; send it in one piece")]
+    TooSlow,
+    /// The instance has no memory for the message.
+    #[error("the instance has no memory for the message; send less at once, or raise memory_mb")]
+    NoMemory,
     /// The message is larger than the limit.
     #[error("a message of {length} bytes exceeds the bound of {max_bytes} bytes")]
     TooLarge {
@@ -118,6 +139,11 @@
         Ok(Some(self.buf.split_to(length)))
     }
 
+    /// Number of bytes that are buffered.
+    pub fn size(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Whether no bytes are buffered.
     pub fn is_empty(&self) -> bool {
         self.buf.is_empty()
@@ -155,6 +181,27 @@
     stream: R,
     framer: Framer,
     read_buf: Box<[u8]>,
+    meter: Option<Meter>,
+    /// Bytes that were read since the reader last gave way to other tasks.
+    read_at_once: usize,
+}
+
+/// What a client holds and how long it takes.
+#[derive(Debug)]
+struct Meter {
+    charge: Charge,
+    timeout: Duration,
+    /// Bytes of the messages that are kept until their batch is complete and has run.
+    kept: usize,
+    /// When the first byte of an incomplete message was received.
+    began: Option<Instant>,
+}
+
+impl Meter {
+    fn charge(&mut self, buffered: usize) -> Result<(), FrameError> {
+        let bytes = (self.kept + buffered).saturating_sub(FREE_BYTES) * COPIES;
+        if self.charge.resize(bytes) { Ok(()) } else { Err(FrameError::NoMemory) }
+    }
 }
 
 impl<R> FrameReader<R>
@@ -163,7 +210,35 @@
 {
     /// Creates a reader that rejects messages longer than `max_bytes` bytes.
     pub fn new(stream: R, max_bytes: usize) -> Self {
-        Self { stream, framer: Framer::new(max_bytes), read_buf: vec![0; READ_BYTES].into() }
+        Self {
+            stream,
+            framer: Framer::new(max_bytes),
+            read_buf: vec![0; READ_BYTES].into(),
+            meter: None,
+            read_at_once: 0,
+        }
+    }
+
+    /// Charges the bytes that the client has the process hold to `account`, and limits the time for each message.
+    pub(super) fn meter(&mut self, account: &Account, timeout: Duration) {
+        let charge = account.empty_charge();
+        self.meter = Some(Meter { charge, timeout, kept: 0, began: None });
+    }
+
+    /// Records that a message is kept until its batch has run.
+    pub(super) fn keep(&mut self, bytes: usize) {
+        if let Some(meter) = &mut self.meter {
+            meter.kept += bytes;
+        }
+    }
+
+    /// Records that no message is kept.
+    pub(super) fn release(&mut self) {
+        if let Some(meter) = &mut self.meter {
+            meter.kept = 0;
+            // Fewer bytes are always granted.
+            let _ = meter.charge(0);
+        }
     }
 
     /// Reads the next message; `None` when the connection ended between messages.
@@ -176,9 +251,12 @@
     pub async fn next(&mut self) -> Result<Option<Frame>, FrameError> {
         loop {
             if let Some(frame) = self.framer.pop()? {
+                if let Some(meter) = &mut self.meter {
+                    meter.began = None;
+                }
                 return Ok(Some(frame));
             }
-            if !self.fill().await? {
+            if !self.fill_in_time().await? {
                 return Ok(None);
             }
         }
@@ -229,9 +307,33 @@
         !self.framer.is_empty()
     }
 
+    /// As [`fill`](Self::fill), within the time and the memory that the client may take.
+    async fn fill_in_time(&mut self) -> Result<bool, FrameError> {
+        let buffered = self.framer.size();
+        let Some(meter) = &mut self.meter else { return self.fill().await };
+        if buffered == 0 {
+            return self.fill().await;
+        }
+        meter.charge(buffered)?;
+        let began = match meter.began {
+            Some(began) => began,
+            None => {
+                meter.charge.account().set_activity(Activity::Unfinished);
+                *meter.began.insert(BootClock.now())
+            }
+        };
+        let left = meter.timeout.saturating_sub(BootClock.now().since(began));
+        within(left, self.fill()).await.unwrap_or(Err(FrameError::TooSlow))
+    }
+
     /// Reads more bytes; returns `false` when the connection ended between messages.
     async fn fill(&mut self) -> Result<bool, FrameError> {
+        if self.read_at_once >= YIELD_BYTES {
+            self.read_at_once = 0;
+            yield_now().await;
+        }
         let count = self.stream.read(&mut self.read_buf).await?;
+        self.read_at_once += count;
         if count > 0 {
             self.framer.push(&self.read_buf[..count]);
             return Ok(true);
--- a/crates/proxy/src/caller/mod.rs
+++ b/crates/proxy/src/caller/mod.rs
@@ -10,6 +10,7 @@
 mod cancel;
 mod filter;
 pub mod frame;
+mod ledger;
 mod local;
 mod message;
 mod plan;
@@ -27,21 +28,32 @@
 };
 
 use futures::io::{AsyncRead, AsyncWrite};
+use hibiscusladder_core::budget;
 use rustix::net::sockopt;
 use smol::{
     Timer,
-    future::FutureExt,
+    future::{FutureExt, yield_now},
     net::{TcpListener, TcpStream},
 };
 
 pub use self::tls::{Tls, TlsError};
 use self::{
     cancel::Sessions,
+    ledger::{Account, Ledger},
     session::Session,
     startup::{ClientStartup, StartupOutcome},
 };
-use crate::{classify::Classifier, node::Node, route::Router, rpc::SessionCancel};
+use crate::{
+    classify::Classifier, node::Node, route::Router, rpc::SessionCancel, settings::Limits,
+};
 
+/// Divisor of the memory of a machine that gives what clients may hold. The rest is for the program, its cache of statements,
+/// answers on their way, and what the allocator cannot reuse.
+const CLIENT_MEMORY_DIVISOR: usize = 4;
+/// Connections beyond `client_connections`, whose clients are told that there are too many.
+const EXTRA_CONNECTIONS: usize = 32;
+/// Bytes that are charged for each connection: its task and its buffers.
+const CONNECTION_BYTES: usize = 16 << 10;
 /// Time limit for reading the start-up message, and again for authentication and the start-up response.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(10);
 /// Idle time of a client connection after which the operating system sends TCP keepalive probes.
@@ -57,6 +69,7 @@
     sessions: Sessions,
     tls: Option<Tls>,
     clients: AtomicUsize,
+    ledger: Ledger,
 }
 
 impl Entry {
@@ -64,12 +77,14 @@
     /// encrypted.
     pub fn new(router: Arc<Router>, tls: Option<Tls>) -> Arc<Self> {
         let sessions = Sessions::new(router.node().id());
+        let ledger = Ledger::new(budget(&router.node().settings().limits));
         Arc::new(Self {
             router,
             classifier: Classifier::default(),
             sessions,
             tls,
             clients: AtomicUsize::new(0),
+            ledger,
         })
     }
 
@@ -84,6 +99,20 @@
     }
 }
 
+/// What clients may use of an instance. One batch fits in any case.
+fn budget(limits: &Limits) -> budget::Limits {
+    let size = |number: u32| usize::try_from(number).unwrap_or(usize::MAX);
+    let memory = size(limits.memory_mb).saturating_mul(1 << 20) / CLIENT_MEMORY_DIVISOR;
+    let batch = size(limits.batch_bytes).saturating_mul(2 * CLIENT_MEMORY_DIVISOR);
+    let connections = size(limits.client_connections).saturating_add(EXTRA_CONNECTIONS);
+    budget::Limits {
+        bytes: memory.max(batch),
+        connections,
+        callers: connections,
+        connection_bytes: CONNECTION_BYTES,
+    }
+}
+
 impl SessionCancel for Entry {
     async fn cancel_session(&self, process: u32, secret: u32) {
         let Some(cancel_handle) = self.sessions.find(process, secret) else { return };
@@ -98,8 +127,13 @@
 /// Returns an error when a connection cannot be accepted, such as at the limit of open files.
 pub async fn serve(listener: TcpListener, entry: Arc<Entry>) -> io::Result<()> {
     loop {
-        let (stream, _) = listener.accept().await?;
+        let (stream, address) = listener.accept().await?;
         let entry = Arc::clone(&entry);
+        let Some(account) = entry.ledger.open(address) else {
+            entry.node().metrics().count("entry.limited");
+            entry.ledger.log_limited(address, "too many connections are open");
+            continue;
+        };
         smol::spawn(async move {
             let connection_count = ConnectionCount::new(&entry);
             if let Err(error) = set_options(&stream) {
@@ -107,23 +141,34 @@
                     "entry: could not set the socket options of a client connection: {error}"
                 );
             }
-            serve_connection(stream, &entry).await;
+            let closed = async {
+                account.closed().await;
+                entry.node().metrics().count("entry.limited");
+                account.log_limited("the instance needs its memory or its place for others");
+            };
+            closed.or(serve_connection(stream, &entry, &account)).await;
             drop(connection_count);
         })
         .detach();
+        // A connection that was closed for this one is closed before the next is accepted.
+        yield_now().await;
     }
 }
 
 /// Serves one connection from its first message on.
-async fn serve_connection(stream: TcpStream, entry: &Arc<Entry>) {
+async fn serve_connection(stream: TcpStream, entry: &Arc<Entry>, account: &Account) {
     let outcome = startup::read_startup(stream, entry.tls.as_ref());
     let timeout = async {
         Timer::after(STARTUP_TIMEOUT).await;
         StartupOutcome::Closed
     };
     match outcome.or(timeout).await {
-        StartupOutcome::Plain(client_startup) => serve_session(*client_startup, entry).await,
-        StartupOutcome::Encrypted(client_startup) => serve_session(*client_startup, entry).await,
+        StartupOutcome::Plain(client_startup) => {
+            serve_session(*client_startup, entry, account).await
+        }
+        StartupOutcome::Encrypted(client_startup) => {
+            serve_session(*client_startup, entry, account).await
+        }
         StartupOutcome::Cancel { process, secret } => {
             cancel::serve_request(entry, process, secret).await
         }
@@ -131,11 +176,11 @@
     }
 }
 
-async fn serve_session<S>(client_startup: ClientStartup<S>, entry: &Arc<Entry>)
+async fn serve_session<S>(client_startup: ClientStartup<S>, entry: &Arc<Entry>, account: &Account)
 where
     S: AsyncRead + AsyncWrite + Unpin,
 {
-    let start = async { Session::start(client_startup, entry).await };
+    let start = async { Session::start(client_startup, entry, account).await };
     let timeout = async {
         Timer::after(STARTUP_TIMEOUT).await;
         None
--- a/crates/proxy/src/caller/plan.rs
+++ b/crates/proxy/src/caller/plan.rs
@@ -8,11 +8,15 @@
 use bytes::{Bytes, BytesMut};
 use hibiscusladder_core::outcome::{Refusal, RefusalKind};
 
-use super::{frame::Frame, message::ClientMessage};
+use super::{frame::Frame, ledger::Charge, message::ClientMessage};
 use crate::classify::{Classification, Classifier, Effect, SettingStatement, TransactionEffect};
 
 /// Largest number of prepared statements of one client.
 const MAX_STATEMENTS: usize = 1_000;
+/// Largest size of the prepared statements of one client, in bytes, unless a single batch may be larger.
+const MAX_STATEMENT_BYTES: usize = 4 << 20;
+/// Number of times that a prepared statement is in memory: its message, and its classification.
+const STATEMENT_COPIES: usize = 2;
 /// The `Sync` message.
 const SYNC: &[u8] = &[b'S', 0, 0, 0, 4];
 
@@ -28,9 +32,13 @@
 ///
 /// An upstream connection is reset after each transaction, which drops its prepared statements. The entry therefore
 /// keeps the client's statements and prepares them again when a batch uses them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Statements {
     by_name: HashMap<String, Statement>,
+    /// Bytes of the statements with their names.
+    bytes: usize,
+    max_bytes: usize,
+    charge: Charge,
 }
 
 /// Effects of a batch and its messages to the upstream.
@@ -188,6 +196,13 @@
 }
 
 impl Statements {
+    /// Creates a client without prepared statements; those that it prepares are charged to `charge`. One batch of
+    /// `batch_bytes` fits in any case.
+    pub(super) fn new(charge: Charge, batch_bytes: usize) -> Self {
+        let max_bytes = MAX_STATEMENT_BYTES.max(batch_bytes);
+        Self { by_name: HashMap::new(), bytes: 0, max_bytes, charge }
+    }
+
     /// Classification of the prepared statement `name`; `None` when there is no such statement.
     pub(super) fn get(&self, name: &str) -> Option<&Classification> {
         self.by_name.get(name).map(|statement| &*statement.classification)
@@ -203,13 +218,24 @@
             return Err(Refusal::not_run(RefusalKind::Unsupported)
                 .detail(format!("more than {MAX_STATEMENTS} prepared statements")));
         }
-        let statement = Statement { parse: frame.raw().clone(), classification };
-        self.by_name.insert(name.to_owned(), statement);
+        let replaced = self.by_name.get(name).map_or(0, |statement| statement.parse.len());
+        let bytes = self.bytes - replaced + frame.size();
+        if bytes > self.max_bytes || !self.charge.resize(bytes * STATEMENT_COPIES) {
+            return Err(Refusal::not_run(RefusalKind::Unsupported)
+                .detail("prepared statements that are too large together; close some"));
+        }
+        self.bytes = bytes;
+        // A part of the receive buffer would keep the whole buffer.
+        let parse = Bytes::copy_from_slice(frame.raw());
+        self.by_name.insert(name.to_owned(), Statement { parse, classification });
         Ok(())
     }
 
     fn remove(&mut self, name: &str) {
-        self.by_name.remove(name);
+        if let Some(removed) = self.by_name.remove(name) {
+            self.bytes -= removed.parse.len();
+            self.charge.resize(self.bytes * STATEMENT_COPIES);
+        }
     }
 }
 
--- a/crates/proxy/src/caller/session.rs
+++ b/crates/proxy/src/caller/session.rs
@@ -5,6 +5,7 @@
 use bytes::BytesMut;
 use futures::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use hibiscusladder_core::{
+    budget::Activity,
     name::MemberId,
     outcome::{Refusal, RefusalKind},
     position::Position,
@@ -12,6 +13,7 @@
     request::StatementClass,
     session::Session as Positions,
 };
+use hibiscusladder_io::clock::within;
 use hibiscusladder_proto::reply::{ReplyEnd, TransactionStatus};
 use smol::{
     Timer,
@@ -26,6 +28,7 @@
     cancel::CancelHandle,
     filter::ReplyFilter,
     frame::{Frame, FrameError, FrameReader},
+    ledger::Account,
     local::LocalSettings,
     plan::{self, Plan, Statements},
 };
@@ -56,6 +59,7 @@
     pub(super) identity: Identity,
     pub(super) settings: LocalSettings,
     pub(super) statements: Statements,
+    pub(super) account: Account,
     pub(super) transaction: Option<OpenTransaction>,
     pub(super) process: u32,
     pub(super) cancel_handle: Arc<CancelHandle>,
@@ -93,8 +97,18 @@
         loop {
             let served = match self.next_input().await {
                 Input::Batch(Batch::Terminate) | Input::Closed => return,
-                Input::Batch(batch) => self.serve(batch).await,
+                Input::Batch(batch) => {
+                    self.account.set_activity(Activity::Running);
+                    let served = self.serve(batch).await;
+                    self.reader.release();
+                    self.account.set_activity(Activity::Idle);
+                    served
+                }
                 Input::Failed(error) => {
+                    if matches!(error, FrameError::NoMemory | FrameError::TooSlow) {
+                        self.entry.node().metrics().count("entry.limited");
+                        self.account.log_limited(&error.to_string());
+                    }
                     let refusal = Refusal::not_run(RefusalKind::Protocol).detail(error.to_string());
                     self.close(&refusal).await
                 }
@@ -121,6 +135,7 @@
                 Some(Ok(None)) => return Input::Closed,
                 Some(Err(error)) => return Input::Failed(error),
             };
+            self.reader.keep(frame.size());
             match self.collector.push(frame) {
                 Ok(Some(batch)) => return Input::Batch(batch),
                 Ok(None) => {}
@@ -506,9 +521,17 @@
     }
 
     pub(super) async fn write(&mut self, bytes: &[u8]) -> Result<(), Disconnected> {
+        let limit = self.entry.node().settings().times.client_answer;
         let stream = self.reader.stream();
-        stream.write_all(bytes).await.map_err(|_| Disconnected)?;
-        stream.flush().await.map_err(|_| Disconnected)
+        let write = async {
+            stream.write_all(bytes).await.map_err(|_| Disconnected)?;
+            stream.flush().await.map_err(|_| Disconnected)
+        };
+        within(limit, write).await.unwrap_or_else(|| {
+            self.entry.node().metrics().count("entry.limited");
+            self.account.log_limited("an answer was not read in time");
+            Err(Disconnected)
+        })
     }
 }
 
--- a/crates/proxy/src/settings/mod.rs
+++ b/crates/proxy/src/settings/mod.rs
@@ -93,6 +93,8 @@
 pub struct Limits {
     /// Largest number of open client connections.
     pub client_connections: u32,
+    /// Memory of the machine, in MiB; clients may hold a quarter of it.
+    pub memory_mb: u32,
     /// Largest batch of client messages, in bytes.
     pub batch_bytes: u32,
     /// Largest number of requests of one workspace that wait in the queue of one member.
@@ -101,7 +103,7 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { client_connections: 4000, batch_bytes: 1 << 20, queue_length: 256 }
+        Self { client_connections: 4000, memory_mb: 512, batch_bytes: 1 << 20, queue_length: 256 }
     }
 }
 
@@ -124,6 +126,10 @@
     pub gate_wait: Duration,
     /// Longest time of one batch, including waits.
     pub statement: Duration,
+    /// Longest time from the first byte of a client's message to its end.
+    pub client_message: Duration,
+    /// Longest time for which a part of an answer waits for the client to read it.
+    pub client_answer: Duration,
     /// Longest time of a graceful shutdown.
     pub drain_time: Duration,
     /// Longest time of one call to the platform; a watch may take longer by its wait.
@@ -141,6 +147,8 @@
             silence_bound: Duration::from_secs(3),
             gate_wait: Duration::from_secs(2),
             statement: Duration::from_secs(30),
+            client_message: Duration::from_secs(30),
+            client_answer: Duration::from_secs(30),
             drain_time: Duration::from_secs(20),
             platform_call: Duration::from_secs(2),
         }
--- a/crates/proxy/src/settings/reader.rs
+++ b/crates/proxy/src/settings/reader.rs
@@ -191,6 +191,7 @@
             return limits;
         };
         self.count(&mut section, "client_connections", 1..=100_000, &mut limits.client_connections);
+        self.count(&mut section, "memory_mb", 16..=1 << 20, &mut limits.memory_mb);
         self.count(&mut section, "batch_bytes", 1024..=64 << 20, &mut limits.batch_bytes);
         self.count(&mut section, "queue_length", 1..=100_000, &mut limits.queue_length);
         self.reject_unknown_keys(&section);
@@ -219,6 +220,13 @@
         self.time(&mut section, "silence_bound", at_least(100), &mut times.silence_bound);
         self.time(&mut section, "gate_wait", at_least(0), &mut times.gate_wait);
         self.time(&mut section, "statement", up_to_one_hour.clone(), &mut times.statement);
+        self.time(
+            &mut section,
+            "client_message",
+            up_to_one_hour.clone(),
+            &mut times.client_message,
+        );
+        self.time(&mut section, "client_answer", up_to_one_hour.clone(), &mut times.client_answer);
         self.time(&mut section, "drain_time", up_to_one_hour, &mut times.drain_time);
         self.time(&mut section, "platform_call", at_least(50), &mut times.platform_call);
         self.reject_unknown_keys(&section);
--- a/hibiscusladder/tests/support/mod.rs
+++ b/hibiscusladder/tests/support/mod.rs
@@ -172,6 +172,18 @@
         data_centre: &str,
         platform: &str,
         seeds: &[u16],
+    ) -> Self {
+        Self::start_with(folder, id, data_centre, platform, seeds, "")
+    }
+
+    /// As [`start`](Self::start), with further sections of the settings.
+    pub(crate) fn start_with(
+        folder: &Folder,
+        id: &str,
+        data_centre: &str,
+        platform: &str,
+        seeds: &[u16],
+        sections: &str,
     ) -> Self {
         let (port, rpc, health) = (free_port(), free_port(), free_port());
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"127.0.0.1:{seed}\"")).collect();
@@ -195,6 +207,7 @@
 [upstream]
 user = "proxy"
 password = "proxy"
+{sections}
 "#,
             seeds.join(", ")
         );
@@ -246,20 +259,27 @@
     pub(crate) folder: Folder,
     /// Fault proxies between the homes and the members, in the order of the members; empty without them.
     pub(crate) fault_proxies: Vec<FaultProxy>,
+    /// Further sections of the settings of each instance.
+    sections: &'static str,
 }
 
 impl Installation {
     /// Starts one instance for each entry of `data_centres` and waits until each member has a home.
     pub(crate) fn start(data_centres: &[&str]) -> Self {
-        Self::start_with(data_centres, false)
+        Self::start_with(data_centres, false, "")
     }
 
     /// Like [`Installation::start`] with a fault proxy in front of each member.
     pub(crate) fn start_with_fault_proxies(data_centres: &[&str]) -> Self {
-        Self::start_with(data_centres, true)
+        Self::start_with(data_centres, true, "")
+    }
+
+    /// Like [`Installation::start`] with further sections of the settings.
+    pub(crate) fn start_with_settings(data_centres: &[&str], sections: &'static str) -> Self {
+        Self::start_with(data_centres, false, sections)
     }
 
-    fn start_with(data_centres: &[&str], with_fault_proxies: bool) -> Self {
+    fn start_with(data_centres: &[&str], with_fault_proxies: bool, sections: &'static str) -> Self {
         let platform = Platform::start(PlatformConfig::default()).unwrap();
         let mut cfg = GroupConfig::single("padron", &["padron-1", "padron-2", "padron-3"]);
         for (index, member) in cfg.databases[0].members.iter_mut().enumerate() {
@@ -273,7 +293,7 @@
                 .extend(addresses.iter().map(|(_, address)| FaultProxy::start(*address).unwrap()));
         }
         let (instances, folder) = (Vec::new(), Folder::new());
-        let mut installation = Self { platform, group, instances, folder, fault_proxies };
+        let mut installation = Self { platform, group, instances, folder, fault_proxies, sections };
         installation.register_database();
         for data_centre in data_centres {
             installation.add_instance(data_centre);
@@ -317,7 +337,8 @@
         let id = format!("i{}", self.instances.len() + 1);
         let seeds: Vec<u16> = self.instances.iter().map(|other| other.rpc).collect();
         let url = self.platform.url();
-        let instance = Instance::start(&self.folder, &id, data_centre, &url, &seeds);
+        let instance =
+            Instance::start_with(&self.folder, &id, data_centre, &url, &seeds, self.sections);
         self.instances.push(instance);
     }
 
--- a/hibiscusladder/tests/uncontrolled_clients/main.rs
+++ b/hibiscusladder/tests/uncontrolled_clients/main.rs
@@ -11,5 +11,8 @@
 mod limits;
 mod messages;
 mod peers;
+mod serve;
 mod slow;
+#[path = "../support/mod.rs"]
+mod support;
 mod watched;
--- a/hibiscusladder/tests/uncontrolled_clients/watched.rs
+++ b/hibiscusladder/tests/uncontrolled_clients/watched.rs
@@ -30,6 +30,11 @@
 /// Held by the test that runs.
 static RUNNING: Mutex<()> = Mutex::new(());
 
+/// Waits until no other test runs.
+pub(crate) fn lock() -> MutexGuard<'static, ()> {
+    RUNNING.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A running instance, alone in its fleet.
 pub(crate) struct Watched {
     pub(crate) fleet: Fleet,
@@ -41,7 +46,7 @@
 impl Watched {
     /// Starts an instance once no other test runs.
     pub(crate) fn start() -> Self {
-        let alone = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+        let alone = lock();
         let fleet = Fleet::start_configured(1, false, Scale::default(), |_| SETTINGS);
         // The limits of the workspaces are not what is tested.
         fleet.standin.configure(3, [100_000.0; 2], &[]);
@@ -68,14 +73,9 @@
         self.check_answer("longest", &format!("{item}{data}"));
         let ended = self.fleet.gateways[0].process.wait(Duration::ZERO).expect("a status");
         assert_eq!(ended, None, "{test}: the process has ended");
-        let memory_kb = self.memory_kb("VmHWM:");
+        let process = self.fleet.gateways[0].process.id();
         let descriptors = self.most_descriptors.load(Ordering::Relaxed);
-        println!("{test}: memory at most {memory_kb} kB, descriptors at most {descriptors}");
-        assert!(
-            memory_kb <= MEMORY_MB * 1024 && descriptors <= MAX_FDS,
-            "{test}: memory at most {memory_kb} kB, descriptors at most {descriptors}, log: {}",
-            save_logs(&self.fleet, test),
-        );
+        check_use(process, descriptors, test, &save_logs(&self.fleet, test));
     }
 
     fn check_answer(&self, id: &str, text: &str) {
@@ -93,14 +93,16 @@
         }
         panic!("no answer to {id}, log: {}", save_logs(&self.fleet, id));
     }
+}
 
-    /// A figure of the process, in kB.
-    fn memory_kb(&self, name: &str) -> usize {
-        let id = self.fleet.gateways[0].process.id();
-        let status = fs::read_to_string(format!("/proc/{id}/status")).expect("the process runs");
-        let line = status.lines().find_map(|line| line.strip_prefix(name)).expect("a figure");
-        line.trim().trim_end_matches(" kB").parse().expect("a number")
-    }
+/// Checks the most memory that a process has used, and the most descriptors that it had open.
+pub(crate) fn check_use(process: u32, descriptors: usize, test: &str, log: &str) {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).expect("the process runs");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a figure");
+    let memory_kb: usize = line.trim().trim_end_matches(" kB").parse().expect("a number");
+    let used = format!("{test}: memory at most {memory_kb} kB, descriptors at most {descriptors}");
+    println!("{used}");
+    assert!(memory_kb <= MEMORY_MB * 1024 && descriptors <= MAX_FDS, "{used}, log: {log}");
 }
 
 impl Drop for Watched {
@@ -110,7 +112,7 @@
 }
 
 /// Counts the open descriptors of a process until `ended` is set.
-fn count_descriptors(process: u32, most: &Arc<AtomicUsize>, ended: &Arc<AtomicBool>) {
+pub(crate) fn count_descriptors(process: u32, most: &Arc<AtomicUsize>, ended: &Arc<AtomicBool>) {
     let (most, ended) = (most.clone(), ended.clone());
     thread::spawn(move || {
         while !ended.load(Ordering::Relaxed) {
