test(gateway): reads of cold members do not depend on the machine's speed

Cause: the test failed beside four builds because its 60 reads took longer than the member was cold. Change: only arrivals while the member is cold are checked, and at least one read has to come in that time.

--- a/hibiscusladder/tests/gateway/cold.rs
+++ b/hibiscusladder/tests/gateway/cold.rs
@@ -113,9 +113,14 @@
         let reply = query_once(address, BOUNDED_DATABASE, WORKSPACES[0], &id, "READ a");
         assert_eq!(reply.expect("an answer").code(), None);
     }
-    let counts: Vec<usize> =
-        (0..MEMBERS).map(|member| arrivals_since(&fleet, member, began).len()).collect();
+    // On a busy machine the last reads may come after the member is warm.
+    let cold_until = began + COLD_TIME - ENTRY_TIME;
+    let while_cold = |member| {
+        let arrivals = arrivals_since(&fleet, member, began);
+        arrivals.iter().filter(|time| **time < cold_until).count()
+    };
+    let counts: Vec<usize> = (0..MEMBERS).map(while_cold).collect();
     let logs = save_logs(&fleet, "cold-reads");
-    assert!(began.elapsed() < COLD_TIME - ENTRY_TIME, "the member was still cold");
+    assert!(counts[0] + counts[2] > 0, "{counts:?}, no read came while the member was cold");
     assert_eq!(counts[1], 0, "{counts:?}, logs in {logs}");
 }
