--- a/crates/core/src/cold.rs
+++ b/crates/core/src/cold.rs
@@ -164,6 +164,11 @@
         self.update(now);
     }
 
+    /// Whether no entry has shown lately whether the member is cold.
+    pub const fn is_unknown(&self) -> bool {
+        matches!(self.evidence, Evidence::None { .. })
+    }
+
     /// Time for which the member remains cold, as far as it is known; zero for a warm one.
     pub fn remaining(&self, now: Instant) -> Duration {
         let until = match (self.evidence, self.limits) {
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -8,7 +8,7 @@
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::{claim_table::StoredPromotion, cold::ColdReport};
+use crate::{claim_table::StoredPromotion, cold::ColdReport, pace::PaceReport};
 
 /// One message between two instances.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -208,6 +208,15 @@
     }
 }
 
+/// Content of a [`SectionKind::Pace`] section of a status message.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PaceSection {
+    /// The members that the sender knows to be cold; `None` unless it is a hub that limits cold members.
+    pub cold: Option<ColdReport>,
+    /// The members that holders have found overloaded.
+    pub pace: Vec<PaceReport>,
+}
+
 /// Eras of the revisions in a [`Status`] and its [`Extension`]. The section is left out while the sender knows of no restore
 /// of the store, and all eras are 0 without it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -220,13 +229,6 @@
     pub roster: u64,
 }
 
-/// Content of a [`SectionKind::Pace`] section of a status message.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PaceSection {
-    /// The members that the sender knows to be cold; `None` unless it is a hub that limits cold members.
-    pub cold: Option<ColdReport>,
-}
-
 /// Record of a promotion, as the sender knows it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromotionEntry {
--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -116,12 +116,12 @@
         }
     }
     merge_extension(node, extension, is_hub, now);
+    merge_pace(node, status, sections, is_hub, now);
     if let Some(notice) = sections.get(SectionKind::Evacuations)
         && node.evacuations.receive(&notice, received.acknowledged, now)
     {
         node.evacuations_changed();
     }
-    merge_pace(node, status, sections, is_hub, now);
     if node.role() == FleetRole::Follower {
         relay::catch_up(node, now);
     }
@@ -152,21 +152,19 @@
     }
 }
 
-/// Records which members are cold, as a hub with the same or newer entries reports to a follower.
+/// Records which members holders have found overloaded, and which are cold, as a hub with the same or newer entries reports.
 fn merge_pace<P>(node: &Node<P>, status: &Status, sections: &Sections, is_hub: bool, now: Instant)
 where
     P: Platform,
 {
     let Some(section) = sections.get::<PaceSection>(SectionKind::Pace) else { return };
+    let own = (node.instance(), node.role() == FleetRole::Hub);
+    node.paces.receive(&section.pace, &InstanceId::new(&status.from), own, now);
     let store: StoreSection = sections.get(SectionKind::Store).unwrap_or_default();
-    let members = StoreVersion::new(store.members, status.members_revision);
-    let is_newer = members >= node.members_version();
-    if let Some(cold) = section.cold
-        && is_hub
-        && is_newer
-        && node.role() == FleetRole::Follower
-    {
-        node.cold.merge(&cold, now);
+    let version = StoreVersion::new(store.members, status.members_revision);
+    let is_newer = version >= node.members_version();
+    if let Some(cold) = section.cold.filter(|_| is_hub && is_newer) {
+        node.cold.merge(&cold, node.role() != FleetRole::Follower, now);
     }
 }
 
@@ -303,6 +301,7 @@
             node.evacuations_changed();
         }
         round += 1;
+        node.update_paces();
         let mut receivers = receivers(&node, round);
         if node.take_urgent_news() {
             receivers.extend(live_followers(&node, now));
@@ -371,21 +370,27 @@
         demands: node.admission.borrow_mut().advertise(name, demanded, now),
     };
     let extension = extension(node, relays_fences, now);
-    let sections = sections(node, name, relays_fences, now);
+    let sections = sections(node, name, now);
     send_extended(node, address, &Datagram::Status(status), &extension, &sections);
 }
 
-/// The sections of a message to `receiver`, which is a hub or another instance (`is_for_follower`).
-fn sections<P>(
-    node: &Node<P>,
-    receiver: &InstanceId,
-    is_for_follower: bool,
-    now: Instant,
-) -> Sections
+/// The sections of a message to `receiver`: what it says of restores of the store, of evacuations, of cold or overloaded
+/// members, and of promotions.
+fn sections<P>(node: &Node<P>, receiver: &InstanceId, now: Instant) -> Sections
 where
     P: Platform,
 {
     let mut sections = Sections::default();
+    let is_hub = node.role() == FleetRole::Hub;
+    let is_for_hub = node.topology().is_hub(receiver);
+    let pace = PaceSection {
+        cold: node.cold.report(now).filter(|_| is_hub),
+        pace: node.paces.reports(node.instance(), receiver, is_for_hub, now),
+    };
+    if pace != PaceSection::default() {
+        // Names and numbers can always be encoded.
+        let _ = sections.insert(SectionKind::Pace, &pace);
+    }
     let era = node.store_era.known();
     if era > 0 {
         let members = node.members_version().era;
@@ -397,12 +402,6 @@
         // Names and numbers cannot fail to be encoded.
         let _ = sections.insert(SectionKind::Evacuations, &notice);
     }
-    let reports_cold = is_for_follower && node.role() == FleetRole::Hub;
-    let pace = PaceSection { cold: node.cold.report(now).filter(|_| reports_cold) };
-    if pace != PaceSection::default() {
-        // Names and numbers cannot fail to be encoded.
-        let _ = sections.insert(SectionKind::Pace, &pace);
-    }
     let topology = node.topology();
     let may_replace = topology.is_hub(receiver) || topology.is_successor(receiver);
     if may_replace
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,8 @@
     PromotionRecords,
     /// Sessions accepted or refused, by result.
     Sessions,
+    /// Peers that were refused or closed, by limit.
+    LimitedPeers,
 }
 
 impl Counter {
@@ -46,6 +48,7 @@
             Self::Failovers => "failovers_total",
             Self::PromotionRecords => "promotion_records_total",
             Self::Sessions => "sessions_total",
+            Self::LimitedPeers => "limited_peers_total",
         }
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -40,10 +40,12 @@
     events::{self, Event},
     group_state::GroupState,
     in_flight::InFlight,
+    ledger::Ledger,
     member_table::{Member, MemberTable},
     metrics::Metrics,
+    pace::{MemberLimits, Paces},
     peers::Peers,
-    pool::{MemberPaths, Pool, PoolLimits},
+    pool::{MemberPaths, MemberPlace, Pool, PoolLimits},
     refusal::Refusals,
     relay::{MembersPage, PARALLEL_TRANSFERS, Progress, compress_directory},
     settings::Settings,
@@ -78,7 +80,7 @@
     /// Client of the platform's promotions.
     pub promoter: P::Promoter,
     /// Counters and histograms.
-    pub metrics: Metrics,
+    pub metrics: Rc<Metrics>,
     /// Member entries of the store.
     pub members: RefCell<MemberTable>,
     /// Allotments of the workspaces.
@@ -87,6 +89,10 @@
     pub evacuations: EvacuationState,
     /// Cold members, and what this instance may send to them.
     pub cold: ColdMembers,
+    /// Accounts of the peers.
+    pub ledger: Ledger,
+    /// Pace of the members.
+    pub paces: Paces,
     /// Retry delays of refused callers.
     pub refusals: Refusals,
     /// State of the other instances.
@@ -151,26 +157,30 @@
         executor: Rc<LocalExecutor<'static>>,
     ) -> Rc<Self> {
         let now = BootClock.now();
+        let metrics = Rc::<Metrics>::default();
+        let ledger = Ledger::new(settings.peer_limits.budget(), metrics.clone());
         Rc::new(Self {
             peers: RefCell::new(Peers::new(settings.instance.clone(), now)),
             progress: RefCell::new(Progress::new(&settings.instance)),
             cold: ColdMembers::new(settings.cold),
+            paces: Paces::new(settings.pace),
             refusals: Refusals::new(settings.return_times, now),
             evacuations: EvacuationState::new(
                 settings.evacuate,
                 settings.regions.keys().cloned().collect(),
             ),
+            tunnels: Tunnels::new(ledger.clone()),
+            ledger,
             settings,
             clock: BootClock,
             store_era: store.era().clone(),
             store,
             promoter,
-            metrics: Metrics::default(),
+            metrics,
             members: RefCell::default(),
             admission: RefCell::default(),
             failover_claims: RefCell::default(),
             datagrams,
-            tunnels: Tunnels::default(),
             topology: RefCell::default(),
             roster: RefCell::default(),
             roster_digest: Cell::new(0),
@@ -360,10 +370,12 @@
         let distance = self.settings.distance(&record.data_centre);
         let (limits, paths) = self.pool_limits(&target, &record.data_centre);
         self.update_cold(&target, paths.holders.as_deref());
-        let cold = self.cold.gate(id, self.now());
+        let (cold, pace) = (self.cold.gate(id, self.now()), self.paces.member(&target));
+        let member_limits = MemberLimits { cold, pace };
         let with_priorities = self.settings.priorities;
+        let place = MemberPlace { target, data_centre: record.data_centre, distance };
         let pool =
-            Pool::new(target, record.data_centre, distance, limits, paths, with_priorities, cold);
+            Pool::new(place, limits, paths, with_priorities, member_limits, self.ledger.clone());
         self.pools.borrow_mut().insert(id.clone(), pool.clone());
         Some(pool)
     }
@@ -402,7 +414,7 @@
         }
     }
 
-    fn update_pool_limits(&self, pool: &Pool<P>) {
+    fn update_pool_limits(&self, pool: &Rc<Pool<P>>) {
         let (limits, paths) = self.pool_limits(&pool.target, &pool.data_centre);
         self.update_cold(&pool.target, paths.holders.as_deref());
         pool.set_limits(limits, paths);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -17,6 +17,7 @@
     connection_limit::ConnectionLimit,
     holder_reach::HolderReach,
     name::{DataCentre, InstanceId, Workspace},
+    pace::Outcome,
 };
 use hibiscusladder_io::clock::{BootClock, within};
 use thiserror::Error;
@@ -26,7 +27,10 @@
     cold::ColdGate,
     in_flight::{InFlight, InFlightGuard},
     lease::{Connection, Lease},
+    ledger::Ledger,
     model::{Code, Failure},
+    pace::{MemberLimits, MemberPace},
+    service_time::ServiceTime,
     settings::Distance,
     slot_queue::{self, SlotQueue},
     urgency::{NoSlot, SlotRequest},
@@ -42,12 +46,6 @@
     (Distance::Region, Duration::from_millis(3)),
     (Distance::Far, Duration::from_millis(41)),
 ];
-/// Weight of a new sample in the average service time.
-const SERVICE_WEIGHT: f64 = 0.1;
-/// Time without a sample after which the expected service time is halfway between the measured and the assumed one.
-const SERVICE_HALF_LIFE: Duration = Duration::from_secs(3);
-/// Service time that is assumed before the first sample, in seconds.
-const ASSUMED_SERVICE_S: f64 = 0.012;
 /// Time that opening a connection adds to the expected time of a member, in seconds.
 pub const OPENING_COST_S: f64 = 0.012;
 
@@ -101,10 +99,7 @@
     connection_limit: ConnectionLimit,
     /// Time up to which no connection is opened, because the member had too many.
     full_until: Instant,
-    /// Average service time of a statement, in seconds, without the round trip.
-    service_s: f64,
-    /// Time of the latest sample of the service time.
-    measured_at: Instant,
+    service_time: ServiceTime,
 }
 
 /// Limits of one instance for its connections to one member.
@@ -120,6 +115,17 @@
     pub running: Option<u32>,
 }
 
+/// A member, and where it runs.
+#[derive(Debug, Clone)]
+pub struct MemberPlace {
+    /// The member, with its address.
+    pub target: Target,
+    /// Data centre of the member.
+    pub data_centre: DataCentre,
+    /// Distance of that data centre from this instance.
+    pub distance: Distance,
+}
+
 /// Instances through which a member is reached.
 #[derive(Debug, Clone, Default)]
 pub struct MemberPaths {
@@ -149,6 +155,8 @@
     pub data_centre: DataCentre,
     /// Limit of the requests to the member while it is cold.
     pub cold: Rc<ColdGate>,
+    /// Pace of the member; `None` without the feature.
+    pub(crate) pace: Option<MemberPace>,
     pub(crate) slot_queue: SlotQueue<P>,
     /// The instances that hold connections to the member, the preferred one first; `None` when all connect to it.
     holders: RefCell<Option<Rc<[InstanceId]>>>,
@@ -166,6 +174,8 @@
     lagging: Cell<(Instant, Duration)>,
     /// Until when the member is used last, because it did not answer.
     deprioritised_until: Cell<Instant>,
+    /// Accounts of the connections.
+    ledger: Ledger,
 }
 
 impl<P> Pool<P>
@@ -174,13 +184,12 @@
 {
     /// Creates a pool without connections.
     pub fn new(
-        target: Target,
-        data_centre: DataCentre,
-        distance: Distance,
+        place: MemberPlace,
         limits: PoolLimits,
         paths: MemberPaths,
         with_priorities: bool,
-        cold: Rc<ColdGate>,
+        member_limits: MemberLimits,
+        ledger: Ledger,
     ) -> Rc<Self> {
         let state = State {
             idle: Vec::new(),
@@ -188,13 +197,15 @@
             limits,
             connection_limit: ConnectionLimit::new(limits.open),
             full_until: Instant::default(),
-            service_s: ASSUMED_SERVICE_S,
-            measured_at: BootClock.now(),
+            service_time: ServiceTime::new(BootClock.now()),
         };
-        Rc::new(Self {
+        let MemberPlace { target, data_centre, distance } = place;
+        let MemberLimits { cold, pace } = member_limits;
+        let pool = Rc::new(Self {
             target,
             data_centre,
             cold,
+            pace,
             slot_queue: SlotQueue::new(limits, with_priorities),
             holders: RefCell::new(paths.holders),
             standbys: RefCell::new(paths.standbys),
@@ -207,7 +218,10 @@
             opened: Cell::new(0),
             lagging: Cell::new((Instant::default(), MIN_LAG_PAUSE)),
             deprioritised_until: Cell::new(Instant::default()),
-        })
+            ledger,
+        });
+        pool.configure_pace(limits);
+        pool
     }
 
     /// The instances that hold connections to the member, the preferred one first; `None` when all connect to it.
@@ -221,7 +235,7 @@
     }
 
     /// Changes the limits and the paths. Connections in use beyond the new limits are closed when they are returned.
-    pub fn set_limits(&self, limits: PoolLimits, paths: MemberPaths) {
+    pub fn set_limits(self: &Rc<Self>, limits: PoolLimits, paths: MemberPaths) {
         *self.holders.borrow_mut() = paths.holders;
         *self.standbys.borrow_mut() = paths.standbys;
         let mut state = self.state.borrow_mut();
@@ -229,6 +243,23 @@
         state.connection_limit.configure(limits.open);
         drop(state);
         self.slot_queue.set_limits(limits);
+        self.configure_pace(limits);
+    }
+
+    fn configure_pace(self: &Rc<Self>, limits: PoolLimits) {
+        if let Some(pace) = &self.pace {
+            let running = limits.running.map_or(usize::MAX, |running| running as usize);
+            pace.configure(limits.open.min(running), BootClock.now());
+            slot_queue::update_pace(self);
+        }
+    }
+
+    /// Records the outcome of what was sent to the member at `sent`.
+    pub(crate) fn record_outcome(self: &Rc<Self>, outcome: Outcome, sent: Instant) {
+        if let Some(pace) = &self.pace {
+            pace.record(outcome, sent, BootClock.now());
+            slot_queue::update_pace(self);
+        }
     }
 
     /// Whether a connection of `workspace` is idle.
@@ -244,6 +275,9 @@
     /// Closes the idle connections at once, and those in use when they are returned.
     pub fn close(&self) {
         self.closed.set(true);
+        if let Some(pace) = &self.pace {
+            pace.configure(0, BootClock.now());
+        }
         self.drop_idle();
     }
 
@@ -285,10 +319,7 @@
     /// Expected time until a new request of `workspace` is answered, in seconds.
     pub fn expected_s(&self, workspace: &Workspace, now: Instant) -> f64 {
         let state = self.state.borrow();
-        let half_lives =
-            now.since(state.measured_at).as_secs_f64() / SERVICE_HALF_LIFE.as_secs_f64();
-        let weight = 0.5_f64.powf(half_lives);
-        let service = state.service_s * weight + ASSUMED_SERVICE_S * (1.0 - weight);
+        let service = state.service_time.expected_s(now);
         let held_elsewhere = state.limits.idle == 0;
         let opening = if held_elsewhere || self.has_idle(workspace) {
             0.0
@@ -352,8 +383,13 @@
                 return Err(AcquireError::Exhausted);
             }
             if let Some(opening) = self.reserve(purpose, now) {
-                match opening.connect(workspace).await {
+                let opened = opening.connect(workspace).await;
+                if matches!(opened, Err(AcquireError::Unreachable(_))) {
+                    self.record_outcome(Outcome::Lost, now);
+                }
+                match opened {
                     Err(AcquireError::Refused(failure)) if failure.code == Code::TooMany => {
+                        self.record_outcome(Outcome::Rejected, now);
                         self.record_full(BootClock.now());
                     }
                     result => return result,
@@ -452,15 +488,13 @@
 
     /// Mean service time of a statement, without the round trip.
     pub fn service_time(&self) -> Duration {
-        Duration::try_from_secs_f64(self.state.borrow().service_s).unwrap_or_default()
+        self.state.borrow().service_time.average()
     }
 
     /// Records the time from sending a statement to its answer; a round trip is subtracted.
     pub fn record_service_time(&self, service: Duration, now: Instant) {
-        let mut state = self.state.borrow_mut();
-        let service = service.saturating_sub(self.round_trip()).as_secs_f64();
-        state.service_s += (service - state.service_s) * SERVICE_WEIGHT;
-        state.measured_at = now;
+        let service = service.saturating_sub(self.round_trip());
+        self.state.borrow_mut().service_time.record(service, now);
     }
 }
 
@@ -479,7 +513,8 @@
     P: Platform,
 {
     async fn connect(mut self, workspace: &Workspace) -> Result<Lease<P>, AcquireError> {
-        let connecting = P::Upstream::connect(&self.pool.target, workspace);
+        let account = self.pool.ledger.open_reserved(Some(self.pool.target.address));
+        let connecting = P::Upstream::connect(&self.pool.target, workspace, account);
         let port = match within(CONNECT_TIMEOUT, connecting).await {
             Some(Ok(port)) => port,
             Some(Err(ConnectError::Refused(failure))) => {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,7 +4,10 @@
 
 use async_signal::{Signal, Signals};
 use futures::StreamExt;
-use hibiscusladder_core::shutdown::{Shutdown, ShutdownStep};
+use hibiscusladder_core::{
+    budget::Origin,
+    shutdown::{Shutdown, ShutdownStep},
+};
 use hibiscusladder_io::clock::sleep;
 use miette::Diagnostic;
 use serde_json::json;
@@ -133,9 +136,10 @@
     let mut number = 0;
     listener::accept(node.clone(), listener, |stream| {
         number += 1;
+        let Some(account) = node.ledger.open(Origin::Caller, &stream) else { return };
         // The process does not end between the acceptance of a caller and the start of its task.
         let guard = node.begin_session();
-        node.spawn(session::serve(node.clone(), stream, number, guard));
+        node.spawn(session::serve(node.clone(), stream, number, account, guard));
     })
     .await;
 }
--- a/hibiscusladder/tests/gateway/main.rs
+++ b/hibiscusladder/tests/gateway/main.rs
@@ -1,10 +1,12 @@
 //! Tests of gateway processes against the stand-in for the platform.
 
 mod cold;
+mod evacuation;
 mod fleet;
 mod foreign;
 mod history;
 mod order;
+mod pace;
 mod path;
 mod promotion;
 mod restore;
