feat(gateway): registrations that a restore brings back do not count

Cause: a registration that was removed before the data loss is in the restored store again; roles would change for 60 s.

Change: instances remember removed registrations for 10 min, leave them out of the list while the store may lack others, until a message of the instance comes, and hubs remove those that stayed silent for 10 s.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,6 +10,11 @@
 pub const SEND_INTERVAL: Duration = Duration::from_millis(250);
 /// Time since its last message after which an instance no longer counts as live; four messages.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time for which the removal of an instance is known. A store is restored from a copy that is some seconds old.
+const REMOVED_TIME: Duration = Duration::from_secs(600);
+/// Time without a message after which a registration that a restore has brought back is removed; an instance that has
+/// registered under the name sends messages by then.
+const LEFTOVER_TIME: Duration = Duration::from_secs(10);
 /// Time for which a holder that did not answer is used last.
 const DEPRIORITISED_TIME: Duration = Duration::from_millis(1000);
 
@@ -84,6 +89,8 @@
     /// When the first message of another instance came.
     heard_since: Option<Instant>,
     peers: BTreeMap<InstanceId, Peer>,
+    /// Instances whose registrations were removed, with the time of the removal and when a restored store had them again.
+    removed: BTreeMap<InstanceId, (Instant, Option<Instant>)>,
 }
 
 /// Result of receiving a message.
@@ -101,29 +108,52 @@
 impl Peers {
     /// Creates the state of an instance that was started at `now` and knows no other instance.
     pub fn new(own: InstanceId, now: Instant) -> Self {
-        Self { own, started: nanos(now), heard_since: None, peers: BTreeMap::new() }
+        Self {
+            own,
+            started: nanos(now),
+            heard_since: None,
+            peers: BTreeMap::new(),
+            removed: BTreeMap::new(),
+        }
     }
 
     /// Records the registrations of all instances, and removes instances that are neither listed nor live. While the store
-    /// may lack registrations (`may_lack`), those that are not listed are kept.
+    /// may lack registrations (`may_lack`), those that are not listed are kept, and those that had been removed are left out
+    /// until they send messages.
     pub fn register(
         &mut self,
         listed: &[(InstanceId, Registration)],
         may_lack: bool,
         now: Instant,
     ) {
+        let is_listed = |name: &InstanceId| listed.iter().any(|(listed, _)| listed == name);
+        if !may_lack {
+            let registered = self.peers.iter().filter(|(_, peer)| peer.registration.is_some());
+            let gone = registered.filter(|(name, _)| !is_listed(name));
+            self.removed.extend(gone.map(|(name, _)| (name.clone(), (now, None))));
+        }
         self.peers.retain(|name, peer| {
-            peer.is_live(now)
-                || may_lack && peer.registration.is_some()
-                || listed.iter().any(|(listed, _)| listed == name)
+            peer.is_live(now) || may_lack && peer.registration.is_some() || is_listed(name)
         });
+        self.removed.retain(|_, (removed_at, _)| now.since(*removed_at) < REMOVED_TIME);
         for peer in self.peers.values_mut() {
             peer.is_kept = may_lack && peer.registration.is_some();
             if !may_lack {
                 peer.registration = None;
             }
         }
-        for (name, registration) in listed.iter().filter(|(name, _)| *name != self.own) {
+        let is_other = |name: &InstanceId| *name != self.own;
+        for (name, registration) in listed.iter().filter(|(name, _)| is_other(name)) {
+            let is_live = self.peers.get(name).is_some_and(|peer| peer.is_live(now));
+            if let Some((_, leftover_since)) = self.removed.get_mut(name)
+                && may_lack
+                && !is_live
+            {
+                leftover_since.get_or_insert(now);
+                self.peers.remove(name);
+                continue;
+            }
+            self.removed.remove(name);
             let peer = self.peers.entry(name.clone());
             let peer = peer.or_insert_with(|| Peer::new(registration.address));
             peer.registration = Some(registration.clone());
@@ -151,6 +181,13 @@
         self.peers.iter().filter_map(|(name, peer)| Some((name, peer.registration.as_ref()?)))
     }
 
+    /// Whether the registration of an instance was removed before a restore of the store has brought it back, and the instance
+    /// has sent no message since.
+    pub fn is_leftover(&self, name: &str, now: Instant) -> bool {
+        let removed = self.removed.get(name).and_then(|(_, leftover_since)| *leftover_since);
+        removed.is_some_and(|since| now.since(since) >= LEFTOVER_TIME)
+    }
+
     /// Instances that are kept although the latest list lacks their registrations.
     pub fn kept(&self) -> Vec<InstanceId> {
         let kept = self.peers.iter().filter(|(_, peer)| peer.is_kept);
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -388,7 +388,8 @@
     }
 }
 
-/// Removes registrations of instances that have sent no message for [`ABANDONED_AFTER`].
+/// Removes registrations of instances that have sent no message for [`ABANDONED_AFTER`], and those that a restore has
+/// brought back.
 ///
 /// While most of the others seem to be silent, the fault is more likely here, and nothing is removed.
 async fn remove_abandoned<P>(
@@ -404,7 +405,8 @@
         return Ok(());
     }
     for object in objects {
-        if unresponsive.iter().any(|name| name.as_str() == &*object.name) {
+        let is_leftover = node.peers.borrow().is_leftover(&object.name, now);
+        if is_leftover || unresponsive.iter().any(|name| name.as_str() == &*object.name) {
             node.store.remove(Collection::Instances, &object.name, object.version).await?;
         }
     }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -180,3 +180,20 @@
     peers.register(&[], false, at(30));
     assert_eq!(peers.registrations().count(), 0);
 }
+
+/// Guards against roles that change because a restored store has the registration of an instance again that had been removed,
+/// and against one that stays in the store; an instance that sends messages is none of these.
+#[test]
+fn register_leaves_out_what_a_restore_has_brought_back() {
+    let mut peers = Peers::new("a".into(), at(0));
+    peers.register(&[registration()], false, at(0));
+    peers.register(&[], false, at(10));
+    peers.register(&[registration()], true, at(20));
+    assert_eq!(peers.registrations().count(), 0);
+    assert!(!peers.is_leftover("b", at(10_019)));
+    assert!(peers.is_leftover("b", at(10_020)));
+    peers.receive(&status(1, 1), address(), at(10_030)).expect("a new message");
+    peers.register(&[registration()], true, at(10_040));
+    assert_eq!(peers.registrations().count(), 1);
+    assert!(!peers.is_leftover("b", at(30_000)));
+}
