test(gateway): soak with data losses of the store

Each odd seed has two restores in ten seconds from a copy that is 0.2 to 4 s old, after which operator and members write again within 3 s. They are drawn apart, so that the other faults of each seed stay as they were.

--- a/hibiscusladder/tests/gateway/soak/mod.rs
+++ b/hibiscusladder/tests/gateway/soak/mod.rs
@@ -159,6 +159,8 @@
             fleet.gateways[*instance].process.thaw().ok();
         }
         Fault::Store(fault) => fleet.standin.set_store_fault(*fault),
+        Fault::CopyStore => fleet.standin.take_copy(),
+        Fault::RestoreStore(delay) => fleet.standin.restore(*delay),
         Fault::Member { member, running } => {
             fleet.standin.lock_group().set_running(*member, *running)
         }
--- a/hibiscusladder/tests/gateway/soak/plan.rs
+++ b/hibiscusladder/tests/gateway/soak/plan.rs
@@ -27,6 +27,10 @@
     Thaw(usize),
     /// The store gets this fault, or none.
     Store(StoreFault),
+    /// The store takes the copy from which it is restored later.
+    CopyStore,
+    /// The store is restored from its copy. Operator and members write their objects again after this delay.
+    RestoreStore(Duration),
     /// A member goes down or comes back.
     Member { member: usize, running: bool },
     /// The primary goes down, or all members that are down come back.
@@ -79,6 +83,15 @@
 /// Rates of the first workspace in operations per second; the lowest is below the rate at which its callers send.
 const RATES: [f64; 3] = [15.0, 40.0, 200.0];
 
+/// A seed that leaves this rest after a division by 2 has data losses of the store. They are drawn apart from the other faults,
+/// which stay as they were for every seed.
+const DATA_LOSS_REST: u64 = 1;
+/// Number of data losses in ten seconds of such a run.
+const DATA_LOSSES_PER_TEN_SECONDS: u64 = 2;
+/// Age of the copy, and delay of the writers after the restore, in milliseconds.
+const COPY_AGE_MS: std::ops::Range<u64> = 200..4000;
+const REWRITE_DELAY_MS: std::ops::Range<u64> = 0..3000;
+
 /// Version of the first configuration that a run writes.
 const FIRST_VERSION: u64 = 10;
 
@@ -94,6 +107,9 @@
         plan.push((at, begin));
         plan.extend(ending.map(|ending| (end, ending)));
     }
+    if seed % 2 == DATA_LOSS_REST {
+        plan.extend(data_losses(seed, run_time));
+    }
     plan.retain(|(at, _)| *at < run_time);
     plan.sort_by_key(|(at, _)| *at);
     // As the operator's do, versions grow with time; instances ignore one that is older than theirs.
@@ -105,6 +121,21 @@
     plan
 }
 
+/// Draws the data losses of the store.
+fn data_losses(seed: u64, run_time: Duration) -> Vec<(Duration, Fault)> {
+    let mut rng = StdRng::seed_from_u64(!seed);
+    let count = (run_time.as_secs() * DATA_LOSSES_PER_TEN_SECONDS).div_ceil(10);
+    let mut plan = vec![(Duration::ZERO, Fault::CopyStore)];
+    for _ in 0..count {
+        let at = run_time.mul_f64(rng.random_range(0.0..0.8));
+        let age = Duration::from_millis(rng.random_range(COPY_AGE_MS));
+        let delay = Duration::from_millis(rng.random_range(REWRITE_DELAY_MS));
+        plan.push((at.saturating_sub(age), Fault::CopyStore));
+        plan.push((at, Fault::RestoreStore(delay)));
+    }
+    plan
+}
+
 /// Draws a fault, and the one that ends or follows it, if any. `number` is the index of the fault in the run.
 fn random_fault(rng: &mut StdRng, instances: usize, number: u64) -> (Fault, Option<Fault>) {
     let instance = rng.random_range(0..instances);
