test(gateway): large fleet, and a change of a rate, over a restore

A fleet of 14, in which the instance whose registration is lost is no hub; and a lower rate that was set before the data loss, with and without a process that starts right after it.

--- a/hibiscusladder/tests/gateway/restore.rs
+++ b/hibiscusladder/tests/gateway/restore.rs
@@ -56,21 +56,27 @@
 }
 
 /// Guards against requests that fail because the store has lost the registration of an instance and is written again only
-/// some seconds later, and against an instance that does not register again; with one data loss, and two in a row.
-#[test_case(1; "one")]
-#[test_case(2; "two in a row")]
-fn restore_under_load_is_not_noticed_by_callers(restores: u64) {
-    let mut fleet = Fleet::start(2);
+/// some seconds later, and against an instance that does not register again; with one data loss, and two in a row. The
+/// instance of the large fleet is no hub, and learns from one that its registration was lost.
+#[test_case(3, 1; "one")]
+#[test_case(3, 2; "two in a row")]
+#[test_case(14, 1; "large fleet")]
+fn restore_under_load_is_not_noticed_by_callers(instances: usize, restores: u64) {
+    let last = instances - 1;
+    let mut fleet = Fleet::start(last);
     fleet.standin.take_copy();
-    fleet.add(2);
-    fleet.gateways[2].wait_until_serving();
-    wait_for(&fleet, "registered", || fleet.standin.registered_instances().len() == 3);
+    fleet.add(last);
+    fleet.gateways[last].wait_until_serving();
+    let is_registered = || fleet.standin.registered_instances().len() == instances;
+    wait_for(&fleet, "registered", is_registered);
     let failed = thread::scope(|scope| {
         let callers: Vec<_> = (0..fleet.gateways.len())
             .map(|number| {
                 let address = fleet.gateways[number].callers;
                 scope.spawn(move || {
                     let mut session = open(address, PRIMARY_DATABASE, WORKSPACES[0])?;
+                    // All instances together send as many requests in fleets of each size, fewer than the rate permits.
+                    let pause = PAUSE * u32::try_from(instances).unwrap_or(u32::MAX) / 3;
                     let (until, mut failed) = (Instant::now() + SERVED_TIME, Vec::new());
                     for round in 0.. {
                         if Instant::now() >= until {
@@ -78,7 +84,7 @@
                         }
                         let reply = session.query(&format!("{number}-{round}"), "WRITE a 1")?;
                         failed.extend(reply.code().map(str::to_owned));
-                        thread::sleep(PAUSE);
+                        thread::sleep(pause);
                     }
                     std::io::Result::Ok(failed)
                 })
@@ -92,10 +98,11 @@
         ends.collect::<std::io::Result<Vec<_>>>().expect("the sessions stay open").concat()
     });
     assert!(failed.is_empty(), "{failed:?}: logs in {}", save_logs(&fleet, "restore-load"));
-    wait_for(&fleet, "restore-known", || (0..3).all(|number| knows_era(&fleet, number, restores)));
-    wait_for(&fleet, "restore-register", || fleet.standin.registered_instances().len() == 3);
+    let all_know = || (0..instances).all(|number| knows_era(&fleet, number, restores));
+    wait_for(&fleet, "restore-known", all_know);
+    wait_for(&fleet, "restore-register", is_registered);
     let is_gone = |number| process_log(&fleet.gateways[number]).contains("member_gone");
-    assert!(!(0..3).any(is_gone), "logs in {}", save_logs(&fleet, "restore-load"));
+    assert!(!(0..instances).any(is_gone), "logs in {}", save_logs(&fleet, "restore-load"));
 }
 
 /// Guards against a withdrawn key that becomes valid again, at instances that run and at a process that starts right after
@@ -177,3 +184,51 @@
     let late = reads_since(member, restored);
     assert_eq!(late, 0, "logs in {}", save_logs(&fleet, "restore-draining"));
 }
+
+/// Guards against a workspace that gets more operations than its rate permits, because the store has the configuration from
+/// before a change of the rate, or lacks instances among which the rate is divided.
+#[test_case(false; "running instances")]
+#[test_case(true; "with a process that starts")]
+fn changed_rate_holds_over_a_restore(restarts: bool) {
+    const RATE: f64 = 40.0;
+    const RATE_WINDOW: Duration = Duration::from_secs(5);
+    let mut fleet = Fleet::start(1);
+    fleet.standin.take_copy();
+    for number in 1..3 {
+        fleet.add(number);
+        fleet.gateways[number].wait_until_serving();
+    }
+    fleet.standin.configure(9, [RATE; 2], &[]);
+    thread::sleep(CONFIG_APPLY_TIMEOUT);
+    fleet.standin.restore(NO_REWRITE);
+    if restarts {
+        fleet.gateways[0].process.kill().expect("the process runs");
+        fleet.restart(0);
+        fleet.gateways[0].wait_until_serving();
+    }
+    let started = Instant::now();
+    thread::scope(|scope| {
+        for gateway in &fleet.gateways {
+            scope.spawn(move || {
+                let session = open(gateway.callers, PRIMARY_DATABASE, WORKSPACES[1]);
+                let mut session = session.expect("the session opens");
+                for number in 0.. {
+                    if started.elapsed() >= RATE_WINDOW {
+                        break;
+                    }
+                    session.query(&format!("q{number}"), "READ a").expect("an answer");
+                }
+            });
+        }
+    });
+    let group = fleet.standin.lock_group();
+    // A request that was sent at the end of the window waits for tokens beyond it.
+    let window = started..started + RATE_WINDOW;
+    let executed = group.executed().iter().filter(|read| window.contains(&read.at));
+    let executed = executed.filter(|read| read.workspace == WORKSPACES[1]).count() as f64;
+    drop(group);
+    let allowed = (RATE * RATE_WINDOW.as_secs_f64() + RATE) * 1.1 + 20.0;
+    let logs = || save_logs(&fleet, "restore-rate");
+    assert!(executed <= allowed, "{executed} ran, at most {allowed} may; logs in {}", logs());
+    assert!(executed > 0.0, "nothing ran; logs in {}", logs());
+}
