feat(gateway): a process that starts after a restore decides once it has heard others

Cause: a process whose list lacked all other instances counted as alone until the first message came, and accrued tokens at the whole rate until it had merged a list.

Limits are updated, and a hub lists again, when that changes. Nothing changes in era 0.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -95,6 +95,8 @@
     roster_digest: Cell<u64>,
     /// Whether the list of another instance was merged with the own one.
     has_merged_roster: Cell<bool>,
+    /// Whether the instances were known well enough when the limits were last updated for that.
+    knew_fleet: Cell<bool>,
     has_urgent_news: Cell<bool>,
     /// Whether the start-up tokens were granted.
     start_tokens_granted: Cell<bool>,
@@ -162,6 +164,7 @@
             roster: RefCell::default(),
             roster_digest: Cell::new(0),
             has_merged_roster: Cell::new(false),
+            knew_fleet: Cell::new(false),
             has_urgent_news: Cell::new(false),
             start_tokens_granted: Cell::new(false),
             send_now: Notify::new(),
--- a/crates/gateway/src/node/fleet.rs
+++ b/crates/gateway/src/node/fleet.rs
@@ -4,6 +4,7 @@
 
 use hibiscusladder_core::{
     clock::Instant,
+    first_configuration::COMPARE_TIME,
     membership,
     name::{DataCentre, InstanceId, Workspace},
     roster::{self, FleetRole, REGISTER_TIME},
@@ -94,22 +95,52 @@
 
     /// Whether the other instances are known well enough to decide for them or to share limits with them.
     pub fn knows_fleet(&self) -> bool {
-        self.roster.borrow().is_complete(self.role()) && self.unmerged_roster().is_none()
+        self.roster.borrow().is_complete(self.role()) && !self.may_lack_instances()
     }
 
-    /// An instance whose list this one has to merge with its own. The store may have been restored just before this process
-    /// started, so that the list that it read lacks instances that others know. The time is limited, so that an instance that
-    /// cannot be reached does not hold this one up.
-    pub fn unmerged_roster(&self) -> Option<InstanceId> {
-        let now = self.now();
+    /// Whether the store may have been restored just before this process started, and the instances that the restored list
+    /// may lack have not been heard yet. They send messages, since they kept this one in their lists.
+    fn may_lack_instances(&self) -> bool {
+        if !self.may_have_started_after_a_restore() {
+            return false;
+        }
+        let heard_since = self.peers.borrow().heard_since();
+        let has_heard = heard_since.is_some_and(|since| self.now().since(since) >= COMPARE_TIME);
+        !has_heard || self.unmerged_roster().is_some()
+    }
+
+    /// Whether the known era is as old as this process or older, and the store may still lack writes from before it. The time
+    /// is limited, so that an instance that cannot be reached does not hold this one up.
+    fn may_have_started_after_a_restore(&self) -> bool {
         let era = &self.store_era;
-        if self.has_merged_roster.get()
-            || era.get().restored_at().is_some()
-            || !era.may_lack_writes(REWRITE_TIME, now)
-        {
+        !self.has_merged_roster.get()
+            && era.get().restored_at().is_none()
+            && era.may_lack_writes(REWRITE_TIME, self.now())
+    }
+
+    /// An instance whose list this one has to merge with its own, because the one that it read may lack instances.
+    pub fn unmerged_roster(&self) -> Option<InstanceId> {
+        if !self.may_have_started_after_a_restore() {
             return None;
         }
-        self.peers.borrow().offers_other_roster(self.roster_digest.get(), now)
+        self.peers.borrow().offers_other_roster(self.roster_digest.get(), self.now())
+    }
+
+    /// Updates what depends on whether the instances are known, if that has changed since the last call. While the store was
+    /// never restored, it changes with lists only, which update it themselves.
+    pub fn update_fleet_knowledge(&self) {
+        if self.store_era.known() == 0 {
+            return;
+        }
+        let knows_fleet = self.knows_fleet();
+        if self.knew_fleet.replace(knows_fleet) == knows_fleet {
+            return;
+        }
+        if knows_fleet {
+            // A hub may have started before the others had registered again.
+            self.roster.borrow_mut().request_list();
+        }
+        self.update_limits();
     }
 
     /// Records that the list of another instance was merged with the own one.
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -373,6 +373,7 @@
     if let Some(from) = node.unmerged_roster() {
         relay::merge_roster(node, &from).await;
     }
+    node.update_fleet_knowledge();
     let offered = node.peers.borrow().newest_roster(node.now());
     let Some((offered, from)) = offered else { return };
     let own = node.roster_version();
