--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -384,6 +384,7 @@
     if let Some(from) = node.unmerged_roster() {
         relay::merge_roster(node, &from).await;
     }
+    node.update_fleet_knowledge();
     let offered = node.peers.borrow().newest_roster(node.now());
     let Some((offered, from)) = offered else { return };
     let own = node.roster_version();
@@ -399,7 +400,8 @@
     }
 }
 
-/// Removes registrations of instances that have sent no message for [`ABANDONED_AFTER`].
+/// Removes registrations of instances that have sent no message for [`ABANDONED_AFTER`], and those that a restore has
+/// brought back.
 ///
 /// While most of the others seem to be silent, the fault is more likely here, and nothing is removed.
 async fn remove_abandoned<P>(
@@ -415,7 +417,8 @@
         return Ok(());
     }
     for object in objects {
-        if unresponsive.iter().any(|name| name.as_str() == &*object.name) {
+        let is_leftover = node.peers.borrow().is_leftover(&object.name, now);
+        if is_leftover || unresponsive.iter().any(|name| name.as_str() == &*object.name) {
             node.store.remove(Collection::Instances, &object.name, object.version).await?;
         }
     }
