--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -15,10 +15,15 @@
     adapter::{MemberCommand, Platform, UpstreamPort},
     in_flight::InFlightGuard,
     model::{Access, Answer, TransactionState},
+    pace,
     pool::{Pool, Values},
     slot_queue::{KeptConnection, Permit, Permits},
 };
 
+/// Largest size of the values and prepared statements of a connection that is kept, in bytes. A kept connection holds them for
+/// sessions that have ended; opening a new one costs the member 12 ms.
+const MAX_KEPT_STATE_BYTES: usize = 64 << 10;
+
 /// A connection with its session state at the member.
 pub(crate) struct Connection<P>
 where
@@ -28,6 +33,8 @@
     pub(crate) workspace: Workspace,
     pub(crate) values: Values,
     prepared: BTreeSet<Box<str>>,
+    /// Bytes of values and prepared statements that were set since the last reset.
+    state_bytes: usize,
     /// When the member last answered on the connection.
     pub(crate) last_answered: Instant,
 }
@@ -39,7 +46,14 @@
     /// Creates the state of a new connection, which has no values and prepared statements.
     pub(crate) const fn new(port: P::Upstream, workspace: Workspace, now: Instant) -> Self {
         let values = Values::new();
-        Self { port, workspace, values, prepared: BTreeSet::new(), last_answered: now }
+        Self {
+            port,
+            workspace,
+            values,
+            prepared: BTreeSet::new(),
+            state_bytes: 0,
+            last_answered: now,
+        }
     }
 }
 
@@ -100,6 +114,21 @@
         &self.pool
     }
 
+    /// Number of commands that the connection needs before a statement of a session with `values`; `prepared` is access
+    /// and shape of a statement that is to be executed.
+    pub fn missing_commands(&self, values: &Values, prepared: Option<(Access, &str)>) -> usize {
+        let Some(connection) = &self.connection else { return 0 };
+        let is_reset = connection.values.keys().any(|name| !values.contains_key(name));
+        let is_unprepared = prepared.is_some_and(|(access, shape)| {
+            is_reset || !connection.prepared.contains(&statement_name(access, shape))
+        });
+        let is_set = |name: &str, value: &str| {
+            connection.values.get(name).is_some_and(|set| **set == *value)
+        };
+        let sets = values.iter().filter(|(name, value)| is_reset || !is_set(name, value)).count();
+        usize::from(is_reset) + sets + usize::from(is_unprepared)
+    }
+
     /// Sets the values of the connection to those of the session.
     ///
     /// # Errors
@@ -115,6 +144,7 @@
             let connection = connection_mut(&mut self.connection)?;
             connection.values.clear();
             connection.prepared.clear();
+            connection.state_bytes = 0;
         }
         for (name, value) in values {
             self.set_value(name, value).await?;
@@ -133,7 +163,9 @@
             return Ok(());
         }
         self.command(MemberCommand::Set { name, value }).await?;
-        connection_mut(&mut self.connection)?.values.insert(name.into(), value.into());
+        let connection = connection_mut(&mut self.connection)?;
+        connection.state_bytes += name.len() + value.len();
+        connection.values.insert(name.into(), value.into());
         Ok(())
     }
 
@@ -144,11 +176,12 @@
     ///
     /// The connection cannot be used.
     pub async fn prepare(&mut self, access: Access, shape: &str) -> io::Result<Box<str>> {
-        let kind = if access == Access::Read { 'r' } else { 'w' };
-        let name: Box<str> = format!("{kind}{shape}").into();
+        let name = statement_name(access, shape);
         if !connection(&mut self.connection)?.prepared.contains(&name) {
             self.command(MemberCommand::Prepare { name: &name, access, shape }).await?;
-            connection_mut(&mut self.connection)?.prepared.insert(name.clone());
+            let connection = connection_mut(&mut self.connection)?;
+            connection.state_bytes += name.len();
+            connection.prepared.insert(name.clone());
         }
         Ok(name)
     }
@@ -181,6 +214,11 @@
         if matches!(command, MemberCommand::Forward { .. } | MemberCommand::Execute { .. }) {
             let now = connection.last_answered;
             self.pool.record_service_time(now.since(started), now);
+            let kind = self.permit.as_ref().and_then(Permit::kind);
+            let service = now.since(started).saturating_sub(self.pool.round_trip());
+            if let Some(outcome) = pace::outcome(&answer, kind, service) {
+                self.pool.record_outcome(outcome, started);
+            }
             if !self.reusable && self.permit.is_some() {
                 self.kept = Some(KeptConnection::new(self.pool.clone()));
                 self.permit = None;
@@ -195,10 +233,20 @@
     P: Platform,
 {
     fn drop(&mut self) {
-        self.pool.return_connection(self.connection.take().filter(|_| self.reusable));
+        let reusable = |connection: &Connection<P>| {
+            self.reusable && connection.state_bytes <= MAX_KEPT_STATE_BYTES
+        };
+        let connection = self.connection.take().filter(reusable);
+        self.pool.return_connection(connection);
     }
 }
 
+/// Name of a prepared statement on all connections.
+fn statement_name(access: Access, shape: &str) -> Box<str> {
+    let kind = if access == Access::Read { 'r' } else { 'w' };
+    format!("{kind}{shape}").into()
+}
+
 fn connection<P>(leased: &mut Option<Connection<P>>) -> io::Result<&Connection<P>>
 where
     P: Platform,
--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -9,10 +9,11 @@
 
 use hibiscusladder_core::{
     clock::Instant,
-    name::{InstanceId, MemberId, Workspace},
+    name::{Group, InstanceId, MemberId, Workspace},
     position::{Lsn, Position, Term},
     roster::FleetRole,
     share::TokenRequest,
+    store_version::StoreVersion,
     sync_group::{LeaderInfo, LeaderPosition},
 };
 use hibiscusladder_io::clock::within;
@@ -24,12 +25,12 @@
     events::{self, Event},
     group_state::GroupState,
     message::{
-        self, Datagram, Extension, GroupInfo, LeaderEntry, RosterVersion, SectionKind, Sections,
-        Status, StoreSection, TokenRequestMessage, TokenTransferMessage,
+        self, Datagram, Extension, GroupInfo, LeaderEntry, PaceSection, RosterVersion, SectionKind,
+        Sections, Status, StoreSection, TokenRequestMessage, TokenTransferMessage,
     },
     node::Node,
     peers::{OfferedRoster, SEND_INTERVAL, nanos},
-    relay,
+    promotion_records, relay,
 };
 
 /// Largest datagram that can be received.
@@ -93,6 +94,11 @@
         node.store_era.record_told(store.era, now);
     }
     node.peers.borrow_mut().record_extension(&from, extension, store.unwrap_or_default());
+    if let Some(section) = sections.get(SectionKind::Promotions) {
+        let mut claims = node.failover_claims.borrow_mut();
+        let is_group = |group: &Group| node.group(group).is_some();
+        promotion_records::receive(&mut claims, &section, is_group, &node.metrics, now);
+    }
     let topology = node.topology();
     let is_hub = topology.is_hub(&from);
     node.admission.borrow_mut().record_peer(&from, &status.demands, is_hub, now);
@@ -110,6 +116,7 @@
         }
     }
     merge_extension(node, extension, is_hub, now);
+    merge_pace(node, status, sections, is_hub, now);
     if let Some(notice) = sections.get(SectionKind::Evacuations)
         && node.evacuations.receive(&notice, received.acknowledged, now)
     {
@@ -145,6 +152,22 @@
     }
 }
 
+/// Records which members holders have found overloaded, and which are cold, as a hub with the same or newer entries reports.
+fn merge_pace<P>(node: &Node<P>, status: &Status, sections: &Sections, is_hub: bool, now: Instant)
+where
+    P: Platform,
+{
+    let Some(section) = sections.get::<PaceSection>(SectionKind::Pace) else { return };
+    let own = (node.instance(), node.role() == FleetRole::Hub);
+    node.paces.receive(&section.pace, &InstanceId::new(&status.from), own, now);
+    let store: StoreSection = sections.get(SectionKind::Store).unwrap_or_default();
+    let version = StoreVersion::new(store.members, status.members_revision);
+    let is_newer = version >= node.members_version();
+    if let Some(cold) = section.cold.filter(|_| is_hub && is_newer) {
+        node.cold.merge(&cold, node.role() != FleetRole::Follower, now);
+    }
+}
+
 /// Merges the state of a group at another instance; returns whether a confirmation of its fence is due at once.
 ///
 /// `acknowledged` is when this instance sent the message that the one with this state acknowledges.
@@ -278,6 +301,7 @@
             node.evacuations_changed();
         }
         round += 1;
+        node.update_paces();
         let mut receivers = receivers(&node, round);
         if node.take_urgent_news() {
             receivers.extend(live_followers(&node, now));
@@ -346,16 +370,27 @@
         demands: node.admission.borrow_mut().advertise(name, demanded, now),
     };
     let extension = extension(node, relays_fences, now);
-    let sections = sections(node, now);
+    let sections = sections(node, name, now);
     send_extended(node, address, &Datagram::Status(status), &extension, &sections);
 }
 
-/// The sections of a status message: what it says of restores of the store, and of evacuations.
-fn sections<P>(node: &Node<P>, now: Instant) -> Sections
+/// The sections of a message to `receiver`: what it says of restores of the store, of evacuations, of cold or overloaded
+/// members, and of promotions.
+fn sections<P>(node: &Node<P>, receiver: &InstanceId, now: Instant) -> Sections
 where
     P: Platform,
 {
     let mut sections = Sections::default();
+    let is_hub = node.role() == FleetRole::Hub;
+    let is_for_hub = node.topology().is_hub(receiver);
+    let pace = PaceSection {
+        cold: node.cold.report(now).filter(|_| is_hub),
+        pace: node.paces.reports(node.instance(), receiver, is_for_hub, now),
+    };
+    if pace != PaceSection::default() {
+        // Names and numbers can always be encoded.
+        let _ = sections.insert(SectionKind::Pace, &pace);
+    }
     let era = node.store_era.known();
     if era > 0 {
         let members = node.members_version().era;
@@ -367,6 +402,13 @@
         // Names and numbers cannot fail to be encoded.
         let _ = sections.insert(SectionKind::Evacuations, &notice);
     }
+    let topology = node.topology();
+    let may_replace = topology.is_hub(receiver) || topology.is_successor(receiver);
+    if may_replace
+        && let Some(section) = promotion_records::section(&node.failover_claims.borrow(), now)
+    {
+        let _ = sections.insert(SectionKind::Promotions, &section);
+    }
     sections
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,8 +28,13 @@
     RelayedCalls,
     /// Failovers that ended, by outcome.
     Failovers,
+    /// Records of promotions that were learned from another instance or written again, and attempts whose claim the store
+    /// has lost, by kind.
+    PromotionRecords,
     /// Sessions accepted or refused, by result.
     Sessions,
+    /// Peers that were refused or closed, by limit.
+    LimitedPeers,
 }
 
 impl Counter {
@@ -41,7 +46,9 @@
             Self::MemberConnections => "member_connections_total",
             Self::RelayedCalls => "relayed_calls_total",
             Self::Failovers => "failovers_total",
+            Self::PromotionRecords => "promotion_records_total",
             Self::Sessions => "sessions_total",
+            Self::LimitedPeers => "limited_peers_total",
         }
     }
 }
--- a/crates/gateway/src/monitor.rs
+++ b/crates/gateway/src/monitor.rs
@@ -230,7 +230,7 @@
 {
     let pool = node.pool(member).ok_or(ControlError::NoConnection)?;
     let workspace = node.any_workspace().ok_or(ControlError::NoConnection)?;
-    let sent = node.now();
+    let (sent, era) = (node.now(), node.store_era.known());
     group.view.borrow_mut().poll_sent(member, sent);
     let addresses = |names: &[InstanceId]| node.holder_addresses(names, &workspace);
     let exchanged = match member_path::choose(node.instance(), &pool, sent, addresses) {
@@ -238,7 +238,14 @@
             send_control_through(node, member, instances, command, until).await
         }
         MemberPath::Direct => {
-            let is_wanted = || until.is_none_or(|until| node.now() < until);
+            // A claim that the store has lost allows releases only.
+            let is_allowed = || match command {
+                ControlCommand::Hold(_) | ControlCommand::Demote(_) => {
+                    node.store_era.known() == era
+                }
+                ControlCommand::Status | ControlCommand::Resume => true,
+            };
+            let is_wanted = || is_allowed() && until.is_none_or(|until| node.now() < until);
             let sending = send_control_locally(node, &pool, member_command(command), is_wanted);
             let left = until.map_or(Duration::MAX, |until| until.since(sent));
             // Dropping the future withdraws a command that has not been delivered.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! State of one instance, shared by its tasks, which all run on one thread.
 
+mod cold;
 mod evacuations;
 mod fleet;
 mod stop;
@@ -16,10 +17,12 @@
 use hibiscusladder_core::{
     clock::{Clock, Instant},
     connection_limit::{reserve, standby_part},
+    first_configuration::{Fleet, is_confirmed},
     name::{DataCentre, Group, InstanceId, MemberId, Workspace},
     roster::{FleetRole, Roster},
     share::AllotmentPart,
     shutdown::StopPlan,
+    store_era::REWRITE_TIME,
     store_version::StoreVersion,
     topology::{Connections, HOLDERS_PER_MEMBER, STANDBYS_PER_MEMBER, Topology},
 };
@@ -30,16 +33,19 @@
 use crate::{
     adapter::{Platform, Store, Target},
     admission::Admission,
+    claim_table::FailoverClaims,
+    cold::ColdMembers,
     directory::Directory,
     evacuations::EvacuationState,
     events::{self, Event},
-    failover_claim::FailoverClaims,
     group_state::GroupState,
     in_flight::InFlight,
+    ledger::Ledger,
     member_table::{Member, MemberTable},
     metrics::Metrics,
+    pace::{MemberLimits, Paces},
     peers::Peers,
-    pool::{MemberPaths, Pool, PoolLimits},
+    pool::{MemberPaths, MemberPlace, Pool, PoolLimits},
     refusal::Refusals,
     relay::{MembersPage, PARALLEL_TRANSFERS, Progress, compress_directory},
     settings::Settings,
@@ -74,13 +80,19 @@
     /// Client of the platform's promotions.
     pub promoter: P::Promoter,
     /// Counters and histograms.
-    pub metrics: Metrics,
+    pub metrics: Rc<Metrics>,
     /// Member entries of the store.
     pub members: RefCell<MemberTable>,
     /// Allotments of the workspaces.
     pub admission: RefCell<Admission>,
     /// Evacuated data centres.
     pub evacuations: EvacuationState,
+    /// Cold members, and what this instance may send to them.
+    pub cold: ColdMembers,
+    /// Accounts of the peers.
+    pub ledger: Ledger,
+    /// Pace of the members.
+    pub paces: Paces,
     /// Retry delays of refused callers.
     pub refusals: Refusals,
     /// State of the other instances.
@@ -118,6 +130,8 @@
     /// Digest of the member entries, and the number of changes of the table that it includes.
     members_digest: Cell<(Option<u64>, u64)>,
     directory: RefCell<Option<Rc<Directory>>>,
+    /// First configuration from a store that may lack a newer one, until it was compared with those of other instances.
+    unconfirmed: RefCell<Option<Rc<Directory>>>,
     groups: RefCell<BTreeMap<Group, Rc<GroupState>>>,
     pools: RefCell<BTreeMap<MemberId, Rc<Pool<P>>>>,
     tasks: Tasks,
@@ -143,25 +157,30 @@
         executor: Rc<LocalExecutor<'static>>,
     ) -> Rc<Self> {
         let now = BootClock.now();
+        let metrics = Rc::<Metrics>::default();
+        let ledger = Ledger::new(settings.peer_limits.budget(), metrics.clone());
         Rc::new(Self {
             peers: RefCell::new(Peers::new(settings.instance.clone(), now)),
             progress: RefCell::new(Progress::new(&settings.instance)),
+            cold: ColdMembers::new(settings.cold),
+            paces: Paces::new(settings.pace),
             refusals: Refusals::new(settings.return_times, now),
             evacuations: EvacuationState::new(
                 settings.evacuate,
                 settings.regions.keys().cloned().collect(),
             ),
+            tunnels: Tunnels::new(ledger.clone()),
+            ledger,
             settings,
             clock: BootClock,
             store_era: store.era().clone(),
             store,
             promoter,
-            metrics: Metrics::default(),
+            metrics,
             members: RefCell::default(),
             admission: RefCell::default(),
             failover_claims: RefCell::default(),
             datagrams,
-            tunnels: Tunnels::default(),
             topology: RefCell::default(),
             roster: RefCell::default(),
             roster_digest: Cell::new(0),
@@ -177,6 +196,7 @@
             members_version: Cell::default(),
             members_digest: Cell::default(),
             directory: RefCell::default(),
+            unconfirmed: RefCell::default(),
             groups: RefCell::default(),
             pools: RefCell::default(),
             tasks: Tasks::new(executor),
@@ -232,6 +252,46 @@
         compressed.as_ref().map(|(_, body)| body.clone())
     }
 
+    /// Puts a configuration from the store in force if its version is higher than that of the one in force. The first one
+    /// is compared with those of other instances before, if the store was restored lately.
+    pub fn apply_stored_directory(&self, directory: Rc<Directory>) {
+        if self.directory.borrow().is_none() {
+            let version = directory.version;
+            let mut unconfirmed = self.unconfirmed.borrow_mut();
+            if unconfirmed.as_ref().is_none_or(|known| known.version < version) {
+                *unconfirmed = Some(directory);
+            }
+            drop(unconfirmed);
+            self.confirm_directory();
+        } else {
+            self.apply_directory(directory, "store");
+        }
+    }
+
+    /// Puts the configuration in force that waits for a comparison with other instances, if it is confirmed.
+    pub fn confirm_directory(&self) {
+        let Some(directory) = self.unconfirmed.borrow().clone() else { return };
+        let now = self.now();
+        let peers = self.peers.borrow();
+        let fleet = Fleet {
+            others: self.roster.borrow().known_since().map(|_| peers.registrations().count()),
+            heard_since: peers.heard_since(),
+            newest: peers.newest_version(now),
+        };
+        drop(peers);
+        let may_be_old = self.store_era.may_lack_writes(REWRITE_TIME, now);
+        if may_be_old && !is_confirmed(directory.version, fleet, now) {
+            return;
+        }
+        self.unconfirmed.take();
+        self.apply_directory(directory, "store");
+    }
+
+    /// Whether a configuration waits for a comparison with other instances.
+    pub fn has_unconfirmed_directory(&self) -> bool {
+        self.unconfirmed.borrow().is_some() && self.directory.borrow().is_none()
+    }
+
     /// Puts a configuration in force if its version is higher than that of the one in force. `source` is `store` or
     /// `instance`, for the log.
     pub fn apply_directory(&self, directory: Rc<Directory>, source: &'static str) {
@@ -309,8 +369,13 @@
             Target { member: id.clone(), group: record.group.clone(), address: record.address };
         let distance = self.settings.distance(&record.data_centre);
         let (limits, paths) = self.pool_limits(&target, &record.data_centre);
+        self.update_cold(&target, paths.holders.as_deref());
+        let (cold, pace) = (self.cold.gate(id, self.now()), self.paces.member(&target));
+        let member_limits = MemberLimits { cold, pace };
         let with_priorities = self.settings.priorities;
-        let pool = Pool::new(target, record.data_centre, distance, limits, paths, with_priorities);
+        let place = MemberPlace { target, data_centre: record.data_centre, distance };
+        let pool =
+            Pool::new(place, limits, paths, with_priorities, member_limits, self.ledger.clone());
         self.pools.borrow_mut().insert(id.clone(), pool.clone());
         Some(pool)
     }
@@ -345,11 +410,16 @@
     /// Updates the limits of the pool of a member whose entry has changed.
     pub fn update_pool(&self, id: &MemberId) {
         if let Some(pool) = self.pools.borrow().get(id) {
-            let (limits, paths) = self.pool_limits(&pool.target, &pool.data_centre);
-            pool.set_limits(limits, paths);
+            self.update_pool_limits(pool);
         }
     }
 
+    fn update_pool_limits(&self, pool: &Rc<Pool<P>>) {
+        let (limits, paths) = self.pool_limits(&pool.target, &pool.data_centre);
+        self.update_cold(&pool.target, paths.holders.as_deref());
+        pool.set_limits(limits, paths);
+    }
+
     /// Removes the pool of a member that was removed or restarted, and closes its connections.
     pub fn drop_pool(&self, id: &MemberId) {
         if let Some(pool) = self.pools.borrow_mut().remove(id) {
@@ -396,8 +466,7 @@
         }
         drop(admission);
         for pool in self.pools.borrow().values() {
-            let (limits, paths) = self.pool_limits(&pool.target, &pool.data_centre);
-            pool.set_limits(limits, paths);
+            self.update_pool_limits(pool);
         }
     }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,7 +4,10 @@
 
 use async_signal::{Signal, Signals};
 use futures::StreamExt;
-use hibiscusladder_core::shutdown::{Shutdown, ShutdownStep};
+use hibiscusladder_core::{
+    budget::Origin,
+    shutdown::{Shutdown, ShutdownStep},
+};
 use hibiscusladder_io::clock::sleep;
 use miette::Diagnostic;
 use serde_json::json;
@@ -20,7 +23,7 @@
     events::{self, Event},
     holder, listener, messenger,
     node::Node,
-    session,
+    promotion_records, session,
     settings::Settings,
     status_page::{self, Page},
     sync,
@@ -110,6 +113,7 @@
     node.supervise("receiver", messenger::receive_all);
     node.supervise("sender", messenger::send_all);
     node.supervise("control", control::run);
+    node.supervise("promotion records", promotion_records::run);
     wait_for_end(&node, &mut signals).await;
     Ok(())
 }
@@ -132,9 +136,10 @@
     let mut number = 0;
     listener::accept(node.clone(), listener, |stream| {
         number += 1;
+        let Some(account) = node.ledger.open(Origin::Caller, &stream) else { return };
         // The process does not end between the acceptance of a caller and the start of its task.
         let guard = node.begin_session();
-        node.spawn(session::serve(node.clone(), stream, number, guard));
+        node.spawn(session::serve(node.clone(), stream, number, account, guard));
     })
     .await;
 }
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -78,6 +78,7 @@
             role: self.primary.map(role),
             started_ms: self.started_ms,
             slots: self.slots,
+            cold_remaining: None,
             sequence,
         };
         (self.id, record)
