--- a/hibiscusladder/tests/gateway/evacuation.rs
+++ b/hibiscusladder/tests/gateway/evacuation.rs
@@ -259,6 +259,30 @@
     assert!(failures.is_empty(), "{failures:?}, logs in {logs}");
 }
 
+/// Guards against an evacuation that ends because the store is restored from a copy without it, at instances that knew it and at
+/// one that starts right after the restore; and against one that ends after it was written again.
+#[test]
+fn evacuation_is_lost_with_an_older_store_and_rewritten() {
+    const REWRITE_DELAY: Duration = Duration::from_secs(3);
+    /// Longer than instances keep an evacuation that is not written again.
+    const KEPT_TIME: Duration = Duration::from_secs(11);
+    let mut fleet = start(2);
+    fleet.standin.take_copy();
+    fleet.standin.evacuate("south");
+    thread::sleep(BOUND);
+    let restored = Instant::now();
+    fleet.standin.restore(REWRITE_DELAY);
+    thread::sleep(Duration::from_millis(300));
+    fleet.gateways[1].process.kill().expect("the process was started here");
+    fleet.restart(1);
+    run_callers(&fleet, "restored", restored + KEPT_TIME + AFTER_BOUND);
+    let logs = save_logs(&fleet, "restored");
+    let late = executed_after(&fleet, &[1, 2], restored);
+    assert!(late.is_empty(), "{late:?}, logs in {logs}");
+    assert!(process_log(&fleet.gateways[0]).contains("evacuation_kept"), "logs in {logs}");
+    assert!(!executed_after(&fleet, &[0], restored).is_empty(), "logs in {logs}");
+}
+
 /// Guards against effects of a request for a data centre that does not exist, or of an object that nobody can read, and against
 /// ones that are not explained in the log.
 #[test]
