feat: eject members that fail a part of their reads

A member that fails reads while its health is good kept its load, since retries hide the failures. core::outlier compares the outcomes of an instance's reads at the members of a group; a member that fails at least a fifth and four times as often as the others comes last in the selection for 2 s, longer with repetition, with a probe each 500 ms. One member of a group at a time. hibiscusladder.outliers=off switches it off.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod membership;
 pub mod name;
 pub mod outcome;
+pub mod outlier;
 pub mod pace;
 pub mod position;
 pub mod prelude;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -67,6 +67,8 @@
     MemberCold,
     /// A member no longer counts as cold.
     MemberWarm,
+    /// A member fails more reads than the others and gets none for a while.
+    MemberEjected,
     /// A member is overloaded, and this instance runs fewer statements there at once.
     MemberLimited,
     /// A member is no longer limited after [`MemberLimited`](Self::MemberLimited).
@@ -123,6 +125,7 @@
             Self::MemberRegained => "member_regained",
             Self::MemberCold => "member_cold",
             Self::MemberWarm => "member_warm",
+            Self::MemberEjected => "member_ejected",
             Self::MemberLimited => "member_limited",
             Self::MemberSteady => "member_steady",
             Self::LeaderChanged => "leader_changed",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod monitor;
 pub mod node;
 pub mod operation;
+pub mod outliers;
 pub mod pace;
 pub mod peers;
 pub mod pool;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -40,6 +40,7 @@
     in_flight::InFlight,
     member_table::{Member, MemberTable},
     metrics::Metrics,
+    outliers::OutlierState,
     pace::{MemberLimits, Paces},
     peers::Peers,
     pool::{MemberPaths, Pool, PoolLimits},
@@ -86,6 +87,8 @@
     pub cold: ColdMembers,
     /// Evacuated data centres.
     pub evacuations: EvacuationState,
+    /// Members that fail more reads than the others.
+    pub outliers: OutlierState,
     /// Pace of the members.
     pub paces: Paces,
     /// Retry delays of refused callers.
@@ -154,6 +157,7 @@
             peers: RefCell::new(Peers::new(settings.instance.clone(), now)),
             progress: RefCell::new(Progress::new(&settings.instance)),
             cold: ColdMembers::new(settings.cold),
+            outliers: OutlierState::new(settings.outliers),
             paces: Paces::new(settings.pace),
             refusals: Refusals::new(settings.return_times, now),
             evacuations: EvacuationState::new(
@@ -377,6 +381,7 @@
 
     /// Removes the pool of a member that was removed or restarted, and closes its connections.
     pub fn drop_pool(&self, id: &MemberId) {
+        self.outliers.remove(id);
         if let Some(pool) = self.pools.borrow_mut().remove(id) {
             pool.close();
         }
--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     adapter::Platform,
-    channel::{RunOutcome, is_idle},
+    channel::{Channel, RunOutcome, is_idle},
     directory::Consistency,
     model::{Answer, Code},
     node::Node,
@@ -219,6 +219,8 @@
             continue;
         }
         candidates.retain(|candidate| !tried.contains(&candidate.member));
+        let group = &req.route.group;
+        node.outliers.order(group, &mut candidates, |candidate| &candidate.member, now);
         let Some(candidate) = candidates.first() else {
             let round = std::mem::take(&mut round);
             let refusal = round.refusal().filter(|_| !is_first_round);
@@ -352,8 +354,17 @@
     };
     let limit = node.limit_to_deadline(req.route.statement_timeout);
     let sent = node.now();
+    // The time of a call includes the wait for a slot of the holder.
+    let slow_after = match channel {
+        Channel::Local(_) => HEDGE_AFTER,
+        Channel::Remote(_) => Duration::MAX,
+    };
     let running = channel.run(node, req.statement_run(candidate.after, limit, attempt));
-    match poll_if_slow(node, req, &candidate.member, running).await {
+    let outcome = poll_if_slow(node, req, &candidate.member, running).await;
+    let now = node.now();
+    let time = (now.since(sent), slow_after);
+    node.outliers.record(&req.route.group, &candidate.member, &outcome, time, now);
+    match outcome {
         RunOutcome::Answered(answer) if is_idle(&answer) => {
             record_answer(node, req, &candidate.member, answer.position, sent);
             if let Some(pool) = node.pool(&candidate.member) {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -38,6 +38,8 @@
     pub tolerance: Tolerance,
     /// Margin by which the requests to a cold member may exceed its configured rate.
     pub cold: ColdTolerance,
+    /// Whether members that fail more reads than the others are ejected for a while.
+    pub outliers: bool,
     /// Whether the statements that run at a member at once follow its pace.
     pub pace: bool,
     /// Whether requests that wait for the same capacity are ordered by urgency.
--- a/crates/gateway/src/status_page.rs
+++ b/crates/gateway/src/status_page.rs
@@ -139,6 +139,7 @@
     let written = node.evacuations.write_metrics(&mut text);
     let written = written.and_then(|()| node.cold.write(&mut text, node.now()));
     let written = written.and_then(|()| node.paces.write(&mut text));
+    let written = written.and_then(|()| node.outliers.write(&mut text, node.now()));
     match written.and_then(|()| node.metrics.write(&mut text)) {
         Ok(()) => reply(StatusCode::OK, Bytes::from(text)),
         Err(_) => reply(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
--- a/crates/gateway/src/transaction.rs
+++ b/crates/gateway/src/transaction.rs
@@ -274,7 +274,10 @@
 
     fn candidates(&self, node: &Node<P>) -> Vec<Candidate> {
         if self.read_only {
-            return read_candidates(node, &self.request);
+            let mut candidates = read_candidates(node, &self.request);
+            let group = &self.request.route.group;
+            node.outliers.order(group, &mut candidates, |candidate| &candidate.member, node.now());
+            return candidates;
         }
         let mut candidates = all_candidates(node, &self.request);
         let primary = writes::primary(node, &self.request, node.now());
--- a/hibiscusladder/tests/gateway/pace.rs
+++ b/hibiscusladder/tests/gateway/pace.rs
@@ -1,4 +1,4 @@
-//! Pace of members, with real processes.
+//! Pace of members, and ejection of failing ones, with real processes.
 
 use std::{
     sync::atomic::{AtomicBool, Ordering},
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use hibiscusladder_platform_standin::{PRIMARY_DATABASE, Scale, WORKSPACES};
+use hibiscusladder_platform_standin::{BOUNDED_DATABASE, PRIMARY_DATABASE, Scale, WORKSPACES};
 
 use crate::fleet::{Fleet, open, process_log, save_logs};
 
@@ -73,3 +73,40 @@
     assert!(rejected * 2 < rejected_without, "{rejected} of {rejected_without} rejections");
     assert!(served * 10 >= served_without * 7, "{served} of {served_without} writes");
 }
+
+/// Rejections by a replica that rejects half of its reads, for 6 s of reads with these settings.
+fn failing(settings: fn(usize) -> &'static str) -> usize {
+    let fleet = Fleet::start_configured(2, false, Scale::default(), settings);
+    fleet.standin.configure(9, [5000.0; 2], &[]);
+    thread::sleep(Duration::from_secs(1));
+    fleet.standin.lock_group().set_rejects_half(1, true);
+    let began = Instant::now();
+    thread::scope(|scope| {
+        for (number, gateway) in fleet.gateways.iter().enumerate() {
+            for caller in 0..CALLERS {
+                scope.spawn(move || {
+                    let opened = open(gateway.callers, BOUNDED_DATABASE, WORKSPACES[0]);
+                    let mut session = opened.expect("the session opens");
+                    let mut count = 0;
+                    while began.elapsed() < Duration::from_secs(6) {
+                        count += 1;
+                        let id = format!("{number}-{caller}-{count}");
+                        let reply = session.query(&id, "READ a").expect("an answer");
+                        assert_eq!(reply.code(), None, "the other members serve");
+                    }
+                });
+            }
+        }
+    });
+    let rejected = fleet.standin.lock_group().rejected(1);
+    println!("{rejected} rejected, logs in {}", save_logs(&fleet, "outliers"));
+    rejected
+}
+
+/// Guards against a member that fails half of its reads, reports itself healthy, and keeps its load.
+#[test]
+fn failing_member_gets_few_reads() {
+    let without = failing(|_| "hibiscusladder.outliers=off\n");
+    let with = failing(|_| "");
+    assert!(with * 2 < without, "{with} of {without} rejections");
+}
