--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -43,6 +43,7 @@
     ledger::Ledger,
     member_table::{Member, MemberTable},
     metrics::Metrics,
+    outliers::OutlierState,
     pace::{MemberLimits, Paces},
     peers::Peers,
     pool::{MemberPaths, MemberPlace, Pool, PoolLimits},
@@ -91,6 +92,8 @@
     pub cold: ColdMembers,
     /// Accounts of the peers.
     pub ledger: Ledger,
+    /// Members that fail more reads than the others.
+    pub outliers: OutlierState,
     /// Pace of the members.
     pub paces: Paces,
     /// Retry delays of refused callers.
@@ -165,6 +168,7 @@
             peers: RefCell::new(Peers::new(settings.instance.clone(), now)),
             progress: RefCell::new(Progress::new(&settings.instance)),
             cold: ColdMembers::new(settings.cold),
+            outliers: OutlierState::new(settings.outliers),
             paces: Paces::new(settings.pace),
             refusals: Refusals::new(settings.return_times, now),
             evacuations: EvacuationState::new(
@@ -425,6 +429,7 @@
 
     /// Removes the pool of a member that was removed or restarted, and closes its connections.
     pub fn drop_pool(&self, id: &MemberId) {
+        self.outliers.remove(id);
         if let Some(pool) = self.pools.borrow_mut().remove(id) {
             pool.close();
         }
