--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod at_most_once;
 pub mod bucket;
+pub mod budget;
 pub mod catch_up;
 pub mod clock;
 pub mod cold;
@@ -23,8 +24,10 @@
 pub mod contract;
 pub mod database;
 pub mod evacuation;
+pub mod first_configuration;
 pub mod holder_reach;
 pub mod home_lease;
+pub mod home_region;
 pub mod key;
 pub mod member_report;
 pub mod membership;
--- a/crates/gateway/src/channel.rs
+++ b/crates/gateway/src/channel.rs
@@ -30,11 +30,11 @@
 const REPLY_MARGIN: Duration = Duration::from_millis(60);
 /// Longest time between two checks whether a member is still the primary; a change of the leader is noticed at once.
 const LEADER_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two checks whether the time of an evacuated primary is over.
+const EVACUATION_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Divisor of a statement's limit that gives its longest wait for the allowance of a cold member; the rest is left for
 /// running it, which takes a cold member longer.
 const COLD_WAIT_DIVISOR: u32 = 2;
-/// Time between two checks whether the time of an evacuated primary is over.
-const EVACUATION_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest wait for the answer to a rollback. At its end the connection is closed, which rolls back as well.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(400);
 
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -27,6 +27,7 @@
     cold::ColdGate,
     in_flight::{InFlight, InFlightGuard},
     lease::{Connection, Lease},
+    ledger::Ledger,
     model::{Code, Failure},
     pace::{MemberLimits, MemberPace},
     service_time::ServiceTime,
@@ -114,6 +115,17 @@
     pub running: Option<u32>,
 }
 
+/// A member, and where it runs.
+#[derive(Debug, Clone)]
+pub struct MemberPlace {
+    /// The member, with its address.
+    pub target: Target,
+    /// Data centre of the member.
+    pub data_centre: DataCentre,
+    /// Distance of that data centre from this instance.
+    pub distance: Distance,
+}
+
 /// Instances through which a member is reached.
 #[derive(Debug, Clone, Default)]
 pub struct MemberPaths {
@@ -162,6 +174,8 @@
     lagging: Cell<(Instant, Duration)>,
     /// Until when the member is used last, because it did not answer.
     deprioritised_until: Cell<Instant>,
+    /// Accounts of the connections.
+    ledger: Ledger,
 }
 
 impl<P> Pool<P>
@@ -170,13 +184,12 @@
 {
     /// Creates a pool without connections.
     pub fn new(
-        target: Target,
-        data_centre: DataCentre,
-        distance: Distance,
+        place: MemberPlace,
         limits: PoolLimits,
         paths: MemberPaths,
         with_priorities: bool,
         member_limits: MemberLimits,
+        ledger: Ledger,
     ) -> Rc<Self> {
         let state = State {
             idle: Vec::new(),
@@ -186,6 +199,7 @@
             full_until: Instant::default(),
             service_time: ServiceTime::new(BootClock.now()),
         };
+        let MemberPlace { target, data_centre, distance } = place;
         let MemberLimits { cold, pace } = member_limits;
         let pool = Rc::new(Self {
             target,
@@ -204,6 +218,7 @@
             opened: Cell::new(0),
             lagging: Cell::new((Instant::default(), MIN_LAG_PAUSE)),
             deprioritised_until: Cell::new(Instant::default()),
+            ledger,
         });
         pool.configure_pace(limits);
         pool
@@ -498,7 +513,8 @@
     P: Platform,
 {
     async fn connect(mut self, workspace: &Workspace) -> Result<Lease<P>, AcquireError> {
-        let connecting = P::Upstream::connect(&self.pool.target, workspace);
+        let account = self.pool.ledger.open_reserved(Some(self.pool.target.address));
+        let connecting = P::Upstream::connect(&self.pool.target, workspace, account);
         let port = match within(CONNECT_TIMEOUT, connecting).await {
             Some(Ok(port)) => port,
             Some(Err(ConnectError::Refused(failure))) => {
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -25,8 +25,8 @@
         role: None,
         started_ms,
         slots: 2,
-        cold_remaining: None,
         sequence: 1,
+        cold_remaining: None,
     }
 }
 
--- a/hibiscusladder/tests/gateway/main.rs
+++ b/hibiscusladder/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of gateway processes against the stand-in for the platform.
 
 mod cold;
+mod evacuation;
 mod fleet;
 mod foreign;
 mod history;
@@ -8,6 +9,8 @@
 mod pace;
 mod path;
 mod promotion;
+mod restore;
+mod restore_failover;
 mod returning;
 mod soak;
 mod stop;
