--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -88,12 +88,12 @@
     pub admission: RefCell<Admission>,
     /// Evacuated data centres.
     pub evacuations: EvacuationState,
+    /// Members that fail more reads than the others.
+    pub outliers: OutlierState,
     /// Cold members, and what this instance may send to them.
     pub cold: ColdMembers,
     /// Accounts of the peers.
     pub ledger: Ledger,
-    /// Members that fail more reads than the others.
-    pub outliers: OutlierState,
     /// Pace of the members.
     pub paces: Paces,
     /// Retry delays of refused callers.
