--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,18 +15,25 @@
 
 pub mod at_most_once;
 pub mod bucket;
+pub mod budget;
 pub mod catch_up;
 pub mod clock;
+pub mod cold;
 pub mod config;
+pub mod connection_limit;
 pub mod contract;
 pub mod database;
+pub mod evacuation;
 pub mod first_configuration;
+pub mod holder_reach;
 pub mod home_lease;
+pub mod home_region;
 pub mod key;
 pub mod member_report;
 pub mod membership;
 pub mod name;
 pub mod outcome;
+pub mod pace;
 pub mod position;
 pub mod prelude;
 mod priority;
--- a/crates/core/tests/topology.rs
+++ b/crates/core/tests/topology.rs
@@ -1,10 +1,10 @@
 //! Roles of the instances of a fleet.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use hibiscusladder_core::{
     name::InstanceId,
-    topology::{Connections, HOLDERS_PER_MEMBER, Profile, Topology},
+    topology::{Connections, HOLDERS_PER_MEMBER, Profile, STANDBYS_PER_MEMBER, Topology},
 };
 use test_case::test_case;
 
@@ -42,6 +42,22 @@
     }
 }
 
+/// Guards against hubs that know nothing of the hubs before them: each region has instances that become hubs next.
+#[test_case(12, 0; "a flat fleet")]
+#[test_case(13, 4; "the smallest with hubs")]
+#[test_case(300, 4; "a large fleet")]
+fn is_successor_of_lost_hubs(instances: usize, successors: usize) {
+    let topology = Topology::new(fleet(instances));
+    let fleet = fleet(instances).into_iter();
+    let (next, rest): (Vec<_>, Vec<_>) =
+        fleet.partition(|instance| topology.is_successor(&instance.name));
+    assert_eq!(next.len(), successors);
+    assert!(next.iter().all(|instance| !topology.is_hub(&instance.name)));
+    let survivors = next.iter().chain(&rest).filter(|instance| !topology.is_hub(&instance.name));
+    let later = Topology::new(survivors.cloned());
+    assert!(next.iter().all(|instance| later.is_hub(&instance.name)));
+}
+
 /// Guards against instances that choose different hubs because they learned of each other in a different order.
 #[test]
 fn new_does_not_depend_on_the_order() {
@@ -145,3 +161,24 @@
     let topology = Topology::new(fleet(instances));
     assert_eq!(topology.needs_holders(connections(accepted, workspaces)), expected);
 }
+
+/// Guards against standby instances that the partition separates from the member together with its holders.
+#[test]
+fn standbys_are_spread_over_other_data_centres() {
+    let topology = Topology::new(fleet(40));
+    let member = "m-1".into();
+    let holders =
+        topology.holders(&member, &"a-1".into(), connections(70, 70)).expect("a large fleet");
+    let standbys = topology.standbys(&member, &holders);
+    assert_eq!(standbys.len(), STANDBYS_PER_MEMBER);
+    assert!(standbys.iter().all(|standby| !holders.contains(standby)));
+    let data_centre = |name: &InstanceId| {
+        fleet(40)
+            .into_iter()
+            .find(|profile| profile.name == *name)
+            .map(|profile| profile.data_centre)
+    };
+    let first: BTreeSet<_> = standbys.iter().take(3).map(data_centre).collect();
+    assert_eq!(first.len(), 3, "the first three are in different data centres");
+    assert!(!first.contains(&data_centre(&holders[0])));
+}
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -17,7 +17,9 @@
 
 use crate::{
     directory::Directory,
+    ledger::{Account, Limit},
     model::{Access, Answer, Failure, Query},
+    settings::PeerLimits,
     store_era::SharedStoreEra,
 };
 
@@ -69,6 +71,9 @@
         /// Error in the message.
         reason: &'static str,
     },
+    /// The peer has reached a limit.
+    #[error("{}", .0.remedy())]
+    Limited(Limit),
     /// The operating system reported an error.
     #[error(transparent)]
     Io(#[from] io::Error),
@@ -76,8 +81,8 @@
 
 /// Connection of a caller.
 pub trait CallerPort: Sized + 'static {
-    /// Takes over an accepted connection.
-    fn new(stream: TcpStream) -> Self;
+    /// Takes over an accepted connection. What it holds is charged to `account`.
+    fn new(stream: TcpStream, account: Account, limits: &PeerLimits) -> Self;
 
     /// Reads the handshake.
     fn read_handshake(&mut self) -> impl Future<Output = Result<Handshake, PortError>>;
@@ -95,7 +100,7 @@
     fn has_pending(&self) -> bool;
 
     /// Sends the answer to the latest query.
-    fn answer(&mut self, answer: &Answer) -> impl Future<Output = io::Result<()>>;
+    fn answer(&mut self, answer: Answer) -> impl Future<Output = Result<(), PortError>>;
 }
 
 /// A member to connect to.
@@ -175,10 +180,11 @@
 
 /// Connection to a member.
 pub trait UpstreamPort: Sized + 'static {
-    /// Connects to `target` for `workspace`.
+    /// Connects to `target` for `workspace`. What an answer holds is charged to `account`.
     fn connect(
         target: &Target,
         workspace: &Workspace,
+        account: Account,
     ) -> impl Future<Output = Result<Self, ConnectError>>;
 
     /// Sends a command.
@@ -206,6 +212,8 @@
     Instances,
     /// Failover claims by group.
     FailoverClaims,
+    /// Evacuated data centres, whose names are those of the objects.
+    Evacuations,
 }
 
 impl Collection {
@@ -216,6 +224,7 @@
             Self::Members => "members",
             Self::Instances => "instances",
             Self::FailoverClaims => "duties",
+            Self::Evacuations => "evacuations",
         }
     }
 }
@@ -237,6 +246,9 @@
     pub started_ms: u64,
     /// Statements that the member runs at once.
     pub slots: u32,
+    /// Time for which the member remains cold after it wrote the entry; `None` when the entry comes from another instance,
+    /// and in the member table.
+    pub cold_remaining: Option<Duration>,
     /// Number of the member's report since the start of its process.
     pub sequence: u64,
 }
@@ -255,6 +267,8 @@
     Directory(Rc<Directory>),
     /// An entry of a member.
     Member(MemberRecord),
+    /// The request to evacuate the data centre that the object is named for.
+    Evacuation,
     /// Text that an instance of the gateway wrote.
     GatewayText(Box<str>),
     /// Content that cannot be decoded.
--- a/crates/gateway/src/channel.rs
+++ b/crates/gateway/src/channel.rs
@@ -1,10 +1,12 @@
 //! Channels to a member: a connection of this instance, or a tunnel to an instance that holds connections.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use hibiscusladder_core::{
     clock::{Clock, Instant},
+    evacuation::Service,
     name::{InstanceId, MemberId, Workspace},
+    pace::Outcome,
     position::Position,
 };
 use hibiscusladder_io::clock::{BootClock, within};
@@ -14,6 +16,7 @@
     adapter::{MemberCommand, Platform},
     in_flight::InFlightGuard,
     lease::Lease,
+    member_path::{self, MemberPath},
     message::{SectionKind, Sections},
     metrics::{Counter, Stage},
     model::{Answer, Code, TransactionState},
@@ -27,6 +30,11 @@
 const REPLY_MARGIN: Duration = Duration::from_millis(60);
 /// Longest time between two checks whether a member is still the primary; a change of the leader is noticed at once.
 const LEADER_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two checks whether the time of an evacuated primary is over.
+const EVACUATION_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Divisor of a statement's limit that gives its longest wait for the allowance of a cold member; the rest is left for
+/// running it, which takes a cold member longer.
+const COLD_WAIT_DIVISOR: u32 = 2;
 /// Longest wait for the answer to a rollback. At its end the connection is closed, which rolls back as well.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -78,6 +86,8 @@
             AcquireError::Exhausted => Self::NotRun(Code::TooMany),
             AcquireError::NoSlot(no_slot) => Self::NoSlot(no_slot),
             AcquireError::Replaced => Self::NotRun(Code::ReadOnly),
+            // Unlike a refusal as a replica, this says nothing about the role of the member.
+            AcquireError::Evacuated => Self::NotRun(Code::Busy),
             AcquireError::Refused(failure) => Self::NotRun(failure.code),
             AcquireError::Unreachable(_) => Self::Unreachable,
         }
@@ -135,6 +145,8 @@
     P: Platform,
 {
     tunnel: Tunnel,
+    /// Instance at the other end of the tunnel.
+    through: InstanceId,
     workspace: Workspace,
     pool: Rc<Pool<P>>,
     _in_use: InFlightGuard,
@@ -155,11 +167,14 @@
 {
     let pool = node.pool(member).ok_or(RunOutcome::Unreachable)?;
     let started = node.now();
-    let opened = match pool.holders() {
-        Some(holders) if !holders.contains(node.instance()) => {
-            open_remote(node, pool, request.workspace, &holders).await
+    let addresses = |names: &[InstanceId]| node.holder_addresses(names, request.workspace);
+    let opened = match member_path::choose(node.instance(), &pool, started, addresses) {
+        MemberPath::Direct => open_local(node, &pool, request).await,
+        MemberPath::Through { instances, are_standbys } => {
+            let kind = if are_standbys { "standby" } else { "holder" };
+            node.metrics.count(Counter::RelayedCalls, kind);
+            open_remote(node, pool, request.workspace, instances).await
         }
-        _ => open_local(node, &pool, request).await,
     };
     node.metrics.time(Stage::Connection, node.now().since(started));
     opened
@@ -191,11 +206,12 @@
     acquired.map(Channel::Local).map_err(RunOutcome::from)
 }
 
-/// Waits for a slot and a connection of this instance. A request that needs the primary does not wait for a former one.
+/// Waits for a slot and a connection of this instance. A request that needs the primary does not wait for a former one, and
+/// none waits for a member that gets no work because it is evacuated.
 ///
 /// # Errors
 ///
-/// There is no slot or connection in time, or another member is the primary. No statement has run.
+/// There is no slot or connection in time, another member is the primary, or the member is evacuated. No statement has run.
 pub async fn acquire<P>(
     node: &Node<P>,
     pool: &Rc<Pool<P>>,
@@ -205,16 +221,21 @@
 where
     P: Platform,
 {
-    let acquired = match request.urgency {
-        Some(urgency) if urgency.needs_primary => {
-            let replaced = async {
-                until_replaced(node, pool).await;
-                Err(AcquireError::Replaced)
-            };
-            pool.acquire(request, values).or(replaced).await
-        }
-        _ => pool.acquire(request, values).await,
+    if is_evacuated(node, pool) {
+        return Err(AcquireError::Evacuated);
+    }
+    let evacuated = async {
+        until_evacuated(node, pool).await;
+        Err(AcquireError::Evacuated)
     };
+    let acquired = acquire_unless_replaced(node, pool, request, values).or(evacuated).await;
+    match &acquired {
+        Ok(_) => pool.holder_reach.borrow_mut().record_answer(node.instance()),
+        Err(AcquireError::Unreachable(_)) => {
+            pool.holder_reach.borrow_mut().record_unreachable(node.instance(), node.now());
+        }
+        Err(_) => {}
+    }
     if let Some(urgency) = request.urgency {
         match &acquired {
             Ok(lease) => node.metrics.time_slot_wait(urgency.priority, lease.slot_wait()),
@@ -227,6 +248,60 @@
     acquired
 }
 
+async fn acquire_unless_replaced<P>(
+    node: &Node<P>,
+    pool: &Rc<Pool<P>>,
+    request: &SlotRequest<'_>,
+    values: &Values,
+) -> Result<Lease<P>, AcquireError>
+where
+    P: Platform,
+{
+    match request.urgency {
+        Some(urgency) if urgency.needs_primary => {
+            let replaced = async {
+                until_replaced(node, pool).await;
+                Err(AcquireError::Replaced)
+            };
+            pool.acquire(request, values).or(replaced).await
+        }
+        _ => pool.acquire(request, values).await,
+    }
+}
+
+/// Whether the member of `pool` gets no new work because its data centre is evacuated. As long as no primary is known, the
+/// instance of the caller decides.
+fn is_evacuated<P>(node: &Node<P>, pool: &Pool<P>) -> bool
+where
+    P: Platform,
+{
+    if !node.evacuations.is_evacuated(&pool.data_centre) {
+        return false;
+    }
+    let now = node.now();
+    let group = node.group(&pool.target.group);
+    let leader = group.and_then(|group| group.view.borrow().leader(now));
+    let is_primary = leader.is_none_or(|leader| leader.member == pool.target.member);
+    node.evacuation_service(&pool.target.member, is_primary, now) == Service::None
+}
+
+/// Waits until the member of `pool` gets no new work because its data centre is evacuated.
+async fn until_evacuated<P>(node: &Node<P>, pool: &Pool<P>)
+where
+    P: Platform,
+{
+    let Some(group) = node.group(&pool.target.group).filter(|_| node.evacuations.is_enabled())
+    else {
+        return smol::future::pending().await;
+    };
+    while !is_evacuated(node, pool) {
+        // The time of an evacuated primary ends without an event.
+        let is_timed = node.evacuations.is_evacuated(&pool.data_centre);
+        let interval = if is_timed { EVACUATION_CHECK_INTERVAL } else { LEADER_CHECK_INTERVAL };
+        group.wait_for_change(interval).await;
+    }
+}
+
 /// Waits until this instance learns that another member than that of `pool` has become the primary of its group. What it
 /// knew before does not count, because the instance of the caller may know more.
 async fn until_replaced<P>(node: &Node<P>, pool: &Pool<P>)
@@ -253,20 +328,20 @@
     node: &Node<P>,
     pool: Rc<Pool<P>>,
     workspace: &Workspace,
-    holders: &[InstanceId],
+    instances: Vec<(InstanceId, SocketAddr)>,
 ) -> Result<Channel<P>, RunOutcome>
 where
     P: Platform,
 {
-    for (holder, address) in node.holder_addresses(holders, workspace) {
+    for (through, address) in instances {
         match node.tunnels.open(address).await {
             Ok(tunnel) => {
                 let in_use = pool.begin_use();
                 let workspace = workspace.clone();
-                let remote = RemoteChannel { tunnel, workspace, pool, _in_use: in_use };
+                let remote = RemoteChannel { tunnel, through, workspace, pool, _in_use: in_use };
                 return Ok(Channel::Remote(remote));
             }
-            Err(_) => node.peers.borrow_mut().record_unreachable(&holder, node.now()),
+            Err(_) => node.peers.borrow_mut().record_unreachable(&through, node.now()),
         }
     }
     Err(RunOutcome::Unreachable)
@@ -310,8 +385,12 @@
         Some((id, text)) => MemberCommand::Forward { id, text, after: None },
         None => MemberCommand::Rollback,
     };
-    // Without an answer the connection is closed, which rolls back as well.
-    lease.exchange(command).await.err();
+    // Without an answer the connection is closed, which rolls back as well. So it is if a cold member may get no request
+    // soon.
+    let until = BootClock.now().plus(ROLLBACK_TIMEOUT);
+    if lease.pool().cold.clone().admit(1, until).await {
+        lease.exchange(command).await.err();
+    }
 }
 
 /// Runs a statement on a connection of this instance, unless its time limit is zero.
@@ -322,9 +401,16 @@
     if run.limit.is_zero() {
         return RunOutcome::NotRun(Code::Busy);
     }
-    let until = BootClock.now().plus(run.limit);
-    let Some(Ok(name)) = within(run.limit, prepare(lease, &run)).await else {
+    let now = BootClock.now();
+    let until = now.plus(run.limit);
+    if lease.pool().cold.is_cold(now) && !admit_cold(lease, &run, now).await {
+        return RunOutcome::NotRun(Code::Busy);
+    }
+    let left = until.since(BootClock.now());
+    let sent = BootClock.now();
+    let Some(Ok(name)) = within(left, prepare(lease, &run)).await else {
         lease.pool().record_unreachable(BootClock.now());
+        lease.pool().record_outcome(Outcome::Lost, sent);
         return RunOutcome::Unreachable;
     };
     let sending = send(lease, &run, name.as_deref());
@@ -332,11 +418,26 @@
         Some(Ok(answer)) => RunOutcome::Answered(answer),
         _ => {
             lease.pool().record_unreachable(BootClock.now());
+            lease.pool().record_outcome(Outcome::Lost, sent);
             RunOutcome::ConnectionLost
         }
     }
 }
 
+/// Waits until a cold member may get the statement and what has to be sent before it; `false` if it may not soon enough to
+/// be run within the limit.
+async fn admit_cold<P>(lease: &Lease<P>, run: &StatementRun<'_>, now: Instant) -> bool
+where
+    P: Platform,
+{
+    let prepared = match run.payload {
+        Payload::Text(_) => None,
+        Payload::Execute { access, shape, .. } => Some((*access, &**shape)),
+    };
+    let requests = 1 + lease.missing_commands(run.values, prepared);
+    lease.pool().cold.admit(requests, now.plus(run.limit / COLD_WAIT_DIVISOR)).await
+}
+
 /// Sets the session values on the connection, and prepares a statement that is to be executed; returns its name on the
 /// connection, `None` for a text.
 async fn prepare<P>(
@@ -407,6 +508,7 @@
             Some(Ok(Reply::Answered(answer))) => {
                 let now = node.now();
                 self.pool.record_service_time(now.since(started), now);
+                self.pool.holder_reach.borrow_mut().record_answer(&self.through);
                 RunOutcome::Answered(answer.into())
             }
             Some(Ok(Reply::NotRun(code))) => {
@@ -414,6 +516,8 @@
             }
             Some(Ok(Reply::Unreachable)) => {
                 // The holder cannot reach the member, or is stopping. The next attempt uses another holder.
+                let now = node.now();
+                self.pool.holder_reach.borrow_mut().record_unreachable(&self.through, now);
                 node.record_holder_unreachable(self.tunnel.address());
                 RunOutcome::Unreachable
             }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,5 +1,7 @@
 //! State of one instance, shared by its tasks, which all run on one thread.
 
+mod cold;
+mod evacuations;
 mod fleet;
 mod stop;
 
@@ -14,6 +16,7 @@
 use event_listener::Event as Notify;
 use hibiscusladder_core::{
     clock::{Clock, Instant},
+    connection_limit::{reserve, standby_part},
     first_configuration::{Fleet, is_confirmed},
     name::{DataCentre, Group, InstanceId, MemberId, Workspace},
     roster::{FleetRole, Roster},
@@ -21,7 +24,7 @@
     shutdown::StopPlan,
     store_era::REWRITE_TIME,
     store_version::StoreVersion,
-    topology::{Connections, HOLDERS_PER_MEMBER, Topology},
+    topology::{Connections, HOLDERS_PER_MEMBER, STANDBYS_PER_MEMBER, Topology},
 };
 use hibiscusladder_io::clock::BootClock;
 use serde_json::json;
@@ -30,15 +33,19 @@
 use crate::{
     adapter::{Platform, Store, Target},
     admission::Admission,
+    claim_table::FailoverClaims,
+    cold::ColdMembers,
     directory::Directory,
+    evacuations::EvacuationState,
     events::{self, Event},
-    failover_claim::FailoverClaims,
     group_state::GroupState,
     in_flight::InFlight,
+    ledger::Ledger,
     member_table::{Member, MemberTable},
     metrics::Metrics,
+    pace::{MemberLimits, Paces},
     peers::Peers,
-    pool::{Pool, PoolLimits},
+    pool::{MemberPaths, MemberPlace, Pool, PoolLimits},
     refusal::Refusals,
     relay::{MembersPage, PARALLEL_TRANSFERS, Progress, compress_directory},
     settings::Settings,
@@ -50,9 +57,8 @@
 /// Connections of all instances to a member while the configuration has no limit for its group; one more than polls
 /// need.
 const DEFAULT_MAX_CONNECTIONS: usize = 2;
-/// Connections of a holder's part that it does not open. The connections of a process that has just ended still count
-/// at the member.
-const RESERVED_CONNECTIONS: usize = 1;
+/// Connections of a holder's part that only control commands open.
+const CONTROL_CONNECTIONS: usize = 1;
 /// Service time of a group without a pool.
 const UNKNOWN_SERVICE_TIME: Duration = Duration::from_millis(12);
 /// Statements that a holder sends beyond its part of a member's slots, so that no slot is idle during a round trip.
@@ -74,11 +80,19 @@
     /// Client of the platform's promotions.
     pub promoter: P::Promoter,
     /// Counters and histograms.
-    pub metrics: Metrics,
+    pub metrics: Rc<Metrics>,
     /// Member entries of the store.
     pub members: RefCell<MemberTable>,
     /// Allotments of the workspaces.
     pub admission: RefCell<Admission>,
+    /// Evacuated data centres.
+    pub evacuations: EvacuationState,
+    /// Cold members, and what this instance may send to them.
+    pub cold: ColdMembers,
+    /// Accounts of the peers.
+    pub ledger: Ledger,
+    /// Pace of the members.
+    pub paces: Paces,
     /// Retry delays of refused callers.
     pub refusals: Refusals,
     /// State of the other instances.
@@ -145,21 +159,30 @@
         executor: Rc<LocalExecutor<'static>>,
     ) -> Rc<Self> {
         let now = BootClock.now();
+        let metrics = Rc::<Metrics>::default();
+        let ledger = Ledger::new(settings.peer_limits.budget(), metrics.clone());
         Rc::new(Self {
             peers: RefCell::new(Peers::new(settings.instance.clone(), now)),
             progress: RefCell::new(Progress::new(&settings.instance)),
+            cold: ColdMembers::new(settings.cold),
+            paces: Paces::new(settings.pace),
             refusals: Refusals::new(settings.return_times, now),
+            evacuations: EvacuationState::new(
+                settings.evacuate,
+                settings.regions.keys().cloned().collect(),
+            ),
+            tunnels: Tunnels::new(ledger.clone()),
+            ledger,
             settings,
             clock: BootClock,
             store_era: store.era().clone(),
             store,
             promoter,
-            metrics: Metrics::default(),
+            metrics,
             members: RefCell::default(),
             admission: RefCell::default(),
             failover_claims: RefCell::default(),
             datagrams,
-            tunnels: Tunnels::default(),
             topology: RefCell::default(),
             roster: RefCell::default(),
             roster_digest: Cell::new(0),
@@ -348,10 +371,14 @@
         let target =
             Target { member: id.clone(), group: record.group.clone(), address: record.address };
         let distance = self.settings.distance(&record.data_centre);
-        let (limits, holders) = self.pool_limits(&target, &record.data_centre);
+        let (limits, paths) = self.pool_limits(&target, &record.data_centre);
+        self.update_cold(&target, paths.holders.as_deref());
+        let (cold, pace) = (self.cold.gate(id, self.now()), self.paces.member(&target));
+        let member_limits = MemberLimits { cold, pace };
         let with_priorities = self.settings.priorities;
+        let place = MemberPlace { target, data_centre: record.data_centre, distance };
         let pool =
-            Pool::new(target, record.data_centre, distance, limits, holders, with_priorities);
+            Pool::new(place, limits, paths, with_priorities, member_limits, self.ledger.clone());
         self.pools.borrow_mut().insert(id.clone(), pool.clone());
         Some(pool)
     }
@@ -386,11 +413,16 @@
     /// Updates the limits of the pool of a member whose entry has changed.
     pub fn update_pool(&self, id: &MemberId) {
         if let Some(pool) = self.pools.borrow().get(id) {
-            let (limits, holders) = self.pool_limits(&pool.target, &pool.data_centre);
-            pool.set_limits(limits, holders);
+            self.update_pool_limits(pool);
         }
     }
 
+    fn update_pool_limits(&self, pool: &Rc<Pool<P>>) {
+        let (limits, paths) = self.pool_limits(&pool.target, &pool.data_centre);
+        self.update_cold(&pool.target, paths.holders.as_deref());
+        pool.set_limits(limits, paths);
+    }
+
     /// Removes the pool of a member that was removed or restarted, and closes its connections.
     pub fn drop_pool(&self, id: &MemberId) {
         if let Some(pool) = self.pools.borrow_mut().remove(id) {
@@ -437,8 +469,7 @@
         }
         drop(admission);
         for pool in self.pools.borrow().values() {
-            let (limits, holders) = self.pool_limits(&pool.target, &pool.data_centre);
-            pool.set_limits(limits, holders);
+            self.update_pool_limits(pool);
         }
     }
 
@@ -458,29 +489,38 @@
         self.topology().needs_holders(self.connections(group))
     }
 
-    /// Limits of this instance for connections to a member, and the holders of the member.
-    fn pool_limits(
-        &self,
-        target: &Target,
-        data_centre: &DataCentre,
-    ) -> (PoolLimits, Option<Rc<[InstanceId]>>) {
+    /// Limits of this instance for connections to a member, and the instances through which the member is reached.
+    fn pool_limits(&self, target: &Target, data_centre: &DataCentre) -> (PoolLimits, MemberPaths) {
         let connections = self.connections(&target.group);
         let total = connections.accepted;
         let member = &target.member;
         let topology = self.topology();
         let Some(holders) = topology.holders(member, data_centre, connections) else {
             let open = total / topology.len().max(1);
-            return (PoolLimits { open, idle: open, running: None }, None);
+            let limits = PoolLimits { open, reserved: 0, idle: open, running: None };
+            return (limits, MemberPaths::default());
         };
+        let standbys = topology.standbys(member, &holders);
+        let slots = self.member(member).map_or(1, |entry| entry.record.slots as usize);
+        let part = total / HOLDERS_PER_MEMBER;
+        let reserve = reserve(part, slots, HOLDERS_PER_MEMBER);
         let limits = if holders.contains(self.instance()) {
-            let open = (total / HOLDERS_PER_MEMBER).saturating_sub(RESERVED_CONNECTIONS).max(1);
-            let slots = self.member(member).map_or(1, |entry| entry.record.slots as usize);
+            let open = part.saturating_sub(reserve).max(1);
             let running = slots.div_ceil(HOLDERS_PER_MEMBER) + EXTRA_STATEMENTS;
-            PoolLimits { open, idle: open, running: u32::try_from(running).ok() }
+            PoolLimits {
+                open,
+                reserved: part.saturating_sub(open).min(CONTROL_CONNECTIONS),
+                idle: open,
+                running: u32::try_from(running).ok(),
+            }
+        } else if standbys.contains(self.instance()) {
+            // A connection is closed after its use, since the holders need the reserve after a loss of processes.
+            let open = standby_part(reserve, HOLDERS_PER_MEMBER, STANDBYS_PER_MEMBER);
+            PoolLimits { open, reserved: 0, idle: 0, running: u32::try_from(open).ok() }
         } else {
-            PoolLimits { open: 0, idle: 0, running: None }
+            PoolLimits { open: 0, reserved: 0, idle: 0, running: None }
         };
-        (limits, Some(holders.into()))
+        (limits, MemberPaths { holders: Some(holders.into()), standbys: standbys.into() })
     }
 
     /// A workspace for connections that serve no caller; `None` when none is configured.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,7 +4,10 @@
 
 use async_signal::{Signal, Signals};
 use futures::StreamExt;
-use hibiscusladder_core::shutdown::{Shutdown, ShutdownStep};
+use hibiscusladder_core::{
+    budget::Origin,
+    shutdown::{Shutdown, ShutdownStep},
+};
 use hibiscusladder_io::clock::sleep;
 use miette::Diagnostic;
 use serde_json::json;
@@ -16,11 +19,11 @@
 
 use crate::{
     adapter::{Collection, Platform},
-    control,
+    control, evacuations,
     events::{self, Event},
     holder, listener, messenger,
     node::Node,
-    session,
+    promotion_records, session,
     settings::Settings,
     status_page::{self, Page},
     sync,
@@ -101,12 +104,16 @@
     for collection in [Collection::Configuration, Collection::Members] {
         node.supervise(collection.as_str(), move |node| sync::follow(node, collection));
     }
+    if node.evacuations.is_enabled() {
+        node.supervise("evacuations", evacuations::follow);
+    }
     node.supervise("roster", sync::maintain_roster);
     node.supervise("store_era", sync::follow_restores);
     node.supervise("expiry", sync::expire_members);
     node.supervise("receiver", messenger::receive_all);
     node.supervise("sender", messenger::send_all);
     node.supervise("control", control::run);
+    node.supervise("promotion records", promotion_records::run);
     wait_for_end(&node, &mut signals).await;
     Ok(())
 }
@@ -129,9 +136,10 @@
     let mut number = 0;
     listener::accept(node.clone(), listener, |stream| {
         number += 1;
+        let Some(account) = node.ledger.open(Origin::Caller, &stream) else { return };
         // The process does not end between the acceptance of a caller and the start of its task.
         let guard = node.begin_session();
-        node.spawn(session::serve(node.clone(), stream, number, guard));
+        node.spawn(session::serve(node.clone(), stream, number, account, guard));
     })
     .await;
 }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -208,19 +208,29 @@
 pub fn apply_member<P>(
     node: &Rc<Node<P>>,
     id: MemberId,
-    record: MemberRecord,
+    mut record: MemberRecord,
     era: u64,
     now: Instant,
 ) where
     P: Platform,
 {
+    let cold_remaining = record.cold_remaining.take();
     let fields = json!({
         "member": id.as_str(), "group": record.group.as_str(), "leaving": record.leaving,
         "role": format!("{:?}", record.role), "started_ms": record.started_ms,
         "sequence": record.sequence,
     });
     let group = record.group.clone();
+    let report = record.report();
     let change = node.members.borrow_mut().update(id.clone(), record, era, now);
+    if change == MemberChange::Restarted {
+        node.cold.record_restart(&id, now);
+    }
+    // An older entry shows nothing.
+    let is_newest = node.member(&id).is_some_and(|member| member.record.report() == report);
+    if is_newest {
+        node.cold.record_entry(&id, report, cold_remaining, now);
+    }
     if change == MemberChange::None {
         return;
     }
@@ -254,6 +264,7 @@
         for id in &expired {
             events::log(Event::MemberGone, json!({ "member": id.as_str() }));
             node.drop_pool(id);
+            node.cold.remove(id);
         }
         node.update_groups(now.minus(LAPSE_GRACE));
     }
