fix(gateway): list again when a list lacks an instance that sends messages

Cause: an instance sends messages before its registration is written. The list that its first message causes may be read just before the write, and the next one is due after 25 s. Until then the instance is left out of the parts of rates. Measured: receive_reports_an_unregistered_instance_after_a_list_without_it fails before, passes now; 11 tests of peers pass.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -17,6 +17,9 @@
 const LEFTOVER_TIME: Duration = Duration::from_secs(10);
 /// Time for which a holder that did not answer is used last.
 const DEPRIORITISED_TIME: Duration = Duration::from_millis(1000);
+/// Number of lists without the registration of an instance after which its messages no longer cause another list. Instances
+/// of other versions may have registrations that cannot be read.
+const MAX_MISSED_LISTS: u8 = 4;
 
 #[derive(Debug, Clone)]
 struct Peer {
@@ -42,8 +45,11 @@
     members_digest: Option<u64>,
     /// Whether [`Peers::newly_unresponsive`] has returned the peer since its last message.
     reported_lost: bool,
-    /// Whether [`Received::is_unregistered`] was set for the peer since it was last registered.
+    /// Whether [`Received::is_unregistered`] was set for the peer since it was last registered, or since the latest list that
+    /// counts in `missed_lists`.
     reported_unregistered: bool,
+    /// Lists without the registration of the peer since it was reported as unregistered, up to [`MAX_MISSED_LISTS`].
+    missed_lists: u8,
 }
 
 impl Peer {
@@ -64,6 +70,7 @@
             members_digest: None,
             reported_lost: false,
             reported_unregistered: false,
+            missed_lists: 0,
         }
     }
 
@@ -141,6 +148,11 @@
             if !may_lack {
                 peer.registration = None;
             }
+            // An instance sends messages before its registration is written, so that the list which they cause may lack it.
+            if peer.reported_unregistered && peer.missed_lists < MAX_MISSED_LISTS {
+                peer.missed_lists += 1;
+                peer.reported_unregistered = false;
+            }
         }
         let is_other = |name: &InstanceId| *name != self.own;
         for (name, registration) in listed.iter().filter(|(name, _)| is_other(name)) {
@@ -159,6 +171,7 @@
             peer.registration = Some(registration.clone());
             peer.is_kept = false;
             peer.reported_unregistered = false;
+            peer.missed_lists = 0;
             if !peer.is_live(now) {
                 peer.address = registration.address;
             }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -143,6 +143,22 @@
     assert!(is_unregistered(&mut peers, 6), "its registration was removed");
 }
 
+/// Guards against an instance that counts as unregistered for 25 s, so that more of a rate accrues than it is, because the list
+/// that its first message caused was read just before its registration was written.
+#[test]
+fn receive_reports_an_unregistered_instance_after_a_list_without_it() {
+    let mut peers = Peers::new("a".into(), at(0));
+    let mut reports = 0;
+    for sent in 1..100 {
+        let received = peers.receive(&status(1, sent), address(), at(sent)).expect("newer");
+        if received.is_unregistered {
+            reports += 1;
+            peers.register(&[], false, at(sent));
+        }
+    }
+    assert!((2..10).contains(&reports), "{reports} lists for an instance that stays unregistered");
+}
+
 /// Guards against a follower that keeps the members and the instances from before a restore of the store, because their
 /// revisions are higher than those assigned since.
 #[test]
