--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -14,8 +14,9 @@
 };
 
 use crate::{
+    acquisition,
     adapter::{Platform, PortError},
-    channel::{self, RunOutcome, StatementRun, roll_back, run_local},
+    channel::{RunOutcome, StatementRun, roll_back, run_local},
     lease::Lease,
     ledger::Account,
     listener,
@@ -182,7 +183,7 @@
         jitter: urgency::jitter(&call.id),
         until: now.plus(Duration::from_micros(call.connection_wait)),
     };
-    channel::acquire(node, &pool, &request, &call.values).await.map_err(RunOutcome::from)
+    acquisition::acquire(node, &pool, &request, &call.values).await.map_err(RunOutcome::from)
 }
 
 fn is_refusing<P>(node: &Node<P>, now: Instant) -> bool
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //!
 //! The path of a request is [`session`] → [`operation`] → [`reads`] or [`writes`] → [`pool`] → member.
 
+pub mod acquisition;
 pub mod adapter;
 pub mod admission;
 pub mod channel;
