test(gateway): keep the logs of stopped processes

Cause: the known failure of stop_cuts_no_request could not be traced, since only the log of the next process was saved. Change: the logs of the stopped processes are saved, and the message says whether a member got the request; the check is the same.

--- a/hibiscusladder/tests/gateway/stop.rs
+++ b/hibiscusladder/tests/gateway/stop.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    path::Path,
     sync::Mutex,
     thread,
     time::{Duration, Instant},
@@ -10,7 +11,7 @@
 use hibiscusladder_platform_standin::{BOUNDED_DATABASE, PRIMARY_DATABASE, WORKSPACES};
 use test_case::test_case;
 
-use crate::fleet::{Fleet, open, save_logs};
+use crate::fleet::{Fleet, open, process_log};
 
 /// Longest time from SIGTERM to the end of the process (`grace_s` of the deployments).
 const GRACE: Duration = Duration::from_secs(6);
@@ -66,6 +67,7 @@
         fleet.standin.configure(9, [5.0, 200.0], &[]);
     }
     let cut = Mutex::new(Vec::new());
+    let mut stopped_logs = Vec::new();
     for _ in 0..STOPS {
         let address = fleet.gateways[0].callers;
         let until = Instant::now() + GRACE;
@@ -84,15 +86,22 @@
         });
         let status = fleet.gateways[0].process.wait(Duration::ZERO).expect("the process");
         assert!(status.is_some_and(|status| status.success()), "{status:?}");
+        stopped_logs.push(process_log(&fleet.gateways[0]));
         fleet.restart(0);
         fleet.gateways[0].wait_until_serving();
     }
     let executed = fleet.standin.lock_group().executed().to_vec();
-    let is_lost = |cut: &Cut| {
+    let cut = cut.into_inner().expect("no caller panicked");
+    let with_fate = cut.into_iter().map(|cut| {
         let was_passed_on = executed.iter().any(|statement| statement.id == cut.id);
-        was_passed_on || cut.waited > UNREAD_TIME
-    };
-    let mut lost = cut.into_inner().expect("no caller panicked");
-    lost.retain(is_lost);
-    assert!(lost.is_empty(), "{lost:?}, logs in {}", save_logs(&fleet, "stop-cuts"));
+        (cut, was_passed_on)
+    });
+    let lost: Vec<(Cut, bool)> = with_fate
+        .filter(|(cut, was_passed_on)| *was_passed_on || cut.waited > UNREAD_TIME)
+        .collect();
+    if !lost.is_empty() {
+        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("stop-cuts.log");
+        std::fs::write(&path, stopped_logs.join("\n")).ok();
+        panic!("{lost:?} (whether a member got it), logs of the stopped processes in {path:?}");
+    }
 }
