--- a/review/tools-2/src/fleet.rs
+++ b/review/tools-2/src/fleet.rs
@@ -1,5 +1,7 @@
 //! Gateway processes of a case, with settings like those of a small deployment, and the platform's part in running them.
 
+#![allow(dead_code, reason = "each case uses a part")]
+
 use std::{
     fs, io,
     net::{SocketAddr, TcpListener},
--- a/review/tools-2/src/large_ids.rs
+++ b/review/tools-2/src/large_ids.rs
@@ -88,12 +88,18 @@
                 thread::sleep(RESTART_DELAY);
                 machine.end_and_restart().ok()?;
                 *ends += 1;
-                note(format!("the platform ends the process of {} and starts it again", machine.name));
+                note(format!(
+                    "the platform ends the process of {} and starts it again",
+                    machine.name
+                ));
             }
         }
     }
     let is_broken = ends.iter().all(|ends| *ends >= ROUNDS);
-    note(format!("processes ended by themselves, by machine: {ends:?}; the rule is {}", if is_broken { "broken" } else { "kept" }));
+    note(format!(
+        "processes ended by themselves, by machine: {ends:?}; the rule is {}",
+        if is_broken { "broken" } else { "kept" }
+    ));
     Some(is_broken)
 }
 
@@ -105,7 +111,10 @@
     thread::scope(|scope| {
         let watching = scope.spawn(|| {
             let (mut peak, began) = (0, Instant::now());
-            while began.elapsed() < CROWD_TIME && !ended.load(Ordering::Relaxed) && !exceeded.load(Ordering::Relaxed) {
+            while began.elapsed() < CROWD_TIME
+                && !ended.load(Ordering::Relaxed)
+                && !exceeded.load(Ordering::Relaxed)
+            {
                 match machine.peak_mb() {
                     Some(mb) => peak = peak.max(mb),
                     None => exceeded.store(true, Ordering::Relaxed),
@@ -123,7 +132,9 @@
                 break;
             }
             let key = format!("key-{}", WORKSPACES[number % 2]);
-            let Ok(mut caller) = Caller::open(machine.callers, PRIMARY_DATABASE, &key) else { continue };
+            let Ok(mut caller) = Caller::open(machine.callers, PRIMARY_DATABASE, &key) else {
+                continue;
+            };
             let id = format!("{}{number:06}", "x".repeat(length.saturating_sub(6)));
             if caller.query(&id, "BEGIN").is_ok_and(|reply| reply.state == "T") {
                 sessions.push(caller);
