--- a/review/tools-2/src/fleet.rs
+++ b/review/tools-2/src/fleet.rs
@@ -8,6 +8,8 @@
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::Mutex,
+    thread,
+    time::Duration,
 };
 
 use hibiscusladder_platform_standin::{NodeAddresses, Standin, node_file};
@@ -17,6 +19,11 @@
 /// `limits.max_fds` of the same sites.
 const MAX_FDS: usize = 4200;
 
+/// Attempts to start a process.
+const START_ATTEMPTS: usize = 5;
+/// Time in which a process that cannot listen has ended.
+const START_TIME: Duration = Duration::from_millis(300);
+
 /// The root of the repository, two folders above that of the case.
 pub fn repository(case: &Path) -> PathBuf {
     case.parent().and_then(Path::parent).map(Path::to_owned).unwrap_or_default()
@@ -33,8 +40,21 @@
 }
 
 impl Machine {
-    /// Starts the process of the deploy file: `target/release/hibiscusladder gateway`.
+    /// Starts the process of the deploy file: `target/release/hibiscusladder gateway`. If it ends at once, because another process
+    /// has taken one of its ports meanwhile, it is started at other ports.
     pub fn start(number: usize, standin: &Standin, root: &Path, folder: &Path) -> io::Result<Self> {
+        for _ in 0..START_ATTEMPTS {
+            let machine = Self::try_start(number, standin, root, folder)?;
+            thread::sleep(START_TIME);
+            let ended = machine.child.lock().expect("no panic").try_wait()?;
+            if ended.is_none() {
+                return Ok(machine);
+            }
+        }
+        Err(io::ErrorKind::AddrInUse.into())
+    }
+
+    fn try_start(number: usize, standin: &Standin, root: &Path, folder: &Path) -> io::Result<Self> {
         let name = format!("frontend-{number}");
         let callers = free_address()?;
         let store = standin.store_address();
