fix(gateway): need all logs of a group but one before a promotion

Cause: the members that have to answer before a promotion were those in the list of one process. After a restart the claimant listed the one replica that had received nothing; the primary and the replica with its latest commits were dark, and their entries had run out. A number of members was recorded only with the first promotion. Besides, a member that was dark comes back under a new id at its old address, so that a running process never learned that a departed replica was back.

Change: logs are identified by the address of their member. One hub of each group records in the store which logs it has. The answers have to show all logs that are listed, recorded or were seen to leave, except one: each acknowledged commit is in two. If more are missing, the attempt ends without a hold. A primary whose replicas are not listed no longer takes itself for a group of one.

Why it works: any two of the three logs include one with each acknowledged commit, whoever the primary was.

Before: restart_while_two_members_are_down on: FAILED, {"b1"} lost.

--- a/crates/core/src/name.rs
+++ b/crates/core/src/name.rs
@@ -100,6 +100,11 @@
     /// Names a member of a database group: one upstream server.
     MemberId
 }
+name! {
+    /// Identifies a log of a group by where it is kept: the address of its member. A member that comes back with its log may
+    /// have another [`MemberId`], but has the same address.
+    LogId
+}
 name! {
     /// The public part of a key.
     KeyId
--- a/crates/core/src/sync_group.rs
+++ b/crates/core/src/sync_group.rs
@@ -40,6 +40,7 @@
 mod departures;
 mod failover;
 mod leader;
+mod listed_member;
 mod member;
 mod promotion_record;
 mod promotion_rule;
@@ -56,6 +57,7 @@
     },
     failover::{Failover, FailoverAction, GrantedClaim},
     leader::{Leader, LeaderInfo, LeaderPosition},
+    listed_member::ListedMember,
     promotion_record::{PromotionRecord, PromotionRecords, RecordedPromotion},
     promotion_rule::{Demand, PromotionRule, Stop, Verdict},
     status::{MemberStatus, Role},
--- a/crates/core/src/sync_group/departures.rs
+++ b/crates/core/src/sync_group/departures.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::LeaderPosition;
-use crate::{clock::Instant, name::MemberId, position::Position};
+use crate::{clock::Instant, name::LogId, position::Position};
 
 /// Replicas that have left a group, or lost their logs, during the term of one primary.
 ///
@@ -15,24 +15,25 @@
     until: Option<Instant>,
     /// First known position of the primary from that time or later.
     cover: Option<Position>,
-    /// Replicas that have not answered since they left, with the end of their logs if it is known.
-    absent: BTreeMap<MemberId, Option<Position>>,
-    /// Whether a replica has lost its log.
-    has_lost_logs: bool,
+    /// Logs of the replicas that have not answered since they left, with the end of each if it is known.
+    absent: BTreeMap<LogId, Option<Position>>,
+    /// Number of times that a replica has lost its log.
+    lost_logs: usize,
 }
 
 impl Departures {
-    /// Records that `member`, whose log is known up to `received`, has left, and may have received commits up to `until`.
+    /// Records that the replica with `log`, which is known up to `received`, has left, and may have received commits up to
+    /// `until`.
     pub(super) fn record_absent<'a, I>(
         &mut self,
-        member: MemberId,
+        log: LogId,
         received: Option<Position>,
         until: Instant,
         positions: I,
     ) where
         I: IntoIterator<Item = &'a LeaderPosition>,
     {
-        self.absent.insert(member, received);
+        self.absent.insert(log, received);
         self.record(until, positions);
     }
 
@@ -41,16 +42,16 @@
     where
         I: IntoIterator<Item = &'a LeaderPosition>,
     {
-        self.has_lost_logs = true;
+        self.lost_logs += 1;
         self.record(until, positions);
     }
 
-    /// Records that `member` answers, with a log up to `received`. One that has left and is back with its log is a replica
-    /// like any other.
-    pub(super) fn returned(&mut self, member: &MemberId, received: Position) {
-        let Some(known) = self.absent.remove(member) else { return };
-        self.has_lost_logs |= known.is_some_and(|known| received < known);
-        if self.absent.is_empty() && !self.has_lost_logs {
+    /// Records that the member with `log` answers, which is known up to `received` now. One that has left and is back with its
+    /// log is a replica like any other.
+    pub(super) fn returned(&mut self, log: &LogId, received: Position) {
+        let Some(known) = self.absent.remove(log) else { return };
+        self.lost_logs += usize::from(known.is_some_and(|known| received < known));
+        if self.absent.is_empty() && self.lost_logs == 0 {
             *self = Self::default();
         }
     }
@@ -74,6 +75,16 @@
         self.until.is_some()
     }
 
+    /// Number of times that a replica has lost its log.
+    pub(super) const fn lost_logs(&self) -> usize {
+        self.lost_logs
+    }
+
+    /// Whether some log is long enough to have every acknowledged commit that only these replicas had besides the primary.
+    pub(super) const fn can_be_covered(&self) -> bool {
+        self.until.is_none() || self.cover.is_some()
+    }
+
     /// Records a position of the primary.
     pub(super) fn observe(&mut self, position: LeaderPosition) {
         if self.cover.is_none() && self.until.is_some_and(|until| position.sent >= until) {
--- a/crates/core/src/sync_group/failover.rs
+++ b/crates/core/src/sync_group/failover.rs
@@ -312,8 +312,9 @@
                 self.stage = Stage::Fencing(fencing);
                 return Vec::new();
             }
-            // The logs no longer change, so a later look would find no candidate either.
-            Verdict::NoCandidate => {
+            // The logs no longer change, so a later look would find no candidate either. A member that is not listed is
+            // waited for without a hold: the primary may be the first to return.
+            Verdict::NoCandidate | Verdict::LacksLogs(_) => {
                 return self.give_up(fencing.rule, view, leaving, confirmed, now);
             }
             Verdict::Running(primary) => (Some(primary), None),
--- a/crates/core/src/sync_group/member.rs
+++ b/crates/core/src/sync_group/member.rs
@@ -5,6 +5,7 @@
 use super::{MemberStatus, Role};
 use crate::{
     clock::Instant,
+    name::LogId,
     position::{Position, Term},
 };
 
@@ -13,6 +14,8 @@
 
 #[derive(Debug, Clone, Default)]
 pub(super) struct Member {
+    /// The log that the member keeps; `None` only before the member is listed.
+    pub(super) log: Option<LogId>,
     /// Role that the member has published, used until the member answers a poll.
     pub(super) published: Option<Role>,
     /// Latest status, and the sending time of its poll; the origin of the clock for a status that is not from a poll.
--- a/crates/core/src/sync_group/promotion_rule.rs
+++ b/crates/core/src/sync_group/promotion_rule.rs
@@ -16,6 +16,11 @@
 //!   back, the log has to reach the end of that of the replaced primary, as far as this is known. If no log does, the
 //!   demoted primary itself is promoted again.
 //!
+//! A list of members lacks those that have crashed, and an instance that has just started does not know who was listed before.
+//! Each acknowledged commit is in the logs of the primary and of one replica. So all logs that the group is known to have,
+//! listed or not, have to be shown by the answers, except one. More may be missing only if the log of the replaced primary is
+//! known to have been replicated since they were, or if an operator has declared them lost.
+//!
 //! A primary that answers nobody cannot be demoted. It is demoted as soon as it answers, also while the promotion takes
 //! effect, and instances that know of the failover pass on no acknowledgement of its term
 //! ([`GroupView::refuses`]).
@@ -29,7 +34,7 @@
 use super::{GroupView, PromotionRecord, Role};
 use crate::{
     clock::Instant,
-    name::MemberId,
+    name::{LogId, MemberId},
     position::{Position, Term},
 };
 
@@ -37,6 +42,8 @@
 const HOLD_EVIDENCE_TIME: Duration = Duration::from_millis(500);
 /// Members that a group has at least when the record that names their number may be lost.
 const USUAL_MEMBERS: usize = 3;
+/// Number of logs that may be unknown, because each acknowledged commit is in two: those of the primary and of one replica.
+const MAX_UNKNOWN_LOGS: usize = 1;
 
 /// Rule for one attempt to replace a primary.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -83,6 +90,8 @@
     Waiting(Vec<(MemberId, Demand)>),
     /// All members have answered, and none that may be promoted has all acknowledged commits.
     NoCandidate,
+    /// These logs are not listed, and commits may be in them alone, whatever the listed members answer.
+    LacksLogs(Vec<LogId>),
     /// All members have answered, and one may be promoted once this primary, which still answers, has been demoted.
     Running(MemberId),
     /// All members have answered, and this one may be promoted.
@@ -97,6 +106,9 @@
 impl PromotionRule {
     /// Applies the rule. `leaving` lists the members that may not be promoted.
     pub fn verdict(&self, view: &GroupView, leaving: &[MemberId], now: Instant) -> Verdict {
+        if self.lacks_logs(view, now) {
+            return Verdict::LacksLogs(view.absent_logs().into_iter().collect());
+        }
         let mut demands = Vec::new();
         let mut logs = Vec::new();
         for member in self.required(view) {
@@ -158,6 +170,30 @@
         }
     }
 
+    /// Whether commits may be in logs alone that the answers of the listed members cannot show.
+    fn lacks_logs(&self, view: &GroupView, now: Instant) -> bool {
+        self.stop == Stop::Pending
+            && self.running_primary(view, now).is_none()
+            && self.former_primary_log(view).is_none()
+            && self.unknown_logs(view) > MAX_UNKNOWN_LOGS
+            && !view.can_cover_departures(self.lacks_listed(view))
+    }
+
+    /// Number of logs that the answers of the members which have to hold do not show.
+    fn unknown_logs(&self, view: &GroupView) -> usize {
+        let primary = self.replaced_primary(view).map(|primary| Stop::Done(primary.clone()));
+        let is_primary_unknown = primary.is_some_and(|stopped| self.stop != stopped);
+        let present = view.members().count() + view.given_up_logs();
+        let uncounted = self.recorded_members().saturating_sub(present);
+        let absent = view.absent_logs().len().max(uncounted);
+        absent + view.lost_logs() + usize::from(is_primary_unknown)
+    }
+
+    /// Whether the group is known to have logs whose members are not listed.
+    fn lacks_listed(&self, view: &GroupView) -> bool {
+        view.lacks_count(self.recorded_members()) || !view.absent_logs().is_empty()
+    }
+
     /// Whether the group may have members that are not listed, because they have left or are returning.
     fn may_lack_members(&self, view: &GroupView) -> bool {
         view.may_lack_members(self.recorded_members())
@@ -204,19 +240,28 @@
     /// Whether a log up to `position` has every acknowledged commit that only members which are not listed had besides the
     /// replaced primary.
     fn covers_unlisted(&self, view: &GroupView, position: Position) -> bool {
-        // The log of a former primary of the term has all of them. It no longer changes: the member has become a replica.
-        let former = view.members().filter(|member| view.has_led(member, self.replaced));
-        let mut ended = former.filter_map(|member| view.status(member));
-        if let Some(status) = ended.find(|status| status.role == Role::Replica) {
-            return position >= status.received;
+        if let Some(end) = self.former_primary_log(view) {
+            return position >= end;
+        }
+        if !matches!(self.stop, Stop::Done(_)) && self.unknown_logs(view) <= MAX_UNKNOWN_LOGS {
+            return true;
         }
         let primary = match &self.stop {
             Stop::Done(stopped) => Some(stopped),
             Stop::Pending | Stop::Failed => self.replaced_primary(view),
         };
         let end = primary.and_then(|primary| view.status(primary)).map(|status| status.received);
-        view.covers_departures(position, self.recorded_members())
-            && (!self.may_lack_members(view) || end.is_none_or(|end| position >= end))
+        let is_covered = self.unknown_logs(view) <= MAX_UNKNOWN_LOGS
+            || view.covers_departures(position, self.lacks_listed(view));
+        is_covered && (!self.may_lack_members(view) || end.is_none_or(|end| position >= end))
+    }
+
+    /// End of the log of a former primary of the replaced term, which has every acknowledged commit. It no longer changes,
+    /// because the member has become a replica; `None` when no such member is known.
+    fn former_primary_log(&self, view: &GroupView) -> Option<Position> {
+        let former = view.members().filter(|member| view.has_led(member, self.replaced));
+        let mut ended = former.filter_map(|member| view.status(member));
+        ended.find(|status| status.role == Role::Replica).map(|status| status.received)
     }
 
     /// The demoted primary with the end of its log, which has every acknowledged commit.
--- a/crates/core/src/sync_group/view.rs
+++ b/crates/core/src/sync_group/view.rs
@@ -1,5 +1,6 @@
 //! View of a group at one instance, from polls, requests and other instances: members, leader and leadership proofs.
 
+mod logs;
 mod proofs;
 
 use std::{
@@ -7,10 +8,10 @@
     time::Duration,
 };
 
-use self::proofs::Uncertainty;
+use self::{logs::KnownLogs, proofs::Uncertainty};
 use super::{
-    BARRIER_TTL, CONFIRMATION_AGE, FENCE_TTL, Leader, LeaderInfo, LeaderPosition, MemberStatus,
-    PROOF_WINDOW, Role, SUSPICION_TIMEOUT,
+    BARRIER_TTL, CONFIRMATION_AGE, FENCE_TTL, Leader, LeaderInfo, LeaderPosition, ListedMember,
+    MemberStatus, PROOF_WINDOW, Role, SUSPICION_TIMEOUT,
     departures::Departures,
     member::{Member, REPORT_TTL},
 };
@@ -47,6 +48,8 @@
     departures: Departures,
     /// Replicas that may have left the group during that term before its members were first known.
     earlier_departures: Departures,
+    /// Logs whose members need not be listed.
+    known_logs: KnownLogs,
     /// Whether the members have been known.
     is_listed: bool,
 }
@@ -64,34 +67,47 @@
             barrier: None,
             departures: Departures::default(),
             earlier_departures: Departures::default(),
+            known_logs: KnownLogs::default(),
             is_listed: false,
         }
     }
 }
 
 impl GroupView {
-    /// Sets the members of the group with the roles that they have published, and drops the state of all others, which
-    /// have been gone since `gone_since`.
+    /// Sets the members of the group, and drops the state of all others, which have been gone since `gone_since`.
     pub fn set_members<I>(&mut self, members: I, gone_since: Instant)
     where
-        I: IntoIterator<Item = (MemberId, Option<Role>)>,
+        I: IntoIterator,
+        I::Item: Into<ListedMember>,
     {
         let mut previous = std::mem::take(&mut self.members);
         self.members = members
             .into_iter()
-            .map(|(member, published)| {
+            .map(|listed| {
+                let ListedMember { member, log, published } = listed.into();
                 let state = previous.remove(&member).unwrap_or_default();
-                (member, Member { published, ..state })
+                (member, Member { log: Some(log), published, ..state })
             })
             .collect();
         if !std::mem::replace(&mut self.is_listed, !self.members.is_empty()) {
             self.earlier_departures.record(gone_since, &self.positions);
         }
         let leader_term = self.leader_term();
-        for (member, state) in previous {
-            if !state.is_primary_of(leader_term) {
+        for state in previous.into_values() {
+            let is_primary = state.is_primary_of(leader_term);
+            let Some(log) = state.log else { continue };
+            self.known_logs.unlisted.insert(log.clone());
+            if !is_primary {
                 let received = state.latest.map(|(status, _)| status.received);
-                self.departures.record_absent(member, received, gone_since, &self.positions);
+                self.departures.record_absent(log, received, gone_since, &self.positions);
+            }
+        }
+        for state in self.members.values() {
+            let Some(log) = &state.log else { continue };
+            self.known_logs.unlisted.remove(log);
+            // The member may have been listed under its present id before the former one was dropped.
+            if let Some((status, _)) = state.latest {
+                self.departures.returned(log, status.received);
             }
         }
     }
@@ -101,6 +117,7 @@
         let Some(state) = self.members.get_mut(member) else { return };
         let before_restart = state.latest.map(|(status, _)| (status.received, now));
         *state = Member {
+            log: state.log.take(),
             published: state.published,
             before_restart: before_restart.or(state.before_restart),
             ..Member::default()
@@ -124,7 +141,9 @@
         if let Some((_, until)) = lost_log {
             self.departures.record_lost_log(until, &self.positions);
         }
-        self.departures.returned(member, status.received);
+        if let Some(log) = &state.log {
+            self.departures.returned(log, status.received);
+        }
         if status.role == Role::Primary {
             self.record_leader_position(
                 status.term,
@@ -323,23 +342,6 @@
         self.members.get(member).is_some_and(|state| state.published == Some(Role::Primary))
     }
 
-    /// Whether a log up to `received` has every acknowledged commit that only replicas which have left the group, or lost
-    /// their logs, had besides the primary.
-    /// `members` is the number of members that the group is known to have had; if it has fewer, replicas may have left
-    /// before this instance started.
-    pub(super) fn covers_departures(&self, received: Position, members: usize) -> bool {
-        let has_lost_members = self.members.len() < members;
-        self.departures.are_covered_by(received)
-            && !self.earlier_departures.exceed(received)
-            && (!has_lost_members || self.earlier_departures.are_covered_by(received))
-    }
-
-    /// Whether members that are not listed may receive commits of the leader: a replica has left during its term, or fewer
-    /// are listed than `members`.
-    pub(super) fn may_lack_members(&self, members: usize) -> bool {
-        self.departures.is_recorded() || self.members.len() < members
-    }
-
     /// The primary of the highest known term that had a primary; `None` until it is known.
     pub fn leader(&self, now: Instant) -> Option<Leader> {
         let leads = |member: &MemberId, status: &MemberStatus| {
@@ -420,6 +422,7 @@
                 // The primary of a later term began with every commit that counts.
                 self.departures = Departures::default();
                 self.earlier_departures = Departures::default();
+                self.known_logs.unlisted.clear();
             }
         }
         if self.positions.back().is_some_and(|last| last.sent >= position.sent) {
--- a/crates/core/src/sync_group/view/proofs.rs
+++ b/crates/core/src/sync_group/view/proofs.rs
@@ -59,7 +59,7 @@
         let others = self.answers().filter(|(member, _, _)| **member != leader.member);
         let without_hold = others.filter(|(_, status, _)| status.highest_term() <= leader.term);
         let replica_sent = without_hold.map(|(_, _, sent)| sent).max();
-        let is_only_member = self.members.len() == 1 && status.held <= leader.term;
+        let is_only_member = self.is_only_member() && status.held <= leader.term;
         let replica_sent = if is_only_member { Some(*leader_sent) } else { replica_sent };
         replica_sent.map(|sent| sent.min(*leader_sent))
     }
@@ -105,7 +105,9 @@
             let status = state.latest.as_ref().map(|(status, _)| status);
             status.is_some_and(|status| status.role == Role::Primary && status.term == term)
         };
-        if self.members.values().any(is_leader)
+        let are_all_listed = self.members.len() > 1 || self.is_only_member();
+        if are_all_listed
+            && self.members.values().any(is_leader)
             && self.members.values().all(|state| is_leader(state) || holds_no_higher_term(state))
         {
             self.uncertainty = None;
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -212,6 +212,10 @@
     Instances,
     /// Failover claims by group.
     FailoverClaims,
+    /// Logs of the groups, by group.
+    GroupLogs,
+    /// Members that an operator has declared lost, whose addresses are the names of the objects.
+    LostMembers,
     /// Evacuated data centres, whose names are those of the objects.
     Evacuations,
 }
@@ -224,6 +228,8 @@
             Self::Members => "members",
             Self::Instances => "instances",
             Self::FailoverClaims => "duties",
+            Self::GroupLogs => "group_logs",
+            Self::LostMembers => "lost_members",
             Self::Evacuations => "evacuations",
         }
     }
@@ -269,6 +275,8 @@
     Member(MemberRecord),
     /// The request to evacuate the data centre that the object is named for.
     Evacuation,
+    /// The word of an operator that the member at the address that the object is named for is lost, with its log.
+    LostMember,
     /// Text that an instance of the gateway wrote.
     GatewayText(Box<str>),
     /// Content that cannot be decoded.
--- a/crates/gateway/src/control/steps.rs
+++ b/crates/gateway/src/control/steps.rs
@@ -1,7 +1,9 @@
 //! Steps of a failover that call the store or the platform.
 
+use std::rc::Rc;
+
 use hibiscusladder_core::{
-    name::MemberId,
+    name::{LogId, MemberId},
     position::Term,
     sync_group::{ClaimGrant, PromotionRecord},
 };
@@ -10,6 +12,8 @@
 use crate::{
     adapter::{Platform, Promoter},
     events::{self, Event},
+    failover_claim::ClaimError,
+    group_logs::LogHost,
     group_state::GroupState,
     metrics::Counter,
     node::Node,
@@ -29,13 +33,20 @@
     }
 }
 
-/// Claims the failover of the group, and reports the answer.
-pub(super) async fn claim<P>(node: &Node<P>, group: &GroupState, term: Term)
+/// Claims the failover of the group, reads which logs it has, and reports the answer.
+pub(super) async fn claim<P>(node: &Node<P>, group: &Rc<GroupState>, term: Term)
 where
     P: Platform,
 {
-    let granted = node.claims().claim(&group.name, term).await;
-    let mut fields = json!({ "group": group.name.as_str(), "step": "claim" });
+    let mut granted = node.claims().claim(&group.name, term).await;
+    if granted.is_ok()
+        && let Err(error) = node.logs().read_for(group).await
+    {
+        granted = Err(ClaimError::LogsUnknown(error));
+    }
+    let absent = group.view.borrow().absent_logs();
+    let absent: Vec<&str> = absent.iter().map(LogId::as_str).collect();
+    let mut fields = json!({ "group": group.name.as_str(), "step": "claim", "absent": absent });
     events::extend(
         &mut fields,
         match &granted {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -61,6 +61,10 @@
     StoreRestored,
     /// The store lacked a record of a promotion after a restore, and it was written again or could not be.
     PromotionRecordWritten,
+    /// The logs of a group were recorded in the store, or could not be.
+    LogsRecorded,
+    /// Logs that an operator has declared lost no longer prevent a failover.
+    LogsGivenUp,
     /// An answer of the store was not used, because of its era.
     StoreAnswerRejected,
     /// A member is new, or its entry changed.
@@ -129,6 +133,8 @@
             Self::StoreRegained => "store_regained",
             Self::StoreRestored => "store_restored",
             Self::PromotionRecordWritten => "promotion_record_written",
+            Self::LogsRecorded => "logs_recorded",
+            Self::LogsGivenUp => "logs_given_up",
             Self::StoreAnswerRejected => "store_answer_rejected",
             Self::MemberChanged => "member_changed",
             Self::MemberGone => "member_gone",
--- a/crates/gateway/src/failover_claim.rs
+++ b/crates/gateway/src/failover_claim.rs
@@ -33,6 +33,9 @@
     /// The claims could not be read.
     #[error("the claims cannot be read: {0}")]
     NotListed(StoreError),
+    /// The claim was granted, but the logs of the group could not be read.
+    #[error("the recorded logs of the group cannot be read: {0}")]
+    LogsUnknown(StoreError),
     /// Another instance may be acting under its claim, or under one that the store has lost.
     #[error("another instance may act until its claim has ended, or a claim that the store lost")]
     Waiting,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod evacuations;
 pub mod events;
 pub mod failover_claim;
+pub mod group_logs;
 pub mod group_state;
 pub mod holder;
 pub mod in_flight;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -18,12 +18,13 @@
     clock::{Clock, Instant},
     connection_limit::{reserve, standby_part},
     first_configuration::{Fleet, is_confirmed},
-    name::{DataCentre, Group, InstanceId, MemberId, Workspace},
+    name::{DataCentre, Group, InstanceId, LogId, MemberId, Workspace},
     roster::{FleetRole, Roster},
     share::AllotmentPart,
     shutdown::StopPlan,
     store_era::REWRITE_TIME,
     store_version::StoreVersion,
+    sync_group::ListedMember,
     topology::{Connections, HOLDERS_PER_MEMBER, STANDBYS_PER_MEMBER, Topology},
 };
 use hibiscusladder_io::clock::BootClock;
@@ -38,6 +39,7 @@
     directory::Directory,
     evacuations::EvacuationState,
     events::{self, Event},
+    group_logs::GroupLogs,
     group_state::GroupState,
     in_flight::InFlight,
     ledger::Ledger,
@@ -102,6 +104,8 @@
     pub peers: RefCell<Peers>,
     /// Failover claims that this instance has read or made.
     pub failover_claims: RefCell<FailoverClaims>,
+    /// Logs of the groups that are recorded in the store.
+    pub group_logs: RefCell<GroupLogs>,
     /// Socket for messages to and from other instances.
     pub datagrams: UdpSocket,
     /// Idle tunnels to holders.
@@ -186,6 +190,7 @@
             members: RefCell::default(),
             admission: RefCell::default(),
             failover_claims: RefCell::default(),
+            group_logs: RefCell::default(),
             datagrams,
             topology: RefCell::default(),
             roster: RefCell::default(),
@@ -441,7 +446,11 @@
         let members = self.members.borrow();
         for group in self.groups.borrow().values() {
             let members = members.in_group(&group.name);
-            let members = members.map(|(id, member)| (id.clone(), member.record.role));
+            let members = members.map(|(id, member)| ListedMember {
+                member: id.clone(),
+                log: LogId::from(member.record.address.to_string()),
+                published: member.record.role,
+            });
             group.view.borrow_mut().set_members(members, gone_since);
             group.notify();
         }
--- a/crates/gateway/src/node/fleet.rs
+++ b/crates/gateway/src/node/fleet.rs
@@ -14,7 +14,12 @@
 
 use super::Node;
 use crate::{
-    adapter::Platform, failover_claim::ClaimClient, message::Registration, peers::OfferedRoster,
+    adapter::Platform,
+    failover_claim::ClaimClient,
+    group_logs::{LogClient, LogHost},
+    group_state::GroupState,
+    message::Registration,
+    peers::OfferedRoster,
     promotion_records::RecordHost,
 };
 
@@ -242,3 +247,27 @@
         self.role() == FleetRole::Hub && self.knows_fleet()
     }
 }
+
+impl<P> LogHost for Node<P>
+where
+    P: Platform,
+{
+    type Store = P::Store;
+
+    fn logs(&self) -> LogClient<'_, P::Store> {
+        LogClient {
+            store: &self.store,
+            era: &self.store_era,
+            table: &self.group_logs,
+            metrics: &self.metrics,
+        }
+    }
+
+    fn guarded_groups(&self) -> Vec<Rc<GroupState>> {
+        if self.is_writer() { self.groups() } else { Vec::new() }
+    }
+
+    fn keeps_record(&self, group: &Group) -> bool {
+        self.writer_rank(group) == Some(0)
+    }
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -21,7 +21,7 @@
     adapter::{Collection, Platform},
     control, evacuations,
     events::{self, Event},
-    holder, listener, messenger,
+    group_logs, holder, listener, messenger,
     node::Node,
     promotion_records, session,
     settings::Settings,
@@ -114,6 +114,7 @@
     node.supervise("sender", messenger::send_all);
     node.supervise("control", control::run);
     node.supervise("promotion records", promotion_records::run);
+    node.supervise("group logs", group_logs::run);
     wait_for_end(&node, &mut signals).await;
     Ok(())
 }
--- a/crates/gateway/src/status_page.rs
+++ b/crates/gateway/src/status_page.rs
@@ -157,7 +157,7 @@
          hibiscus_priorities_enabled {}\nhibiscus_return_times_enabled {}\nhibiscus_waiting_requests {}\n\
          hibiscus_store_era {}\nhibiscus_store_restores_total {}\nhibiscus_store_answers_rejected_total {}\n\
          hibiscus_instances_kept {}\nhibiscus_configuration_unconfirmed {}\n\
-         hibiscus_promotion_records {}\nhibiscus_promotion_records_lacking {}\n\
+         hibiscus_promotion_records {}\nhibiscus_promotion_records_lacking {}\nhibiscus_absent_logs {}\n\
          hibiscus_peer_bytes {bytes}\nhibiscus_peer_bytes_limit {bytes_limit}\n\
          hibiscus_peer_connections {connections}\nhibiscus_peer_connections_limit {connections_limit}\n",
         node.version(),
@@ -173,6 +173,7 @@
         u8::from(node.has_unconfirmed_directory()),
         claims.known_records(),
         claims.lacking(node.instance(), node.store_era.known(), node.now()).len(),
+        node.groups().iter().map(|group| group.view.borrow().absent_logs().len()).sum::<usize>(),
     );
     let written = node.evacuations.write_metrics(&mut text);
     let written = written.and_then(|()| node.cold.write(&mut text, node.now()));
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -216,7 +216,8 @@
 {
     let cold_remaining = record.cold_remaining.take();
     let fields = json!({
-        "member": id.as_str(), "group": record.group.as_str(), "leaving": record.leaving,
+        "member": id.as_str(), "group": record.group.as_str(), "address": record.address.to_string(),
+        "leaving": record.leaving,
         "role": format!("{:?}", record.role), "started_ms": record.started_ms,
         "sequence": record.sequence,
     });
--- a/hibiscusladder/tests/gateway/main.rs
+++ b/hibiscusladder/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests of gateway processes against the stand-in for the platform.
 
+mod absent;
 mod cold;
 mod evacuation;
 mod fleet;
