fix(gateway): release holds above the term of the new primary

Cause: an attempt holds a term above all holds that it finds. The platform gives the promoted member the term after that of the last primary, and a promotion ends holds up to its own term only. A replica that an earlier attempt had left with a hold received nothing from the new primary; each repair of the orphaned term replaced the primary and left a hold one higher.

Change: after a promotion the claimant releases the replicas that hold a higher term. An orphaned hold is released under a claim, if the primary answers and was not replaced; otherwise the primary is replaced as before. A hold is orphaned 1 s after the last announcement of an attempt.

--- a/crates/core/src/sync_group.rs
+++ b/crates/core/src/sync_group.rs
@@ -42,6 +42,7 @@
 mod leader;
 mod listed_member;
 mod member;
+mod orphan;
 mod promotion_record;
 mod promotion_rule;
 mod status;
@@ -58,6 +59,7 @@
     failover::{Failover, FailoverAction, GrantedClaim},
     leader::{Leader, LeaderInfo, LeaderPosition},
     listed_member::ListedMember,
+    orphan::OrphanDetector,
     promotion_record::{PromotionRecord, PromotionRecords, RecordedPromotion},
     promotion_rule::{Demand, PromotionRule, Stop, Verdict},
     status::{MemberStatus, Role},
--- a/crates/core/src/sync_group/failover.rs
+++ b/crates/core/src/sync_group/failover.rs
@@ -156,7 +156,11 @@
                 self.grant = Some(granted.grant);
                 self.repeats_term = granted.repeats_term;
                 self.is_renewing = false;
-                self.enter(Stage::Fencing(Fencing::new(rule)), now);
+                let stage = match self.trigger {
+                    Trigger::Orphaned => Stage::Repairing(rule),
+                    _ => Stage::Fencing(Fencing::new(rule)),
+                };
+                self.enter(stage, now);
             }
             None => {
                 self.backoff_until = now.plus(RETRY_DELAY);
@@ -207,7 +211,11 @@
             Stage::Recording(_) | Stage::Promoting(_) => Some((self.target_term, true)),
             // The primary may have been demoted, so that it must not get writes.
             Stage::Settling(_) => Some((self.target_term, false)),
-            Stage::Idle | Stage::Claiming | Stage::ClaimLost | Stage::Releasing(_) => None,
+            Stage::Idle
+            | Stage::Claiming
+            | Stage::ClaimLost
+            | Stage::Repairing(_)
+            | Stage::Releasing(_) => None,
         }
     }
 
@@ -247,6 +255,7 @@
             Stage::Fencing(fencing) => self.step_fencing(fencing, view, leaving, confirmed, now),
             Stage::Recording(promotion) => self.step_recording(promotion, view, now),
             Stage::Settling(rule) => self.step_settling(rule, view, leaving, confirmed, now),
+            Stage::Repairing(rule) => self.step_repairing(rule, view, leaving, confirmed, now),
             Stage::Releasing(releasing) => self.step_releasing(releasing, view, now),
             Stage::ClaimLost => self.end(self.is_replaced(view, now), view, now),
             Stage::Promoting(promotion) => self.step_promoting(promotion, view, leaving, now),
--- a/crates/core/src/sync_group/failover/action.rs
+++ b/crates/core/src/sync_group/failover/action.rs
@@ -57,6 +57,8 @@
         /// The renewed claim.
         grant: ClaimGrant,
     },
+    /// The group needs no other primary: members that held a term without need are being released.
+    Repaired,
     /// Command a replica to receive the log of lower-term primaries again.
     Resume {
         /// Replica that still holds the term of the attempt.
--- a/crates/core/src/sync_group/failover/ending.rs
+++ b/crates/core/src/sync_group/failover/ending.rs
@@ -10,7 +10,8 @@
 use crate::{
     clock::Instant,
     name::MemberId,
-    sync_group::{GroupView, PromotionRule, Stop},
+    position::Term,
+    sync_group::{GroupView, PromotionRule, SUSPICION_TIMEOUT, Stop},
 };
 
 impl Failover {
@@ -87,10 +88,12 @@
         view: &GroupView,
         now: Instant,
     ) -> Vec<FailoverAction> {
-        releasing.observe(view, self.target_term);
+        releasing.observe(view);
         // After the end of the claim another instance may need the holds.
         let is_valid = self.grant.is_some_and(|grant| grant.is_valid(now));
-        if releasing.members.is_empty() || !is_valid || self.is_replaced(view, now) {
+        let is_superseded =
+            view.leader(now).is_some_and(|leader| leader.term >= releasing.superseded_by);
+        if releasing.members.is_empty() || !is_valid || is_superseded {
             self.enter(Stage::Idle, now);
             return Vec::new();
         }
@@ -111,22 +114,62 @@
         view: &GroupView,
         now: Instant,
     ) -> Vec<FailoverAction> {
-        let mut actions = Vec::new();
-        if replaced {
-            self.enter(Stage::Idle, now);
+        let mut actions = if replaced {
+            let next = view.leader_term().next();
+            self.release_from(next, next, view, now)
         } else {
             self.backoff_until = now.plus(RETRY_DELAY);
-            let may_hold = |member: &&MemberId| {
-                let held =
-                    view.status(member).is_some_and(|status| status.held >= self.target_term);
-                held || self.commanded.contains(*member)
-            };
-            let members = view.members().filter(may_hold).map(|member| (member.clone(), None));
-            let releasing = Releasing { members: members.collect() };
-            self.enter(Stage::Releasing(releasing.clone()), now);
-            actions = self.step_releasing(releasing, view, now);
-        }
+            self.release_from(self.target_term, self.old_term.next(), view, now)
+        };
         actions.push(FailoverAction::Ended { replaced });
         actions
     }
+
+    /// Ends the attempt and releases the replicas that may hold the term `from` or a higher one, until there is a primary of
+    /// the term `superseded_by`.
+    ///
+    /// A promotion ends only holds up to its own term, and the platform does not take that term from the holds. A hold that an
+    /// earlier attempt left may be above it, and so may that of this attempt, which is above all earlier ones.
+    fn release_from(
+        &mut self,
+        from: Term,
+        superseded_by: Term,
+        view: &GroupView,
+        now: Instant,
+    ) -> Vec<FailoverAction> {
+        let may_hold = |member: &&MemberId| {
+            let held = view.status(member).is_some_and(|status| status.held >= from);
+            held || self.target_term >= from && self.commanded.contains(*member)
+        };
+        let members = view.members().filter(may_hold).map(|member| (member.clone(), None));
+        let releasing = Releasing { from, superseded_by, members: members.collect() };
+        self.enter(Stage::Releasing(releasing.clone()), now);
+        self.step_releasing(releasing, view, now)
+    }
+
+    /// Releases members that hold a term without an attempt, if their primary still leads. If it does not answer, or may have
+    /// been replaced, it is replaced instead.
+    pub(super) fn step_repairing(
+        &mut self,
+        rule: PromotionRule,
+        view: &GroupView,
+        leaving: &[MemberId],
+        confirmed: bool,
+        now: Instant,
+    ) -> Vec<FailoverAction> {
+        if self.is_replaced(view, now) {
+            return self.end(true, view, now);
+        }
+        if rule.is_in_force(view, now) {
+            let next = self.old_term.next();
+            let mut actions = self.release_from(next, next, view, now);
+            actions.push(FailoverAction::Repaired);
+            return actions;
+        }
+        if now.since(self.stage_started) < SUSPICION_TIMEOUT {
+            return Vec::new();
+        }
+        self.enter(Stage::Fencing(Fencing::new(rule)), now);
+        self.step(view, leaving, confirmed, now)
+    }
 }
--- a/crates/core/src/sync_group/failover/stage.rs
+++ b/crates/core/src/sync_group/failover/stage.rs
@@ -16,7 +16,10 @@
     Promoting(Promotion),
     /// The attempt is given up, and waits until it is known whether the primary was demoted.
     Settling(PromotionRule),
-    /// The attempt has ended without a new primary, and the replicas are being released.
+    /// Members hold a term without an attempt. They are released as soon as the primary and the member that was promoted last
+    /// have shown that the primary was not replaced.
+    Repairing(PromotionRule),
+    /// The attempt has ended, and replicas are being released that would not receive from the primary.
     Releasing(Releasing),
     /// The claim was not renewed; the next step ends the attempt.
     ClaimLost,
@@ -83,20 +86,25 @@
     }
 }
 
-/// Replicas that an attempt has commanded to hold a term, and that it releases.
+/// Replicas that hold a term without need, and are released.
 #[derive(Debug, Clone)]
 pub(super) struct Releasing {
+    /// Holds of this term and above end.
+    pub(super) from: Term,
+    /// A primary of this term or a later one ends the release, because its promotion has changed the holds.
+    pub(super) superseded_by: Term,
     /// Replicas that may still hold the term, and when they were last released; `None` before.
     pub(super) members: Vec<(MemberId, Option<Instant>)>,
 }
 
 impl Releasing {
-    /// Leaves out the members that have answered after their release that they hold no term from `target` on.
-    pub(super) fn observe(&mut self, view: &GroupView, target: Term) {
+    /// Leaves out the members that have answered after their release that they hold no such term.
+    pub(super) fn observe(&mut self, view: &GroupView) {
+        let from = self.from;
         self.members.retain(|(member, released)| {
             let answer = view.answer(member);
             let is_released = |released: Instant| {
-                answer.is_some_and(|(status, sent)| status.held < target && sent >= released)
+                answer.is_some_and(|(status, sent)| status.held < from && sent >= released)
             };
             view.contains(member) && !released.is_some_and(is_released)
         });
--- a/crates/core/src/sync_group/promotion_rule.rs
+++ b/crates/core/src/sync_group/promotion_rule.rs
@@ -156,6 +156,22 @@
         self.replaced_primary(view).filter(is_running)
     }
 
+    /// Whether the primary of the term that would be replaced leads it: it answers as primary, and no promotion into the next
+    /// term has taken effect. None is on its way any more when an attempt is granted its claim.
+    pub(super) fn is_in_force(&self, view: &GroupView, now: Instant) -> bool {
+        let has_answered = |member: &MemberId| {
+            let answer = view.answer(member).filter(|(_, sent)| *sent >= self.since);
+            answer.is_some_and(|(status, _)| status.term <= self.replaced)
+        };
+        let next = self.latest.as_ref().filter(|latest| latest.replaced == self.replaced);
+        let is_shown = if self.may_lack_record() {
+            !self.may_lack_members(view) && view.members().all(has_answered)
+        } else {
+            next.is_none_or(|latest| has_answered(&latest.member))
+        };
+        is_shown && self.running_primary(view, now).is_some_and(has_answered)
+    }
+
     /// Records whether the demoted primary has answered as a replica. Only holds that are confirmed after that count.
     pub(super) fn observe_stop(&mut self, view: &GroupView, demoted: &MemberId) {
         let answer = view.answer(demoted).filter(|(_, sent)| *sent >= self.since);
--- a/crates/core/tests/failover_endings.rs
+++ b/crates/core/tests/failover_endings.rs
@@ -6,7 +6,10 @@
 use hibiscusladder_core::{
     name::MemberId,
     position::Term,
-    sync_group::{COMMAND_TIMEOUT, ClaimGrant, Failover, FailoverAction, GroupView, Role, Trigger},
+    sync_group::{
+        COMMAND_TIMEOUT, ClaimGrant, Failover, FailoverAction, GrantedClaim, GroupView,
+        OrphanDetector, PromotionRecord, Role, Trigger,
+    },
 };
 use support::{at, claimed, id, polled, position, status};
 use test_case::test_case;
@@ -120,3 +123,108 @@
     let actions = failover.step(&view, &[], true, at(6020));
     assert_eq!(recorded_member(&actions).is_some(), is_promoted, "{actions:?}");
 }
+
+fn resumed(actions: &[FailoverAction]) -> Vec<MemberId> {
+    let resumed = actions.iter().filter_map(|action| match action {
+        FailoverAction::Resume { member } => Some(member.clone()),
+        _ => None,
+    });
+    resumed.collect()
+}
+
+/// Guards against a replica that receives nothing from the new primary, and a group that never commits again: the replica
+/// holds a term above that of the new primary, which an earlier attempt or this one has commanded.
+#[test_case(3; "hold of this attempt above an earlier one")]
+#[test_case(7; "higher hold of another attempt")]
+fn failover_releases_holds_above_the_new_term(held: u64) {
+    let mut view = polled(0);
+    view.observe(&id("c"), status(Role::Replica, 1, position(1, 8), 2), at(500));
+    let mut failover = claimed(Trigger::Silent, &view, 1000);
+    failover.step(&view, &[], true, at(1000));
+    view.observe(&id("b"), status(Role::Primary, 2, position(1, 9), 0), at(2000));
+    view.observe(&id("c"), status(Role::Replica, 1, position(1, 8), held), at(2000));
+    let actions = failover.step(&view, &[], true, at(2010));
+    assert!(actions.contains(&FailoverAction::Ended { replaced: true }), "{actions:?}");
+    assert!(resumed(&actions).contains(&id("c")), "{actions:?}");
+    for member in ["b", "c"] {
+        let role = if member == "b" { Role::Primary } else { Role::Replica };
+        view.observe(&id(member), status(role, 2, position(1, 9), 0), at(2200));
+    }
+    failover.step(&view, &[], true, at(2300));
+    assert!(failover.is_idle());
+}
+
+/// Guards against a primary that is replaced, with the next hold one higher, because members hold a term which an attempt has
+/// left that nobody carries on: each replacement would leave a hold again.
+#[test]
+fn failover_for_an_orphaned_term_releases_the_members() {
+    let mut view = polled(0);
+    view.observe(&id("c"), status(Role::Replica, 1, position(1, 8), 5), at(500));
+    let mut failover = claimed(Trigger::Orphaned, &view, 1000);
+    assert!(failover.step(&view, &[], false, at(1010)).is_empty(), "the primary has not answered");
+    view.observe(&id("a"), status(Role::Primary, 1, position(1, 9), 0), at(1020));
+    let actions = failover.step(&view, &[], false, at(1030));
+    let resume = FailoverAction::Resume { member: id("c") };
+    assert_eq!(actions, [resume, FailoverAction::Repaired]);
+    assert_eq!(failover.fence(), None);
+}
+
+/// Guards against the release of members for a primary that does not answer or may have been replaced: it would acknowledge
+/// commits that the member lacks which was promoted.
+#[test_case(false, true; "the primary does not answer")]
+#[test_case(true, false; "the promoted member does not answer")]
+fn failover_for_an_orphaned_term_of_a_replaced_primary(primary: bool, promoted: bool) {
+    let mut view = polled(0);
+    view.observe(&id("c"), status(Role::Replica, 1, position(1, 8), 5), at(500));
+    let mut failover = Failover::default();
+    assert!(failover.start(Trigger::Orphaned, &view, at(1000)));
+    failover.step(&view, &[], false, at(1000));
+    let latest = PromotionRecord {
+        replaced: Term(1),
+        member: id("b"),
+        members: 3,
+        position: position(1, 9),
+    };
+    let granted = GrantedClaim {
+        grant: ClaimGrant::new(7, at(1000)),
+        repeats_term: false,
+        latest: Some(latest),
+        may_lack_records: false,
+    };
+    failover.claimed(Some(granted), at(1000));
+    if primary {
+        view.observe(&id("a"), status(Role::Primary, 1, position(1, 9), 0), at(1020));
+    } else {
+        view.poll_sent(&id("a"), at(1010));
+    }
+    if promoted {
+        view.observe(&id("b"), status(Role::Replica, 1, position(1, 9), 0), at(1020));
+    } else {
+        view.poll_sent(&id("b"), at(1010));
+    }
+    assert!(failover.step(&view, &[], false, at(1100)).is_empty());
+    let actions = failover.step(&view, &[], false, at(1900));
+    assert!(resumed(&actions).is_empty(), "{actions:?}");
+    assert!(failover.fence().is_some(), "the primary is replaced");
+}
+
+/// Guards against writes that are stopped for seconds by a hold which nobody needs, as when a member comes back with it, and
+/// against the release of members that a running attempt needs.
+#[test_case(false, 1100, true; "no attempt is announced")]
+#[test_case(true, 1100, false; "an attempt is announced")]
+#[test_case(true, 5100, true; "an attempt takes too long")]
+fn orphan_detector_after_a_hold(announced: bool, ms: u64, is_orphaned: bool) {
+    let mut view = polled(0);
+    let mut orphans = OrphanDetector::default();
+    orphans.observe(&view, at(50));
+    assert!(!orphans.is_fenced());
+    view.observe(&id("c"), status(Role::Replica, 1, position(1, 8), 5), at(100));
+    for now in (100..=100 + ms).step_by(100) {
+        if announced {
+            view.fence(Term(5), at(now));
+        }
+        orphans.observe(&view, at(now));
+    }
+    assert!(orphans.is_fenced());
+    assert_eq!(orphans.is_orphaned(at(100 + ms)), is_orphaned);
+}
--- a/crates/core/tests/failover_simulation/instances.rs
+++ b/crates/core/tests/failover_simulation/instances.rs
@@ -4,9 +4,9 @@
 
 use hibiscusladder_core::{
     name::MemberId,
-    position::Term,
     sync_group::{
-        Failover, FailoverAction, GroupView, PromotionRecords, Role, SUSPICION_TIMEOUT, Trigger,
+        Failover, FailoverAction, GroupView, OrphanDetector, PromotionRecords, Role,
+        SUSPICION_TIMEOUT, Trigger,
     },
 };
 use rand::Rng;
@@ -22,8 +22,6 @@
 
 /// Delay between the starts of two instances that are next to each other in the order of candidates.
 const CANDIDATE_MS: u64 = 700;
-/// Time after which a term that members hold without a primary counts as orphaned.
-const ORPHANED_MS: u64 = 5000;
 
 #[derive(Debug, Clone)]
 pub(crate) struct Instance {
@@ -50,8 +48,7 @@
     pub(crate) rewritten: u64,
     /// Reason to replace the primary, and since when there is one.
     suspected: Option<(Trigger, u64)>,
-    /// Term of the leader, and since when it has been fenced.
-    fenced_since: Option<(Term, u64)>,
+    orphans: OrphanDetector,
     leaderless_since: Option<u64>,
 }
 
@@ -75,7 +72,7 @@
             records: PromotionRecords::default(),
             rewritten: 0,
             suspected: None,
-            fenced_since: None,
+            orphans: OrphanDetector::default(),
             leaderless_since: None,
         }
     }
@@ -85,14 +82,10 @@
     /// Reason to replace the primary, as the gateway derives it from its view.
     fn trigger(&mut self, leaving: &[MemberId], now: u64) -> Option<Trigger> {
         let leader = self.view.leader(at(now));
-        let fenced = leader.as_ref().filter(|leader| leader.fenced).map(|leader| leader.term);
-        self.fenced_since = fenced.map(|term| {
-            let since = self.fenced_since.filter(|(fenced, _)| *fenced == term);
-            since.unwrap_or((term, now))
-        });
+        self.orphans.observe(&self.view, at(now));
         let leaderless_since = self.leaderless_since.take();
-        if let Some((_, since)) = self.fenced_since {
-            return (now >= since + ORPHANED_MS).then_some(Trigger::Orphaned);
+        if self.orphans.is_fenced() {
+            return self.orphans.is_orphaned(at(now)).then_some(Trigger::Orphaned);
         }
         let Some(leader) = leader else {
             let since = *self.leaderless_since.insert(leaderless_since.unwrap_or(now));
@@ -271,6 +264,7 @@
             | FailoverAction::Demote { .. }
             | FailoverAction::Resume { .. }
             | FailoverAction::Promote { .. }
+            | FailoverAction::Repaired
             | FailoverAction::Ended { .. } => {}
         }
     }
--- a/crates/core/tests/failover_simulation/members.rs
+++ b/crates/core/tests/failover_simulation/members.rs
@@ -82,11 +82,13 @@
             self.acknowledged.truncate(kept);
         }
         let term = highest + 1;
-        for member in self.members.iter_mut().filter(|member| member.held > 0) {
+        // A promotion ends only holds that are not above its term.
+        for member in self.members.iter_mut().filter(|member| (1..=term).contains(&member.held)) {
             member.held = 0;
             member.follows = term;
         }
         let state = &mut self.members[member];
+        state.held = 0;
         state.role = Role::Primary;
         state.term = term;
         state.pending.clear();
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -15,7 +15,10 @@
     name::{Group, MemberId},
     position::Term,
     roster::FleetRole,
-    sync_group::{COMMAND_TIMEOUT, FailoverAction, MemberStatus, Role, SUSPICION_TIMEOUT, Trigger},
+    sync_group::{
+        COMMAND_TIMEOUT, FailoverAction, MemberStatus, OrphanDetector, Role, SUSPICION_TIMEOUT,
+        Trigger,
+    },
 };
 use hibiscusladder_io::clock::within;
 use serde_json::json;
@@ -37,8 +40,6 @@
 /// Number of consecutive writes without an answer, and the least time since the first of them, after which a primary
 /// counts as stalled.
 const STALLED_AFTER: (u32, Duration) = (3, Duration::from_millis(1000));
-/// Time after which a term that members hold without a primary counts as orphaned.
-const ORPHANED_AFTER: Duration = Duration::from_secs(5);
 /// Time between two demote commands to a replaced primary.
 const DEMOTE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -46,8 +47,7 @@
 #[derive(Debug, Default)]
 struct FailoverContext {
     suspected: Option<(Trigger, Instant)>,
-    /// Term of the leader, and since when it has been fenced.
-    fenced_since: Option<(Term, Instant)>,
+    orphans: OrphanDetector,
     demoted: BTreeMap<MemberId, Instant>,
     /// Members with a command that has not been answered.
     unanswered: Rc<RefCell<BTreeSet<MemberId>>>,
@@ -159,17 +159,13 @@
 }
 
 fn record_leader_state(group: &GroupState, cx: &mut FailoverContext, now: Instant) {
-    let fenced = group.view.borrow().leader(now).filter(|leader| leader.fenced);
+    cx.orphans.observe(&group.view.borrow(), now);
     let leaderless = {
         let view = group.view.borrow();
         view.leader(now).is_none() && view.members().any(|member| view.status(member).is_some())
     };
     let since = group.leaderless_since.get();
     group.leaderless_since.set(leaderless.then(|| since.unwrap_or(now)));
-    cx.fenced_since = fenced.map(|leader| {
-        let since = cx.fenced_since.filter(|(term, _)| *term == leader.term);
-        since.unwrap_or((leader.term, now))
-    });
 }
 
 /// Starts a failover when there is a trigger and this instance's start delay is over.
@@ -223,8 +219,8 @@
     P: Platform,
 {
     let view = group.view.borrow();
-    if let Some((_, since)) = cx.fenced_since {
-        return (now.since(since) >= ORPHANED_AFTER).then_some(Trigger::Orphaned);
+    if cx.orphans.is_fenced() {
+        return cx.orphans.is_orphaned(now).then_some(Trigger::Orphaned);
     }
     let Some(leader) = view.leader(now) else {
         // After a start the primary may not have answered yet.
@@ -366,6 +362,11 @@
             let (node, group) = (node.clone(), group.clone());
             node.clone().spawn(async move { steps::promote(&node, &group, &member, grant).await });
         }
+        FailoverAction::Repaired => {
+            cx.suspected = None;
+            node.metrics.count(Counter::Failovers, "repaired");
+            log_end(group, "repaired");
+        }
         FailoverAction::Ended { replaced } => {
             group.unanswered_writes.set(None);
             cx.suspected = None;
@@ -377,18 +378,18 @@
             node.send_now.notify(usize::MAX);
             let label = if replaced { "replaced" } else { "abandoned" };
             node.metrics.count(Counter::Failovers, label);
-            events::log(
-                Event::FailoverEnded,
-                json!({
-                    "group": group.name.as_str(), "outcome": label,
-                    "term": group.view.borrow().leader_term().0,
-                }),
-            );
+            log_end(group, label);
             group.notify();
         }
     }
 }
 
+fn log_end(group: &GroupState, outcome: &str) {
+    let term = group.view.borrow().leader_term().0;
+    let fields = json!({ "group": group.name.as_str(), "outcome": outcome, "term": term });
+    events::log(Event::FailoverEnded, fields);
+}
+
 /// Sends a command unless an earlier one to the member is still unanswered. It does not arrive after `until`, the end of
 /// the claim for a command of a failover, nor later than [`COMMAND_TIMEOUT`] from now.
 fn send_command<P>(
