fix(gateway): count instances without reported demand when a burst is divided

Cause: an instance divided the burst among itself and those whose demand it had heard of, and no demand is reported while there is none. Each of eight instances stored the whole burst of an idle workspace.

Change: accruing instances that were not heard of count as idle ones; their number follows from the part of the rate. A bucket holds one token at least, so the first request after a pause is admitted at once. One instance gets the whole burst by requests.

--- a/crates/core/src/share/allotment.rs
+++ b/crates/core/src/share/allotment.rs
@@ -5,6 +5,11 @@
 //! before it is transferred, so no more tokens are used than accrue in all instances together, also across
 //! partitions; a token that is lost in transit is not replaced.
 //!
+//! The load: a workspace is idle, and then its callers come to all instances at once. Instances do not report a demand
+//! that they do not have, so an accruing one counts all that its part of the rate implies, whether it has heard from them or not.
+//! Otherwise each would take the others for absent and store the whole burst. The one with the demand gets what the others
+//! store by requests.
+//!
 //! # Example
 //!
 //! ```
@@ -41,6 +46,9 @@
 /// Least capacity of a bucket in tokens, so that requested tokens fit in; less when the demand in
 /// [`MIN_CAPACITY_TIME`] is lower.
 const MIN_CAPACITY: f64 = 2.0;
+/// Least capacity of an accruing instance in tokens, so that the first request after a pause needs none of another
+/// instance.
+const FIRST_TOKEN: f64 = 1.0;
 /// Time whose demand is the least capacity of a bucket, up to [`MIN_CAPACITY`].
 const MIN_CAPACITY_TIME: Duration = Duration::from_secs(4);
 /// Time between two messages; the tokens that accrue in it have to fit into a bucket.
@@ -332,8 +340,18 @@
         donors.into_iter().map(|(_, name)| name.clone()).collect()
     }
 
+    /// Number of accruing instances that this one has not heard of.
+    fn silent_instances(&self) -> f64 {
+        if self.depends_on_others() {
+            return 0.0;
+        }
+        let known = self.peers.values().filter(|peer| peer.accrues).count();
+        (1.0 / self.part.rate - 1.0 - known as f64).max(0.0)
+    }
+
     fn weight(&self, demand: f64) -> f64 {
-        demand + IDLE_WEIGHT * self.limits.rate / (1 + self.peers.len()) as f64
+        let instances = (1 + self.peers.len()) as f64 + self.silent_instances();
+        demand + IDLE_WEIGHT * self.limits.rate / instances
     }
 
     /// Sets the rate of the bucket to the part that accrues here, and its capacity to a part of the burst that
@@ -349,6 +367,7 @@
                 let own = self.weight(demand) + self.served_demand(now);
                 let others = self.peers.values().filter(|peer| peer.accrues);
                 let others: f64 = others.map(|peer| self.weight(peer.demand)).sum();
+                let others = others + self.silent_instances() * self.weight(0.0);
                 if own > 0.0 { own / (own + others) } else { 0.0 }
             }
         };
@@ -358,6 +377,8 @@
         // The tokens that accrue between two messages have to fit in, or they are lost to instances that need them.
         let min_capacity =
             min_capacity.max(self.limits.rate * self.part.rate * ACCRUAL_TIME.as_secs_f64());
+        let first_token = if self.depends_on_others() { 0.0 } else { FIRST_TOKEN };
+        let min_capacity = min_capacity.max(first_token);
         let capacity = (self.limits.capacity * part).max(min_capacity.min(self.limits.capacity));
         self.bucket.set_limits(self.limits.rate * self.part.rate, capacity, now);
     }
--- a/crates/core/tests/allotment.rs
+++ b/crates/core/tests/allotment.rs
@@ -8,6 +8,7 @@
     share::{Allotment, AllotmentPart, Limits, TokenRequest},
 };
 use proptest::prelude::*;
+use test_case::test_case;
 
 const LIMITS: Limits = Limits { rate: 40.0, capacity: 40.0 };
 /// Time between two exchanges of the fleet.
@@ -168,6 +169,64 @@
     }
 }
 
+/// A fleet of eight instances whose workspace has had no callers for 30 s, so that none has reported any demand.
+fn idle_fleet(limits: Limits) -> Fleet {
+    let allotment = Allotment::new(limits, AllotmentPart::alone(1.0 / 8.0), at(0));
+    Fleet { allotments: vec![allotment; 8], now: at(30_000) }
+}
+
+/// Guards against a burst beyond the contract when the callers of an idle workspace come to all instances at once
+/// (`review/10`): each had stored the whole burst, since none had heard of the others.
+#[test]
+fn idle_instances_store_one_burst_together() {
+    let mut fleet = idle_fleet(LIMITS);
+    let mut admitted = 0;
+    for round in 0..20 {
+        for instance in 0..8 {
+            let now = fleet.now;
+            admitted += fleet.offer(instance, 10);
+            fleet.now = now;
+        }
+        fleet.now = fleet.now.plus(ROUND);
+        // The first reports arrive after the burst has begun.
+        if round >= 2 {
+            fleet.exchange(|_, _| true);
+        }
+    }
+    // 20 rounds are 5 s.
+    let bound = LIMITS.rate * 5.0 + LIMITS.capacity;
+    assert!(f64::from(admitted) <= bound + 0.01, "{admitted} admitted, {bound} may");
+    assert!(f64::from(admitted) >= 0.95 * bound, "{admitted} of {bound} admitted");
+}
+
+/// Guards against a refusal of the first request of a small or idle workspace, whose burst is less than a token for each
+/// instance.
+#[test_case(LIMITS; "idle")]
+#[test_case(Limits { rate: 0.5, capacity: 2.0 }; "small")]
+fn idle_instance_admits_the_first_request(limits: Limits) {
+    let mut fleet = idle_fleet(limits);
+    for instance in 0..8 {
+        let admitted = fleet.allotments[instance].try_admit(fleet.now);
+        assert_eq!(admitted, Ok(()), "instance {instance}");
+    }
+}
+
+/// Guards against a burst of which one instance can use its own part only, because the others never have any demand to
+/// report: it requests their tokens.
+#[test]
+fn whole_burst_is_used_at_one_instance() {
+    let mut fleet = idle_fleet(LIMITS);
+    let mut admitted = 0;
+    for donor in 1..8 {
+        admitted += (0..40).filter(|_| fleet.allotments[0].try_admit(fleet.now).is_ok()).count();
+        let request = fleet.allotments[0].request(40, fleet.now);
+        let tokens = fleet.allotments[donor].transfer_requested(request, fleet.now);
+        fleet.allotments[0].receive(tokens, fleet.now);
+    }
+    admitted += (0..40).filter(|_| fleet.allotments[0].retry_admit(fleet.now).is_ok()).count();
+    assert_eq!(admitted as f64, LIMITS.capacity);
+}
+
 proptest! {
     /// Guards against more admissions than the contract allows, with random partitions and a demand that moves.
     #[test]
