fix(gateway): refuse requests at once while a group waits for absent logs

What callers saw: while a group has no primary because its members with the latest commits are down, tries of writes waited until the clients' deadlines, also when the instance knew that no failover could succeed.

Change: a request that needs the primary is refused at once, with a time to return, when the logs that are missing prevent a failover (GroupView::awaits_logs). The check stands beside that for evacuations. A claimant asks for declared losses whenever a log is absent.

--- a/crates/core/src/sync_group.rs
+++ b/crates/core/src/sync_group.rs
@@ -83,6 +83,10 @@
 /// Time after which the owner of a failover gives up a command without an answer, and withdraws it if it has not been delivered.
 pub const COMMAND_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Number of logs that may be unknown at a promotion, because each acknowledged commit is in two: those of the primary and of
+/// one replica.
+const MAX_UNKNOWN_LOGS: usize = 1;
+
 /// Longest time since an instance heard that the replicas hold a term for which it confirms this to others.
 const CONFIRMATION_AGE: Duration = Duration::from_millis(500);
 
--- a/crates/core/src/sync_group/promotion_rule.rs
+++ b/crates/core/src/sync_group/promotion_rule.rs
@@ -20,18 +20,10 @@
 //! Each acknowledged commit is in the logs of the primary and of one replica. So all logs that the group is known to have,
 //! listed or not, have to be shown by the answers, except one. More may be missing only if the log of the replaced primary is
 //! known to have been replicated since they were, or if an operator has declared them lost.
-//!
-//! A primary that answers nobody cannot be demoted. It is demoted as soon as it answers, also while the promotion takes
-//! effect, and instances that know of the failover pass on no acknowledgement of its term
-//! ([`GroupView::refuses`]).
-//!
-//! The store may have lost the record of the promotion into the replaced term. The primary of that term may then be the only
-//! member that has commits of earlier terms. So the promoted member has to have an entry of the replaced term, or to have led
-//! it, or every member of the group has to have answered as a replica, and the promoted one has the longest log of all.
 
 use std::time::Duration;
 
-use super::{GroupView, PromotionRecord, Role};
+use super::{GroupView, MAX_UNKNOWN_LOGS, PromotionRecord, Role};
 use crate::{
     clock::Instant,
     name::{LogId, MemberId},
@@ -42,8 +34,6 @@
 const HOLD_EVIDENCE_TIME: Duration = Duration::from_millis(500);
 /// Members that a group has at least when the record that names their number may be lost.
 const USUAL_MEMBERS: usize = 3;
-/// Number of logs that may be unknown, because each acknowledged commit is in two: those of the primary and of one replica.
-const MAX_UNKNOWN_LOGS: usize = 1;
 
 /// Rule for one attempt to replace a primary.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/core/src/sync_group/view/logs.rs
+++ b/crates/core/src/sync_group/view/logs.rs
@@ -6,7 +6,12 @@
 use std::collections::BTreeSet;
 
 use super::GroupView;
-use crate::{name::LogId, position::Position, sync_group::Role};
+use crate::{
+    clock::Instant,
+    name::LogId,
+    position::Position,
+    sync_group::{Leader, MAX_UNKNOWN_LOGS, Role, SUSPICION_TIMEOUT},
+};
 
 /// Logs of a group whose members need not be listed.
 #[derive(Debug, Clone, Default)]
@@ -44,6 +49,16 @@
         self.members.len() == 1 && self.absent_logs().is_empty()
     }
 
+    /// Whether the group has no primary that answers, and no failover can succeed before a member is back that is not listed.
+    pub fn awaits_logs(&self, now: Instant) -> bool {
+        let leader = self.leader(now);
+        let is_silent =
+            |leader: &Leader| self.unanswered_for(&leader.member, now) >= SUSPICION_TIMEOUT;
+        let has_primary = leader.as_ref().is_some_and(|leader| !is_silent(leader));
+        let unknown = self.absent_logs().len() + usize::from(leader.is_some());
+        !has_primary && unknown > MAX_UNKNOWN_LOGS && !self.can_cover_departures(true)
+    }
+
     /// Number of logs that were declared lost.
     pub(in crate::sync_group) fn given_up_logs(&self) -> usize {
         self.known_logs.given_up.len()
--- a/crates/core/tests/absent_logs.rs
+++ b/crates/core/tests/absent_logs.rs
@@ -130,3 +130,16 @@
         assert_eq!(view.leader_proven_until(at(200)).is_some(), is_alone);
     }
 }
+
+/// Guards against requests that wait until their deadline for a primary that cannot come, and against refusals while a
+/// failover is near.
+#[test_case(&["a", "b", "c"], false; "only the primary does not answer")]
+#[test_case(&["b", "c"], false; "only the primary is gone")]
+#[test_case(&["c"], true; "the primary and a replica are gone")]
+#[test_case(&["a", "c"], true; "a replica is gone and the primary does not answer")]
+fn awaits_logs_without_a_primary(listed: &[&str], awaits: bool) {
+    let mut view = polled(0);
+    view.poll_sent(&id("a"), at(100));
+    view.set_members(listed.iter().map(|name| (id(name), None)), at(2000));
+    assert_eq!(view.awaits_logs(at(5000)), awaits);
+}
--- a/crates/gateway/src/group_logs.rs
+++ b/crates/gateway/src/group_logs.rs
@@ -34,8 +34,6 @@
 /// Time for which a log has to be dispensable before its record is removed. It covers the delay with which instances learn
 /// of a member that another one has recorded.
 const REMOVAL_DELAY: Duration = Duration::from_secs(2);
-/// Number of absent logs from which it matters whether an operator has declared some of them lost.
-const BLOCKING_LOGS: usize = 2;
 
 /// Logs of a group as stored, in JSON.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -126,8 +124,8 @@
         Ok(())
     }
 
-    /// Reads the records before a failover of `group`. If absent logs would prevent it, reads also which of them an operator
-    /// has declared lost.
+    /// Reads the records before a failover of `group`. If logs are absent, reads also which of them an operator has declared
+    /// lost.
     ///
     /// # Errors
     ///
@@ -135,7 +133,7 @@
     pub async fn read_for(&self, group: &Rc<GroupState>) -> Result<(), StoreError> {
         self.read(std::slice::from_ref(group)).await?;
         let absent = group.view.borrow().absent_logs();
-        if absent.len() < BLOCKING_LOGS {
+        if absent.is_empty() {
             return Ok(());
         }
         let lost = self.list(Collection::LostMembers).await?;
--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -17,9 +17,9 @@
     node::Node,
     pool::OPENING_COST_S,
     request::{
-        self, Attempt, EVACUATED, Purpose, RETRY_DELAY, Request, capacity_wait, hedge_slot_wait,
-        is_blocked_by_evacuation, is_past_deadline, max_connection_wait, poll_if_slow,
-        record_answer, record_retry, refuse, retry_delay, wait_for_change,
+        self, Attempt, Purpose, RETRY_DELAY, Request, capacity_wait, hedge_slot_wait,
+        hopeless_reason, is_past_deadline, max_connection_wait, poll_if_slow, record_answer,
+        record_retry, refuse, retry_delay, wait_for_change,
     },
     urgency::{NoSlot, Work},
 };
@@ -212,8 +212,8 @@
         let mut candidates = read_candidates(node, req);
         if candidates.is_empty() {
             let needs_primary = req.route.consistency == Consistency::Primary;
-            if is_blocked_by_evacuation(node, req, needs_primary) {
-                return refuse(node, req, EVACUATED, Cause::Failover, None);
+            if let Some(reason) = hopeless_reason(node, req, needs_primary) {
+                return refuse(node, req, reason, Cause::Failover, None);
             }
             wait_for_change(node, req).await;
             continue;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -44,7 +44,9 @@
 const CHANGE_WAIT: Duration = Duration::from_millis(100);
 
 /// Reason of a refusal for lack of a member in a data centre that is not evacuated.
-pub const EVACUATED: &str = "the members that could run it are in evacuated data centres";
+const EVACUATED: &str = "the members that could run it are in evacuated data centres";
+/// Reason of a refusal while a group without a primary waits for members that may have the latest commits alone.
+const AWAITS_LOGS: &str = "members that may have the latest commits are down";
 
 /// Latest acknowledged commit of a session.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -168,16 +170,23 @@
     MEMBER_WAIT.max(request_limit(req.route.statement_timeout) * numerator / denominator)
 }
 
-/// Whether an evacuation keeps a request from running, so that it is refused at once instead of waiting for a member.
-pub fn is_blocked_by_evacuation<P>(node: &Node<P>, req: &Request, needs_primary: bool) -> bool
+/// Reason why no member will run the request in time, so that it is refused at once instead of waiting for one; `None` if one
+/// may.
+pub fn hopeless_reason<P>(
+    node: &Node<P>,
+    req: &Request,
+    needs_primary: bool,
+) -> Option<&'static str>
 where
     P: Platform,
 {
-    let blocked = node.blocked_by_evacuation(&req.route.group, needs_primary, node.now()).is_some();
-    if blocked {
+    let (group, now) = (&req.route.group, node.now());
+    if node.blocked_by_evacuation(group, needs_primary, now).is_some() {
         node.evacuations.count_refusal();
+        return Some(EVACUATED);
     }
-    blocked
+    let group = node.group(group).filter(|_| needs_primary)?;
+    group.view.borrow().awaits_logs(now).then_some(AWAITS_LOGS)
 }
 
 /// Logs and counts that a request is sent again.
--- a/crates/gateway/src/transaction.rs
+++ b/crates/gateway/src/transaction.rs
@@ -16,9 +16,9 @@
     pool::Values,
     reads::{Candidate, Round, all_candidates, read_candidates},
     request::{
-        self, EVACUATED, LastCommit, Purpose, Request, capacity_wait, is_blocked_by_evacuation,
-        is_past_deadline, max_connection_wait, poll_if_slow, record_answer, record_read_only,
-        record_retry, refusal_fields, retry_delay, return_delay, wait_for_change,
+        self, LastCommit, Purpose, Request, capacity_wait, hopeless_reason, is_past_deadline,
+        max_connection_wait, poll_if_slow, record_answer, record_read_only, record_retry,
+        refusal_fields, retry_delay, return_delay, wait_for_change,
     },
     tunnel::Payload,
     urgency::Work,
@@ -216,7 +216,7 @@
         let mut busy = false;
         let mut cause = Cause::Failover;
         let mut refusal = None;
-        let mut is_evacuated = false;
+        let mut hopeless = None;
         let mut round = Round::default();
         let mut tried: Vec<MemberId> = Vec::new();
         while !is_past_deadline(node, &self.request, started) {
@@ -224,8 +224,8 @@
             if candidates.is_empty() {
                 let is_primary_route = self.request.route.consistency == Consistency::Primary;
                 let needs_primary = !self.read_only || is_primary_route;
-                if is_blocked_by_evacuation(node, &self.request, needs_primary) {
-                    is_evacuated = true;
+                hopeless = hopeless_reason(node, &self.request, needs_primary);
+                if hopeless.is_some() {
                     break;
                 }
                 wait_for_change(node, &self.request).await;
@@ -263,7 +263,7 @@
             "request": id, "workspace": self.request.workspace.as_str(),
             "group": self.request.route.group.as_str(), "version": node.version(),
         });
-        let reason = if is_evacuated { EVACUATED } else { "no member to begin at" };
+        let reason = hopeless.unwrap_or("no member to begin at");
         events::extend(&mut fields, refusal_fields(&self.request, reason, delay, refusal));
         events::log(Event::RequestRefused, fields);
         let after = delay.after.as_millis().max(1);
--- a/crates/gateway/src/writes.rs
+++ b/crates/gateway/src/writes.rs
@@ -14,9 +14,9 @@
     node::Node,
     reads::accepts_work,
     request::{
-        self, EVACUATED, LastCommit, Purpose, Request, capacity_wait, is_blocked_by_evacuation,
-        is_past_deadline, log_outcome, max_connection_wait, poll_if_slow, record_answer,
-        record_read_only, record_retry, refuse, retry_delay, wait_for_change,
+        self, LastCommit, Purpose, Request, capacity_wait, hopeless_reason, is_past_deadline,
+        log_outcome, max_connection_wait, poll_if_slow, record_answer, record_read_only,
+        record_retry, refuse, retry_delay, wait_for_change,
     },
     urgency::Work,
 };
@@ -48,8 +48,8 @@
             return (refuse(node, req, reason, Cause::Failover, None), None);
         }
         let Some(member) = primary(node, req, node.now()) else {
-            if is_blocked_by_evacuation(node, req, true) {
-                return (refuse(node, req, EVACUATED, Cause::Failover, None), None);
+            if let Some(reason) = hopeless_reason(node, req, true) {
+                return (refuse(node, req, reason, Cause::Failover, None), None);
             }
             wait_for_change(node, req).await;
             continue;
--- a/hibiscusladder/tests/gateway/absent.rs
+++ b/hibiscusladder/tests/gateway/absent.rs
@@ -13,6 +13,8 @@
 const UNLISTED_AFTER: Duration = Duration::from_millis(7000);
 /// Time in which instances that have just started would replace a primary.
 const FAILOVER_TIME: Duration = Duration::from_secs(5);
+/// Time within which a request is refused that cannot be served; one that waits for a primary waits for 4.5 s.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest time until the group serves writes again after a member with all commits is back.
 const RETURN_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -33,7 +35,8 @@
 }
 
 /// Guards against the loss of commits when all instances restart while the primary and the only replica with its latest
-/// commits are down (`review/7`), and against a group without a primary once the replica is back under another id.
+/// commits are down (`review/7`), against requests that wait meanwhile, and against a group without a primary once the replica is
+/// back under another id.
 #[test]
 fn restart_while_two_members_are_down() {
     let mut fleet = Fleet::start(2);
@@ -51,6 +54,12 @@
         fleet.restart(gateway);
     }
     thread::sleep(FAILOVER_TIME);
+    // The instances know that no primary can come, so a request does not wait for one.
+    let asked = Instant::now();
+    let address = fleet.gateways[0].callers;
+    let refused = query_once(address, PRIMARY_DATABASE, WORKSPACES[0], "r", "WRITE r 1");
+    assert_eq!(refused.expect("an answer").code(), Some("BUSY"));
+    assert!(asked.elapsed() < REFUSAL_TIMEOUT, "{:?}", asked.elapsed());
     fleet.standin.lock_group().set_replication_blocked(2, false);
     fleet.standin.lock_group().restart_as_new(1);
     write(&fleet, "c", RETURN_TIMEOUT);
