fix(gateway): promote no log that lacks commits which were passed on

Cause: a member had joined while the store was away. It was neither listed nor recorded, and had all commits that the listed replicas, which received nothing, lacked. The claimant had passed on their acknowledgements itself and did not compare.

Change: an instance remembers up to which position commits of a term were acknowledged for certain, and promotes no member with a shorter log. Ruled out: a wait after each outage of the store, which costs two seconds of service and does not cover a member that alone is cut off from it.

--- a/crates/core/src/sync_group.rs
+++ b/crates/core/src/sync_group.rs
@@ -36,6 +36,7 @@
 //! assert_eq!(view.leader_proven_until(start), Some(start.plus(PROOF_WINDOW)));
 //! ```
 
+mod acknowledged;
 mod claim;
 mod departures;
 mod failover;
--- a/crates/core/src/sync_group/promotion_rule.rs
+++ b/crates/core/src/sync_group/promotion_rule.rs
@@ -19,7 +19,16 @@
 //! A list of members lacks those that have crashed, and an instance that has just started does not know who was listed before.
 //! Each acknowledged commit is in the logs of the primary and of one replica. So all logs that the group is known to have,
 //! listed or not, have to be shown by the answers, except one. More may be missing only if the log of the replaced primary is
-//! known to have been replicated since they were, or if an operator has declared them lost.
+//! known to have been replicated since they were, or if an operator has declared them lost. A member that has joined lately may be
+//! neither listed nor recorded, so the promoted member also has the commits whose acknowledgements the instance has passed on.
+//!
+//! A primary that answers nobody cannot be demoted. It is demoted as soon as it answers, also while the promotion takes
+//! effect, and instances that know of the failover pass on no acknowledgement of its term
+//! ([`GroupView::refuses`]).
+//!
+//! The store may have lost the record of the promotion into the replaced term. The primary of that term may then be the only
+//! member that has commits of earlier terms. So the promoted member has to have an entry of the replaced term, or to have led
+//! it, or every member of the group has to have answered as a replica, and the promoted one has the longest log of all.
 
 use std::time::Duration;
 
@@ -114,6 +123,7 @@
         let candidate = logs.iter().find(|(member, position)| {
             Some(*position) == longest
                 && *position >= self.first_position()
+                && self.has_passed_on(view, *position)
                 && !leaving.contains(member)
                 && self.covers_unlisted(view, *position)
         });
@@ -243,6 +253,13 @@
         !self.may_lack_members(view) && view.members().all(has_no_more)
     }
 
+    /// Whether a log up to `position` has the commits whose acknowledgements this instance has passed on. They may be in the log
+    /// of a member that has joined without being listed yet. A member that was declared lost may have had them alone.
+    fn has_passed_on(&self, view: &GroupView, position: Position) -> bool {
+        let acknowledged = view.acknowledged(self.replaced);
+        view.given_up_logs() > 0 || acknowledged.is_none_or(|acknowledged| position >= acknowledged)
+    }
+
     /// Whether a log up to `position` has every acknowledged commit that only members which are not listed had besides the
     /// replaced primary.
     fn covers_unlisted(&self, view: &GroupView, position: Position) -> bool {
--- a/crates/core/src/sync_group/view.rs
+++ b/crates/core/src/sync_group/view.rs
@@ -12,6 +12,7 @@
 use super::{
     BARRIER_TTL, CONFIRMATION_AGE, FENCE_TTL, Leader, LeaderInfo, LeaderPosition, ListedMember,
     MemberStatus, PROOF_WINDOW, Role, SUSPICION_TIMEOUT,
+    acknowledged::AcknowledgedCommits,
     departures::Departures,
     member::{Member, REPORT_TTL},
 };
@@ -50,6 +51,8 @@
     earlier_departures: Departures,
     /// Logs whose members need not be listed.
     known_logs: KnownLogs,
+    /// Commits whose acknowledgements this instance has passed on.
+    acknowledged: AcknowledgedCommits,
     /// Whether the members have been known.
     is_listed: bool,
 }
@@ -68,6 +71,7 @@
             departures: Departures::default(),
             earlier_departures: Departures::default(),
             known_logs: KnownLogs::default(),
+            acknowledged: AcknowledgedCommits::default(),
             is_listed: false,
         }
     }
@@ -163,6 +167,17 @@
         self.end_uncertainty(position.term, sent);
     }
 
+    /// Records that the acknowledgement of a commit which was sent at `sent`, with its position, arrived at `now` and is passed
+    /// on.
+    pub fn commit_passed_on(&mut self, position: Position, sent: Instant, now: Instant) {
+        self.acknowledged.record(position, sent, now);
+    }
+
+    /// Position up to which commits of `term` were acknowledged at this instance, at least.
+    pub(super) fn acknowledged(&self, term: Term) -> Option<Position> {
+        self.acknowledged.reached(term)
+    }
+
     /// Records that `member` answered a request that was sent at `sent`. The position in the answer is used only when
     /// the member is the leader.
     pub fn answered(&mut self, member: &MemberId, position: Option<Position>, sent: Instant) {
--- a/crates/core/tests/absent_logs.rs
+++ b/crates/core/tests/absent_logs.rs
@@ -12,7 +12,7 @@
         FailoverAction, GroupView, ListedMember, PromotionRule, Role, Stop, Trigger, Verdict,
     },
 };
-use support::{at, claimed, id, polled, position, status};
+use support::{at, claimed, hold_all, id, polled, position, status};
 use test_case::test_case;
 
 fn logs(names: &[&str]) -> BTreeSet<LogId> {
@@ -131,6 +131,25 @@
     }
 }
 
+/// Guards against the loss of commits that only the primary and a member have which has joined while the store was away, so
+/// that it is neither listed nor recorded (`review/6`).
+#[test]
+fn verdict_while_a_new_member_is_not_listed() {
+    let mut view = polled(0);
+    for (lsn, sent) in [(20, 100), (30, 200), (31, 205)] {
+        view.commit_acknowledged(&id("a"), position(1, lsn), at(sent));
+        // The third commit was sent before the second was answered.
+        view.commit_passed_on(position(1, lsn), at(sent), at(sent + 10));
+    }
+    view.poll_sent(&id("a"), at(1000));
+    hold_all(&mut view, 2, 5100);
+    assert_eq!(rule(5000).verdict(&view, &[], at(5200)), Verdict::NoCandidate);
+    view.set_members(["a", "b", "c", "d"].map(|name| (id(name), None)), at(5300));
+    view.observe(&id("d"), status(Role::Replica, 1, position(1, 21), 2), at(5310));
+    let candidate = Verdict::Candidate { member: id("d"), position: position(1, 21) };
+    assert_eq!(rule(5000).verdict(&view, &[], at(5400)), candidate);
+}
+
 /// Guards against requests that wait until their deadline for a primary that cannot come, and against refusals while a
 /// failover is near.
 #[test_case(&["a", "b", "c"], false; "only the primary does not answer")]
--- a/crates/gateway/src/writes.rs
+++ b/crates/gateway/src/writes.rs
@@ -172,7 +172,10 @@
     if group.view.borrow().refuses(position.term, node.now()) {
         return false;
     }
-    group.view.borrow_mut().commit_acknowledged(member, position, sent);
+    let mut view = group.view.borrow_mut();
+    view.commit_acknowledged(member, position, sent);
+    view.commit_passed_on(position, sent, node.now());
+    drop(view);
     group.record_answer(node.now());
     group.log_leader_change(Some(member), node.now());
     true
