fix(gateway): charge what a session keeps of its key and its transaction

Cause: the request that begins a transaction is kept while it is open, but the charge for its message ended with the answer. The key of a session was not charged either.

--- a/crates/gateway/src/operation.rs
+++ b/crates/gateway/src/operation.rs
@@ -49,6 +49,10 @@
     prepared: BTreeMap<Box<str>, (Access, Box<str>)>,
     /// Charge for the values and the prepared statements.
     charge: Charge,
+    /// Charge for the request that began the transaction, which is kept for as long as it is open.
+    begun: Charge,
+    /// Charge for the key, which may be any text on a public route.
+    _key: Charge,
     last_commit: Option<LastCommit>,
     transaction: Option<Transaction<P>>,
     state: TransactionState,
@@ -62,6 +66,8 @@
 {
     /// Creates the session of a caller that presented `key`.
     pub fn new(node: Rc<Node<P>>, database: Database, key: Box<str>, account: &Account) -> Self {
+        let mut key_charge = account.empty_charge();
+        key_charge.resize_held(key.len() + database.as_str().len());
         Self {
             node,
             database,
@@ -69,6 +75,8 @@
             values: Rc::default(),
             prepared: BTreeMap::new(),
             charge: account.empty_charge(),
+            begun: account.empty_charge(),
+            _key: key_charge,
             last_commit: None,
             transaction: None,
             state: TransactionState::Idle,
@@ -104,6 +112,9 @@
             let rollback = matches!(query.statement, Statement::Rollback).then_some(&query);
             transaction.start_rollback(&self.node, rollback);
         }
+        if self.transaction.is_none() {
+            self.begun.resize_held(0);
+        }
         let label = answer.code().map_or("success", Code::as_str);
         self.node.metrics.count(Counter::Answers, label);
         answer
@@ -113,6 +124,7 @@
     pub fn abort(&mut self, reason: &'static str) {
         let Some(mut transaction) = self.transaction.take() else { return };
         transaction.start_rollback(&self.node, None);
+        self.begun.resize_held(0);
         self.state = TransactionState::Failed;
         self.aborted = Some(reason);
         events::log(
@@ -198,6 +210,8 @@
             Ok(request) => request,
             Err(failure) => return Answer::failed(failure, TransactionState::Idle),
         };
+        // The charge for the message ends with its answer.
+        self.begun.resize_held(request.id.len() + query.text.len());
         self.transaction = Some(Transaction::new(request, read_only));
         Answer::done(TransactionState::Open)
     }
--- a/hibiscusladder/tests/uncontrolled_clients/messages.rs
+++ b/hibiscusladder/tests/uncontrolled_clients/messages.rs
@@ -6,7 +6,7 @@
 use test_case::test_case;
 
 use crate::{
-    clients::{Crowd, read_all},
+    clients::{Crowd, read_all, skip_line},
     fleet::query_once,
     watched::Watched,
 };
@@ -87,6 +87,21 @@
     watched.check_limits("ahead-on-one-connection");
 }
 
+/// Guards against an instance that holds the long ids of open transactions without counting them (`review/8`).
+#[test]
+fn open_transactions_with_long_ids() {
+    let mut watched = Watched::start();
+    let mut crowd = Crowd::open(watched.fleet.gateways[0].callers, CLIENTS);
+    let id = "x".repeat(MESSAGE_BYTES);
+    crowd.for_each(|_, stream| {
+        write!(stream, "QUERY {id} BEGIN\r\n")?;
+        skip_line(stream)
+    });
+    watched.check_serves("ordinary");
+    drop(crowd);
+    watched.check_limits("long-ids");
+}
+
 /// Guards against answers that an instance holds for clients that do not read them.
 #[test]
 fn many_messages_ahead_without_reading() {
