fix(gateway): count the drain time of a leaving primary from its report

Cause: the drain time counted from when a process first read the entry, which does not tell since when the member is leaving.

Change: instances tell each other which members are leaving and for how long; the earliest time counts. The section is sent only while there is a leaving member.

--- a/crates/gateway/src/member_table.rs
+++ b/crates/gateway/src/member_table.rs
@@ -8,6 +8,8 @@
     name::{Group, MemberId},
 };
 
+use serde::{Deserialize, Serialize};
+
 use crate::adapter::MemberRecord;
 
 /// Time for which a member is kept after its entry was first missing.
@@ -17,6 +19,22 @@
 /// Time for which the last report of a removed member is known. A store is restored from a copy that is some seconds old.
 const DEPARTED_TIME: Duration = Duration::from_secs(600);
 
+/// Longest age of a report that a member is leaving which is passed on.
+const MAX_TOLD_AGE: Duration = Duration::from_secs(60);
+/// Largest number of leaving members in a message, so that it stays within a packet.
+const MAX_TOLD: usize = 16;
+
+/// A member that is leaving, as one instance tells another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingMember {
+    /// Id of the member.
+    pub member: MemberId,
+    /// Start of its process, in Unix milliseconds.
+    pub started_ms: u64,
+    /// Time for which the sender has known that it is leaving, in microseconds.
+    pub age: u64,
+}
+
 /// A member, and since when it has been leaving or its entry has been missing.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Member {
@@ -63,6 +81,8 @@
     members: BTreeMap<MemberId, Member>,
     /// Last reports of removed members, with the time of the removal.
     departed: BTreeMap<MemberId, (KnownReport, Instant)>,
+    /// Members that other instances have told to be leaving: start of the process, and since when.
+    told_leaving: BTreeMap<MemberId, (u64, Instant)>,
     /// Number of changes so far.
     changes: u64,
 }
@@ -85,8 +105,11 @@
         self.departed.remove(&id);
         let known = KnownReport::new(report, era);
         let leaving = record.leaving;
+        let told = self.told_leaving.get(&id);
+        let told = told.filter(|(started_ms, _)| *started_ms == record.started_ms);
+        let learned_at = told.map_or(now, |(_, since)| now.min(*since));
         let Some(member) = self.members.get_mut(&id) else {
-            let leaving_since = leaving.then_some(now);
+            let leaving_since = leaving.then_some(learned_at);
             let (left_before, lapsed_since) = (leaving, None);
             let member = Member { record, leaving_since, left_before, lapsed_since, known };
             self.members.insert(id, member);
@@ -105,12 +128,41 @@
         let same_process = member.record.address == record.address
             && member.record.started_ms == record.started_ms
             && member.record.group == record.group;
-        member.leaving_since = leaving.then(|| member.leaving_since.unwrap_or(now));
+        member.leaving_since = leaving.then(|| member.leaving_since.unwrap_or(learned_at));
         member.left_before &= leaving;
         member.record = record;
         if same_process { MemberChange::Updated } else { MemberChange::Restarted }
     }
 
+    /// The members that have been leaving for the shortest time, for a message to another instance.
+    pub fn leaving(&self, now: Instant) -> Vec<LeavingMember> {
+        let leaving = self.members.iter().filter_map(|(id, member)| {
+            let age = now.since(member.leaving_since?);
+            let started_ms = member.record.started_ms;
+            let age = (age < MAX_TOLD_AGE).then(|| u64::try_from(age.as_micros()).ok())??;
+            Some(LeavingMember { member: id.clone(), started_ms, age })
+        });
+        let mut leaving: Vec<_> = leaving.collect();
+        leaving.sort_by_key(|member| member.age);
+        leaving.truncate(MAX_TOLD);
+        leaving
+    }
+
+    /// Records which members are leaving, and since when, as another instance knows it. One that was cut off learns from the store that
+    /// a member is leaving, but not since when.
+    pub fn learn_leaving(&mut self, told: &[LeavingMember], now: Instant) {
+        for LeavingMember { member: id, started_ms, age } in told {
+            let since = now.minus(Duration::from_micros(*age).min(MAX_TOLD_AGE));
+            let known = self.told_leaving.get(id).filter(|(known, _)| known == started_ms);
+            let since = known.map_or(since, |(_, known)| since.min(*known));
+            self.told_leaving.insert(id.clone(), (*started_ms, since));
+            let member = self.members.get_mut(id);
+            if let Some(member) = member.filter(|member| member.record.started_ms == *started_ms) {
+                member.leaving_since = member.leaving_since.map(|own| own.min(since));
+            }
+        }
+    }
+
     /// Records that the entry of a member is missing in `era` of the store.
     pub fn lapse(&mut self, id: &str, era: u64, now: Instant) {
         self.changes += 1;
@@ -148,6 +200,7 @@
             }
         }
         self.departed.retain(|_, (_, removed_at)| now.since(*removed_at) < DEPARTED_TIME);
+        self.told_leaving.retain(|_, (_, since)| now.since(*since) < DEPARTED_TIME);
         expired
     }
 
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -8,7 +8,9 @@
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::{claim_table::StoredPromotion, cold::ColdReport, pace::PaceReport};
+use crate::{
+    claim_table::StoredPromotion, cold::ColdReport, member_table::LeavingMember, pace::PaceReport,
+};
 
 /// One message between two instances.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -169,6 +171,8 @@
     Lending = 4,
     /// Recent records of promotions.
     Promotions = 5,
+    /// Members that are leaving.
+    Leaving = 6,
     /// Urgency of the request of a call.
     Urgency = 16,
     /// Expected wait and retry delay of a call that got no slot.
@@ -246,6 +250,14 @@
     pub records: Vec<PromotionEntry>,
 }
 
+/// Members that are leaving, as the sender knows it, so that the receiver does not count from when it learns of them. The section
+/// is left out while there is none.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingSection {
+    /// The members, the latest first.
+    pub members: Vec<LeavingMember>,
+}
+
 /// Version of a list of instances.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RosterVersion {
--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -25,8 +25,9 @@
     events::{self, Event},
     group_state::GroupState,
     message::{
-        self, Datagram, Extension, GroupInfo, LeaderEntry, PaceSection, RosterVersion, SectionKind,
-        Sections, Status, StoreSection, TokenRequestMessage, TokenTransferMessage,
+        self, Datagram, Extension, GroupInfo, LeaderEntry, LeavingSection, PaceSection,
+        RosterVersion, SectionKind, Sections, Status, StoreSection, TokenRequestMessage,
+        TokenTransferMessage,
     },
     node::Node,
     peers::{OfferedRoster, SEND_INTERVAL, nanos},
@@ -99,6 +100,9 @@
         let is_group = |group: &Group| node.group(group).is_some();
         promotion_records::receive(&mut claims, &section, is_group, &node.metrics, now);
     }
+    if let Some(LeavingSection { members }) = sections.get(SectionKind::Leaving) {
+        node.members.borrow_mut().learn_leaving(&members, now);
+    }
     let topology = node.topology();
     let is_hub = topology.is_hub(&from);
     node.admission.borrow_mut().record_peer(&from, &status.demands, is_hub, now);
@@ -375,7 +379,7 @@
 }
 
 /// The sections of a message to `receiver`: what it says of restores of the store, of evacuations, of cold or overloaded
-/// members, and of promotions.
+/// members, of leaving ones, and of promotions.
 fn sections<P>(node: &Node<P>, receiver: &InstanceId, now: Instant) -> Sections
 where
     P: Platform,
@@ -402,6 +406,11 @@
         // Names and numbers cannot fail to be encoded.
         let _ = sections.insert(SectionKind::Evacuations, &notice);
     }
+    let members = node.members.borrow().leaving(now);
+    if !members.is_empty() {
+        // Names and numbers can always be encoded.
+        let _ = sections.insert(SectionKind::Leaving, &LeavingSection { members });
+    }
     let topology = node.topology();
     let may_replace = topology.is_hub(receiver) || topology.is_successor(receiver);
     if may_replace
