--- a/hibiscusladder/tests/gateway/absent.rs
+++ b/hibiscusladder/tests/gateway/absent.rs
@@ -34,11 +34,9 @@
     }
 }
 
-/// Guards against the loss of commits when all instances restart while the primary and the only replica with its latest
-/// commits are down (`review/7`), against requests that wait meanwhile, and against a group without a primary once the replica is
-/// back under another id.
-#[test]
-fn restart_while_two_members_are_down() {
+/// Restarts all instances of a fleet of two whose primary (0) and only replica with its latest commit (1) are down, and waits
+/// for the time in which they would replace the primary. Requests are refused at once then.
+fn restart_beside_a_stale_replica() -> Fleet {
     let mut fleet = Fleet::start(2);
     write(&fleet, "a", RETURN_TIMEOUT);
     // The logs of the group are recorded within two intervals of a second.
@@ -54,13 +52,21 @@
         fleet.restart(gateway);
     }
     thread::sleep(FAILOVER_TIME);
-    // The instances know that no primary can come, so a request does not wait for one.
     let asked = Instant::now();
     let address = fleet.gateways[0].callers;
     let refused = query_once(address, PRIMARY_DATABASE, WORKSPACES[0], "r", "WRITE r 1");
     assert_eq!(refused.expect("an answer").code(), Some("BUSY"));
     assert!(asked.elapsed() < REFUSAL_TIMEOUT, "{:?}", asked.elapsed());
     fleet.standin.lock_group().set_replication_blocked(2, false);
+    fleet
+}
+
+/// Guards against the loss of commits when all instances restart while the primary and the only replica with its latest
+/// commits are down (`review/7`), against requests that wait meanwhile, and against a group without a primary once the replica is
+/// back under another id.
+#[test]
+fn restart_while_two_members_are_down() {
+    let fleet = restart_beside_a_stale_replica();
     fleet.standin.lock_group().restart_as_new(1);
     write(&fleet, "c", RETURN_TIMEOUT);
     let group = fleet.standin.lock_group();
@@ -69,3 +75,19 @@
     assert!(lost.is_empty(), "{lost:?} lost: logs in {}", save_logs(&fleet, "absent"));
     assert_eq!(primary, 1, "logs in {}", save_logs(&fleet, "absent"));
 }
+
+/// Guards against a group that stays out of service after its members were lost for good, although an operator has said so.
+#[test]
+fn members_that_are_declared_lost() {
+    let fleet = restart_beside_a_stale_replica();
+    // One other log may be missing.
+    fleet.standin.declare_lost(1);
+    let until = Instant::now() + RETURN_TIMEOUT;
+    while fleet.standin.lock_group().primary() != 2 {
+        assert!(Instant::now() < until, "logs in {}", save_logs(&fleet, "absent"));
+        thread::sleep(Duration::from_millis(20));
+    }
+    // A write needs a replica that receives it.
+    fleet.standin.lock_group().restart_as_new(1);
+    write(&fleet, "c", RETURN_TIMEOUT);
+}
