test(gateway): wait for the line of a refusal in the log

A thread of its own writes the log, so a line may come after the answer; the test read the log at once. Change: it waits up to 5 s for the line, which it still asks for.

--- a/hibiscusladder/tests/gateway/order.rs
+++ b/hibiscusladder/tests/gateway/order.rs
@@ -15,6 +15,8 @@
 
 /// Instances of a small fleet; each has eight connections to a member.
 const INSTANCES: usize = 3;
+/// Longest time from an answer until its line is in the log.
+const LOG_TIMEOUT: Duration = Duration::from_secs(5);
 /// Callers of the less urgent database, which always have a request.
 const CALLERS: usize = 80;
 /// Execution time of a statement. The callers wait for about ten of them.
@@ -122,7 +124,12 @@
     times.dedup();
     assert!(times.len() >= 4, "{times:?}");
     assert!(times.iter().all(|time| (200..=4000).contains(time)), "{times:?}");
-    assert!(process_log(&fleet.gateways[0]).contains("request_refused"));
+    // A thread of its own writes the log, so a line may come after the answer.
+    let until = Instant::now() + LOG_TIMEOUT;
+    while !process_log(&fleet.gateways[0]).contains("request_refused") {
+        assert!(Instant::now() < until, "no line in the log");
+        thread::sleep(Duration::from_millis(20));
+    }
 }
 
 /// Guards against writes that wait for a connection to a silent primary, and stay there when another one was promoted.
