fix(gateway): count only seen holds as orphaned, and refuse after the absence has lasted

An instance that has just started fences the leader until the members that it polls have answered; while the primaries are cut from most instances that lasts. The hold that is taken for orphaned after 1 s without an announcement was none. After the repair had found no answer, the primary was replaced.

Change: only a hold that a member has reported counts as unannounced.

Before: orphan_detector_while_first_answers_are_awaited with the condition taken out: FAILED. After: passes.

--- a/crates/core/src/sync_group/orphan.rs
+++ b/crates/core/src/sync_group/orphan.rs
@@ -14,12 +14,12 @@
 /// already.
 const UNANNOUNCED_TIME: Duration = FENCE_TTL;
 
-/// Since when members have held a higher term than that of the leader.
+/// Since when writes to the leader have been stopped.
 #[derive(Debug, Clone, Default)]
 pub struct OrphanDetector {
     /// Term of the leader, and since when it has been fenced.
     fenced: Option<(Term, Instant)>,
-    /// Since when it has been fenced without an announced attempt.
+    /// Since when members have held a higher term without an announced attempt.
     unannounced_since: Option<Instant>,
 }
 
@@ -31,7 +31,9 @@
             let known = self.fenced.filter(|(term, _)| *term == leader.term);
             known.unwrap_or((leader.term, now))
         });
-        let is_unannounced = self.fenced.is_some() && view.fenced_term(now).is_none();
+        // After a start, or beside an attempt, the leader is fenced without a hold that anybody has seen.
+        let is_held = self.fenced.is_some_and(|(term, _)| view.is_held_above(term));
+        let is_unannounced = is_held && view.fenced_term(now).is_none();
         self.unannounced_since = is_unannounced.then(|| self.unannounced_since.unwrap_or(now));
     }
 
--- a/crates/core/src/sync_group/view.rs
+++ b/crates/core/src/sync_group/view.rs
@@ -373,10 +373,15 @@
         (status.term >= self.leader_term()).then(|| Leader {
             member: member.clone(),
             term: status.term,
-            fenced: fenced || self.answers().any(|(_, other, _)| other.held > status.term),
+            fenced: fenced || self.is_held_above(status.term),
         })
     }
 
+    /// Whether a member has answered that it holds a higher term than `term`.
+    pub(super) fn is_held_above(&self, term: Term) -> bool {
+        self.answers().any(|(_, status, _)| status.held > term)
+    }
+
     /// Whether the process has started lately, and a member that it has polled may still report a hold.
     fn awaits_first_answers(&self, now: Instant) -> bool {
         let is_awaited = |state: &Member| {
--- a/crates/core/src/sync_group/view/logs.rs
+++ b/crates/core/src/sync_group/view/logs.rs
@@ -54,9 +54,11 @@
         let leader = self.leader(now);
         let is_silent =
             |leader: &Leader| self.unanswered_for(&leader.member, now) >= SUSPICION_TIMEOUT;
-        let has_primary = leader.as_ref().is_some_and(|leader| !is_silent(leader));
+        if leader.as_ref().is_some_and(|leader| !is_silent(leader)) {
+            return false;
+        }
         let unknown = self.absent_logs().len() + usize::from(leader.is_some());
-        !has_primary && unknown > MAX_UNKNOWN_LOGS && !self.can_cover_departures(true)
+        unknown > MAX_UNKNOWN_LOGS && !self.can_cover_departures(true)
     }
 
     /// Number of logs that were declared lost.
--- a/crates/core/tests/failover_endings.rs
+++ b/crates/core/tests/failover_endings.rs
@@ -228,3 +228,20 @@
     assert!(orphans.is_fenced());
     assert_eq!(orphans.is_orphaned(at(100 + ms)), is_orphaned);
 }
+
+/// Guards against a primary that is replaced without need while an instance that has just started waits for the answers of members:
+/// nobody holds a term then.
+#[test]
+fn orphan_detector_while_first_answers_are_awaited() {
+    let mut view = GroupView::default();
+    view.set_members(["a", "b", "c"].map(|name| (id(name), None)), at(0));
+    let mut orphans = OrphanDetector::default();
+    for now in (0..3000).step_by(100) {
+        view.observe(&id("a"), status(Role::Primary, 1, position(1, 9), 0), at(now));
+        view.poll_cancelled(&id("b"), at(now.saturating_sub(100)));
+        view.poll_sent(&id("b"), at(now));
+        orphans.observe(&view, at(now));
+        assert!(orphans.is_fenced(), "{now}");
+        assert!(!orphans.is_orphaned(at(now)), "{now}");
+    }
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -91,6 +91,7 @@
         }
         let role = node.role();
         for group in node.groups() {
+            group.observe_logs(node.now());
             monitor::send_due_polls(&node, &group, role, node.now());
             if role != FleetRole::Hub || is_stopping && !is_running(&group) {
                 continue;
--- a/crates/gateway/src/group_state.rs
+++ b/crates/gateway/src/group_state.rs
@@ -16,7 +16,10 @@
 use hibiscusladder_io::clock::within;
 use serde_json::json;
 
-use crate::events::{self, Event};
+use crate::{
+    events::{self, Event},
+    member_table::LAPSE_GRACE,
+};
 
 /// Age of an answer up to which it shows that a member responds.
 const ANSWER_EVIDENCE_AGE: Duration = Duration::from_millis(400);
@@ -46,6 +49,8 @@
     pub unanswered_writes: Cell<Option<(u32, Instant)>>,
     /// Since when members answer but none of them leads; `None` while there is a leader or no answer.
     pub leaderless_since: Cell<Option<Instant>>,
+    /// Since when no failover can succeed before a member is back that is not listed; `None` while one can.
+    awaits_logs_since: Cell<Option<Instant>>,
     /// Other instance that last reported that all replicas hold a term, and the term; `None` before, or once that failover
     /// has ended.
     pub held_by: RefCell<Option<(InstanceId, u64)>>,
@@ -70,6 +75,7 @@
             failover: RefCell::default(),
             unanswered_writes: Cell::new(None),
             leaderless_since: Cell::new(None),
+            awaits_logs_since: Cell::new(None),
             held_by: RefCell::default(),
             poll_requested: RefCell::default(),
             slow: RefCell::default(),
@@ -139,6 +145,19 @@
         self.answered_at.get().is_some_and(|answered| now.since(answered) < age)
     }
 
+    /// Records whether a failover can succeed; to be called at regular intervals.
+    pub fn observe_logs(&self, now: Instant) {
+        let since = self.awaits_logs_since.get();
+        let awaits = self.view.borrow().awaits_logs(now);
+        self.awaits_logs_since.set(awaits.then(|| since.unwrap_or(now)));
+    }
+
+    /// Whether no failover can succeed before a member is back that is not listed. The lists of members may lack many of them for a
+    /// moment after an outage of the store, so this has to last for [`LAPSE_GRACE`].
+    pub fn awaits_logs(&self, now: Instant) -> bool {
+        self.awaits_logs_since.get().is_some_and(|since| now.since(since) >= LAPSE_GRACE)
+    }
+
     /// Waits for a change of the group, at most for `limit`.
     pub async fn wait_for_change(&self, limit: Duration) {
         within(limit, self.changed.listen()).await;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -186,7 +186,7 @@
         return Some(EVACUATED);
     }
     let group = node.group(group).filter(|_| needs_primary)?;
-    group.view.borrow().awaits_logs(now).then_some(AWAITS_LOGS)
+    group.awaits_logs(now).then_some(AWAITS_LOGS)
 }
 
 /// Logs and counts that a request is sent again.
