--- a/review/tools-3/src/main.rs
+++ b/review/tools-3/src/main.rs
@@ -15,7 +15,6 @@
 mod store;
 mod traffic;
 mod turned_away;
-mod withdrawn_key;
 
 use std::{env, path::Path, process::exit};
 
@@ -49,7 +48,6 @@
     let verdict = match case.as_str() {
         "lost-machines" => lost_machines::run(repository, &record, has_trouble),
         "foreign-page" => foreign_page::run(repository, &record, has_trouble),
-        "withdrawn-key" => withdrawn_key::run(repository, &record, has_trouble),
         "turned-away" => turned_away::run(repository, &record, has_trouble),
         "session-values" => session_values::run(repository, &record, has_trouble),
         _ => Verdict::NotRun(format!("there is no case {case}")),
