fix(gateway): replace hubs that are lost

Cause: the role of a hub follows from the registrations, and only a hub removes a registration. With all hubs lost, nobody may change the fact on which the choice of new hubs rests. Ruled out: claims and lists of the store, which work as before; a time after which the state would end, since nobody acts. Change: core::succession. Stand-ins, pairs in the order in which they become hubs, have turns: after 6 s without a hub of the region one marks the hubs as replaced in the store, on the version that it has listed. Marked instances come last in the order and stay registered. While old hubs may act where they are, a hub accrues the part of its allowances that the instances which it hears stand for, so two sides of a cut do not spend an allowance twice.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod shutdown;
 pub mod store_era;
 pub mod store_version;
+pub mod succession;
 pub mod sync_group;
 pub mod term_history;
 pub mod topology;
--- a/crates/core/src/topology.rs
+++ b/crates/core/src/topology.rs
@@ -33,6 +33,7 @@
 use crate::{
     membership,
     name::{DataCentre, InstanceId, MemberId},
+    succession::Place,
 };
 
 /// Largest number of instances for which all of them are hubs, whatever their regions.
@@ -82,11 +83,21 @@
     hubs: BTreeSet<InstanceId>,
     /// Instances that would be hubs if all present ones were lost.
     successors: BTreeSet<InstanceId>,
+    /// Instances of each region that are no hubs, in the order in which they become hubs; empty in a flat fleet.
+    standins: BTreeMap<Box<str>, Vec<InstanceId>>,
 }
 
 impl Topology {
     /// Chooses the hubs among `instances`; the order of `instances` does not matter.
     pub fn new<I>(instances: I) -> Self
+    where
+        I: IntoIterator<Item = Profile>,
+    {
+        Self::with_replaced(instances, &BTreeSet::new())
+    }
+
+    /// Like [`new`](Self::new), where those in `replaced` become hubs after all others of their region.
+    pub fn with_replaced<I>(instances: I, replaced: &BTreeSet<InstanceId>) -> Self
     where
         I: IntoIterator<Item = Profile>,
     {
@@ -94,18 +105,23 @@
             instances.into_iter().map(|profile| (profile.name.clone(), profile)).collect();
         if instances.len() <= MAX_FLAT_INSTANCES {
             let hubs = instances.keys().cloned().collect();
-            return Self { instances, hubs, successors: BTreeSet::new() };
+            return Self { instances, hubs, ..Self::default() };
         }
         let regions: BTreeSet<&str> = instances.values().map(|profile| &*profile.region).collect();
         let (mut hubs, mut successors) = (BTreeSet::new(), BTreeSet::new());
+        let mut standins = BTreeMap::new();
         for region in regions {
             let inside = instances.values().filter(|profile| *profile.region == *region);
-            let mut ordered = by_capacity(region, inside.collect()).into_iter();
-            let mut next = || ordered.next().map(|profile| profile.name.clone());
-            hubs.extend((0..HUBS_PER_REGION).filter_map(|_| next()));
-            successors.extend((0..HUBS_PER_REGION).filter_map(|_| next()));
+            let mut ordered = by_capacity(region, inside.collect());
+            ordered.sort_by_key(|profile| replaced.contains(&profile.name));
+            let mut names: Vec<_> =
+                ordered.into_iter().map(|profile| profile.name.clone()).collect();
+            let others = names.split_off(HUBS_PER_REGION.min(names.len()));
+            hubs.extend(names);
+            successors.extend(others.iter().take(HUBS_PER_REGION).cloned());
+            standins.insert(region.into(), others);
         }
-        Self { instances, hubs, successors }
+        Self { instances, hubs, successors, standins }
     }
 
     /// Number of instances.
@@ -133,6 +149,34 @@
         self.successors.contains(instance)
     }
 
+    /// The instances of the region of `instance` that are no hubs, in the order in which they become hubs; none in a flat
+    /// fleet.
+    pub fn standins(&self, instance: &InstanceId) -> &[InstanceId] {
+        let profile = self.instances.get(instance);
+        let standins = profile.and_then(|profile| self.standins.get(&profile.region));
+        standins.map_or(&[], |standins| standins)
+    }
+
+    /// Place of `instance` among the stand-ins of its region; `None` for a hub.
+    pub fn place(&self, instance: &InstanceId) -> Option<Place> {
+        let standins = self.standins(instance);
+        let rank = standins.iter().position(|name| name == instance)?;
+        let pairs = standins.len().div_ceil(HUBS_PER_REGION);
+        Some(Place { pair: rank / HUBS_PER_REGION, pairs })
+    }
+
+    /// Stand-ins of the region of `instance` in the first `pairs` pairs.
+    pub fn first_standins(&self, instance: &InstanceId, pairs: usize) -> &[InstanceId] {
+        let standins = self.standins(instance);
+        &standins[..standins.len().min(HUBS_PER_REGION.saturating_mul(pairs))]
+    }
+
+    /// Whether two instances are in the same region.
+    pub fn is_same_region(&self, a: &InstanceId, b: &InstanceId) -> bool {
+        let region = |name| self.instances.get(name).map(|profile| &profile.region);
+        region(a).is_some() && region(a) == region(b)
+    }
+
     /// All hubs, in the order of their identifiers.
     pub fn hubs(&self) -> impl Iterator<Item = &InstanceId> {
         self.hubs.iter()
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -57,6 +57,12 @@
     StoreLost,
     /// A call to the store succeeded after [`StoreLost`](Self::StoreLost).
     StoreRegained,
+    /// This instance begins or ends to read the store in place of the hubs.
+    StoreReaderChanged,
+    /// This instance replaces the hubs of its region, asks to be a hub again, or has failed to.
+    HubTakeover,
+    /// Another part of the allowances accrues at this hub.
+    AllowancePartChanged,
     /// The store has a higher era than the one known before: it was restored from an older copy.
     StoreRestored,
     /// The store lacked a record of a promotion after a restore, and it was written again or could not be.
@@ -131,6 +137,9 @@
             Self::ObjectUnreadable => "object_unreadable",
             Self::StoreLost => "store_lost",
             Self::StoreRegained => "store_regained",
+            Self::StoreReaderChanged => "store_reader_changed",
+            Self::HubTakeover => "hub_takeover",
+            Self::AllowancePartChanged => "allowance_part_changed",
             Self::StoreRestored => "store_restored",
             Self::PromotionRecordWritten => "promotion_record_written",
             Self::LogsRecorded => "logs_recorded",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod snapshot;
 pub mod status_page;
 pub mod store_era;
+pub mod succession;
 pub mod sync;
 pub mod tasks;
 pub mod token_order;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -1,9 +1,12 @@
 //! Datagrams that instances exchange, encoded by `postcard`, and the registration of an instance.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use hibiscusladder_core::{
-    name::{DataCentre, Workspace},
+    name::{DataCentre, InstanceId, Workspace},
     share::TokenRequest,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -173,6 +176,8 @@
     Promotions = 5,
     /// Members that are leaving.
     Leaving = 6,
+    /// Instances on a page whose hubs were replaced.
+    Replaced = 8,
     /// Urgency of the request of a call.
     Urgency = 16,
     /// Expected wait and retry delay of a call that got no slot.
@@ -258,6 +263,13 @@
     pub members: Vec<LeavingMember>,
 }
 
+/// Instances of a list that were replaced as hubs. The section is left out while there is none.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplacedSection {
+    /// Names of the instances.
+    pub instances: BTreeSet<InstanceId>,
+}
+
 /// Version of a list of instances.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RosterVersion {
@@ -299,7 +311,18 @@
     Ok((datagram, extension, postcard::from_bytes(rest).unwrap_or_default()))
 }
 
-/// Entry of an instance in the store, written as JSON.
+/// Entry of an instance in the store, written as JSON. Versions without `replaced` ignore it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RegistrationEntry {
+    /// What the instance has registered.
+    #[serde(flatten)]
+    pub registration: Registration,
+    /// Whether other hubs have taken the place of the instance, so that it becomes a hub after all others of its region.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub replaced: bool,
+}
+
+/// Addresses and properties of an instance that the others rely on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
     /// Address for datagrams over UDP and for HTTP requests of other instances over TCP.
--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -310,6 +310,11 @@
         if node.take_urgent_news() {
             receivers.extend(live_followers(&node, now));
         }
+        if node.succession.take_news() {
+            receivers.extend(region_of(&node));
+        }
+        receivers.sort();
+        receivers.dedup();
         for receiver in receivers {
             send_to(&node, &receiver, None, now);
         }
@@ -350,6 +355,18 @@
     live
 }
 
+/// The other instances of the region of this one, whether they are live or not.
+fn region_of<P>(node: &Node<P>) -> Vec<InstanceId>
+where
+    P: Platform,
+{
+    let topology = node.topology();
+    let own = node.instance();
+    let mut names = node.peers.borrow().names();
+    names.retain(|name| topology.is_same_region(name, own));
+    names
+}
+
 /// Sends a status message to an instance, with the demand of the workspaces in `demanded` or of all.
 fn send_to<P>(
     node: &Rc<Node<P>>,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -4,6 +4,7 @@
 mod evacuations;
 mod fleet;
 mod stop;
+mod succession;
 
 use std::{
     cell::{Cell, RefCell},
@@ -53,6 +54,7 @@
     relay::{MembersPage, PARALLEL_TRANSFERS, Progress, compress_directory},
     settings::Settings,
     store_era::SharedStoreEra,
+    succession::SuccessionState,
     tasks::Tasks,
     tunnel::Tunnels,
 };
@@ -110,6 +112,8 @@
     pub datagrams: UdpSocket,
     /// Idle tunnels to holders.
     pub tunnels: Tunnels,
+    /// Which instances act as hubs, and which were replaced.
+    pub succession: SuccessionState,
     topology: RefCell<Rc<Topology>>,
     /// Progress of this instance in registering and in listing the others.
     pub roster: RefCell<Roster>,
@@ -192,6 +196,7 @@
             failover_claims: RefCell::default(),
             group_logs: RefCell::default(),
             datagrams,
+            succession: SuccessionState::default(),
             topology: RefCell::default(),
             roster: RefCell::default(),
             roster_digest: Cell::new(0),
@@ -458,14 +463,23 @@
 
     /// Updates allotments and connection limits from the configuration and the registered instances.
     pub fn update_limits(&self) {
-        let topology = self.update_topology();
+        self.update_topology();
+        self.update_allotments();
+        for pool in self.pools.borrow().values() {
+            self.update_pool_limits(pool);
+        }
+    }
+
+    /// Updates the allotments from the configuration and the role of this instance.
+    pub fn update_allotments(&self) {
+        let topology = self.topology();
         let Some(directory) = self.directory() else { return };
         // Until it knows the other instances, and while it is no hub, this instance accrues no tokens and receives them
         // from others only.
         let part = if self.role() == FleetRole::Hub && self.knows_fleet() {
             let hubs = topology.hubs().count().max(1);
             let sharing = topology.regional_hubs(self.instance()).count();
-            AllotmentPart { rate: 1.0 / hubs as f64, sharing }
+            AllotmentPart { rate: self.succession.part() / hubs as f64, sharing }
         } else {
             AllotmentPart::alone(0.0)
         };
@@ -481,10 +495,6 @@
             });
             admission.grant(&tokens.collect(), self.now());
         }
-        drop(admission);
-        for pool in self.pools.borrow().values() {
-            self.update_pool_limits(pool);
-        }
     }
 
     /// Connections of a member of the group, and the workspaces that use them.
--- a/crates/gateway/src/node/evacuations.rs
+++ b/crates/gateway/src/node/evacuations.rs
@@ -44,11 +44,12 @@
     }
 
     fn reads_store(&self) -> bool {
-        self.role() != FleetRole::Follower
+        self.reads_store()
     }
 
     fn watches_briefly(&self) -> bool {
-        hub_rank(self, Collection::Evacuations.as_str(), self.now()) < SHORT_WATCHERS
+        self.role() != FleetRole::Hub
+            || hub_rank(self, Collection::Evacuations.as_str(), self.now()) < SHORT_WATCHERS
     }
 
     fn count_call(&self, result: &'static str) {
--- a/crates/gateway/src/node/fleet.rs
+++ b/crates/gateway/src/node/fleet.rs
@@ -1,6 +1,11 @@
 //! The fleet as an instance knows it: registrations, roles, and the instances that it depends on.
 
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use hibiscusladder_core::{
     clock::Instant,
@@ -48,13 +53,26 @@
         self.peers.borrow_mut().record_unreachable_at(address, self.now());
     }
 
-    /// Replaces the registrations of the instances, and updates the limits that depend on them. After a restore of the
-    /// store, instances are only added.
-    pub fn register(&self, registrations: &[(InstanceId, Registration)]) {
+    /// Replaces the registrations of the instances, of which those in `replaced` were replaced as hubs, and updates the
+    /// limits that depend on them. After a restore of the store, instances are only added.
+    pub fn register(
+        &self,
+        registrations: &[(InstanceId, Registration)],
+        mut replaced: BTreeSet<InstanceId>,
+    ) {
         let now = self.now();
         let may_lack = self.store_era.may_lack_writes(REGISTER_TIME, now);
         self.peers.borrow_mut().register(registrations, may_lack, now);
-        let encoded = postcard::to_stdvec(&self.registrations()).unwrap_or_default();
+        if may_lack {
+            let is_listed =
+                |name: &InstanceId| registrations.iter().any(|(listed, _)| listed == name);
+            replaced.extend(self.succession.replaced().into_iter().filter(|name| !is_listed(name)));
+        }
+        let mut encoded = postcard::to_stdvec(&self.registrations()).unwrap_or_default();
+        if !replaced.is_empty() {
+            encoded = postcard::to_extend(&replaced, encoded).unwrap_or_default();
+        }
+        self.succession.set_replaced(replaced);
         self.roster_digest.set(roster::digest(&encoded));
         self.update_limits();
         let topology = self.topology();
@@ -168,8 +186,8 @@
         self.has_urgent_news.take()
     }
 
-    /// The instances that store tokens and state for this one: the hubs of its region, or all hubs while none of its
-    /// region is live. The instance itself is not among them.
+    /// The instances that store tokens and state for this one: the hubs of its region, or while none of them is live, all
+    /// hubs and the stand-ins that may have replaced them. The instance itself is not among them.
     pub fn own_hubs(&self) -> Vec<InstanceId> {
         let topology = self.topology();
         let others = |hub: &&InstanceId| *hub != self.instance();
@@ -180,7 +198,10 @@
         if self.is_starting(now) || regional.iter().any(|hub| peers.is_live(hub, now)) {
             return regional;
         }
-        topology.hubs().filter(others).cloned().collect()
+        let pairs = topology.place(self.instance()).map_or(0, |place| place.pairs);
+        let pairs = self.succession.pairs_to_ask(pairs, now);
+        let standins = topology.first_standins(self.instance(), pairs);
+        topology.hubs().chain(standins).filter(others).cloned().collect()
     }
 
     /// Registration of this instance.
@@ -216,7 +237,8 @@
             region: region(&peer.data_centre),
             capacity: peer.capacity,
         });
-        let topology = Rc::new(Topology::new(others.chain([own])));
+        let replaced = self.succession.replaced();
+        let topology = Rc::new(Topology::with_replaced(others.chain([own]), &replaced));
         *self.topology.borrow_mut() = topology.clone();
         topology
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,7 +21,7 @@
     adapter::Platform,
     directory::Directory,
     events::{self, Event},
-    message::{Registration, SectionKind, Sections},
+    message::{Registration, ReplacedSection, SectionKind, Sections},
     node::Node,
     snapshot::MemberEntry,
     sync,
@@ -73,7 +73,9 @@
         let listed = members.iter().filter(|(_, member)| member.lapsed_since.is_none());
         let sequences = listed.map(|(_, member)| member.record.sequence).collect();
         let section = MembersSection { era: node.members_version().era, sequences };
-        encode_page(&Self::capture(node), &section)
+        let mut sections = Sections::default();
+        sections.insert(SectionKind::Store, &section).ok()?;
+        encode_page(&Self::capture(node), &sections)
     }
 
     /// Applies the entries, unless this instance knows newer ones.
@@ -112,26 +114,21 @@
     sequences: Vec<u64>,
 }
 
-/// Encodes a page, followed by a section in the form of those of datagrams.
-fn encode_page<T, S>(page: &T, section: &S) -> Option<Vec<u8>>
+/// Encodes a page, followed by sections as in datagrams.
+fn encode_page<T>(page: &T, sections: &Sections) -> Option<Vec<u8>>
 where
     T: Serialize,
-    S: Serialize,
 {
-    let mut sections = Sections::default();
-    sections.insert(SectionKind::Store, section).ok()?;
-    postcard::to_extend(&sections, postcard::to_stdvec(page).ok()?).ok()
+    postcard::to_extend(sections, postcard::to_stdvec(page).ok()?).ok()
 }
 
-/// Decodes a page and its section, which an earlier version does not send.
-fn decode_page<T, S>(body: &[u8]) -> io::Result<(T, S)>
+/// Decodes a page and its sections, which an earlier version does not send.
+fn decode_page<T>(body: &[u8]) -> io::Result<(T, Sections)>
 where
     T: DeserializeOwned,
-    S: DeserializeOwned + Default,
 {
     let (page, rest) = postcard::take_from_bytes(body).map_err(io::Error::other)?;
-    let sections: Sections = postcard::from_bytes(rest).unwrap_or_default();
-    Ok((page, sections.get(SectionKind::Store).unwrap_or_default()))
+    Ok((page, postcard::from_bytes(rest).unwrap_or_default()))
 }
 
 /// The instances, as a hub sends them to an instance that does not list them.
@@ -151,14 +148,22 @@
         let StoreVersion { era, revision } = node.roster_version().version;
         let page = Self { revision, instances: node.registrations().into_iter().collect() };
         let lost = node.peers.borrow().kept();
-        node.knows_fleet().then(|| encode_page(&page, &RosterSection { era, lost }))?
+        let mut sections = Sections::default();
+        sections.insert(SectionKind::Store, &RosterSection { era, lost }).ok()?;
+        let instances = node.succession.replaced();
+        if !instances.is_empty() {
+            sections.insert(SectionKind::Replaced, &ReplacedSection { instances }).ok()?;
+        }
+        node.knows_fleet().then(|| encode_page(&page, &sections))?
     }
 
     /// Replaces the list of this instance, unless it has a newer one.
-    fn apply<P>(self, section: &RosterSection, node: &Node<P>)
+    fn apply<P>(self, sections: &Sections, node: &Node<P>)
     where
         P: Platform,
     {
+        let section: RosterSection = sections.get(SectionKind::Store).unwrap_or_default();
+        let replaced: ReplacedSection = sections.get(SectionKind::Replaced).unwrap_or_default();
         let version = StoreVersion::new(section.era, self.revision);
         if !node.store_era.record_told(section.era, node.now())
             || version <= node.roster.borrow().version()
@@ -168,7 +173,7 @@
         let own = (node.instance().clone(), node.registration());
         let has_own = self.instances.contains(&own) && !section.lost.contains(&own.0);
         node.roster.borrow_mut().relayed(has_own, version, node.now());
-        node.register(&self.instances);
+        node.register(&self.instances, replaced.instances);
     }
 }
 
@@ -296,9 +301,10 @@
 where
     P: Platform,
 {
-    let decode = decode_page::<MembersPage, _>;
-    let Some((page, section)) = fetch(node, from, MEMBERS_PATH, decode).await else { return false };
-    page.apply(section, node);
+    let decode = decode_page::<MembersPage>;
+    let fetched = fetch(node, from, MEMBERS_PATH, decode).await;
+    let Some((page, sections)) = fetched else { return false };
+    page.apply(sections.get(SectionKind::Store).unwrap_or_default(), node);
     true
 }
 
@@ -307,8 +313,8 @@
 where
     P: Platform,
 {
-    if let Some((page, section)) = fetch(node, from, ROSTER_PATH, decode_page).await {
-        RosterPage::apply(page, &section, node);
+    if let Some((page, sections)) = fetch(node, from, ROSTER_PATH, decode_page).await {
+        RosterPage::apply(page, &sections, node);
     }
 }
 
@@ -317,17 +323,21 @@
 where
     P: Platform,
 {
-    let decode = decode_page::<RosterPage, RosterSection>;
-    let Some((page, section)) = fetch(node, from, ROSTER_PATH, decode).await else { return };
+    let decode = decode_page::<RosterPage>;
+    let Some((page, sections)) = fetch(node, from, ROSTER_PATH, decode).await else { return };
+    let section: RosterSection = sections.get(SectionKind::Store).unwrap_or_default();
+    let told: ReplacedSection = sections.get(SectionKind::Replaced).unwrap_or_default();
     if !node.store_era.record_told(section.era, node.now()) {
         return;
     }
+    let mut replaced = node.succession.replaced();
+    replaced.extend(told.instances);
     let mut merged = node.registrations();
     for (name, registration) in page.instances {
         merged.entry(name).or_insert(registration);
     }
     node.record_merged_roster();
-    node.register(&merged.into_iter().collect::<Vec<_>>());
+    node.register(&merged.into_iter().collect::<Vec<_>>(), replaced);
 }
 
 /// Gets a page of another instance; a failure is logged.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -26,7 +26,7 @@
     promotion_records, session,
     settings::Settings,
     status_page::{self, Page},
-    sync,
+    succession, sync,
 };
 
 /// Time in which the thread that writes log lines writes the last ones before the process ends.
@@ -108,6 +108,9 @@
         node.supervise("evacuations", evacuations::follow);
     }
     node.supervise("roster", sync::maintain_roster);
+    node.supervise("registrations", sync::watch_registrations);
+    node.supervise("hubs", succession::observe);
+    node.supervise("succession", succession::run);
     node.supervise("store_era", sync::follow_restores);
     node.supervise("expiry", sync::expire_members);
     node.supervise("receiver", messenger::receive_all);
--- a/crates/gateway/src/status_page.rs
+++ b/crates/gateway/src/status_page.rs
@@ -176,6 +176,7 @@
         node.groups().iter().map(|group| group.view.borrow().absent_logs().len()).sum::<usize>(),
     );
     let written = node.evacuations.write_metrics(&mut text);
+    let written = written.and_then(|()| node.succession.write_metrics(&mut text));
     let written = written.and_then(|()| node.cold.write(&mut text, node.now()));
     let written = written.and_then(|()| node.paces.write(&mut text));
     let written = written.and_then(|()| node.outliers.write(&mut text, node.now()));
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -22,6 +22,7 @@
     monitor::hub_rank,
     node::Node,
     relay,
+    succession::decode_entry,
 };
 
 /// Delay after the first failed call; it doubles with each further failure.
@@ -94,7 +95,7 @@
 {
     let is_first_list =
         collection == Collection::Members && node.members_version() == StoreVersion::default();
-    is_first_list || node.role() != FleetRole::Follower
+    is_first_list || node.reads_store()
 }
 
 async fn list<P>(node: &Rc<Node<P>>, collection: Collection) -> Result<StoreVersion, StoreError>
@@ -140,6 +141,9 @@
 {
     let listed = node.store.list(collection, freshness).await;
     node.metrics.count(Counter::StoreCalls, if listed.is_ok() { "listed" } else { "list_failed" });
+    if listed.is_ok() {
+        node.record_store_contact();
+    }
     listed
 }
 
@@ -151,7 +155,9 @@
 where
     P: Platform,
 {
-    let short = hub_rank(node, collection.as_str(), node.now()) < SHORT_WATCHERS;
+    // A stand-in has to notice soon that it has lost the store, since others read it then.
+    let short = node.role() != FleetRole::Hub
+        || hub_rank(node, collection.as_str(), node.now()) < SHORT_WATCHERS;
     let wait = if short { SHORT_WATCH } else { LONG_WATCH };
     let renewal = node.renew_watches.listen();
     let watching = async { Some(node.store.watch(collection, since, wait).await) };
@@ -164,6 +170,7 @@
     let label = if watched.is_ok() { "watched" } else { "watch_failed" };
     node.metrics.count(Counter::StoreCalls, label);
     let watched = watched?;
+    node.record_store_contact();
     let now = node.now();
     for change in watched.changes {
         if change.deleted && collection == Collection::Members {
@@ -294,9 +301,11 @@
     let mut own_entry = None;
     loop {
         let changed = node.roster_changed.listen();
-        let step = node.roster.borrow().next_step(node.role(), node.now());
+        let step = node.roster.borrow().next_step(node.roster_role(), node.now());
         let result = match step {
-            Step::List(freshness) => list_instances(&node, freshness, &mut own_entry).await,
+            Step::List(freshness) => {
+                list_instances(&node, freshness, &mut own_entry).await.map(|_| ())
+            }
             Step::Register => register_self(&node, &mut own_entry).await,
             Step::Wait(due) => {
                 let left = due.map_or(ROLE_CHECK_INTERVAL, |due| due.since(node.now()));
@@ -311,25 +320,25 @@
     }
 }
 
-async fn list_instances<P>(
-    node: &Rc<Node<P>>,
+/// Lists the registrations and applies the list. `own_entry` gets the version of the entry under this instance's name.
+pub async fn list_instances<P>(
+    node: &Node<P>,
     freshness: Freshness,
     own_entry: &mut Option<StoreVersion>,
-) -> Result<(), StoreError>
+) -> Result<Vec<Object>, StoreError>
 where
     P: Platform,
 {
     let sent = node.now();
     let Listing { objects, version } = call_list(node, Collection::Instances, freshness).await?;
-    let registrations: Vec<(InstanceId, Registration)> = objects
-        .iter()
-        .filter_map(|object| {
-            // A registration that cannot be decoded was written by another version. Its instance is known from its
-            // messages.
-            let Content::GatewayText(text) = &object.content else { return None };
-            Some((InstanceId::new(&object.name), serde_json::from_str(text).ok()?))
-        })
-        .collect();
+    // A registration that cannot be decoded was written by another version. Its instance is known from its messages.
+    let entries = || {
+        let named = |object: &Object| Some((InstanceId::new(&object.name), decode_entry(object)?));
+        objects.iter().filter_map(named)
+    };
+    let registrations: Vec<(InstanceId, Registration)> =
+        entries().map(|(name, entry)| (name, entry.registration)).collect();
+    let replaced = entries().filter(|(_, entry)| entry.replaced).map(|(name, _)| name).collect();
     let name = node.instance();
     let entry = objects.iter().find(|object| *object.name == *name.as_str());
     *own_entry = entry.map(|entry| entry.version);
@@ -338,11 +347,11 @@
         registrations.iter().any(|(listed, registration)| listed == name && *registration == own);
     let listed = Listed { sent, freshness, has_own, version };
     node.roster.borrow_mut().listed(listed, node.now());
-    node.register(&registrations);
+    node.register(&registrations, replaced);
     if node.role() == FleetRole::Hub && freshness == Freshness::Current {
         remove_abandoned(node, &objects, node.now()).await?;
     }
-    Ok(())
+    Ok(objects)
 }
 
 async fn register_self<P>(
@@ -371,13 +380,60 @@
         }
         // The list was too old to have the entry, or a call without an answer has written it.
         Err(StoreError::Conflict | StoreError::Missing | StoreError::Restored { .. }) => {
-            list_instances(node, Freshness::Current, own_entry).await
+            list_instances(node, Freshness::Current, own_entry).await.map(|_| ())
         }
         Err(error) => Err(error),
     }
 }
 
-/// Gets the list of the instances from a hub that has a newer one. A hub reads it from the store instead.
+/// Watches the registrations at a hub for as long as the process runs, and lists them when an instance was replaced or has
+/// returned.
+pub async fn watch_registrations<P>(node: Rc<Node<P>>)
+where
+    P: Platform,
+{
+    let mut since = None;
+    loop {
+        if node.role() != FleetRole::Hub || node.topology().is_flat() || !node.knows_fleet() {
+            since = None;
+            within(ROLE_CHECK_INTERVAL, node.roster_changed.listen()).await;
+            continue;
+        }
+        let from = *since.get_or_insert_with(|| node.roster_version().version);
+        let watched = node.store.watch(Collection::Instances, from, LONG_WATCH).await;
+        let label = if watched.is_ok() { "watched" } else { "watch_failed" };
+        node.metrics.count(Counter::StoreCalls, label);
+        match watched {
+            Ok(watched) => {
+                node.record_store_contact();
+                since = Some(watched.version);
+                let is_changed = |object: &Object| {
+                    decode_entry(object).is_some_and(|entry| {
+                        entry.replaced != node.succession.is_replaced(&(*object.name).into())
+                    })
+                };
+                let mut changes = watched.changes.iter().filter(|change| !change.deleted);
+                if changes.any(|change| is_changed(&change.object)) {
+                    node.roster.borrow_mut().list_now();
+                    node.roster_changed.notify(usize::MAX);
+                }
+                if !watched.changes.is_empty() {
+                    sleep(MAX_RETRY_DELAY).await;
+                }
+            }
+            Err(error) => {
+                // The list that follows shows what the watch has missed.
+                if matches!(error, StoreError::Compacted | StoreError::Restored { .. }) {
+                    node.roster.borrow_mut().request_list();
+                }
+                since = None;
+                sleep(MAX_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+/// Gets the list of the instances from a hub that has a newer one. A hub that has the store reads it there instead.
 async fn follow_roster<P>(node: &Rc<Node<P>>)
 where
     P: Platform,
--- a/hibiscusladder/tests/gateway/main.rs
+++ b/hibiscusladder/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod foreign;
 mod history;
+mod hub_loss;
 mod order;
 mod pace;
 mod path;
