--- a/crates/gateway/src/group_logs.rs
+++ b/crates/gateway/src/group_logs.rs
@@ -107,10 +107,14 @@
     pub async fn read(&self, groups: &[Rc<GroupState>]) -> Result<(), StoreError> {
         let listing = self.list(Collection::GroupLogs).await?;
         let records = listing.objects.into_iter().filter_map(|object| {
-            let Content::GatewayText(text) = object.content else { return None };
-            // A record that cannot be decoded was written by another version, and is replaced.
-            let logs = serde_json::from_str(&text).map(|StoredLogs { logs }| logs);
-            let logs = logs.unwrap_or_default();
+            // A record that cannot be read or decoded was written by another version, and is replaced.
+            let logs = match &object.content {
+                Content::GatewayText(text) => {
+                    serde_json::from_str(text).map(|StoredLogs { logs }| logs).unwrap_or_default()
+                }
+                Content::Unreadable { .. } => BTreeSet::new(),
+                _ => return None,
+            };
             Some((Group::from(&*object.name), RecordedLogs { version: object.version, logs }))
         });
         let mut table = self.table.borrow_mut();
--- a/crates/io/src/foreign_json.rs
+++ b/crates/io/src/foreign_json.rs
@@ -79,6 +79,19 @@
         serde_json::from_str(&self.text)
     }
 
+    /// Splits an entry into parts of the type [`RawValue`], which are read with [`entry`](Self::entry). A part that cannot be
+    /// read does not hide the others.
+    ///
+    /// # Errors
+    ///
+    /// The entry has not the form of `T`.
+    pub fn parts<'b, T>(&self, entry: &'b RawValue) -> serde_json::Result<T>
+    where
+        T: Deserialize<'b>,
+    {
+        serde_json::from_str(entry.get())
+    }
+
     /// Reads an entry, or a part of one.
     ///
     /// # Errors
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -43,10 +43,10 @@
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode, header};
 use serde::de::DeserializeOwned;
-use serde_json::Value;
+use serde_json::{Value, value::RawValue};
 use smol::Timer;
 
-use self::message::{Accepted, RawList};
+use self::message::{Accepted, EventParts, RawList};
 pub use self::{
     backoff::{Backoff, random_up_to},
     error::PlatformError,
@@ -150,7 +150,7 @@
     pub async fn list(&self, kind: &str) -> Result<Listing, PlatformError> {
         self.counters.reads.fetch_add(1, Ordering::Relaxed);
         let answer = self.call(Method::GET, &format!("/v1/objects/{kind}"), None, None).await?;
-        let (revision, items) = self.decode_list(&answer)?;
+        let (revision, items) = self.decode_list(&answer, |_, _| None)?;
         Ok(Listing { revision, items })
     }
 
@@ -269,7 +269,7 @@
         if answer.status == StatusCode::GONE {
             return Err(PlatformError::Compacted);
         }
-        let (revision, events) = self.decode_list(&answer)?;
+        let (revision, events) = self.decode_list(&answer, deletion)?;
         Ok(WatchAnswer { revision, events })
     }
 
@@ -281,7 +281,7 @@
     pub async fn instances(&self) -> Result<Vec<Registration>, PlatformError> {
         self.counters.reads.fetch_add(1, Ordering::Relaxed);
         let answer = self.call(Method::GET, "/v1/instances", None, None).await?;
-        self.decode_list(&answer).map(|(_, items)| items)
+        self.decode_list(&answer, |_, _| None).map(|(_, items)| items)
     }
 
     /// Registers an instance or updates its registration.
@@ -379,10 +379,16 @@
         self.decode::<Accepted>(answer).map(|accepted| accepted.version)
     }
 
-    /// Decodes a list with its revision. An entry that cannot be read, which another writer may have left, is skipped.
-    fn decode_list<T>(&self, answer: &Answer) -> Result<(u64, Vec<T>), PlatformError>
+    /// Decodes a list with its revision. An entry that cannot be read, which another writer may have left, is skipped unless
+    /// `decode_parts` can do with the parts that are readable.
+    fn decode_list<T, F>(
+        &self,
+        answer: &Answer,
+        decode_parts: F,
+    ) -> Result<(u64, Vec<T>), PlatformError>
     where
         T: DeserializeOwned,
+        F: Fn(&ForeignJson<'_>, &RawValue) -> Option<T>,
     {
         check_status(answer)?;
         let json = ForeignJson::new(&answer.body);
@@ -390,8 +396,11 @@
         let readable = list.items.iter().filter_map(|item| match json.entry(item) {
             Ok(entry) => Some(entry),
             Err(error) => {
-                spdlog::warn!("an entry of the store cannot be read and is skipped: {error}");
-                None
+                let decoded = decode_parts(&json, item);
+                if decoded.is_none() {
+                    spdlog::warn!("an entry of the store cannot be read and is skipped: {error}");
+                }
+                decoded
             }
         });
         Ok((list.revision, readable.collect()))
@@ -413,6 +422,19 @@
     }
 }
 
+/// The deletion of an object whose last value cannot be read; `None` for any other change.
+fn deletion(json: &ForeignJson<'_>, item: &RawValue) -> Option<StoreEvent> {
+    let parts: EventParts<'_> = json.parts(item).ok()?;
+    let change: ChangeType = json.entry(parts.change).ok()?;
+    let object = StoredObject {
+        kind: json.entry(parts.kind).ok()?,
+        name: json.entry(parts.name).ok()?,
+        version: json.entry(parts.version).ok()?,
+        value: Value::Null,
+    };
+    (change == ChangeType::Delete).then_some(StoreEvent { change, object })
+}
+
 fn check_status(answer: &Answer) -> Result<(), PlatformError> {
     if answer.status.is_success() {
         return Ok(());
--- a/crates/proxy/src/platform/message.rs
+++ b/crates/proxy/src/platform/message.rs
@@ -82,6 +82,19 @@
     Leaving,
 }
 
+/// Parts of a [`StoreEvent`] without the value, of which each may be unreadable by itself.
+#[derive(Debug, Deserialize)]
+pub(super) struct EventParts<'a> {
+    #[serde(borrow, rename = "type")]
+    pub(super) change: &'a RawValue,
+    #[serde(borrow)]
+    pub(super) kind: &'a RawValue,
+    #[serde(borrow)]
+    pub(super) name: &'a RawValue,
+    #[serde(borrow)]
+    pub(super) version: &'a RawValue,
+}
+
 /// Answer to an accepted change, with the new version of the object.
 #[derive(Debug, Deserialize)]
 pub(super) struct Accepted {
--- a/crates/proxy/tests/platform.rs
+++ b/crates/proxy/tests/platform.rs
@@ -181,6 +181,14 @@
     let names: Vec<&str> = watched.events.iter().map(|event| &*event.object.name).collect();
     assert_eq!((watched.revision, names), (8, vec!["c"]));
 
+    // An object that is deleted while its value cannot be read must not stay in force.
+    const DELETION: &[u8] = b"{\"revision\":9,\"events\":[\
+        {\"type\":\"delete\",\"kind\":\"keys\",\"name\":\"a\",\"version\":9,\"value\":\"\xff\"}]}";
+    let watched = smol::block_on(start_with_answer(DELETION).watch(8, Duration::ZERO));
+    let deleted = watched.expect("an answer").events.pop().expect("the deletion");
+    assert_eq!((deleted.change, &*deleted.object.name), (ChangeType::Delete, "a"));
+    assert_eq!((&*deleted.object.kind, deleted.object.version), ("keys", 9));
+
     const INSTANCES: &[u8] = b"{\"items\":[{\"id\":\"x\",\"state\":\"resting\"},\
         {\"id\":\"i1\",\"data_centre\":\"d\",\"rpc\":\"r\",\"health\":\"h\",\"state\":\"live\"}]}";
     let instances = smol::block_on(start_with_answer(INSTANCES).instances()).expect("a list");
--- a/hibiscusladder/tests/gateway/foreign.rs
+++ b/hibiscusladder/tests/gateway/foreign.rs
@@ -36,6 +36,23 @@
     format!("{}{}", "[".repeat(depth), "]".repeat(depth))
 }
 
+/// Guards against processes that know no member after a restart, because a page of the list of members has only entries that
+/// cannot be read: a few large ones, or many small ones (`review/12`).
+#[test_case(3, 400_000; "large entries")]
+#[test_case(600, 100; "small entries")]
+fn restart_beside_pages_of_another_writer(entries: usize, bytes: usize) {
+    let mut fleet = Fleet::start(1);
+    let mut spec = b"{\"notes\":\"".to_vec();
+    spec.resize(bytes, b'\xf3');
+    spec.extend_from_slice(b"\"}");
+    for number in 0..entries {
+        fleet.standin.publish_foreign_entry(&format!("backup-{number}"), &spec);
+    }
+    fleet.gateways[0].process.kill().expect("the process runs");
+    fleet.restart(0);
+    fleet.gateways[0].wait_until_serving();
+}
+
 /// Guards against an entry of another writer that hides the members, ends a process, or is used as a member.
 #[test_case("i-x", b"{\"service\":\"padron\",\"address\":\"\xff\xfe\xc0\"}"; "bytes that are no text")]
 #[test_case("i-x", b"{\"service\":\"pa\x01dron\"}"; "a control character")]
