fix(gateway): read the store while the hubs cannot

Cause: whether a hub is live was told by the arrival of its messages alone. Nobody learned that it had lost the store, for which the others relied on it. Ruled out: the watches of the hubs, which fail and are repeated; hubs of one region or three of four turned away, where the others pass on what they read. Change: messages of fleets with hubs carry the ages of the latest contact with the store.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -134,6 +134,8 @@
     /// Whether another list was asked for since the latest current one was requested.
     list_wanted: bool,
     retry_at: Instant,
+    /// Whether the latest call to the store failed.
+    is_failing: bool,
     version: StoreVersion,
 }
 
@@ -176,6 +178,7 @@
         self.known_since.get_or_insert(listed.sent);
         self.listed_at = Some(listed.sent);
         self.retry_at = now;
+        self.is_failing = false;
         self.record_list(listed.has_own, listed.version, now);
         let Registration::Present { written, .. } = self.registration else { return };
         if written.is_some_and(|written| listed.sent < written.plus(SETTLE_TIME)) {
@@ -239,6 +242,7 @@
     /// Records that a call to the store failed.
     pub fn failed(&mut self, now: Instant) {
         self.retry_at = now.plus(RETRY_DELAY);
+        self.is_failing = true;
         self.end_grace(now);
     }
 
@@ -290,6 +294,11 @@
         }
     }
 
+    /// Whether the latest call to the store failed, so that a newer list has to come from another instance.
+    pub const fn is_failing(&self) -> bool {
+        self.is_failing
+    }
+
     /// Whether a current list was requested at `since` or later.
     pub fn is_listed_since(&self, since: Instant) -> bool {
         self.current_at.is_some_and(|current| current >= since)
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -3,11 +3,13 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    time::Duration,
 };
 
 use hibiscusladder_core::{
     name::{DataCentre, InstanceId, Workspace},
     share::TokenRequest,
+    succession::ContactAges,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -176,6 +178,8 @@
     Promotions = 5,
     /// Members that are leaving.
     Leaving = 6,
+    /// Contacts with the store.
+    StoreContact = 7,
     /// Instances on a page whose hubs were replaced.
     Replaced = 8,
     /// Urgency of the request of a call.
@@ -263,6 +267,33 @@
     pub members: Vec<LeavingMember>,
 }
 
+/// Ages of the latest contacts with the store that the sender knows of, in milliseconds. The section is left out in fleets
+/// without hubs.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreContactSection {
+    /// Age of the latest contact of a hub; `None` when the sender knows none.
+    pub hubs: Option<u64>,
+    /// Age of the latest contact of any instance; `None` when the sender knows none.
+    pub any: Option<u64>,
+}
+
+impl From<ContactAges> for StoreContactSection {
+    fn from(ages: ContactAges) -> Self {
+        // Rounded up, so that no contact seems later than it was.
+        let millis = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX - 1) + 1;
+        Self { hubs: ages.hubs.map(millis), any: ages.any.map(millis) }
+    }
+}
+
+impl From<StoreContactSection> for ContactAges {
+    fn from(section: StoreContactSection) -> Self {
+        Self {
+            hubs: section.hubs.map(Duration::from_millis),
+            any: section.any.map(Duration::from_millis),
+        }
+    }
+}
+
 /// Instances of a list that were replaced as hubs. The section is left out while there is none.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplacedSection {
--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -26,8 +26,8 @@
     group_state::GroupState,
     message::{
         self, Datagram, Extension, GroupInfo, LeaderEntry, LeavingSection, PaceSection,
-        RosterVersion, SectionKind, Sections, Status, StoreSection, TokenRequestMessage,
-        TokenTransferMessage,
+        RosterVersion, SectionKind, Sections, Status, StoreContactSection, StoreSection,
+        TokenRequestMessage, TokenTransferMessage,
     },
     node::Node,
     peers::{OfferedRoster, SEND_INTERVAL, nanos},
@@ -95,6 +95,11 @@
         node.store_era.record_told(store.era, now);
     }
     node.peers.borrow_mut().record_extension(&from, extension, store.unwrap_or_default());
+    if let Some(sent) = received.acknowledged
+        && let Some(section) = sections.get::<StoreContactSection>(SectionKind::StoreContact)
+    {
+        node.succession.record_told(section.into(), sent);
+    }
     if let Some(section) = sections.get(SectionKind::Promotions) {
         let mut claims = node.failover_claims.borrow_mut();
         let is_group = |group: &Group| node.group(group).is_some();
@@ -419,6 +424,11 @@
         // Numbers can always be encoded.
         let _ = sections.insert(SectionKind::Store, &StoreSection { era, members, roster });
     }
+    let contacts = StoreContactSection::from(node.succession.contact_ages(is_hub, now));
+    if !node.topology().is_flat() && contacts != StoreContactSection::default() {
+        // Numbers can always be encoded.
+        let _ = sections.insert(SectionKind::StoreContact, &contacts);
+    }
     if let Some(notice) = node.evacuations.notice(now) {
         // Names and numbers cannot fail to be encoded.
         let _ = sections.insert(SectionKind::Evacuations, &notice);
--- a/crates/gateway/src/node/succession.rs
+++ b/crates/gateway/src/node/succession.rs
@@ -87,7 +87,7 @@
 where
     P: Platform,
 {
-    /// Whether this instance reads the store: a hub, or a stand-in while no hub is live.
+    /// Whether this instance reads the store: a hub, or a stand-in while no hub has the store.
     pub fn reads_store(&self) -> bool {
         self.role() == FleetRole::Hub || self.stands_in()
     }
@@ -95,7 +95,7 @@
     /// Whether this instance reads the store in place of the hubs.
     fn stands_in(&self) -> bool {
         let place = self.topology().place(self.instance());
-        self.role() == FleetRole::Orphan && self.succession.reads_store(place, self.now())
+        self.succession.reads_store(place, self.now())
     }
 
     /// Role of this instance for its list of the others: without a live hub, only stand-ins list the registrations.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -241,11 +241,13 @@
     let is_hub = node.role() == FleetRole::Hub;
     node.confirm_directory();
     let directory = node.peers.borrow().ahead(node.version(), now);
-    let waits_for_watch = is_hub && !node.has_unconfirmed_directory();
+    let has_store = || node.topology().is_flat() || node.succession.do_hubs_have_store(now);
+    let watches = is_hub && has_store();
+    let waits_for_watch = watches && !node.has_unconfirmed_directory();
     catch_up_page(node, PageKind::Directory, &directory, waits_for_watch, now);
     let digest = (!is_hub).then(|| node.members_digest());
     let members = node.peers.borrow().members_ahead(node.members_version(), digest, now);
-    catch_up_page(node, PageKind::Members, &members, is_hub, now);
+    catch_up_page(node, PageKind::Members, &members, watches, now);
 }
 
 /// Gets a page if any instance has a newer one, as those in `sources` do.
--- a/crates/gateway/src/succession.rs
+++ b/crates/gateway/src/succession.rs
@@ -218,8 +218,7 @@
         events::log(Event::AllowancePartChanged, json!({ "part": part }));
         host.part_changed();
     }
-    let reads_store =
-        !topology.is_flat() && !any_live && state.reads_store(topology.place(own), now);
+    let reads_store = !topology.is_flat() && state.reads_store(topology.place(own), now);
     if state.reads_store.replace(reads_store) != reads_store {
         events::log(Event::StoreReaderChanged, json!({ "reads_store": reads_store }));
     }
@@ -247,7 +246,7 @@
         expected,
         heard,
         has_silent_replaced: state.replaced.borrow().iter().any(is_silent),
-        has_store: true,
+        has_store: state.do_hubs_have_store(now),
         is_doubted: false,
     };
     let since = state.doubted_since.get();
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -450,7 +450,7 @@
     if is_same || offered.version <= own.version {
         return;
     }
-    if node.role() == FleetRole::Hub {
+    if node.role() == FleetRole::Hub && !node.roster.borrow().is_failing() {
         node.roster.borrow_mut().request_list();
     } else {
         relay::fetch_roster(node, &from).await;
--- a/hibiscusladder/tests/gateway/hub_loss.rs
+++ b/hibiscusladder/tests/gateway/hub_loss.rs
@@ -1,4 +1,4 @@
-//! Larger fleets whose hubs are lost or frozen.
+//! Larger fleets whose hubs are lost, frozen, or turned away by the store.
 
 use std::{
     thread,
@@ -6,6 +6,7 @@
 };
 
 use hibiscusladder_platform_standin::{PRIMARY_DATABASE, Scale, WORKSPACES};
+use hibiscusladder_testkit::fault_proxy::Faults;
 use test_case::test_case;
 
 use crate::fleet::{Fleet, open, process_log, query_once, save_logs};
@@ -91,6 +92,42 @@
     wait_until_served(&fleet, &rest, Instant::now() + RECOVERY_TIME);
 }
 
+/// Guards against a withdrawn key that works at instances which could read the store, because their hubs are live and have
+/// lost the store: its calls are reset, or not answered (`review/14`).
+#[test_case(Faults { cut: true, ..Faults::default() }; "reset")]
+#[test_case(Faults { blackhole: true, ..Faults::default() }; "silent")]
+fn withdrawn_key_while_hubs_have_no_store(faults: Faults) {
+    let [withdrawn, kept] = WORKSPACES;
+    let fleet = start(true);
+    let others: Vec<usize> = (4..INSTANCES).collect();
+    wait_until_served(&fleet, &others, Instant::now() + RECOVERY_TIME);
+    for hub in &fleet.gateways[..4] {
+        hub.store_proxy.set(faults.clone());
+    }
+    fleet.standin.configure(9, [200.0; 2], &[withdrawn]);
+    thread::sleep(CONFIG_APPLY_TIME);
+    for number in others {
+        let logs = || save_logs(&fleet, "hubs-turned-away");
+        assert!(!is_served(&fleet, number, withdrawn), "instance {number}: logs in {}", logs());
+        assert!(is_served(&fleet, number, kept), "instance {number}: logs in {}", logs());
+    }
+}
+
+/// Guards against hubs that keep duties for which they need the store: with the store lost at all hubs for long, a failed
+/// primary is replaced, and the hubs serve on.
+#[test]
+fn failover_while_hubs_have_no_store() {
+    let fleet = start(true);
+    for hub in &fleet.gateways[..4] {
+        hub.store_proxy.change(|faults| faults.cut = true);
+    }
+    thread::sleep(Duration::from_secs(1));
+    fleet.standin.lock_group().set_running(0, false);
+    thread::sleep(RECOVERY_TIME);
+    let all: Vec<usize> = (0..INSTANCES).collect();
+    wait_until_served(&fleet, &all, Instant::now() + RECOVERY_TIME);
+}
+
 /// Guards against an allowance that is spent twice: by the instances that have replaced frozen hubs, and by those hubs when
 /// they go on.
 #[test]
