fix(gateway): tell hubs which commits were acknowledged

Cause: a claimant compares the log of a candidate with the commits that it has passed on itself. In a large fleet a hub passes on few or none of a group, and what the other instances have passed on was told nowhere. Ruled out: asking all instances before a promotion, since one that is gone cannot answer and each failover would wait for it. Change: each second, instances tell hubs and their successors up to which position commits of a group were acknowledged for certain, for 10 s after their last commit. Hubs pass on all that they know. A claimant promotes no member with a shorter log.

--- a/crates/core/src/sync_group/promotion_rule.rs
+++ b/crates/core/src/sync_group/promotion_rule.rs
@@ -20,7 +20,8 @@
 //! Each acknowledged commit is in the logs of the primary and of one replica. So all logs that the group is known to have,
 //! listed or not, have to be shown by the answers, except one. More may be missing only if the log of the replaced primary is
 //! known to have been replicated since they were, or if an operator has declared them lost. A member that has joined lately may be
-//! neither listed nor recorded, so the promoted member also has the commits whose acknowledgements the instance has passed on.
+//! neither listed nor recorded, so the promoted member also has the commits whose acknowledgements the instance has passed on, and
+//! those of which other instances have told it.
 //!
 //! A primary that answers nobody cannot be demoted. It is demoted as soon as it answers, also while the promotion takes
 //! effect, and instances that know of the failover pass on no acknowledgement of its term
--- a/crates/core/src/sync_group/view.rs
+++ b/crates/core/src/sync_group/view.rs
@@ -51,7 +51,7 @@
     earlier_departures: Departures,
     /// Logs whose members need not be listed.
     known_logs: KnownLogs,
-    /// Commits whose acknowledgements this instance has passed on.
+    /// Commits whose acknowledgements this instance and others have passed on.
     acknowledged: AcknowledgedCommits,
     /// Whether the members have been known.
     is_listed: bool,
@@ -173,7 +173,22 @@
         self.acknowledged.record(position, sent, now);
     }
 
-    /// Position up to which commits of `term` were acknowledged at this instance, at least.
+    /// Records a position up to which commits were acknowledged at another instance, which has passed them on.
+    pub fn learn_acknowledged(&mut self, position: Position) {
+        self.acknowledged.learn(position);
+    }
+
+    /// Position up to which commits of the latest term were acknowledged, at least, for other instances.
+    pub const fn acknowledged_position(&self) -> Option<Position> {
+        self.acknowledged.latest()
+    }
+
+    /// When this instance has last passed on the acknowledgement of a commit; `None` before the first.
+    pub const fn passed_on_at(&self) -> Option<Instant> {
+        self.acknowledged.recorded_at()
+    }
+
+    /// Position up to which commits of `term` were acknowledged at this instance or those that told it, at least.
     pub(super) fn acknowledged(&self, term: Term) -> Option<Position> {
         self.acknowledged.reached(term)
     }
--- a/crates/core/tests/absent_logs.rs
+++ b/crates/core/tests/absent_logs.rs
@@ -150,6 +150,33 @@
     assert_eq!(rule(5000).verdict(&view, &[], at(5400)), candidate);
 }
 
+/// Guards against the loss of such commits when the claimant has passed on none of the group, and other instances have
+/// (`review/11`): also when it learns of a term before it passes on a commit of it, and when an instance tells older ones.
+#[test]
+fn verdict_while_others_have_passed_on_commits() {
+    let mut other = polled(0);
+    for (lsn, sent) in [(20, 100), (30, 200)] {
+        other.commit_passed_on(position(1, lsn), at(sent), at(sent + 10));
+    }
+    let told = other.acknowledged_position().expect("a position");
+    assert_eq!(other.passed_on_at(), Some(at(210)));
+    let mut view = polled(0);
+    view.learn_acknowledged(told);
+    view.learn_acknowledged(position(1, 3));
+    view.poll_sent(&id("a"), at(1000));
+    hold_all(&mut view, 2, 5100);
+    assert_eq!(rule(5000).verdict(&view, &[], at(5200)), Verdict::NoCandidate);
+    view.set_members(["a", "b", "c", "d"].map(|name| (id(name), None)), at(5300));
+    view.observe(&id("d"), status(Role::Replica, 1, position(1, 21), 2), at(5310));
+    let candidate = Verdict::Candidate { member: id("d"), position: position(1, 21) };
+    assert_eq!(rule(5000).verdict(&view, &[], at(5400)), candidate);
+
+    view.commit_passed_on(position(1, 40), at(6000), at(6010));
+    view.learn_acknowledged(position(2, 50));
+    view.commit_passed_on(position(2, 60), at(7000), at(7010));
+    assert_eq!(view.acknowledged_position(), Some(position(2, 50)));
+}
+
 /// Guards against requests that wait until their deadline for a primary that cannot come, and against refusals while a
 /// failover is near.
 #[test_case(&["a", "b", "c"], false; "only the primary does not answer")]
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -182,6 +182,8 @@
     StoreContact = 7,
     /// Instances on a page whose hubs were replaced.
     Replaced = 8,
+    /// Positions up to which commits were acknowledged.
+    Acknowledged = 9,
     /// Urgency of the request of a call.
     Urgency = 16,
     /// Expected wait and retry delay of a call that got no slot.
@@ -294,6 +296,14 @@
     }
 }
 
+/// Positions up to which commits of groups were acknowledged to callers, so that a receiver that replaces a primary does not
+/// promote a member that lacks them. The section is left out while there is none.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AcknowledgedSection {
+    /// Group, term and log sequence number.
+    pub positions: Vec<(Box<str>, u64, u64)>,
+}
+
 /// Instances of a list that were replaced as hubs. The section is left out while there is none.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplacedSection {
--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -25,9 +25,9 @@
     events::{self, Event},
     group_state::GroupState,
     message::{
-        self, Datagram, Extension, GroupInfo, LeaderEntry, LeavingSection, PaceSection,
-        RosterVersion, SectionKind, Sections, Status, StoreContactSection, StoreSection,
-        TokenRequestMessage, TokenTransferMessage,
+        self, AcknowledgedSection, Datagram, Extension, GroupInfo, LeaderEntry, LeavingSection,
+        PaceSection, RosterVersion, SectionKind, Sections, Status, StoreContactSection,
+        StoreSection, TokenRequestMessage, TokenTransferMessage,
     },
     node::Node,
     peers::{OfferedRoster, SEND_INTERVAL, nanos},
@@ -36,6 +36,11 @@
 
 /// Largest datagram that can be received.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
+/// Number of rounds of messages of which one tells the positions of acknowledged commits.
+const ROUNDS_PER_POSITIONS: usize = 4;
+/// Time after its latest commit of a group for which an instance tells the position. A claim for a failover that follows a crash is
+/// made by then.
+const POSITION_TIME: Duration = Duration::from_secs(10);
 /// Time without an answer to a poll after which a hub reports a member as unresponsive.
 const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(300);
 
@@ -105,6 +110,14 @@
         let is_group = |group: &Group| node.group(group).is_some();
         promotion_records::receive(&mut claims, &section, is_group, &node.metrics, now);
     }
+    if let Some(section) = sections.get::<AcknowledgedSection>(SectionKind::Acknowledged) {
+        for (group, term, lsn) in &section.positions {
+            if let Some(group) = node.group_named(group) {
+                let position = Position::new(Term(*term), Lsn(*lsn));
+                group.view.borrow_mut().learn_acknowledged(position);
+            }
+        }
+    }
     if let Some(LeavingSection { members }) = sections.get(SectionKind::Leaving) {
         node.members.borrow_mut().learn_leaving(&members, now);
     }
@@ -320,8 +333,10 @@
         }
         receivers.sort();
         receivers.dedup();
+        let tells_positions = round % ROUNDS_PER_POSITIONS == 0;
+        let positions = tells_positions.then(|| acknowledged_positions(&node, now));
         for receiver in receivers {
-            send_to(&node, &receiver, None, now);
+            send_with_positions(&node, &receiver, None, positions.as_ref(), now);
         }
         relay::catch_up(&node, now);
     }
@@ -380,6 +395,19 @@
     now: Instant,
 ) where
     P: Platform,
+{
+    send_with_positions(node, name, demanded, None, now);
+}
+
+/// Like [`send_to`], with the positions of acknowledged commits for an instance that may replace a primary.
+fn send_with_positions<P>(
+    node: &Rc<Node<P>>,
+    name: &InstanceId,
+    demanded: Option<&BTreeSet<Box<str>>>,
+    positions: Option<&AcknowledgedSection>,
+    now: Instant,
+) where
+    P: Platform,
 {
     let latest = node.peers.borrow().latest_message(name);
     let Some((address, acknowledged)) = latest else { return };
@@ -396,7 +424,13 @@
         demands: node.admission.borrow_mut().advertise(name, demanded, now),
     };
     let extension = extension(node, relays_fences, now);
-    let sections = sections(node, name, now);
+    let mut sections = sections(node, name, now);
+    if let Some(section) = positions.filter(|section| !section.positions.is_empty())
+        && may_replace_primaries(node, name)
+    {
+        // Names and numbers can always be encoded.
+        let _ = sections.insert(SectionKind::Acknowledged, section);
+    }
     send_extended(node, address, &Datagram::Status(status), &extension, &sections);
 }
 
@@ -438,9 +472,7 @@
         // Names and numbers can always be encoded.
         let _ = sections.insert(SectionKind::Leaving, &LeavingSection { members });
     }
-    let topology = node.topology();
-    let may_replace = topology.is_hub(receiver) || topology.is_successor(receiver);
-    if may_replace
+    if may_replace_primaries(node, receiver)
         && let Some(section) = promotion_records::section(&node.failover_claims.borrow(), now)
     {
         let _ = sections.insert(SectionKind::Promotions, &section);
@@ -448,6 +480,31 @@
     sections
 }
 
+/// Whether an instance may replace primaries: a hub, or one that becomes a hub next.
+fn may_replace_primaries<P>(node: &Node<P>, instance: &InstanceId) -> bool
+where
+    P: Platform,
+{
+    let topology = node.topology();
+    topology.is_hub(instance) || topology.is_successor(instance)
+}
+
+/// The positions of acknowledged commits that this instance tells: all that it knows if it is a hub, else those of the
+/// commits that it has passed on lately.
+fn acknowledged_positions<P>(node: &Node<P>, now: Instant) -> AcknowledgedSection
+where
+    P: Platform,
+{
+    let is_hub = node.role() == FleetRole::Hub && !node.topology().is_flat();
+    let positions = node.groups().into_iter().filter_map(|group| {
+        let view = group.view.borrow();
+        let is_recent = view.passed_on_at().is_some_and(|at| now.since(at) < POSITION_TIME);
+        let position = view.acknowledged_position().filter(|_| is_hub || is_recent)?;
+        Some((group.name.as_str().into(), position.term.0, position.lsn.0))
+    });
+    AcknowledgedSection { positions: positions.collect() }
+}
+
 /// The extension of a message to a hub, or to another instance (`is_for_follower`).
 fn extension<P>(node: &Node<P>, is_for_follower: bool, now: Instant) -> Extension
 where
