test(gateway): lose all hubs at once in the soak

Cause: the soak drew faults of single instances, so that the hubs of a large fleet were never lost, frozen or without the store together. Hubs that tell no contact with the store, as those of an earlier version, are replaced only when they are silent.

--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -130,6 +130,8 @@
     any_contact: Option<Instant>,
     /// Begin of the contact of this instance that has lasted since.
     contact_since: Option<Instant>,
+    /// Whether another instance has told its contacts; one of an earlier version never does.
+    is_told: bool,
 }
 
 impl Succession {
@@ -173,6 +175,7 @@
     /// Records the contacts that a message tells. `sent` is a time on this instance's clock before which the message was
     /// not sent.
     pub fn record_told(&mut self, ages: ContactAges, sent: Instant) {
+        self.is_told = true;
         self.hub_contact = self.hub_contact.max(ages.hubs.map(|age| sent.minus(age)));
         self.any_contact = self.any_contact.max(ages.any.map(|age| sent.minus(age)));
     }
@@ -205,7 +208,8 @@
     /// while hubs are live. `false` for a hub, which has no place.
     pub fn reads_store(&self, place: Option<Place>, now: Instant) -> bool {
         let lost_for = self.store_lost_for(now);
-        if place.is_none() || lost_for < STORE_STALE {
+        let may_have_store = self.live_since.is_some() && !self.is_told;
+        if place.is_none() || lost_for < STORE_STALE || may_have_store {
             return false;
         }
         // Without a live hub the stand-ins do not learn from each other who reads the store.
@@ -237,8 +241,9 @@
         let has_store =
             lasts(self.contact_since, STEADY_CONTACT) && is_fresh(self.own_contact, now);
         // New hubs have their time as well.
-        let have_lost_store =
-            lasts(self.live_since, STORE_LOSS_TIME) && self.store_lost_for(now) >= STORE_LOSS_TIME;
+        let have_lost_store = self.is_told
+            && lasts(self.live_since, STORE_LOSS_TIME)
+            && self.store_lost_for(now) >= STORE_LOSS_TIME;
         (has_store && have_lost_store).then_some(TakeoverCause::NoStore)
     }
 
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -147,6 +147,8 @@
     let (lost, new) = (["h-1".into()], ["h-2".into()]);
     let end = now.plus(STORE_LOSS_TIME + STEP);
     observe_until(&mut succession, &lost, &mut now, end);
+    assert_eq!(succession.takeover(&lost, place, now), None, "hubs of an earlier version");
+    succession.record_told(ContactAges::default(), now);
     assert_eq!(succession.takeover(&lost, place, now), Some(TakeoverCause::NoStore));
     let end = now.plus(STORE_LOSS_TIME - STEP);
     observe_until(&mut succession, &new, &mut now, end);
--- a/crates/gateway/src/messenger.rs
+++ b/crates/gateway/src/messenger.rs
@@ -459,7 +459,8 @@
         let _ = sections.insert(SectionKind::Store, &StoreSection { era, members, roster });
     }
     let contacts = StoreContactSection::from(node.succession.contact_ages(is_hub, now));
-    if !node.topology().is_flat() && contacts != StoreContactSection::default() {
+    let tells = is_hub || contacts != StoreContactSection::default();
+    if !node.topology().is_flat() && tells {
         // Numbers can always be encoded.
         let _ = sections.insert(SectionKind::StoreContact, &contacts);
     }
--- a/hibiscusladder/tests/gateway/soak/plan.rs
+++ b/hibiscusladder/tests/gateway/soak/plan.rs
@@ -90,6 +90,13 @@
 /// Rates of the first workspace in operations per second; the lowest is below the rate at which its callers send.
 const RATES: [f64; 3] = [15.0, 40.0, 200.0];
 
+/// Added to the seed for the faults of the hubs of a large fleet, which are drawn apart as well.
+const HUB_SEED: u64 = 1 << 33;
+/// Instances that are hubs in a large fleet: the first ones, two in each of two regions.
+pub(super) const HUBS: std::ops::Range<usize> = 0..4;
+/// Range of the time until the hubs act again, in milliseconds; others have replaced them after the longest.
+const HUB_FAULT_DURATION_MS: std::ops::Range<u64> = 1000..15_000;
+
 /// A seed that leaves this rest after a division by 2 has data losses of the store. They are drawn apart from the other faults,
 /// which stay as they were for every seed.
 const DATA_LOSS_REST: u64 = 1;
@@ -115,6 +122,9 @@
         plan.extend(ending.map(|ending| (end, ending)));
     }
     plan.extend(evacuation(seed, run_time));
+    if instances > HUBS.end {
+        plan.extend(hub_faults(seed, run_time));
+    }
     if seed % 2 == DATA_LOSS_REST {
         plan.extend(data_losses(seed, run_time));
     }
@@ -138,6 +148,26 @@
     [(at, true), (end, false)].map(|(at, requested)| (at, Fault::Evacuation { zone, requested }))
 }
 
+/// Draws a fault that all hubs have at the same time: they are suspended, lose the store, or are stopped.
+fn hub_faults(seed: u64, run_time: Duration) -> Vec<(Duration, Fault)> {
+    let mut rng = StdRng::seed_from_u64(seed.wrapping_add(HUB_SEED));
+    let at = run_time.mul_f64(rng.random_range(0.0..0.5));
+    let end = at + Duration::from_millis(rng.random_range(HUB_FAULT_DURATION_MS));
+    let kind = rng.random_range(0..3);
+    let faults = HUBS.flat_map(|instance| {
+        let (begin, ending) = match kind {
+            0 => (Fault::Freeze(instance), Fault::Thaw(instance)),
+            1 => {
+                let link = |link| Fault::StoreLink { instance, link };
+                (link(Link::Cut), link(Link::Normal))
+            }
+            _ => (Fault::Terminate(instance), Fault::Restart(instance)),
+        };
+        [(at, begin), (end, ending)]
+    });
+    faults.collect()
+}
+
 /// Draws the data losses of the store.
 fn data_losses(seed: u64, run_time: Duration) -> Vec<(Duration, Fault)> {
     let mut rng = StdRng::seed_from_u64(!seed);
