--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -68,7 +68,7 @@
     Hub,
     /// The instance gets lists from a live hub.
     Follower,
-    /// The instance is no hub, and no hub sends it lists.
+    /// The instance is no hub and no hub sends it lists, or it lists the registrations in place of the hubs.
     Orphan,
 }
 
